--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+.PHONY: demo test bench soak lint format
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[test,lint]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m sequoiaarch.samples.demo examples/samples/kunene.jsonc examples/samples/presupuesto.jsonc
+
+test: $(STAMP)
+	$(BIN)/python -m sequoiaarch.tests
+
+bench: $(STAMP)
+	$(BIN)/python -m sequoiaarch.bench compare
+
+soak: $(STAMP)
+	$(BIN)/python -m sequoiaarch.bench soak
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/sequoiaarch/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule agent programs across model engines and services."""
--- /dev/null
+++ b/sequoiaarch/config/validation.py
@@ -0,0 +1,108 @@
+"""Report every error of a document at once, in the words of its author."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, TypeVar
+
+import json5
+import msgspec
+from pydantic import BaseModel, ConfigDict, ValidationError
+from rapidfuzz import process
+
+NEAR_ENOUGH = 70.0
+
+
+class Options(BaseModel):
+    """Be the base of all declared options; unknown names are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
+    """Name one place in a document and what is expected there."""
+
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path or '(document)'}: {self.reason}"
+
+
+class InvalidDocument(Exception):
+    """Carry all problems of a document."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+OptionsT = TypeVar("OptionsT", bound=Options)
+
+
+def parse_jsonc(text: str, source: str) -> Any:
+    """Return the value of a JSON text that may hold comments."""
+    try:
+        return json5.loads(text)
+    except ValueError as error:
+        raise InvalidDocument([Problem(path=source, reason=str(error))]) from None
+
+
+def load_jsonc(path: Path) -> Any:
+    """Return the value of a file of JSON with comments."""
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise InvalidDocument([Problem(path=str(path), reason=str(error))]) from None
+    return parse_jsonc(text, str(path))
+
+
+def validate(kind: type[OptionsT], value: Any, prefix: str = "") -> OptionsT:
+    """Return the typed options, or raise with every problem found."""
+    try:
+        return kind.model_validate(value)
+    except ValidationError as error:
+        problems = [_problem(kind, entry, prefix) for entry in error.errors()]
+        raise InvalidDocument(problems) from None
+
+
+def _problem(kind: type[BaseModel], entry: Any, prefix: str) -> Problem:
+    location = entry["loc"]
+    path = ".".join([prefix] * bool(prefix) + [str(part) for part in location])
+    if entry["type"] == "extra_forbidden":
+        return Problem(path=path, reason=_unknown(kind, location))
+    if entry["type"] == "missing":
+        return Problem(path=path, reason="is missing; a value is required")
+    given = repr(entry["input"])
+    if len(given) > 60:
+        given = given[:57] + "..."
+    message = entry["msg"].removeprefix("Value error, ")
+    return Problem(path=path, reason=f"{message}; given {given}")
+
+
+def _unknown(kind: type[BaseModel], location: tuple[Any, ...]) -> str:
+    names = _names_at(kind, location[:-1])
+    match = process.extractOne(str(location[-1]), names, score_cutoff=NEAR_ENOUGH)
+    if match is not None:
+        return f"is not an option; did you mean {match[0]!r}?"
+    return f"is not an option; known are {', '.join(sorted(names))}"
+
+
+def _names_at(kind: type[BaseModel], location: tuple[Any, ...]) -> list[str]:
+    current: Any = kind
+    for part in location:
+        fields = getattr(current, "model_fields", {})
+        if part not in fields:
+            continue
+        current = _model_in(fields[part].annotation)
+    return list(getattr(current, "model_fields", {}))
+
+
+def _model_in(annotation: Any) -> Any:
+    if hasattr(annotation, "model_fields"):
+        return annotation
+    for argument in getattr(annotation, "__args__", ()):
+        found = _model_in(argument)
+        if found is not None:
+            return found
+    return None
--- /dev/null
+++ b/sequoiaarch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Put a daemon together from its settings."""
--- /dev/null
+++ b/sequoiaarch/daemon/base.py
@@ -0,0 +1,170 @@
+"""Hold what every role of a daemon needs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import zmq.asyncio
+
+from ..config.follower import ConfigFollower
+from ..config.settings import Settings
+from ..config.store import (
+    Catalogue,
+    ConfigSnapshot,
+    ConfigView,
+    decode_config,
+    encode_config,
+)
+from ..ids import HostName, RecordId, TargetName, new_id
+from ..membership.view import Membership
+from ..observe.decisions import Decisions
+from ..observe.metrics import Metrics
+from ..observe.traces import Tracing
+from ..platform.http import HttpClient, HttpHostList, HttpLog
+from ..platform.interfaces import AppendLog, HostList
+from ..platform.memory import MemoryHostList
+from ..shards.client import LocalShards, Shards
+from ..wire.links import CurveKeys, Links
+from ..wire.messages import ConfigReply, ConfigRequest
+
+PEERS_ASKED = 3
+PEER_TIMEOUT = 2.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlatformServices:
+    """Hold the services of the platform."""
+
+    log: AppendLog
+    hosts: HostList | None
+
+
+def connect_platform(settings: Settings) -> PlatformServices:
+    """Return the platform's services that the settings name."""
+    assert settings.platform.log is not None
+    log = HttpLog(client=HttpClient(url=settings.platform.log))
+    hosts: HostList | None = None
+    if settings.platform.hosts is not None:
+        client = HttpClient(url=settings.platform.hosts, threads=2)
+        hosts = HttpHostList(client=client)
+    return PlatformServices(log=log, hosts=hosts)
+
+
+def fixed_hosts(settings: Settings) -> HostList:
+    """Return a host list that names the own host only."""
+    return MemoryHostList(hosts=[HostName(settings.host)])
+
+
+def curve_keys(settings: Settings) -> CurveKeys | None:
+    """Return the keys of the inner links, if the settings give any."""
+    curve = settings.inner.curve
+    if curve is None:
+        return None
+    return CurveKeys(public=curve.public, secret=curve.secret, server=curve.server)
+
+
+@dataclass(kw_only=True)
+class Core:
+    """Join the parts that a gateway and a sidecar both need."""
+
+    settings: Settings
+    context: zmq.asyncio.Context
+    platform: PlatformServices
+    links: Links
+    metrics: Metrics
+    tracing: Tracing
+    decisions: Decisions
+    view: ConfigView
+    catalogue: Catalogue
+    follower: ConfigFollower
+    membership: Membership
+    local: LocalShards
+    shards: Shards
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start to follow the configuration and the host list."""
+        self.tasks.append(asyncio.create_task(self.follower.run()))
+        self.tasks.append(asyncio.create_task(self.membership.run()))
+
+    def config_reply(self) -> ConfigReply:
+        """Return the configuration in force for a peer."""
+        snapshot = self.view.snapshot(RecordId(new_id("config")))
+        return ConfigReply(snapshot=encode_config(snapshot))
+
+    def close(self) -> None:
+        """Stop all tasks and links."""
+        for task in self.tasks:
+            task.cancel()
+        self.membership.close()
+        self.local.close()
+        self.links.close()
+
+
+def make_core(
+    settings: Settings,
+    *,
+    name: str,
+    me: TargetName | None,
+    context: zmq.asyncio.Context,
+    platform: PlatformServices,
+) -> Core:
+    """Return the common parts for one role."""
+    metrics = Metrics()
+    links = Links(
+        context=context,
+        keys=curve_keys(settings),
+        silence_limit=settings.inner.silence_limit,
+    )
+    view = ConfigView()
+    catalogue = Catalogue(view=view)
+    membership = Membership(
+        catalogue=catalogue, hosts=platform.hosts, links=links, metrics=metrics
+    )
+
+    async def ask_peers() -> list[ConfigSnapshot]:
+        known = list(membership.peers().values())
+        addresses = [*settings.peers, *known][:PEERS_ASKED]
+        asked = [
+            links.to(address).call(ConfigRequest(), timeout=PEER_TIMEOUT)
+            for address in addresses
+        ]
+        found = []
+        for reply in await asyncio.gather(*asked):
+            if isinstance(reply, ConfigReply):
+                record = decode_config(reply.snapshot)
+                if isinstance(record, ConfigSnapshot):
+                    found.append(record)
+        return found
+
+    follower = ConfigFollower(
+        log_service=platform.log, view=view, ask_peers=ask_peers, metrics=metrics
+    )
+    local = LocalShards(
+        log_service=platform.log,
+        interval=settings.limits.append_interval,
+        metrics=metrics,
+    )
+    shards = Shards(
+        shards=settings.shards,
+        local=local,
+        links=links,
+        peers=membership.peers,
+        me=me,
+    )
+    return Core(
+        settings=settings,
+        context=context,
+        platform=platform,
+        links=links,
+        metrics=metrics,
+        tracing=Tracing(name=name),
+        decisions=Decisions(),
+        view=view,
+        catalogue=catalogue,
+        follower=follower,
+        membership=membership,
+        local=local,
+        shards=shards,
+    )
--- /dev/null
+++ b/sequoiaarch/daemon/standalone.py
@@ -0,0 +1,187 @@
+"""Run a gateway, sidecars and stand-ins in one process, for a trial."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import logbook
+import zmq.asyncio
+
+from ..config.documents import parse_documents
+from ..config.settings import Caller, InnerOptions, Settings
+from ..config.store import Change, Publication
+from ..errors import Failure
+from ..gateway.gateway import Gateway
+from ..ids import RecordId, TargetName, new_id
+from ..platform.memory import MemoryLog
+from ..sidecar.sidecar import Sidecar
+from ..standins.engine import EngineOptions, EngineStandIn
+from ..standins.service import ServiceStandIn
+from .base import Core, PlatformServices, fixed_hosts, make_core
+
+log = logbook.Logger("daemon")
+
+TRIAL_KEY = "trial-key"
+TRIAL_OPERATOR_KEY = "trial-operator-key"
+TRIAL_WORKSPACE = "trial"
+TRIAL_MODEL = "stand-in"
+
+
+class Standalone:
+    """Hold a whole system in one process; nothing outlives it."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        keys = settings.callers or [Caller(key=TRIAL_KEY, workspace=TRIAL_WORKSPACE)]
+        operators = settings.operator_keys or [TRIAL_OPERATOR_KEY]
+        self._settings = settings.model_copy(
+            update={
+                "callers": keys,
+                "operator_keys": operators,
+                "inner": InnerOptions(),
+            }
+        )
+        self._platform = PlatformServices(log=MemoryLog(), hosts=fixed_hosts(settings))
+        self._context = zmq.asyncio.Context()
+        self.engine = EngineStandIn(options=EngineOptions())
+        self.service = ServiceStandIn()
+        self._cores: list[Core] = []
+        self._sidecars: list[Sidecar] = []
+        self._gateway: Gateway | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that callers reach."""
+        assert self._gateway is not None
+        return self._gateway.port
+
+    @property
+    def settings(self) -> Settings:
+        """Return the settings with the keys of the trial."""
+        return self._settings
+
+    def _core(self, name: str, me: TargetName | None) -> Core:
+        core = make_core(
+            self._settings,
+            name=name,
+            me=me,
+            context=self._context,
+            platform=self._platform,
+        )
+        self._cores.append(core)
+        core.start()
+        return core
+
+    async def start(self) -> None:
+        """Start the stand-ins, the sidecars and the gateway."""
+        self.engine.start()
+        self.service.start()
+        addresses = {}
+        for name in (TargetName("engine-1"), TargetName("tools-1")):
+            sidecar = Sidecar(core=self._core(f"sidecar {name}", name), target=name)
+            addresses[name] = sidecar.bind()
+            self._sidecars.append(sidecar)
+        core = self._core("gateway", None)
+        await self._publish(core, addresses)
+        await asyncio.gather(*(sidecar.start() for sidecar in self._sidecars))
+        self._gateway = Gateway(core=core, rng=random.Random())
+        await self._gateway.start()
+
+    async def _publish(self, core: Core, addresses: dict[TargetName, str]) -> None:
+        documents = trial_documents(
+            self._settings,
+            engine_url=self.engine.url,
+            service_url=self.service.url,
+            addresses=addresses,
+        )
+        publication = Publication(
+            id=RecordId(new_id("publication")),
+            author="standalone",
+            changes=[
+                Change(
+                    key=document.key,
+                    base=0,
+                    document=document.model_dump(mode="json", exclude_none=True),
+                )
+                for document in parse_documents(documents)
+            ],
+        )
+        verdict = await core.follower.publish(publication)
+        if isinstance(verdict, Failure) or not verdict.accepted:
+            raise RuntimeError(f"the trial's configuration was refused: {verdict}")
+
+    async def stop(self) -> None:
+        """Stop in an orderly way."""
+        if self._gateway is not None:
+            await self._gateway.stop()
+            self._gateway.close()
+        for sidecar in self._sidecars:
+            await sidecar.stop()
+            sidecar.close()
+        for core in self._cores:
+            core.close()
+        self.engine.stop()
+        self.service.stop()
+        self._context.destroy(linger=0)
+
+
+def trial_documents(
+    settings: Settings,
+    *,
+    engine_url: str,
+    service_url: str,
+    addresses: dict[TargetName, str],
+) -> list[Any]:
+    """Return the documents of a trial, as an operator would write them."""
+    place = {"host": settings.host, "data_centre": settings.data_centre}
+    workspaces = sorted({caller.workspace for caller in settings.callers})
+    documents: list[Any] = [
+        {
+            "kind": "Target",
+            "name": "engine-1",
+            "labels": {"type": "engine"},
+            "spec": {
+                "type": "engine",
+                "model": TRIAL_MODEL,
+                "url": engine_url,
+                "address": addresses[TargetName("engine-1")],
+                **place,
+            },
+        },
+        {
+            "kind": "Target",
+            "name": "tools-1",
+            "labels": {"type": "service"},
+            "spec": {
+                "type": "service",
+                "service": "tools",
+                "url": service_url,
+                "address": addresses[TargetName("tools-1")],
+                **place,
+            },
+        },
+    ]
+    for workspace in workspaces:
+        documents.append(
+            {
+                "kind": "Program",
+                "name": f"{workspace.lower()}-chat",
+                "labels": {"workspace": workspace},
+                "spec": {
+                    "workspace": workspace,
+                    "model": TRIAL_MODEL,
+                    "services": ["tools"],
+                },
+            }
+        )
+    return documents
+
+
+async def run_standalone(settings: Settings, stopped: asyncio.Event) -> None:
+    """Run a trial until it is told to stop."""
+    system = Standalone(settings=settings)
+    await system.start()
+    log.info("Try it at http://{}:{}.", settings.http.address, system.port)
+    await stopped.wait()
+    await system.stop()
--- /dev/null
+++ b/sequoiaarch/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Meet model engines and plain services behind their targets."""
--- /dev/null
+++ b/sequoiaarch/errors.py
@@ -0,0 +1,129 @@
+"""Hold the closed list of error kinds and the answer that each one gets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+
+class NotRun(Enum):
+    """Say whether the request that failed was run."""
+
+    YES = "true"
+    NO = "false"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """List every kind of error that a caller or operator can see."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    UNAUTHORISED = "unauthorised"
+    NOT_FOUND = "not_found"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    HISTORY_CONFLICT = "history_conflict"
+    OUT_OF_SEQUENCE = "out_of_sequence"
+    KEY_CONFLICT = "key_conflict"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    PROGRAM_ENDED = "program_ended"
+    PROGRAM_LIMIT = "program_limit"
+    OVERLOADED = "overloaded"
+    STOPPING = "stopping"
+    MOVED = "moved"
+    NO_TARGET = "no_target"
+    LOG_UNAVAILABLE = "log_unavailable"
+    SUPERSEDED = "superseded"
+    INTERRUPTED = "interrupted"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    TARGET_FAILED = "target_failed"
+    CONFIG_INVALID = "config_invalid"
+    CONFIG_CONFLICT = "config_conflict"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """Describe the answer that one kind of error gets over HTTP."""
+
+    status: int
+    not_run: NotRun
+    retry_after: float | None = None
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.MALFORMED: Answer(status=400, not_run=NotRun.YES),
+    ErrorKind.TOO_LARGE: Answer(status=413, not_run=NotRun.YES),
+    ErrorKind.UNAUTHORISED: Answer(status=401, not_run=NotRun.YES),
+    ErrorKind.NOT_FOUND: Answer(status=404, not_run=NotRun.YES),
+    ErrorKind.UNKNOWN_MODEL: Answer(status=404, not_run=NotRun.YES),
+    ErrorKind.UNKNOWN_SERVICE: Answer(status=404, not_run=NotRun.YES),
+    ErrorKind.HISTORY_CONFLICT: Answer(status=409, not_run=NotRun.YES),
+    ErrorKind.OUT_OF_SEQUENCE: Answer(status=409, not_run=NotRun.YES),
+    ErrorKind.KEY_CONFLICT: Answer(status=409, not_run=NotRun.YES),
+    ErrorKind.BUDGET_EXHAUSTED: Answer(status=402, not_run=NotRun.YES),
+    ErrorKind.PROGRAM_ENDED: Answer(status=410, not_run=NotRun.YES),
+    ErrorKind.PROGRAM_LIMIT: Answer(status=403, not_run=NotRun.YES),
+    ErrorKind.OVERLOADED: Answer(status=429, not_run=NotRun.YES, retry_after=1.0),
+    ErrorKind.STOPPING: Answer(status=503, not_run=NotRun.YES, retry_after=0.2),
+    ErrorKind.MOVED: Answer(status=503, not_run=NotRun.YES, retry_after=0.2),
+    ErrorKind.NO_TARGET: Answer(status=503, not_run=NotRun.YES, retry_after=1.0),
+    ErrorKind.LOG_UNAVAILABLE: Answer(status=503, not_run=NotRun.YES, retry_after=2.0),
+    ErrorKind.SUPERSEDED: Answer(status=409, not_run=NotRun.NO, retry_after=0.2),
+    ErrorKind.INTERRUPTED: Answer(status=502, not_run=NotRun.NO, retry_after=0.2),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(status=502, not_run=NotRun.UNKNOWN),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(status=504, not_run=NotRun.UNKNOWN),
+    ErrorKind.TARGET_FAILED: Answer(status=502, not_run=NotRun.NO),
+    ErrorKind.CONFIG_INVALID: Answer(status=422, not_run=NotRun.YES),
+    ErrorKind.CONFIG_CONFLICT: Answer(status=409, not_run=NotRun.YES),
+    ErrorKind.INTERNAL: Answer(status=500, not_run=NotRun.UNKNOWN),
+}
+
+
+class Failure(msgspec.Struct, frozen=True, kw_only=True):
+    """Stand in for a result that could not be had, with the reason.
+
+    `not_run` and `retry_after` (seconds) override the table where the part
+    that failed knows better than the kind does.
+    """
+
+    kind: ErrorKind
+    reason: str
+    field: str | None = None
+    not_run: NotRun | None = None
+    retry_after: float | None = None
+    expected_seq: int | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """Return the answer of this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def run_state(self) -> NotRun:
+        """Return whether the request was run."""
+        return self.not_run or self.answer.not_run
+
+    @property
+    def wait(self) -> float | None:
+        """Return the seconds after which to ask again, if that helps."""
+        if self.retry_after is not None:
+            return self.retry_after
+        return self.answer.retry_after
+
+
+class FailureError(Exception):
+    """Carry a failure up to the place that answers the request."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(f"{failure.kind.value}: {failure.reason}")
+        self.failure = failure
+
+
+def fail(kind: ErrorKind, reason: str, **details: object) -> FailureError:
+    """Return an exception that carries a failure of the kind."""
+    return FailureError(Failure(kind=kind, reason=reason, **details))  # type: ignore[arg-type]
--- /dev/null
+++ b/sequoiaarch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Answer callers and operators, and relay to the homes of programs."""
--- /dev/null
+++ b/sequoiaarch/gateway/gateway.py
@@ -0,0 +1,85 @@
+"""Put the parts of a gateway together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import logbook
+
+from ..daemon.base import Core
+from ..webserver import WebServer
+from .app import CallerApp
+from .bridge import Bridge
+from .operators import OperatorApi
+from .router import Router
+
+log = logbook.Logger("gateway")
+
+STOP_CHECK = 0.02
+
+
+class Gateway:
+    """Answer HTTP on an entry host."""
+
+    def __init__(self, *, core: Core, rng: random.Random) -> None:
+        self._core = core
+        self._router = Router(core=core, rng=rng)
+        self._started = False
+        bridge = Bridge(loop=asyncio.get_running_loop(), router=self._router)
+        operators = OperatorApi(
+            core=core, router=self._router, bridge=bridge, ready=lambda: self.ready
+        )
+        self._app = CallerApp(
+            core=core, router=self._router, bridge=bridge, operators=operators
+        )
+        http = core.settings.http
+        self._server = WebServer(
+            app=self._app,
+            address=http.address,
+            port=http.port,
+            max_threads=http.max_threads,
+            max_body=http.max_body * 2,
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port that callers reach."""
+        return self._server.port
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self._started and not self._app.leaving
+
+    async def start(self) -> None:
+        """Answer probes at once, and callers when the configuration is known."""
+        self._server.start()
+        await self._core.follower.ready()
+        self._started = True
+        log.info("Gateway answers on port {}.", self.port)
+
+    async def stop(self) -> None:
+        """Leave in an orderly way.
+
+        First the readiness probe fails while calls are still taken, so that
+        the balancer looks elsewhere; then new calls are refused and those
+        under way come to their ends.
+        """
+        limits = self._core.settings.limits
+        self._app.leaving = True
+        await asyncio.sleep(limits.lame_duck)
+        self._app.refusing = True
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limits.drain_timeout
+        while loop.time() < deadline and self._busy():
+            await asyncio.sleep(STOP_CHECK)
+        if self._busy():
+            log.warning("Stopping with {} calls open.", self._app.open_requests)
+
+    def _busy(self) -> bool:
+        return bool(self._app.open_requests or self._router.open_calls)
+
+    def close(self) -> None:
+        """Close the server."""
+        self._server.stop()
--- /dev/null
+++ b/sequoiaarch/home/__init__.py
@@ -0,0 +1,1 @@
+"""Run programs: their order, history and budget."""
--- /dev/null
+++ b/sequoiaarch/home/homes.py
@@ -0,0 +1,369 @@
+"""Keep the programs whose home is this sidecar, and take over others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass
+
+import logbook
+
+from ..config.documents import PolicySpecification
+from ..config.settings import LimitOptions
+from ..config.store import Catalogue
+from ..errors import ErrorKind, Failure, FailureError, fail
+from ..ids import Epoch, ProgramId, RecordId, Seq, TargetName, new_id
+from ..membership.view import Membership
+from ..observe.decisions import Decisions
+from ..observe.metrics import Metrics
+from ..records.acceptance import Refusal
+from ..records.types import (
+    Claim,
+    Commit,
+    End,
+    ProgramSpec,
+    ProgramState,
+    Release,
+    Spawn,
+)
+from ..shards.client import Shards
+from ..wire.links import Links
+from ..wire.messages import Accepted, CallKind, Done, Failed, HandoverRequest, Turn
+from .calls import ActiveCall
+from .program import RunningProgram, superseded
+
+log = logbook.Logger("home")
+
+HANDOVER_TIMEOUT = 5.0
+IDLE_CHECK = 5.0
+FIRST_BLOCK_CALLS = 2
+CLAIMS_TRIED = 3
+
+
+@dataclass(frozen=True, kw_only=True)
+class Opening:
+    """Say which program to open and what the asker knows of it.
+
+    `first_call` is the number of tokens that the next call may need.
+    """
+
+    program: ProgramId
+    spec: ProgramSpec
+    first_call: int = 0
+    create: bool = False
+    previous_home: TargetName | None = None
+    previous_silent: bool = False
+
+
+class Homes:
+    """Open, release and end programs."""
+
+    def __init__(
+        self,
+        *,
+        me: TargetName,
+        catalogue: Catalogue,
+        membership: Membership,
+        links: Links,
+        shards: Shards,
+        limits: LimitOptions,
+        metrics: Metrics,
+        decisions: Decisions,
+    ) -> None:
+        self._me = me
+        self._catalogue = catalogue
+        self._membership = membership
+        self._links = links
+        self._shards = shards
+        self._limits = limits
+        self._metrics = metrics
+        self._decisions = decisions
+        self._programs: dict[ProgramId, RunningProgram] = {}
+        self._opening: defaultdict[ProgramId, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self._draining = False
+        self._left: asyncio.Queue[tuple[ProgramId, str]] = asyncio.Queue()
+
+    @property
+    def programs(self) -> dict[ProgramId, RunningProgram]:
+        """Return the programs at home here."""
+        return self._programs
+
+    @property
+    def draining(self) -> bool:
+        """Return whether no new program is taken."""
+        return self._draining
+
+    @property
+    def left(self) -> asyncio.Queue[tuple[ProgramId, str]]:
+        """Return the programs that ended or left, with the cause."""
+        return self._left
+
+    @property
+    def uncommitted_bytes(self) -> int:
+        """Return the bytes of turns that the log has not taken."""
+        return sum(one.uncommitted_bytes for one in self._programs.values())
+
+    def policy(self, spec: ProgramSpec) -> PolicySpecification:
+        """Return the policy of a program."""
+        return self._catalogue.policy_for(spec.labels)
+
+    async def open(self, opening: Opening) -> RunningProgram:
+        """Return a program that is at home here, claiming it where needed."""
+        program = opening.program
+        async with self._opening[program]:
+            running = self._programs.get(program)
+            if running is not None and running.lost is None:
+                return running
+            return await self._claim(opening)
+
+    async def _claim(self, opening: Opening) -> RunningProgram:
+        program = opening.program
+        self._programs.pop(program, None)
+        for _ in range(CLAIMS_TRIED):
+            state = await self._shards.state(program)
+            if isinstance(state, Failure):
+                raise FailureError(state)
+            if self._draining:
+                raise fail(ErrorKind.STOPPING, f"target {self._me} takes no new work")
+            if state is not None:
+                self._check(state, opening.spec)
+                await self._take_from(state, opening)
+            elif not opening.create:
+                raise fail(ErrorKind.NOT_FOUND, f"no program {program}")
+            running = await self._submit_claim(
+                program, opening.spec, state, opening.first_call
+            )
+            if running is not None:
+                return running
+        raise fail(ErrorKind.MOVED, f"program {program} is being moved; ask again")
+
+    def _check(self, state: ProgramState, spec: ProgramSpec) -> None:
+        if state.spec.workspace != spec.workspace:
+            raise fail(ErrorKind.NOT_FOUND, f"no program {state.program}")
+        if state.ended is not None:
+            raise fail(
+                ErrorKind.PROGRAM_ENDED,
+                f"program {state.program} ended: {state.ended}",
+            )
+
+    async def _take_from(self, state: ProgramState, opening: Opening) -> None:
+        """Ask the present home to release; where it is silent, go on.
+
+        A home that is only slow or paused can do no harm: the claim that
+        follows makes its records count for nothing.
+        """
+        if state.released or state.home == self._me:
+            return
+        address = self._membership.address(state.home)
+        if address is None or self._membership.silent(state.home):
+            return
+        if opening.previous_home != state.home:
+            # The gateway did not know the present home. Moving the program
+            # here for that would let two gateways pull it to and fro.
+            raise fail(ErrorKind.MOVED, f"the program is at home at {state.home}")
+        if opening.previous_silent:
+            return
+        request = HandoverRequest(program=state.program)
+        link = self._links.to(address)
+        reply = await link.call(request, timeout=HANDOVER_TIMEOUT * 2)
+        if isinstance(reply, Accepted):
+            return
+        if not isinstance(reply, Failed):
+            return
+        if reply.failure.kind is not ErrorKind.INTERRUPTED:
+            raise FailureError(reply.failure)
+        self._membership.note_silent(state.home)
+
+    async def _submit_claim(
+        self,
+        program: ProgramId,
+        spec: ProgramSpec,
+        state: ProgramState | None,
+        first_call: int,
+    ) -> RunningProgram | None:
+        if state is not None:
+            # The present home may just have released it.
+            fresh = await self._shards.state(program)
+            if isinstance(fresh, ProgramState):
+                state = fresh
+        record = Claim(
+            id=RecordId(new_id("claim")),
+            program=program,
+            replaces=state.epoch if state else Epoch(0),
+            home=self._me,
+            block=first_call * FIRST_BLOCK_CALLS,
+            spec=None if state else spec,
+        )
+        timeout = self._limits.submit_timeout
+        reply = await self._shards.submit(record, timeout=timeout)
+        if isinstance(reply, Failure):
+            raise FailureError(reply)
+        if reply.verdict.refusal is Refusal.NO_SPAWN:
+            raise fail(ErrorKind.NOT_FOUND, f"no parent spawned program {program}")
+        if not reply.verdict.valid or reply.state is None:
+            return None
+        if reply.state.claim != record.id:
+            return None
+        cause = "takeover" if state else "new"
+        self._metrics.claims.inc({"cause": cause})
+        before = f"after {state.home or 'a release'}" if state else "as a new program"
+        self._decisions.note(program, "home", self._me, f"claimed {before}")
+        running = RunningProgram(
+            state=reply.state, shards=self._shards, metrics=self._metrics
+        )
+        self._programs[program] = running
+        self._metrics.programs.set({}, len(self._programs))
+        return running
+
+    async def take_pending(self, running: RunningProgram, turns: list[Turn]) -> None:
+        """Commit answers that an earlier home streamed but did not commit.
+
+        The gateway's copy keeps the caller from being given two different
+        answers: it counts where it is complete and next in sequence.
+        """
+        for turn in turns:
+            if turn.seq != running.seq + 1 or turn.prefix != running.digest:
+                continue
+            if running.busy:
+                return
+            call = ActiveCall(
+                kind=CallKind.MODEL, fingerprint=turn.request, seq=turn.seq, key=None
+            )
+            running.register(call)
+            commit = Commit(
+                id=RecordId(new_id("commit")),
+                program=running.id,
+                epoch=running.epoch,
+                seq=turn.seq,
+                prefix=turn.prefix,
+                digest=turn.digest,
+                messages=turn.messages,
+                message_count=turn.message_count,
+                answer=turn.answer,
+                request=turn.request,
+            )
+            running.finish(call, commit)
+            call.end(Done(answer=turn.answer))
+            reason = f"call {turn.seq} was kept from the gateway's copy"
+            self._decisions.note(running.id, "history", "recovered", reason)
+
+    async def hand_over(self, program: ProgramId) -> Failure | None:
+        """Release a program to another home once its calls have ended."""
+        running = self._programs.get(program)
+        if running is None or running.lost is not None:
+            return None
+        if not await running.flushed(HANDOVER_TIMEOUT):
+            return Failure(
+                kind=ErrorKind.MOVED,
+                reason=f"program {program} has a call under way at {self._me}",
+            )
+        return await self._release(running)
+
+    async def _release(self, running: RunningProgram) -> Failure | None:
+        if running.busy:
+            return Failure(kind=ErrorKind.MOVED, reason="a call came in between")
+        record = Release(
+            id=RecordId(new_id("release")), program=running.id, epoch=running.epoch
+        )
+        running.lose(Failure(kind=ErrorKind.MOVED, reason="the program moves"))
+        reply = await self._shards.submit(record, timeout=self._limits.submit_timeout)
+        await self._remove(running, "moved")
+        return reply if isinstance(reply, Failure) else None
+
+    async def _remove(self, running: RunningProgram, cause: str) -> None:
+        if self._programs.get(running.id) is running:
+            del self._programs[running.id]
+        self._metrics.programs.set({}, len(self._programs))
+        await self._left.put((running.id, cause))
+
+    async def drop_lost(self, running: RunningProgram) -> None:
+        """Forget a program that another home has taken over."""
+        await self._remove(running, "superseded")
+
+    async def spawn(
+        self, parent: RunningProgram, child: ProgramId, budget: int
+    ) -> Failure | None:
+        """Move budget from a parent to a sub-agent."""
+        record = Spawn(
+            id=RecordId(new_id("spawn")),
+            program=parent.id,
+            epoch=parent.epoch,
+            child=child,
+            budget=budget,
+        )
+        reply = await self._shards.submit(record, timeout=self._limits.submit_timeout)
+        if isinstance(reply, Failure):
+            return reply
+        parent.take_state(reply.state)
+        refusal = reply.verdict.refusal
+        if refusal in (Refusal.NONE, Refusal.KEY_USED):
+            moved = reply.state.moved.get(child) if reply.state else None
+            if moved == budget:
+                return None
+        if refusal is Refusal.NO_BUDGET:
+            left = parent.state.available
+            return Failure(
+                kind=ErrorKind.BUDGET_EXHAUSTED,
+                reason=f"the parent has {left} tokens to give, not {budget}",
+                field="budget",
+            )
+        return superseded(parent.id)
+
+    async def end(self, running: RunningProgram, reason: str) -> Failure | None:
+        """End a program and free what it holds."""
+        settled = await running.flushed(self._limits.submit_timeout)
+        record = End(
+            id=RecordId(new_id("end")),
+            program=running.id,
+            epoch=running.epoch,
+            reason=reason,
+            settled=settled,
+        )
+        reply = await self._shards.submit(record, timeout=self._limits.submit_timeout)
+        if isinstance(reply, Failure):
+            return reply
+        if not reply.verdict.valid and reply.verdict.refusal is not Refusal.ENDED:
+            return superseded(running.id)
+        running.lose(
+            Failure(kind=ErrorKind.PROGRAM_ENDED, reason=f"program ended: {reason}")
+        )
+        self._decisions.note(running.id, "home", "ended", reason)
+        await self._remove(running, "ended")
+        return None
+
+    async def drain(self, draining: bool) -> None:
+        """Take no new programs and release those that are idle."""
+        self._draining = draining
+        if not draining:
+            return
+        log.info("Draining: {} programs leave.", len(self._programs))
+        await asyncio.gather(
+            *(self._drain_one(one) for one in list(self._programs.values()))
+        )
+
+    async def _drain_one(self, running: RunningProgram) -> None:
+        if await running.flushed(self._limits.drain_timeout) and running.lost is None:
+            await self._release(running)
+
+    async def run(self) -> None:
+        """End programs that were abandoned, and forget lost ones."""
+        while True:
+            await asyncio.sleep(IDLE_CHECK)
+            now = asyncio.get_running_loop().time()
+            for running in list(self._programs.values()):
+                if running.lost is not None:
+                    await self._remove(running, "superseded")
+                    continue
+                limit = self.policy(running.state.spec).idle_limit
+                if not running.busy and now - running.last_used > limit:
+                    await self.end(running, f"idle for {limit:.0f} s")
+            self._metrics.uncommitted.set({}, self.uncommitted_bytes)
+
+    async def answered(
+        self, running: RunningProgram, seq: Seq
+    ) -> Commit | Failure | None:
+        """Return the commit of an earlier call from the log."""
+        commits = await self._shards.commits(running.id, Seq(seq - 1))
+        if isinstance(commits, Failure):
+            return commits
+        return next((one for one in commits if one.seq == seq), None)
--- /dev/null
+++ b/sequoiaarch/ids.py
@@ -0,0 +1,31 @@
+"""Name the kinds of identifier that pass between parts."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NewType
+
+ProgramId = NewType("ProgramId", str)
+Workspace = NewType("Workspace", str)
+TargetName = NewType("TargetName", str)
+HostName = NewType("HostName", str)
+DataCentre = NewType("DataCentre", str)
+RecordId = NewType("RecordId", str)
+AttemptId = NewType("AttemptId", str)
+CallKey = NewType("CallKey", str)
+Epoch = NewType("Epoch", int)
+Offset = NewType("Offset", int)
+Seq = NewType("Seq", int)
+
+RANDOM_ID_BYTES = 9
+CHILD_SEPARATOR = "."
+
+
+def new_id(prefix: str) -> str:
+    """Return a fresh random identifier that starts with the prefix."""
+    return f"{prefix}-{secrets.token_hex(RANDOM_ID_BYTES)}"
+
+
+def root_of(program: ProgramId) -> ProgramId:
+    """Return the root program of a program, which may be itself."""
+    return ProgramId(program.split(CHILD_SEPARATOR, 1)[0])
--- /dev/null
+++ b/sequoiaarch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which targets can be given work."""
--- /dev/null
+++ b/sequoiaarch/membership/view.py
@@ -0,0 +1,165 @@
+"""Join the platform's host list with what peers show of themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import logbook
+
+from ..config.documents import TargetDocument
+from ..config.store import Catalogue
+from ..errors import Failure
+from ..ids import HostName, TargetName
+from ..observe.metrics import Metrics
+from ..platform.interfaces import HostList, HostState
+from ..wire.links import Links
+from ..wire.messages import Load, LoadReply, LoadRequest
+
+log = logbook.Logger("membership")
+
+LIST_INTERVAL = 1.0
+PROBE_INTERVAL = 0.5
+PROBE_TIMEOUT = 1.0
+
+
+class Membership:
+    """Say which targets are live, leaving, silent or draining.
+
+    The host list lags, so a target is avoided as soon as one of these says
+    so: the list, its own refusal to take work, or its silence. A silent or
+    draining target is probed until it answers and takes work again.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalogue: Catalogue,
+        hosts: HostList | None,
+        links: Links,
+        metrics: Metrics,
+    ) -> None:
+        self._catalogue = catalogue
+        self._host_list = hosts
+        self._links = links
+        self._metrics = metrics
+        self._hosts: dict[HostName, HostState] | None = None
+        self._silent: set[TargetName] = set()
+        self._loads: dict[TargetName, Load] = {}
+        self._sent: dict[TargetName, int] = {}
+        self._probes: dict[TargetName, asyncio.Task[None]] = {}
+        self._reported: dict[TargetName, float] = {}
+
+    def peers(self) -> dict[TargetName, str]:
+        """Return the address of every sidecar that should answer."""
+        return {
+            TargetName(target.name): target.spec.address
+            for target in self._catalogue.targets
+            if self.answers(target)
+        }
+
+    def address(self, name: TargetName) -> str | None:
+        """Return the address of the sidecar beside a target."""
+        target = self._catalogue.target(name)
+        return target.spec.address if target else None
+
+    def answers(self, target: TargetDocument) -> bool:
+        """Return whether the sidecar of a target should answer."""
+        if TargetName(target.name) in self._silent:
+            return False
+        return self._host_state(target) is not None
+
+    def takes_work(self, target: TargetDocument) -> bool:
+        """Return whether a target may be given new programs."""
+        load = self._loads.get(TargetName(target.name))
+        if load is not None and load.draining:
+            return False
+        live = self._host_state(target) is HostState.LIVE
+        return live and self.answers(target)
+
+    def _host_state(self, target: TargetDocument) -> HostState | None:
+        if self._hosts is None:
+            # The list was never read. Peers that do not answer are found
+            # silent by themselves.
+            return HostState.LIVE
+        return self._hosts.get(HostName(target.spec.host))
+
+    def load(self, name: TargetName) -> Load | None:
+        """Return the last load that a target reported."""
+        return self._loads.get(name)
+
+    def sent_since(self, name: TargetName) -> int:
+        """Return the calls sent to a target since it reported."""
+        return self._sent.get(name, 0)
+
+    def note_sent(self, name: TargetName) -> None:
+        """Count a call that was sent to a target."""
+        self._sent[name] = self._sent.get(name, 0) + 1
+
+    def note_load(self, load: Load | None) -> None:
+        """Take in the load that came with a reply."""
+        if load is None:
+            return
+        self._loads[load.target] = load
+        self._sent[load.target] = 0
+        self._reported[load.target] = time.monotonic()
+        if load.draining:
+            self._probe(load.target)
+
+    def note_silent(self, name: TargetName) -> None:
+        """Avoid a target whose sidecar did not answer, until it does."""
+        if name not in self._silent:
+            log.warning("Target {} is silent and gets no work.", name)
+            self._metrics.peers_lost.inc({})
+        self._silent.add(name)
+        self._probe(name)
+
+    def silent(self, name: TargetName) -> bool:
+        """Return whether the sidecar of a target did not answer lately."""
+        return name in self._silent
+
+    def _probe(self, name: TargetName) -> None:
+        running = self._probes.get(name)
+        if running is None or running.done():
+            self._probes[name] = asyncio.create_task(self._run_probe(name))
+
+    async def _run_probe(self, name: TargetName) -> None:
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL)
+            address = self.address(name)
+            if address is None:
+                return
+            link = self._links.to(address)
+            reply = await link.call(LoadRequest(), timeout=PROBE_TIMEOUT)
+            if not isinstance(reply, LoadReply):
+                continue
+            if name in self._silent:
+                log.info("Target {} answers again.", name)
+                self._silent.discard(name)
+            self._loads[name] = reply.load
+            if not reply.load.draining:
+                return
+
+    async def run(self) -> None:
+        """Read the host list again and again."""
+        if self._host_list is None:
+            return
+        while True:
+            entries = await self._host_list.hosts()
+            if not isinstance(entries, Failure):
+                self._take({entry.host: entry.state for entry in entries})
+            await asyncio.sleep(LIST_INTERVAL)
+
+    def _take(self, hosts: dict[HostName, HostState]) -> None:
+        before = self._hosts or {}
+        for host in sorted(before.keys() | hosts.keys()):
+            if before and before.get(host) is not hosts.get(host):
+                state = hosts.get(host)
+                text = state.value if state else "gone"
+                log.info("Host {} is {}.", host, text)
+        self._hosts = hosts
+
+    def close(self) -> None:
+        """Stop all probes."""
+        for probe in self._probes.values():
+            probe.cancel()
--- /dev/null
+++ b/sequoiaarch/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Show what the system does: logs, metrics, traces and decisions."""
--- /dev/null
+++ b/sequoiaarch/observe/traces.py
@@ -0,0 +1,120 @@
+"""Trace each call with a span for every hop, by W3C trace context."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.trace import (
+    Span,
+    format_span_id,
+    format_trace_id,
+    set_span_in_context,
+)
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from ..wire.messages import SpanData
+
+SPANS_KEPT = 4096
+HEADER = "traceparent"
+
+
+class _Ring(SpanExporter):
+    """Keep the latest spans in memory."""
+
+    def __init__(self) -> None:
+        self.spans: deque[ReadableSpan] = deque(maxlen=SPANS_KEPT)
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Keep spans that have ended."""
+        self.spans.extend(spans)
+        return SpanExportResult.SUCCESS
+
+
+class Tracing:
+    """Start spans and hand out those that ended."""
+
+    def __init__(self, *, name: str) -> None:
+        self._ring = _Ring()
+        resource = Resource({"service.name": name})
+        self._provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+        self._provider.add_span_processor(SimpleSpanProcessor(self._ring))
+        self._tracer = self._provider.get_tracer("sequoiaarch")
+        self._propagator = TraceContextTextMapPropagator()
+        self._name = name
+
+    def start(self, name: str, parent: str, **attributes: str | int) -> Span:
+        """Start a span below the parent that a traceparent text names."""
+        context = self._propagator.extract({HEADER: parent} if parent else {})
+        span = self._tracer.start_span(name, context=context)
+        span.set_attribute("process", self._name)
+        for key, value in attributes.items():
+            span.set_attribute(key, value)
+        return span
+
+    def text(self, span: Span) -> str:
+        """Return the traceparent text that names a span as the parent."""
+        carrier: dict[str, str] = {}
+        self._propagator.inject(carrier, set_span_in_context(span, Context()))
+        return carrier.get(HEADER, "")
+
+    def spans(self, trace_id: str) -> list[SpanData]:
+        """Return the spans of a trace that ended here."""
+        found = [span for span in list(self._ring.spans) if span.context]
+        return [
+            _data(span)
+            for span in found
+            if format_trace_id(span.context.trace_id) == trace_id
+        ]
+
+
+def trace_id_of(traceparent: str) -> str:
+    """Return the trace id in a traceparent text."""
+    parts = traceparent.split("-")
+    return parts[1] if len(parts) == 4 else ""
+
+
+def _data(span: ReadableSpan) -> SpanData:
+    parent = format_span_id(span.parent.span_id) if span.parent else None
+    return SpanData(
+        trace_id=format_trace_id(span.context.trace_id),
+        span_id=format_span_id(span.context.span_id),
+        parent_id=parent,
+        name=span.name,
+        start=span.start_time or 0,
+        end=span.end_time or 0,
+        attributes={key: str(value) for key, value in (span.attributes or {}).items()},
+    )
+
+
+def render_tree(spans: list[SpanData]) -> list[str]:
+    """Return the spans as the lines of a tree, in order of their start."""
+    known = {span.span_id for span in spans}
+    children: dict[str | None, list[SpanData]] = {}
+    for span in sorted(spans, key=lambda one: one.start):
+        parent = span.parent_id if span.parent_id in known else None
+        children.setdefault(parent, []).append(span)
+    lines: list[str] = []
+    _render(children, None, 0, lines)
+    return lines
+
+
+def _render(
+    children: dict[str | None, list[SpanData]],
+    parent: str | None,
+    depth: int,
+    lines: list[str],
+) -> None:
+    for span in children.get(parent, []):
+        milliseconds = (span.end - span.start) / 1e6
+        notes = " ".join(f"{key}={value}" for key, value in span.attributes.items())
+        lines.append(f"{'  ' * depth}{span.name} {milliseconds:.1f} ms  {notes}")
+        _render(children, span.span_id, depth + 1, lines)
--- /dev/null
+++ b/sequoiaarch/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where, in what order and with what memory programs run."""
--- /dev/null
+++ b/sequoiaarch/samples/__init__.py
@@ -0,0 +1,1 @@
+"""Run sample programs through a gateway, step by step."""
--- /dev/null
+++ b/sequoiaarch/samples/runner.py
@@ -0,0 +1,106 @@
+"""Run a script as the caller of a program would."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import Any
+
+from ..client import Client
+from .script import Script, Step, StepKind
+
+TRACE_VERSION = "00"
+
+Say = Callable[[str], None]
+
+
+class ScriptRunner:
+    """Run one program and tell what happens."""
+
+    def __init__(self, *, client: Client, script: Script, say: Say) -> None:
+        self._client = client
+        self._script = script
+        self._say = say
+        self.trace_id = secrets.token_hex(16)
+
+    def run(self) -> str:
+        """Run the whole program and return its identifier."""
+        body: dict[str, Any] = {"model": self._script.model}
+        if self._script.budget is not None:
+            body["budget"] = self._script.budget
+        program = self._client.request("POST", "/v1/programs", body, patient=True)
+        name = program["id"]
+        self._say(f"{self._script.title}: program {name}")
+        self._steps(name, self._script.steps, "")
+        final = self._client.request("DELETE", f"/v1/programs/{name}", patient=True)
+        self._say(
+            f"  ended, {final['committed_seq']} calls kept, "
+            f"{final['spent']} of {final['budget']} tokens spent"
+        )
+        return name
+
+    def _headers(self, **more: str) -> dict[str, str]:
+        parent = secrets.token_hex(8)
+        return {
+            "traceparent": f"{TRACE_VERSION}-{self.trace_id}-{parent}-01",
+            **{name.replace("_", "-"): value for name, value in more.items()},
+        }
+
+    def _steps(self, program: str, steps: list[Step], indent: str) -> None:
+        messages: list[dict[str, Any]] = [
+            {"role": "system", "content": self._script.system}
+        ]
+        for number, step in enumerate(steps, start=1):
+            match step.kind:
+                case StepKind.SAY:
+                    self._chat(program, step, messages, indent)
+                case StepKind.TOOL:
+                    self._tool(program, step, number, indent)
+                case StepKind.PAUSE:
+                    self._say(f"{indent}  pause of {step.seconds} s")
+                    time.sleep(step.seconds)
+                case StepKind.CHILD:
+                    self._child(program, step, indent)
+
+    def _chat(
+        self, program: str, step: Step, messages: list[dict[str, Any]], indent: str
+    ) -> None:
+        messages.append({"role": "user", "content": step.text})
+        body = {
+            "model": self._script.model,
+            "messages": messages,
+            "stream": True,
+            "stand_in": {"answer_tokens": step.answer_tokens},
+        }
+        headers = self._headers(X_Program_Id=program)
+        parts: list[str] = []
+        for event in self._client.stream("/v1/chat/completions", body, headers):
+            for choice in event["choices"]:
+                parts.append(choice["delta"].get("content") or "")
+        text = "".join(parts)
+        messages.append({"role": "assistant", "content": text})
+        self._say(f"{indent}  user: {step.text}")
+        self._say(f"{indent}  answer: {text.strip()}")
+
+    def _tool(self, program: str, step: Step, number: int, indent: str) -> None:
+        key = f"{program}-{number}"
+        headers = self._headers(Idempotency_Key=key)
+        if step.once:
+            headers["X-Non-Idempotent"] = "true"
+        path = f"/v1/programs/{program}/tools/{step.service}/{step.path}"
+        answer = self._client.request("POST", path, step.body, headers, patient=True)
+        kind = "non-idempotent tool" if step.once else "tool"
+        self._say(f"{indent}  {kind} {step.service}/{step.path}: {answer}")
+
+    def _child(self, program: str, step: Step, indent: str) -> None:
+        child = self._client.request(
+            "POST",
+            f"/v1/programs/{program}/programs",
+            {"budget": step.budget},
+            patient=True,
+        )
+        self._say(f"{indent}  sub-agent {child['id']} with {step.budget} tokens")
+        self._steps(child["id"], step.steps, indent + "  ")
+        path = f"/v1/programs/{child['id']}"
+        self._client.request("DELETE", path, patient=True)
--- /dev/null
+++ b/sequoiaarch/samples/script.py
@@ -0,0 +1,50 @@
+"""Declare the steps of a sample program."""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from pydantic import Field
+
+from ..config.validation import Options, load_jsonc, validate
+
+
+class StepKind(Enum):
+    """Name what a step does."""
+
+    SAY = "say"
+    TOOL = "tool"
+    PAUSE = "pause"
+    CHILD = "child"
+
+
+class Step(Options):
+    """Do one thing; which fields count depends on the kind."""
+
+    kind: StepKind
+    text: str = ""
+    answer_tokens: int = Field(default=24, ge=1)
+    service: str = "tools"
+    path: str = "run"
+    body: dict[str, Any] = {}
+    once: bool = False
+    seconds: float = Field(default=0.0, ge=0)
+    budget: int = Field(default=10_000, ge=1)
+    steps: list[Step] = []
+
+
+class Script(Options):
+    """Describe one sample program."""
+
+    title: str
+    model: str
+    system: str = "You are an agent."
+    budget: int | None = None
+    steps: list[Step]
+
+
+def load_script(path: Path) -> Script:
+    """Return the script that a file holds."""
+    return validate(Script, load_jsonc(path))
--- /dev/null
+++ b/sequoiaarch/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the records of programs in shards of the platform's log."""
--- /dev/null
+++ b/sequoiaarch/shards/keeper.py
@@ -0,0 +1,114 @@
+"""Do the work of a shard keeper for homes and gateways.
+
+A keeper has no authority. It combines appends, judges records by the rule
+that every reader applies, and appends again what nears the end of retention.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from ..errors import Failure
+from ..ids import Offset, ProgramId, RecordId, Seq, new_id
+from ..records.codec import encode_record
+from ..records.types import ProgramState, Snapshot
+from ..wire.messages import (
+    Failed,
+    HistoryReply,
+    HistoryRequest,
+    Reply,
+    StateReply,
+    StateRequest,
+    SubmitRequest,
+)
+from .client import LocalShards, Shards
+from .stream import ShardStream
+
+log = logbook.Logger("keeper")
+
+CHECK_INTERVAL = 1.0
+
+
+class ShardKeeper:
+    """Answer for the shards that fall to this process."""
+
+    def __init__(
+        self,
+        *,
+        local: LocalShards,
+        shards: Shards,
+        mine: Callable[[], list[int]],
+        renew_after: int,
+    ) -> None:
+        self._local = local
+        self._shards = shards
+        self._mine = mine
+        self._renew_after = renew_after
+
+    async def submit(self, request: SubmitRequest) -> Reply:
+        """Append and judge a record."""
+        reply = await self._shards.submit_here(request.record, timeout=None)
+        return Failed(failure=reply) if isinstance(reply, Failure) else reply
+
+    async def states(self, request: StateRequest) -> Reply:
+        """Tell what the log says of programs."""
+        states = await self._shards.states_here(request.shard, request.programs)
+        if isinstance(states, Failure):
+            return Failed(failure=states)
+        next_offset = self._local.stream(request.shard).view.next_offset
+        return StateReply(states=states, next_offset=next_offset)
+
+    async def history(self, request: HistoryRequest) -> Reply:
+        """Tell the commits of a program."""
+        stream = self._local.stream(request.shard)
+        commits = await stream.commits(request.program, request.after)
+        if isinstance(commits, Failure):
+            return Failed(failure=commits)
+        return HistoryReply(commits=[encode_record(one) for one in commits])
+
+    async def run(self) -> None:
+        """Read the own shards and renew what nears the end of retention."""
+        while True:
+            for shard in self._mine():
+                stream = self._local.stream(shard)
+                if await stream.ready(CHECK_INTERVAL):
+                    await self._renew(stream)
+            await asyncio.sleep(CHECK_INTERVAL)
+
+    async def _renew(self, stream: ShardStream) -> None:
+        horizon = stream.view.next_offset - self._renew_after
+        due = [
+            state.program
+            for state in stream.view.programs.values()
+            if state.ended is None and _oldest(state) < horizon
+        ]
+        for program in due:
+            await self._append_snapshot(stream, program)
+
+    async def _append_snapshot(self, stream: ShardStream, program: ProgramId) -> None:
+        as_of = Offset(stream.view.next_offset - 1)
+        commits = await stream.commits(program, Seq(0))
+        state = stream.state(program)
+        if isinstance(commits, Failure) or state is None:
+            return
+        if len(commits) != state.seq or stream.view.next_offset - 1 != as_of:
+            # The program moved on while its history was read; the next
+            # round takes it up again.
+            return
+        record = Snapshot(
+            id=RecordId(new_id("snapshot")),
+            program=program,
+            as_of=as_of,
+            state=state,
+            commits=commits,
+        )
+        await stream.submit(record, timeout=CHECK_INTERVAL * 10)
+        log.info("Program {} was appended again.", program)
+
+
+def _oldest(state: ProgramState) -> Offset:
+    """Return the oldest offset that a reader needs for a program."""
+    return min([state.base, *state.entries])
--- /dev/null
+++ b/sequoiaarch/sidecar/queue.py
@@ -0,0 +1,118 @@
+"""Hold calls back until the target has a slot for them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..config.documents import PolicySpecification
+from ..errors import ErrorKind, fail
+from ..observe.metrics import Metrics
+from ..policies.admission import Occupancy, make_admission
+from ..policies.order import Ticket, make_order
+
+RECHECK = 0.25
+
+
+@dataclass(kw_only=True, eq=False)
+class _Waiting:
+    """Hold a ticket until it is called up."""
+
+    ticket: Ticket
+    called: asyncio.Future[None]
+
+
+class TargetQueue:
+    """Call up waiting calls by rank while the target has slots."""
+
+    def __init__(
+        self,
+        *,
+        slots: Callable[[], int],
+        occupancy: Callable[[int], Occupancy],
+        policy: Callable[[], PolicySpecification],
+        limit: int,
+        metrics: Metrics,
+    ) -> None:
+        self._slots = slots
+        self._occupancy = occupancy
+        self._policy = policy
+        self._limit = limit
+        self._metrics = metrics
+        self._waiting: list[_Waiting] = []
+        self._running = 0
+        self._numbers = itertools.count()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def running(self) -> int:
+        """Return the calls that hold a slot."""
+        return self._running
+
+    @property
+    def queued(self) -> int:
+        """Return the calls that wait."""
+        return len(self._waiting)
+
+    @property
+    def queued_tokens(self) -> int:
+        """Return the prompt tokens of the calls that wait."""
+        return sum(one.ticket.tokens for one in self._waiting)
+
+    async def enter(self, ticket: Ticket) -> None:
+        """Wait for a slot; `leave` must follow."""
+        if len(self._waiting) >= self._limit:
+            raise fail(
+                ErrorKind.OVERLOADED,
+                f"{self._limit} calls wait at the target already",
+            )
+        loop = asyncio.get_running_loop()
+        ticket.number = next(self._numbers)
+        waiting = _Waiting(ticket=ticket, called=loop.create_future())
+        self._waiting.append(waiting)
+        self._call_up()
+        try:
+            await waiting.called
+        except asyncio.CancelledError:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+            elif waiting.called.done() and not waiting.called.cancelled():
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Give a slot back."""
+        self._running -= 1
+        self._call_up()
+
+    def _call_up(self) -> None:
+        policy = self._policy()
+        order = make_order(policy.order)
+        admission = make_admission(policy.admission)
+        now = asyncio.get_running_loop().time()
+        self._waiting.sort(
+            key=lambda one: (order.rank(one.ticket, now), one.ticket.number)
+        )
+        for waiting in list(self._waiting):
+            if self._running >= self._slots():
+                break
+            if not admission.admits(waiting.ticket, self._occupancy(self._running)):
+                continue
+            self._waiting.remove(waiting)
+            if not waiting.called.done():
+                self._running += 1
+                waiting.called.set_result(None)
+        self._metrics.queue.set({}, len(self._waiting))
+        self._metrics.running.set({}, self._running)
+        self._recheck_later()
+
+    def _recheck_later(self) -> None:
+        """Look again later, since memory may fall free without a call ending."""
+        if not self._waiting or self._running >= self._slots():
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(RECHECK, self._call_up)
--- /dev/null
+++ b/sequoiaarch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the systems outside, in trials and tests only."""
--- /dev/null
+++ b/sequoiaarch/standins/web.py
@@ -0,0 +1,60 @@
+"""Help the stand-ins to answer over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from ..webserver import WebServer
+
+Handler = Callable[..., Response]
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Return a JSON answer."""
+    return Response(
+        msgspec.json.encode(value), status=status, mimetype="application/json"
+    )
+
+
+class StandInServer:
+    """Serve the routes of one stand-in on a port that the kernel chooses."""
+
+    def __init__(
+        self, *, routes: list[tuple[str, str, Handler]], port: int = 0
+    ) -> None:
+        rules = [
+            Rule(path, methods=[method], endpoint=handler)
+            for method, path, handler in routes
+        ]
+        self._map = Map(rules)
+        self._server = WebServer(app=self._app, address="127.0.0.1", port=port)
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the stand-in."""
+        return f"http://127.0.0.1:{self._server.port}"
+
+    def start(self) -> None:
+        """Start to answer."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop to answer."""
+        self._server.stop()
+
+    def _app(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        request = Request(environ)
+        try:
+            handler, values = self._map.bind_to_environ(environ).match()
+            response = handler(request, **values)
+        except HTTPException as error:
+            return error.get_response(environ)(environ, start_response)
+        return response(environ, start_response)
--- /dev/null
+++ b/sequoiaarch/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package; the layout mirrors it."""
--- /dev/null
+++ b/sequoiaarch/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Speak the inner protocol between the system's own processes."""
--- /dev/null
+++ b/sequoiaarch/wire/links.py
@@ -0,0 +1,287 @@
+"""Carry requests and their replies between processes over ZeroMQ."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+import logbook
+import zmq
+import zmq.asyncio
+
+from ..errors import ErrorKind, Failure, NotRun
+from .messages import (
+    Accepted,
+    Failed,
+    Message,
+    Ping,
+    Reply,
+    Request,
+    decode_reply,
+    decode_request,
+    encode,
+)
+
+log = logbook.Logger("wire")
+
+PING_INTERVAL = 0.5
+SILENCE_LIMIT = 3.0
+ID_BYTES = 8
+MORE = b"+"
+LAST = b"."
+HIGH_WATER = 100_000
+PING_ID = (0).to_bytes(ID_BYTES, "big")
+
+
+@dataclass(frozen=True, kw_only=True)
+class CurveKeys:
+    """Hold the keys that protect the links; Z85 text as ZeroMQ uses it."""
+
+    public: str
+    secret: str
+    server: str
+
+
+Send = Callable[[Reply], Awaitable[None]]
+Handler = Callable[[Request, Send], Awaitable[Reply]]
+
+
+class Responder:
+    """Answer the requests of all peers on one bound socket."""
+
+    def __init__(
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        address: str,
+        handler: Handler,
+        keys: CurveKeys | None = None,
+    ) -> None:
+        self._handler = handler
+        self._socket = context.socket(zmq.ROUTER)
+        self._socket.setsockopt(zmq.LINGER, 1000)
+        self._socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+        self._socket.setsockopt(zmq.RCVHWM, HIGH_WATER)
+        if keys is not None:
+            self._socket.curve_server = True
+            self._socket.curve_secretkey = keys.secret.encode()
+            self._socket.curve_publickey = keys.public.encode()
+        self._socket.bind(address)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> str:
+        """Return the address that the socket is bound to."""
+        return self._socket.getsockopt_string(zmq.LAST_ENDPOINT)
+
+    async def run(self) -> None:
+        """Receive requests and answer each in a task of its own."""
+        while True:
+            frames = await self._socket.recv_multipart()
+            if len(frames) != 3:
+                continue
+            peer, request_id, body = frames
+            request = decode_request(body)
+            if isinstance(request, Ping):
+                await self._reply(peer, request_id, LAST, Accepted())
+                continue
+            task = asyncio.create_task(self._answer(peer, request_id, request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(
+        self, peer: bytes, request_id: bytes, request: Request | None
+    ) -> None:
+        if request is None:
+            failure = Failure(kind=ErrorKind.MALFORMED, reason="message not understood")
+            await self._reply(peer, request_id, LAST, Failed(failure=failure))
+            return
+
+        async def send(reply: Reply) -> None:
+            await self._reply(peer, request_id, MORE, reply)
+
+        try:
+            last = await self._handler(request, send)
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log.exception("A handler failed on {}.", type(request).__name__)
+            reason = f"{type(error).__name__}: {error}"
+            last = Failed(failure=Failure(kind=ErrorKind.INTERNAL, reason=reason))
+        await self._reply(peer, request_id, LAST, last)
+
+    async def _reply(
+        self, peer: bytes, request_id: bytes, mark: bytes, reply: Reply
+    ) -> None:
+        frames = [peer, request_id, mark, encode(reply)]
+        await self._socket.send_multipart(frames)
+
+    def close(self) -> None:
+        """Stop answering."""
+        for task in self._tasks:
+            task.cancel()
+        self._socket.close()
+
+
+class Link:
+    """Send requests to one peer and hand out its replies.
+
+    While requests are open the peer is pinged. A peer that stays silent for
+    `SILENCE_LIMIT` seconds is taken for lost and its requests end, so that a
+    frozen process holds no caller for longer than that.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        address: str,
+        keys: CurveKeys | None = None,
+        silence_limit: float = SILENCE_LIMIT,
+    ) -> None:
+        self._context = context
+        self._address = address
+        self._keys = keys
+        self._silence_limit = silence_limit
+        self._ids = itertools.count(1)
+        self._open: dict[bytes, asyncio.Queue[tuple[bytes, Reply]]] = {}
+        self._heard = 0.0
+        self._socket = self._connect()
+        self._receiver = asyncio.create_task(self._receive())
+        self._watcher = asyncio.create_task(self._watch())
+
+    @property
+    def address(self) -> str:
+        """Return the address of the peer."""
+        return self._address
+
+    def _connect(self) -> zmq.asyncio.Socket:
+        socket = self._context.socket(zmq.DEALER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
+        socket.setsockopt(zmq.RCVHWM, HIGH_WATER)
+        socket.setsockopt(zmq.RECONNECT_IVL, 50)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+        if self._keys is not None:
+            socket.curve_secretkey = self._keys.secret.encode()
+            socket.curve_publickey = self._keys.public.encode()
+            socket.curve_serverkey = self._keys.server.encode()
+        socket.connect(self._address)
+        return socket
+
+    async def stream(self, request: Message) -> AsyncIterator[Reply]:
+        """Send a request and yield its replies up to the last."""
+        request_id = next(self._ids).to_bytes(ID_BYTES, "big")
+        replies: asyncio.Queue[tuple[bytes, Reply]] = asyncio.Queue()
+        if not self._open:
+            self._heard = asyncio.get_running_loop().time()
+        self._open[request_id] = replies
+        try:
+            await self._socket.send_multipart([request_id, encode(request)])
+            mark = MORE
+            while mark == MORE:
+                mark, reply = await replies.get()
+                yield reply
+        finally:
+            self._open.pop(request_id, None)
+
+    async def call(self, request: Message, *, timeout: float = 30.0) -> Reply:
+        """Send a request and return its last reply."""
+        last: Reply = Failed(failure=self._lost("no reply"))
+        try:
+            async with asyncio.timeout(timeout):
+                async for reply in self.stream(request):
+                    last = reply
+        except TimeoutError:
+            return Failed(failure=self._lost(f"no reply within {timeout} s"))
+        return last
+
+    def _lost(self, reason: str) -> Failure:
+        return Failure(
+            kind=ErrorKind.INTERRUPTED,
+            reason=f"peer {self._address}: {reason}",
+            not_run=NotRun.UNKNOWN,
+        )
+
+    async def _receive(self) -> None:
+        while True:
+            frames = await self._socket.recv_multipart()
+            self._heard = asyncio.get_running_loop().time()
+            if len(frames) != 3:
+                continue
+            request_id, mark, body = frames
+            replies = self._open.get(request_id)
+            if replies is None:
+                continue
+            reply = decode_reply(body)
+            if reply is None:
+                reply = Failed(failure=self._lost("reply not understood"))
+                mark = LAST
+            replies.put_nowait((mark, reply))
+
+    async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(PING_INTERVAL)
+            if not self._open:
+                continue
+            if loop.time() - self._heard > self._silence_limit:
+                self._fail_open()
+                continue
+            await self._socket.send_multipart([PING_ID, encode(Ping())])
+
+    def _fail_open(self) -> None:
+        # A message that still waits in the socket must not reach a peer that
+        # comes back later: its caller has been answered. Closing the socket
+        # with no linger drops it.
+        log.warning("Peer {} is silent.", self._address)
+        for replies in self._open.values():
+            replies.put_nowait((LAST, Failed(failure=self._lost("silent"))))
+        self._open.clear()
+        self._receiver.cancel()
+        self._socket.close(linger=0)
+        self._socket = self._connect()
+        self._receiver = asyncio.create_task(self._receive())
+
+    def close(self) -> None:
+        """End the link."""
+        self._receiver.cancel()
+        self._watcher.cancel()
+        self._socket.close(linger=0)
+
+
+class Links:
+    """Keep one link to each peer that is talked to."""
+
+    def __init__(
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        keys: CurveKeys | None = None,
+        silence_limit: float = SILENCE_LIMIT,
+    ) -> None:
+        self._context = context
+        self._keys = keys
+        self._silence_limit = silence_limit
+        self._links: dict[str, Link] = {}
+
+    def to(self, address: str) -> Link:
+        """Return the link to an address."""
+        link = self._links.get(address)
+        if link is None:
+            link = Link(
+                context=self._context,
+                address=address,
+                keys=self._keys,
+                silence_limit=self._silence_limit,
+            )
+            self._links[address] = link
+        return link
+
+    def close(self) -> None:
+        """End all links."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
