Run the system as separate processes, with commands and tests

Cause: the thin path ran in one process only, and a killed peer was found only after the silence limit.

--- /dev/null
+++ b/sequoiaarch/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, measure and disturb the system."""
--- /dev/null
+++ b/sequoiaarch/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold a module for each command of the command line."""
--- /dev/null
+++ b/sequoiaarch/commands/drain.py
@@ -0,0 +1,39 @@
+"""Drain a target, or let it take work again."""
+
+from __future__ import annotations
+
+import time
+
+import click
+
+from .base import Connection, json_option, pass_connection
+
+POLL = 0.3
+
+
+@click.command()
+@click.argument("target")
+@click.option("--undo", is_flag=True, help="Let the target take work again.")
+@click.option("--wait", default=60.0, help="Seconds to wait until it is empty.")
+@json_option
+@pass_connection
+def drain(connection: Connection, target: str, undo: bool, wait: float) -> None:
+    """Drain a target, or let it take work again."""
+    body = {"target": target, "drain": not undo}
+    answer = connection.ask(
+        lambda: connection.client.request("POST", "/v1/admin/drain", body)
+    )
+    deadline = time.monotonic() + (0 if undo else wait)
+    while time.monotonic() < deadline:
+        load = answer["load"] or {}
+        left = load.get("running", 0) + load.get("queued", 0)
+        if left + load.get("programs", 0) == 0:
+            break
+        if not connection.as_json:
+            text = f"{load.get('programs', 0)} programs and {left} calls are left"
+            click.echo(text, err=True)
+        time.sleep(POLL)
+        found = connection.get("/v1/admin/targets")["targets"]
+        answer = next(one for one in found if one["name"] == target)
+    state = "takes work" if undo else "is drained or draining"
+    connection.show(answer, [f"{target} {state}"])
--- a/sequoiaarch/daemon/run.py
+++ b/sequoiaarch/daemon/run.py
@@ -43,6 +43,14 @@
     return app
 
 
+def announce(settings: Settings, port: int, inner: str | None) -> None:
+    """Print the addresses that the kernel may have chosen."""
+    line = f"listening http://{settings.http.address}:{port}"
+    if inner is not None:
+        line += f" {inner}"
+    print(line, flush=True)
+
+
 async def run_gateway(settings: Settings, stopped: asyncio.Event) -> None:
     """Run a gateway until it is told to stop."""
     context = zmq.asyncio.Context()
@@ -56,6 +64,7 @@
     core.start()
     gateway = Gateway(core=core, rng=random.Random())
     starting = asyncio.create_task(gateway.start())
+    announce(settings, gateway.port, None)
     await stopped.wait()
     log.info("Gateway stops.")
     starting.cancel()
@@ -78,7 +87,7 @@
         platform=connect_platform(settings),
     )
     sidecar = Sidecar(core=core, target=target)
-    sidecar.bind()
+    address = sidecar.bind()
     core.start()
     http = settings.http
     server = WebServer(
@@ -89,6 +98,7 @@
     )
     server.start()
     starting = asyncio.create_task(sidecar.start())
+    announce(settings, server.port, address)
     await stopped.wait()
     log.info("Sidecar of {} stops.", target)
     starting.cancel()
--- a/sequoiaarch/gateway/app.py
+++ b/sequoiaarch/gateway/app.py
@@ -4,6 +4,7 @@
 
 import secrets
 import threading
+import time
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
@@ -117,6 +118,7 @@
         self._operators = operators
         self._lock = threading.Lock()
         self._open = 0
+        self._last_request = 0.0
         self.leaving = False
         self.refusing = False
         self._map = Map(self._rules())
@@ -126,6 +128,11 @@
         """Return the requests of callers that are being answered."""
         return self._open
 
+    @property
+    def quiet_for(self) -> float:
+        """Return the seconds since the last request came."""
+        return time.monotonic() - self._last_request
+
     def _rules(self) -> list[Rule]:
         routes: list[tuple[str, list[str], Callable[..., Response]]] = [
             ("/v1/chat/completions", ["POST"], self._chat),
@@ -171,6 +178,7 @@
         """Count a request until its answer has been written."""
 
         def run(request: Request, **values: str) -> Response:
+            self._last_request = time.monotonic()
             if self.refusing:
                 raise fail(ErrorKind.STOPPING, "this host takes no new requests")
             with self._lock:
@@ -233,9 +241,7 @@
             _end_span(span, first)
             raise FailureError(first)
         pieces = _event_stream(first, events, span, wants_usage)
-        response = Response(
-            pieces, mimetype="text/event-stream", direct_passthrough=True
-        )
+        response = Response(pieces, mimetype="text/event-stream")
         response.headers["Cache-Control"] = "no-cache"
         response.headers["X-Program-Id"] = outer_id(call.program)
         return response
--- a/sequoiaarch/gateway/gateway.py
+++ b/sequoiaarch/gateway/gateway.py
@@ -64,7 +64,9 @@
 
         First the readiness probe fails while calls are still taken, so that
         the balancer looks elsewhere; then new calls are refused and those
-        under way come to their ends.
+        under way come to their ends. The port closes after a quiet while: a
+        connection that the kernel has accepted and nobody has read would be
+        reset, and its caller could not tell whether its call was run.
         """
         limits = self._core.settings.limits
         self._app.leaving = True
@@ -78,7 +80,8 @@
             log.warning("Stopping with {} calls open.", self._app.open_requests)
 
     def _busy(self) -> bool:
-        return bool(self._app.open_requests or self._router.open_calls)
+        quiet = self._app.quiet_for >= self._core.settings.limits.lame_duck
+        return bool(self._app.open_requests or self._router.open_calls or not quiet)
 
     def close(self) -> None:
         """Close the server."""
--- a/sequoiaarch/home/runner.py
+++ b/sequoiaarch/home/runner.py
@@ -12,7 +12,7 @@
 from ..config.settings import LimitOptions
 from ..config.store import Catalogue
 from ..errors import ErrorKind, Failure, FailureError, NotRun, fail
-from ..ids import AttemptId, RecordId, Seq, TargetName, new_id
+from ..ids import AttemptId, Epoch, ProgramId, RecordId, Seq, TargetName, new_id
 from ..membership.view import Membership
 from ..observe.decisions import Decisions
 from ..observe.metrics import Metrics
@@ -114,10 +114,39 @@
             call = await self._find(running, request)
             if call is None:
                 call = self._start(running, request)
-            return await self._relay(running, call, send)
+            return await self._relay(request, running.epoch, call, send)
         except FailureError as error:
-            self._metrics.refusals.inc({"kind": error.failure.kind.value})
-            return Failed(failure=error.failure, load=self._load())
+            return await self._refuse(request, error.failure, send)
+
+    async def _refuse(
+        self, request: CallRequest, failure: Failure, send: Send
+    ) -> Reply:
+        try:
+            call = await self._call_of_ended(request, failure)
+        except FailureError as error:
+            failure = error.failure
+            call = None
+        if call is not None:
+            return await self._relay(request, Epoch(0), call, send)
+        self._metrics.refusals.inc({"kind": failure.kind.value})
+        return Failed(failure=failure, load=self._load())
+
+    async def _call_of_ended(
+        self, request: CallRequest, failure: Failure
+    ) -> ActiveCall | None:
+        """Return the call that used a key of a program that has ended."""
+        if failure.kind is not ErrorKind.PROGRAM_ENDED or request.key is None:
+            return None
+        state = await self._shards.state(request.program)
+        if state is None or isinstance(state, Failure):
+            return None
+        intent = state.intents.get(request.key)
+        if intent is None:
+            return None
+        _check_key(request, intent.request)
+        if intent.outcome is Outcome.UNKNOWN:
+            raise fail(ErrorKind.OUTCOME_UNKNOWN, UNKNOWN_REASON)
+        return await self._call_with_intent(request.program, intent)
 
     async def _open(self, request: CallRequest) -> RunningProgram:
         if self._homes.uncommitted_bytes > self._limits.uncommitted_bytes:
@@ -125,43 +154,20 @@
                 ErrorKind.LOG_UNAVAILABLE,
                 "turns that the log has not taken fill the buffer",
             )
-        first = len(request.body) + self._answer_limit(request)
         opening = Opening(
             program=request.program,
             spec=request.spec,
-            first_call=first,
+            first_call=len(request.body) + self._answer_limit(request),
             create=True,
             previous_home=request.previous_home,
             previous_silent=request.previous_silent,
         )
-        try:
-            running = await self._homes.open(opening)
-        except FailureError as error:
-            kept = await self._kept_outcome(request, error.failure)
-            if kept is None:
-                raise
-            raise FailureError(kept) from None
+        running = await self._homes.open(opening)
         if running.state.spec.workspace != request.spec.workspace:
             raise fail(ErrorKind.NOT_FOUND, f"no program {request.program}")
         await self._homes.take_pending(running, request.pending)
         return running
 
-    async def _kept_outcome(
-        self, request: CallRequest, failure: Failure
-    ) -> Failure | None:
-        """Return the outcome of a key whose program has ended."""
-        if failure.kind is not ErrorKind.PROGRAM_ENDED or request.key is None:
-            return None
-        state = await self._shards.state(request.program)
-        if state is None or isinstance(state, Failure):
-            return None
-        intent = state.intents.get(request.key)
-        if intent is None:
-            return None
-        if intent.outcome is Outcome.UNKNOWN:
-            return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason=UNKNOWN_REASON)
-        return None
-
     def _answer_limit(self, request: CallRequest) -> int:
         document = self._catalogue.program(request.spec.name)
         return document.spec.max_answer_tokens if document else 1024
@@ -174,7 +180,7 @@
         """Return the call where it was asked before."""
         fingerprint = fingerprint_of(request)
         if request.key is not None:
-            call = await self._find_by_key(running, request, fingerprint)
+            call = await self._find_by_key(running, request)
             if call is not None:
                 return call
         if request.seq is None:
@@ -194,32 +200,31 @@
         return call
 
     async def _find_by_key(
-        self, running: RunningProgram, request: CallRequest, fingerprint: str
+        self, running: RunningProgram, request: CallRequest
     ) -> ActiveCall | None:
         assert request.key is not None
         call = running.call_with_key(request.key)
-        intent = running.intent(request.key)
-        known = call.fingerprint if call else intent.request if intent else fingerprint
-        if known != fingerprint:
-            raise fail(
-                ErrorKind.KEY_CONFLICT,
-                f"key {request.key!r} was used for another request",
-                field="Idempotency-Key",
-            )
-        if call is not None or intent is None:
+        if call is not None:
+            _check_key(request, call.fingerprint)
             return call
-        return await self._find_by_intent(running, intent)
+        intent = running.intent(request.key)
+        if intent is None:
+            return None
+        _check_key(request, intent.request)
+        return await self._call_with_intent(running.id, intent)
 
-    async def _find_by_intent(
-        self, running: RunningProgram, intent: IntentState
+    async def _call_with_intent(
+        self, program: ProgramId, intent: IntentState
     ) -> ActiveCall | None:
-        if intent.outcome is Outcome.DONE and intent.answer_offset is not None:
-            commits = await self._shards.commits(running.id)
-            if isinstance(commits, Failure):
-                raise FailureError(commits)
-            for commit in commits:
-                if commit.key is not None and commit.request == intent.request:
-                    return _call_of(commit)
+        """Return the finished call of an intent, if the log holds its answer."""
+        if intent.outcome is not Outcome.DONE:
+            return None
+        commits = await self._shards.commits(program)
+        if isinstance(commits, Failure):
+            raise FailureError(commits)
+        for commit in commits:
+            if commit.key is not None and commit.request == intent.request:
+                return _call_of(commit)
         return None
 
     async def _find_in_log(self, running: RunningProgram, seq: Seq) -> ActiveCall:
@@ -678,11 +683,11 @@
         )
 
     async def _relay(
-        self, running: RunningProgram, call: ActiveCall, send: Send
+        self, request: CallRequest, epoch: Epoch, call: ActiveCall, send: Send
     ) -> Reply:
         events = call.follow()
-        head = Head(program=running.id, seq=call.seq or Seq(0), epoch=running.epoch)
-        await send(head)
+        seq = call.seq or Seq(0)
+        await send(Head(program=request.program, seq=seq, epoch=epoch))
         while True:
             event = await events.get()
             if isinstance(event, Chunk):
@@ -716,6 +721,15 @@
     return xxhash.xxh3_128_hexdigest(head.encode() + b"\0" + request.body)
 
 
+def _check_key(request: CallRequest, fingerprint: str) -> None:
+    if fingerprint_of(request) != fingerprint:
+        raise fail(
+            ErrorKind.KEY_CONFLICT,
+            f"key {request.key!r} was used for another request",
+            field="Idempotency-Key",
+        )
+
+
 def check_extension(running: RunningProgram, chat: Chat) -> list:
     """Return the messages that go beyond the history, or fail."""
     known = running.message_count
--- a/sequoiaarch/standins/engine.py
+++ b/sequoiaarch/standins/engine.py
@@ -352,7 +352,7 @@
             self.cut_streams -= 1
             cut = start + 3
         events = self._stream(sequence, start, cut)
-        return Response(events, mimetype="text/event-stream", direct_passthrough=True)
+        return Response(events, mimetype="text/event-stream")
 
     def _stream(
         self, sequence: Sequence, start: int, cut: int | None
--- /dev/null
+++ b/sequoiaarch/tests/base.py
@@ -0,0 +1,539 @@
+"""Build whole systems for tests: real sockets, small stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import threading
+import time
+import unittest
+from collections.abc import Callable, Coroutine
+from concurrent.futures import Future
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import msgspec
+import zmq.asyncio
+
+from ..client import Client
+from ..config.documents import parse_documents
+from ..config.settings import (
+    Caller,
+    InnerOptions,
+    LimitOptions,
+    PlatformOptions,
+    Role,
+    Settings,
+)
+from ..config.store import Change, Publication, encode_config
+from ..daemon.base import Core, PlatformServices, make_core
+from ..errors import ErrorKind, Failure
+from ..gateway.gateway import Gateway
+from ..ids import HostName, Offset, ProgramId, RecordId, TargetName, new_id
+from ..platform.http import HttpClient, HttpHostList, HttpLog
+from ..platform.interfaces import HostState, Page
+from ..records.acceptance import ShardView
+from ..records.codec import decode_record
+from ..shards.stream import stream_name
+from ..sidecar.sidecar import Sidecar
+from ..standins.__main__ import StandIn
+from ..standins.engine import EngineOptions, EngineStandIn
+from ..standins.platform import PlatformStandIn
+from ..standins.service import ServiceStandIn
+
+T = TypeVar("T")
+
+GENEROUS = 60.0
+POLL = 0.005
+CALLER_KEY = "caller-key"
+OTHER_KEY = "other-caller-key"
+OPERATOR_KEY = "operator-key"
+WORKSPACE = "alpha"
+OTHER_WORKSPACE = "beta"
+MODEL = "stand-in"
+SHARDS = 2
+FAST_ENGINE = EngineOptions(
+    step=0.0005, step_share=0.0, load_lag=0.01, event_lag=0.01, prefill_rate=1e6
+)
+
+
+def wait_until(condition: Callable[[], Any], what: str) -> Any:
+    """Wait until a condition holds and return its value."""
+    deadline = time.monotonic() + GENEROUS
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise AssertionError(f"never came: {what}")
+        time.sleep(POLL)
+
+
+class GatedLog:
+    """Stand between one process and the log, to cut or hold it alone.
+
+    While `held`, requests wait as those of a paused process do; while `cut`,
+    they fail as on a broken network.
+    """
+
+    def __init__(self, *, log: HttpLog) -> None:
+        self._log = log
+        self._open = asyncio.Event()
+        self._open.set()
+        self.cut = False
+        self.cut_appends = False
+
+    def hold(self) -> None:
+        """Make requests wait."""
+        self._open.clear()
+
+    def release(self) -> None:
+        """Let waiting requests go on."""
+        self._open.set()
+
+    async def append(self, stream: str, records: list[bytes]) -> Offset | Failure:
+        """Append, or wait, or fail."""
+        await self._open.wait()
+        if self.cut or self.cut_appends:
+            return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="cut by the test")
+        return await self._log.append(stream, records)
+
+    async def read(
+        self, stream: str, start: Offset, *, limit: int, wait: float
+    ) -> Page | Failure:
+        """Read, or wait, or fail."""
+        await self._open.wait()
+        if self.cut:
+            return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="cut by the test")
+        return await self._log.read(stream, start, limit=limit, wait=min(wait, 0.5))
+
+
+@dataclass(kw_only=True)
+class Node:
+    """Hold one process of the system under test."""
+
+    name: str
+    core: Core
+    log: GatedLog
+    sidecar: Sidecar | None = None
+    gateway: Gateway | None = None
+    address: str = ""
+
+
+class SystemUnderTest:
+    """Run gateways, sidecars and stand-ins; kill, cut and drain them."""
+
+    def __init__(
+        self,
+        *,
+        engines: int = 2,
+        services: int = 1,
+        gateways: int = 1,
+        options: EngineOptions = FAST_ENGINE,
+        limits: LimitOptions | None = None,
+        policy: dict[str, Any] | None = None,
+        program: dict[str, Any] | None = None,
+        publish: bool = True,
+    ) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run_loop, daemon=True)
+        self._limits = limits or LimitOptions(
+            lame_duck=0.0,
+            submit_timeout=1.0,
+            append_interval=0.0,
+            drain_timeout=20.0,
+            cache_check=0.2,
+        )
+        self._policy = policy or {}
+        self._program = program or {}
+        self.platform = PlatformStandIn()
+        self.engines = [EngineStandIn(options=options) for _ in range(engines)]
+        self.services = [ServiceStandIn() for _ in range(services)]
+        self._engine_names = [f"engine-{i + 1}" for i in range(engines)]
+        self._service_names = [f"tools-{i + 1}" for i in range(services)]
+        self._gateway_names = [f"gateway-{i + 1}" for i in range(gateways)]
+        self._publish = publish
+        self.nodes: dict[str, Node] = {}
+
+    # Starting and stopping.
+
+    def start(self) -> SystemUnderTest:
+        """Start everything and wait until calls are taken."""
+        for stand_in in self._stand_ins():
+            stand_in.start()
+        for name in [*self._engine_names, *self._service_names]:
+            self.platform.set_host(HostName(f"host-{name}"), HostState.LIVE)
+        self._thread.start()
+        for name in [*self._engine_names, *self._service_names]:
+            self.wait(self._add_sidecar(name, "tcp://127.0.0.1:*"))
+        if self._publish:
+            self.publish(self.documents())
+        for name in [*self._engine_names, *self._service_names]:
+            node = self.nodes[name]
+            assert node.sidecar is not None
+            if self._publish:
+                self.wait(node.sidecar.start())
+        for name in self._gateway_names:
+            self.wait(self._add_gateway(name))
+        return self
+
+    def stop(self) -> None:
+        """Stop everything at once."""
+        for name in list(self.nodes):
+            self.kill(name)
+        for stand_in in self._stand_ins():
+            stand_in.stop()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(GENEROUS)
+
+    def _stand_ins(self) -> list[StandIn]:
+        return [self.platform, *self.engines, *self.services]
+
+    def _run_loop(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def submit(self, work: Coroutine[Any, Any, T]) -> Future[T]:
+        """Start a coroutine in the loop of the system."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop)
+
+    def wait(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run a coroutine in the loop of the system."""
+        return self.submit(work).result(GENEROUS)
+
+    def call(self, work: Callable[[], T]) -> T:
+        """Run a plain function in the loop of the system."""
+
+        async def run() -> T:
+            return work()
+
+        return self.wait(run())
+
+    def settings(self, role: Role, name: str, inner: str) -> Settings:
+        """Return the settings of one process."""
+        return Settings(
+            role=role,
+            host=f"host-{name}",
+            data_centre="here",
+            target=name if role is Role.SIDECAR else None,
+            inner=InnerOptions(address=inner, silence_limit=1.5),
+            platform=PlatformOptions(log=self.platform.url, hosts=self.platform.url),
+            callers=[
+                Caller(key=CALLER_KEY, workspace=WORKSPACE),
+                Caller(key=OTHER_KEY, workspace=OTHER_WORKSPACE),
+            ],
+            operator_keys=[OPERATOR_KEY],
+            shards=SHARDS,
+            limits=self._limits,
+            peers=[node.address for node in self.nodes.values() if node.address],
+        )
+
+    def _make_core(self, settings: Settings, name: str) -> tuple[Core, GatedLog]:
+        client = HttpClient(url=self.platform.url, threads=16)
+        log = GatedLog(log=HttpLog(client=client))
+        hosts = HttpHostList(client=HttpClient(url=self.platform.url, threads=2))
+        core = make_core(
+            settings,
+            name=name,
+            me=TargetName(name) if settings.target else None,
+            context=zmq.asyncio.Context(),
+            platform=PlatformServices(log=log, hosts=hosts),
+        )
+        return core, log
+
+    async def _add_sidecar(self, name: str, inner: str) -> Node:
+        settings = self.settings(Role.SIDECAR, name, inner)
+        core, log = self._make_core(settings, name)
+        sidecar = Sidecar(core=core, target=TargetName(name))
+        address = sidecar.bind()
+        core.start()
+        node = Node(name=name, core=core, log=log, sidecar=sidecar, address=address)
+        self.nodes[name] = node
+        return node
+
+    async def _add_gateway(self, name: str) -> Node:
+        settings = self.settings(Role.GATEWAY, name, "tcp://127.0.0.1:*")
+        core, log = self._make_core(settings, name)
+        core.start()
+        gateway = Gateway(core=core, rng=random.Random(7))
+        node = Node(name=name, core=core, log=log, gateway=gateway)
+        self.nodes[name] = node
+        await gateway.start()
+        return node
+
+    def add_gateway(self, name: str) -> Node:
+        """Start one more gateway."""
+        return self.wait(self._add_gateway(name))
+
+    def kill(self, name: str) -> None:
+        """End a process as SIGKILL does: nothing is said or finished."""
+        node = self.nodes.pop(name)
+        self.wait(self._kill(node))
+
+    async def _kill(self, node: Node) -> None:
+        node.log.cut = True
+        node.log.release()
+        if node.sidecar is not None:
+            node.sidecar.close()
+        if node.gateway is not None:
+            node.gateway.close()
+        node.core.close()
+        node.core.context.destroy(linger=0)
+
+    def restart(self, name: str) -> Node:
+        """Start a sidecar again at the address that it had."""
+        document = next(one for one in self.documents_in_force() if one.name == name)
+        node = self.wait(self._add_sidecar(name, document.spec.address))
+        assert node.sidecar is not None
+        self.wait(node.sidecar.start())
+        return node
+
+    def stop_politely(self, name: str) -> None:
+        """End a process as SIGTERM does."""
+        node = self.nodes[name]
+        part = node.sidecar or node.gateway
+        assert part is not None
+        self.wait(part.stop())
+        self.kill(name)
+
+    # Configuration.
+
+    def documents_in_force(self) -> list[Any]:
+        """Return the targets that the first gateway knows."""
+        return next(iter(self.nodes.values())).core.catalogue.targets
+
+    def documents(self) -> list[dict[str, Any]]:
+        """Return the documents that describe this system."""
+        found: list[dict[str, Any]] = []
+        for name, engine in zip(self._engine_names, self.engines, strict=True):
+            found.append(
+                target_document(
+                    name,
+                    engine.url,
+                    self.nodes[name].address,
+                    {
+                        "type": "engine",
+                        "model": MODEL,
+                        "slots": engine.options.slots,
+                        "cache_tokens": engine.options.cache_tokens,
+                        "fencing": engine.options.checks_fencing,
+                    },
+                )
+            )
+        for name, service in zip(self._service_names, self.services, strict=True):
+            found.append(
+                target_document(
+                    name,
+                    service.url,
+                    self.nodes[name].address,
+                    {"type": "service", "service": "tools", "slots": 16},
+                )
+            )
+        for workspace in (WORKSPACE, OTHER_WORKSPACE):
+            found.append(program_document(workspace, **self._program))
+        found.append(
+            {"kind": "Policy", "name": "default", "selector": {}, "spec": self._policy}
+        )
+        return found
+
+    def publish(self, documents: list[dict[str, Any]]) -> None:
+        """Put documents into the log before anyone reads it."""
+        publication = Publication(
+            id=RecordId(new_id("publication")),
+            author="test",
+            changes=[
+                Change(key=one.key, base=0, document=document)
+                for one, document in zip(
+                    parse_documents(documents), documents, strict=True
+                )
+            ],
+        )
+        log = HttpLog(client=HttpClient(url=self.platform.url, threads=1))
+        self.wait(log.append("config", [encode_config(publication)]))
+
+    # Looking.
+
+    def client(self, gateway: str = "gateway-1", key: str = CALLER_KEY) -> Client:
+        """Return a client of a gateway."""
+        node = self.nodes[gateway]
+        assert node.gateway is not None
+        return Client(url=f"http://127.0.0.1:{node.gateway.port}", key=key)
+
+    def view(self, shard: int) -> ShardView:
+        """Return what the log says of a shard, read anew."""
+        view = ShardView()
+        for place, data in enumerate(self.platform.records(stream_name(shard))):
+            record = decode_record(data)
+            assert record is not None
+            view.apply(Offset(place), record)
+        return view
+
+    def state(self, name: str, workspace: str = WORKSPACE) -> Any:
+        """Return what the log says of a program, read anew."""
+        program = ProgramId(f"{workspace}:{name}")
+        for shard in range(SHARDS):
+            state = self.view(shard).state(program)
+            if state is not None:
+                return state
+        return None
+
+    def home_of(self, name: str) -> str:
+        """Return the home of a program."""
+        return self.state(name).home
+
+    def executions(self) -> dict[str, int]:
+        """Return how often each key was run by any service."""
+        found: dict[str, int] = {}
+        for service in self.services:
+            for key, count in service.executions.items():
+                found[key] = found.get(key, 0) + count
+        return found
+
+
+def target_document(
+    name: str, url: str, address: str, spec: dict[str, Any]
+) -> dict[str, Any]:
+    """Return the document of a target."""
+    return {
+        "kind": "Target",
+        "name": name,
+        "labels": {"type": spec["type"]},
+        "spec": {
+            "url": url,
+            "address": address,
+            "host": f"host-{name}",
+            "data_centre": "here",
+            **spec,
+        },
+    }
+
+
+def program_document(workspace: str, **spec: Any) -> dict[str, Any]:
+    """Return the document of a program."""
+    return {
+        "kind": "Program",
+        "name": f"{workspace}-chat",
+        "labels": {"workspace": workspace},
+        "spec": {
+            "workspace": workspace,
+            "model": MODEL,
+            "services": ["tools"],
+            **spec,
+        },
+    }
+
+
+class Conversation:
+    """Talk as one program, keeping the messages as a client does."""
+
+    def __init__(self, *, client: Client, program: str, key: str = CALLER_KEY) -> None:
+        self.client = client
+        self.program = program
+        self.messages: list[dict[str, Any]] = []
+        self.answers: list[str] = []
+
+    def body(self, text: str, **extra: Any) -> dict[str, Any]:
+        """Return the request for the next turn."""
+        messages = [*self.messages, {"role": "user", "content": text}]
+        return {"model": MODEL, "messages": messages, **extra}
+
+    def headers(self, seq: int | None) -> dict[str, str]:
+        """Return the headers of a call."""
+        found = {"X-Program-Id": self.program}
+        if seq is not None:
+            found["X-Call-Seq"] = str(seq)
+        return found
+
+    def say(
+        self,
+        text: str,
+        *,
+        seq: int | None = None,
+        tokens: int = 6,
+        client: Client | None = None,
+        patient: bool = True,
+        **extra: Any,
+    ) -> str:
+        """Take one turn and return the answer."""
+        body = self.body(text, stand_in={"answer_tokens": tokens}, **extra)
+        answer = (client or self.client).request(
+            "POST",
+            "/v1/chat/completions",
+            body,
+            self.headers(seq),
+            patient=patient,
+        )
+        content = answer["choices"][0]["message"]["content"]
+        self.take(text, content)
+        return content
+
+    def take(self, text: str, content: str) -> None:
+        """Add a turn to the messages."""
+        self.messages.append({"role": "user", "content": text})
+        self.messages.append({"role": "assistant", "content": content})
+        self.answers.append(content)
+
+    def tool(
+        self,
+        key: str,
+        *,
+        once: bool = True,
+        client: Client | None = None,
+        body: dict[str, Any] | None = None,
+        seq: int | None = None,
+        **headers: str,
+    ) -> Any:
+        """Call the tool service."""
+        found = {"Idempotency-Key": key, **headers}
+        if once:
+            found["X-Non-Idempotent"] = "true"
+        if seq is not None:
+            found["X-Call-Seq"] = str(seq)
+        return (client or self.client).request(
+            "POST", f"/v1/programs/{self.program}/tools/tools/run", body or {}, found
+        )
+
+    def kept(self) -> list[dict[str, Any]]:
+        """Return the messages that the system keeps."""
+        answer = self.client.request("GET", f"/v1/programs/{self.program}")
+        return [message for entry in answer["history"] for message in entry["messages"]]
+
+
+class SystemTestCase(unittest.TestCase):
+    """Run one system for the tests of a class."""
+
+    system: SystemUnderTest
+
+    @classmethod
+    def make_system(cls) -> SystemUnderTest:
+        """Return the system that the tests of the class share."""
+        return SystemUnderTest()
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the system."""
+        cls.system = cls.make_system().start()
+        cls.addClassCleanup(cls.system.stop)
+
+    def converse(self, program: str, gateway: str = "gateway-1") -> Conversation:
+        """Return a conversation under a new program."""
+        return Conversation(client=self.system.client(gateway), program=program)
+
+
+def in_thread(work: Callable[[], T]) -> Future[T]:
+    """Run a function in a thread of its own."""
+    future: Future[T] = Future()
+
+    def run() -> None:
+        try:
+            future.set_result(work())
+        except BaseException as error:
+            future.set_exception(error)
+
+    threading.Thread(target=run, daemon=True).start()
+    return future
+
+
+def as_json(value: Any) -> Any:
+    """Return a value as it looks after JSON."""
+    return msgspec.json.decode(msgspec.json.encode(value))
--- /dev/null
+++ b/sequoiaarch/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Test the properties under faults."""
--- a/sequoiaarch/wire/links.py
+++ b/sequoiaarch/wire/links.py
@@ -10,6 +10,7 @@
 import logbook
 import zmq
 import zmq.asyncio
+from zmq.utils.monitor import recv_monitor_message
 
 from ..errors import ErrorKind, Failure, NotRun
 from .messages import (
@@ -128,9 +129,10 @@
 class Link:
     """Send requests to one peer and hand out its replies.
 
-    While requests are open the peer is pinged. A peer that stays silent for
-    `SILENCE_LIMIT` seconds is taken for lost and its requests end, so that a
-    frozen process holds no caller for longer than that.
+    A peer whose connection breaks is taken for lost at once. While requests
+    are open the peer is pinged too, and one that stays silent for
+    `SILENCE_LIMIT` seconds is taken for lost, so that a frozen process holds
+    no caller for longer than that. All open requests then end.
     """
 
     def __init__(
@@ -149,7 +151,7 @@
         self._open: dict[bytes, asyncio.Queue[tuple[bytes, Reply]]] = {}
         self._heard = 0.0
         self._socket = self._connect()
-        self._receiver = asyncio.create_task(self._receive())
+        self._tasks = self._start()
         self._watcher = asyncio.create_task(self._watch())
 
     @property
@@ -157,6 +159,13 @@
         """Return the address of the peer."""
         return self._address
 
+    def _start(self) -> list[asyncio.Task[None]]:
+        monitor = self._socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        return [
+            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._watch_connection(monitor)),
+        ]
+
     def _connect(self) -> zmq.asyncio.Socket:
         socket = self._context.socket(zmq.DEALER)
         socket.setsockopt(zmq.LINGER, 0)
@@ -221,6 +230,12 @@
                 mark = LAST
             replies.put_nowait((mark, reply))
 
+    async def _watch_connection(self, monitor: zmq.asyncio.Socket) -> None:
+        while True:
+            await recv_monitor_message(monitor)
+            if self._open:
+                self._fail_open("disconnected")
+
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -228,28 +243,32 @@
             if not self._open:
                 continue
             if loop.time() - self._heard > self._silence_limit:
-                self._fail_open()
+                self._fail_open("silent")
                 continue
             await self._socket.send_multipart([PING_ID, encode(Ping())])
 
-    def _fail_open(self) -> None:
+    def _fail_open(self, reason: str) -> None:
         # A message that still waits in the socket must not reach a peer that
         # comes back later: its caller has been answered. Closing the socket
         # with no linger drops it.
-        log.warning("Peer {} is silent.", self._address)
+        log.warning("Peer {} is {}.", self._address, reason)
         for replies in self._open.values():
-            replies.put_nowait((LAST, Failed(failure=self._lost("silent"))))
+            replies.put_nowait((LAST, Failed(failure=self._lost(reason))))
         self._open.clear()
-        self._receiver.cancel()
-        self._socket.close(linger=0)
+        self._disconnect()
         self._socket = self._connect()
-        self._receiver = asyncio.create_task(self._receive())
+        self._tasks = self._start()
+
+    def _disconnect(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self._socket.disable_monitor()
+        self._socket.close(linger=0)
 
     def close(self) -> None:
         """End the link."""
-        self._receiver.cancel()
         self._watcher.cancel()
-        self._socket.close(linger=0)
+        self._disconnect()
 
 
 class Links:
