--- a/sequoiaarch/gateway/app.py
+++ b/sequoiaarch/gateway/app.py
@@ -23,7 +23,7 @@
 from ..errors import ErrorKind, Failure, FailureError, fail
 from ..home.answers import error_body
 from ..home.chat import parse_chat, replay_events
-from ..ids import CallKey, ProgramId, TargetName, Workspace, new_id, root_of
+from ..ids import CallKey, ProgramId, Workspace, new_id, root_of
 from ..records.types import ProgramSpec, ProgramState
 from ..wire.messages import (
     CallKind,
@@ -32,7 +32,6 @@
     CreateRequest,
     Done,
     EndRequest,
-    Failed,
     SpawnRequest,
 )
 from .bridge import Bridge, Event
@@ -296,23 +295,10 @@
     def _create_at_home(self, program: ProgramId, spec: ProgramSpec) -> None:
         async def create() -> None:
             home = self._router.spec_home(spec, program)
-            await self._order(home, CreateRequest(program=program, spec=spec))
+            await self._router.order(home, CreateRequest(program=program, spec=spec))
 
         self._bridge.wait(create(), ORDER_TIMEOUT)
 
-    async def _order(
-        self, home: TargetName, order: CreateRequest | SpawnRequest | EndRequest
-    ) -> None:
-        address = self._core.membership.address(home)
-        if address is None:
-            raise fail(ErrorKind.NO_TARGET, f"target {home} is gone")
-        link = self._core.links.to(address)
-        reply = await link.call(order, timeout=ORDER_TIMEOUT / 2)
-        if isinstance(reply, Failed):
-            if reply.failure.kind is ErrorKind.INTERRUPTED:
-                self._core.membership.note_silent(home)
-            raise FailureError(reply.failure)
-
     def _show(self, request: Request, name: str) -> Response:
         workspace = self._keys.workspace(request)
         program = inner_id(workspace, name, "id")
@@ -374,21 +360,8 @@
     def _order_at_home(
         self, state: ProgramState, order: SpawnRequest | EndRequest
     ) -> None:
-        """Give an order to the home of a program, or to a new one."""
-
-        async def run() -> None:
-            document = self._core.catalogue.target(state.home) if state.home else None
-            if document and self._core.membership.answers(document):
-                try:
-                    await self._order(state.home, order)
-                    return
-                except FailureError as error:
-                    if error.failure.kind is not ErrorKind.INTERRUPTED:
-                        raise
-            home = self._router.spec_home(state.spec, state.program)
-            await self._order(home, order)
-
-        self._bridge.wait(run(), ORDER_TIMEOUT)
+        work = self._router.order_at_home(state, order)
+        self._bridge.wait(work, ORDER_TIMEOUT)
 
     def _find(self, program: ProgramId, workspace: Workspace) -> ProgramState | None:
         state = self._bridge.wait(self._router.locate(program))
--- a/sequoiaarch/gateway/gateway.py
+++ b/sequoiaarch/gateway/gateway.py
@@ -78,11 +78,16 @@
             await asyncio.sleep(STOP_CHECK)
         if self._busy():
             log.warning("Stopping with {} calls open.", self._app.open_requests)
+            self._server.abort()
 
     def _busy(self) -> bool:
         quiet = self._app.quiet_for >= self._core.settings.limits.lame_duck
         return bool(self._app.open_requests or self._router.open_calls or not quiet)
 
+    def abort(self) -> None:
+        """Break all connections off."""
+        self._server.abort()
+
     def close(self) -> None:
         """Close the server."""
         self._server.stop()
--- a/sequoiaarch/gateway/operators.py
+++ b/sequoiaarch/gateway/operators.py
@@ -14,7 +14,7 @@
 from ..config.store import Change, Publication, PublishVerdict, Versioned
 from ..daemon.base import Core
 from ..errors import ErrorKind, Failure, FailureError, fail
-from ..ids import ProgramId, RecordId, TargetName
+from ..ids import ProgramId, RecordId
 from ..observe.traces import render_tree
 from ..wire.messages import (
     Accepted,
@@ -244,22 +244,9 @@
             order = EndRequest(
                 program=state.program, spec=state.spec, reason="ended by an operator"
             )
-            self._bridge.wait(self._order(state.home, order))
+            self._bridge.wait(self._router.order_at_home(state, order))
         return _json(self._state(program))
 
-    async def _order(self, home: TargetName, order: EndRequest) -> None:
-        address = self._core.membership.address(home)
-        if address is None or self._core.membership.silent(home):
-            state = await self._router.locate(order.program)
-            if state is not None:
-                home = self._router.spec_home(state.spec, state.program)
-            address = self._core.membership.address(home)
-        if address is None:
-            raise fail(ErrorKind.NO_TARGET, f"target {home} is gone")
-        reply = await self._core.links.to(address).call(order, timeout=10.0)
-        if isinstance(reply, Failed):
-            raise FailureError(reply.failure)
-
     def _explain(self, request: Request, program: str) -> Response:
         known = ProgramId(program)
         found = self._core.decisions.of(known)
--- a/sequoiaarch/gateway/router.py
+++ b/sequoiaarch/gateway/router.py
@@ -22,9 +22,12 @@
     CallRequest,
     Chunk,
     Committed,
+    CreateRequest,
     Done,
+    EndRequest,
     Failed,
     Head,
+    SpawnRequest,
 )
 from .copies import TurnCopies
 
@@ -43,6 +46,7 @@
 }
 MOVING = {PlacementName.AFFINITY, PlacementName.STICKY}
 BYTES_A_TOKEN = 4
+ORDER_TIMEOUT = 10.0
 
 Emit = Callable[[Chunk | Done | Failure], None]
 
@@ -144,7 +148,8 @@
         if spent > min(RETRY_SECONDS, call.deadline):
             return False
         not_run = failure.run_state is NotRun.YES
-        failed = failure.kind is ErrorKind.TARGET_FAILED and not_run
+        harmless = not_run or call.kind is CallKind.MODEL
+        failed = failure.kind is ErrorKind.TARGET_FAILED and harmless
         if failure.kind not in RETRIED and not failed:
             return False
         if not_run:
@@ -360,6 +365,37 @@
             return 0.0
         return settings.near.get(data_centre, 0.0)
 
+    async def order_at_home(
+        self, state: ProgramState, order: SpawnRequest | EndRequest
+    ) -> None:
+        """Give an order to the home of a program, or to a new one."""
+        membership = self._core.membership
+        document = self._core.catalogue.target(state.home) if state.home else None
+        if document is not None and membership.answers(document):
+            try:
+                await self.order(state.home, order)
+                return
+            except FailureError as error:
+                if error.failure.kind is not ErrorKind.INTERRUPTED:
+                    raise
+        home = self.spec_home(state.spec, state.program)
+        silent = state.home or None
+        await self.order(home, msgspec.structs.replace(order, silent_home=silent))
+
+    async def order(
+        self, home: TargetName, order: CreateRequest | SpawnRequest | EndRequest
+    ) -> None:
+        """Give an order to a sidecar, or fail as it does."""
+        address = self._core.membership.address(home)
+        if address is None:
+            raise fail(ErrorKind.NO_TARGET, f"target {home} is gone")
+        link = self._core.links.to(address)
+        reply = await link.call(order, timeout=ORDER_TIMEOUT)
+        if isinstance(reply, Failed):
+            if reply.failure.kind is ErrorKind.INTERRUPTED:
+                self._core.membership.note_silent(home)
+            raise FailureError(reply.failure)
+
     def spec_home(self, spec: ProgramSpec, program: ProgramId) -> TargetName:
         """Return where a new program should be created."""
         call = CallRequest(program=program, spec=spec, kind=CallKind.SERVICE)
--- a/sequoiaarch/home/runner.py
+++ b/sequoiaarch/home/runner.py
@@ -440,11 +440,23 @@
                 )
             elif isinstance(reply, Failed):
                 self._membership.note_load(reply.load)
-                if reply.failure.kind is ErrorKind.INTERRUPTED:
-                    self._membership.note_silent(dispatch.target)
-                return reply.failure
+                return self._target_failure(dispatch.target, reply.failure)
         return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason="no last reply")
 
+    def _target_failure(self, target: TargetName, failure: Failure) -> Failure:
+        """Return a failure in the words of the target's own failures.
+
+        Only a gateway may conclude from an interruption that a home is lost.
+        """
+        if failure.kind is not ErrorKind.INTERRUPTED:
+            return failure
+        self._membership.note_silent(target)
+        return Failure(
+            kind=ErrorKind.TARGET_FAILED,
+            reason=failure.reason,
+            not_run=failure.run_state,
+        )
+
     # Services.
 
     async def _run_service(
@@ -505,27 +517,35 @@
         policy: PolicySpecification,
         trace: str,
     ) -> Execution | Failure:
-        """Announce a call in the log, then dispatch it a single time."""
-        target = self._service_target(request, [])
-        if target is None:
-            raise fail(ErrorKind.NO_TARGET, f"no target runs {request.service!r} now")
-        intent = await self._announce(running, request, target)
-        if isinstance(intent, Failure):
-            return intent
-        dispatch = self._service_dispatch(
-            running, request, policy, trace, intent.executor, intent.attempt
-        )
-        result = await self._dispatch(dispatch, _ignore)
-        if isinstance(result, Execution):
-            return result
-        if result.run_state is NotRun.YES:
+        """Announce a call in the log, then dispatch it a single time.
+
+        Where its executor says that it was not run, another may be announced.
+        """
+        tried: list[TargetName] = []
+        while True:
+            target = self._service_target(request, tried)
+            if target is None:
+                reason = f"no target runs {request.service!r} now"
+                raise fail(ErrorKind.NO_TARGET, reason)
+            tried.append(target)
+            intent = await self._announce(running, request, target)
+            if isinstance(intent, Failure):
+                return intent
+            dispatch = self._service_dispatch(
+                running, request, policy, trace, intent.executor, intent.attempt
+            )
+            result = await self._dispatch(dispatch, _ignore)
+            if isinstance(result, Execution):
+                return result
+            if result.run_state is not NotRun.YES:
+                # The bytes may have left, so nobody can tell or may retry.
+                return Failure(
+                    kind=ErrorKind.OUTCOME_UNKNOWN,
+                    reason=f"{UNKNOWN_REASON} ({result.reason})",
+                )
             await self._withdraw(running, request, intent)
-            raise FailureError(result)
-        # The bytes may have left, so nobody can tell, and nobody retries.
-        return Failure(
-            kind=ErrorKind.OUTCOME_UNKNOWN,
-            reason=f"{UNKNOWN_REASON} ({result.reason})",
-        )
+            if len(tried) >= SERVICE_TRIES:
+                raise FailureError(result)
 
     async def _announce(
         self, running: RunningProgram, request: CallRequest, target: TargetName
--- a/sequoiaarch/sidecar/sidecar.py
+++ b/sequoiaarch/sidecar/sidecar.py
@@ -12,7 +12,7 @@
 from ..errors import ErrorKind, Failure, FailureError, NotRun
 from ..home.homes import Homes, Opening
 from ..home.runner import CallRunner
-from ..ids import TargetName
+from ..ids import ProgramId, TargetName
 from ..policies.admission import Occupancy
 from ..shards.keeper import ShardKeeper
 from ..wire.links import Responder, Send
@@ -316,10 +316,10 @@
             await self._homes.open(opening)
             return None
         if isinstance(request, SpawnRequest):
-            opening = Opening(program=request.parent, spec=request.spec)
+            opening = _taking_over(request.parent, request)
             parent = await self._homes.open(opening)
             return await self._homes.spawn(parent, request.child, request.budget)
-        opening = Opening(program=request.program, spec=request.spec)
+        opening = _taking_over(request.program, request)
         running = await self._homes.open(opening)
         return await self._homes.end(running, request.reason)
 
@@ -345,6 +345,16 @@
             self._responder.close()
 
 
+def _taking_over(program: ProgramId, request: SpawnRequest | EndRequest) -> Opening:
+    """Return how to open a program whose home the asker may have found silent."""
+    return Opening(
+        program=program,
+        spec=request.spec,
+        previous_home=request.silent_home,
+        previous_silent=request.silent_home is not None,
+    )
+
+
 def _accepted(failure: Failure | None) -> Reply:
     return Accepted() if failure is None else Failed(failure=failure)
 
--- a/sequoiaarch/tests/base.py
+++ b/sequoiaarch/tests/base.py
@@ -52,6 +52,7 @@
 OTHER_WORKSPACE = "beta"
 MODEL = "stand-in"
 SHARDS = 2
+LEFT_BEHIND: list[asyncio.Task[Any]] = []
 FAST_ENGINE = EngineOptions(
     step=0.0005, step_share=0.0, load_lag=0.01, event_lag=0.01, prefill_rate=1e6
 )
@@ -108,6 +109,62 @@
         return await self._log.read(stream, start, limit=limit, wait=min(wait, 0.5))
 
 
+class LoopThread:
+    """Run one event loop in a thread, as a process would; it can be frozen."""
+
+    def __init__(self, *, name: str) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thaw: threading.Event | None = None
+        self._thread.start()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def submit(self, work: Coroutine[Any, Any, T]) -> Future[T]:
+        """Start a coroutine in the loop."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop)
+
+    def wait(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run a coroutine in the loop."""
+        return self.submit(work).result(GENEROUS)
+
+    def call(self, work: Callable[[], T]) -> T:
+        """Run a plain function in the loop."""
+
+        async def run() -> T:
+            return work()
+
+        return self.wait(run())
+
+    def freeze(self) -> None:
+        """Stop everything in the loop where it stands, as SIGSTOP does."""
+        frozen = threading.Event()
+        thaw = threading.Event()
+        self._thaw = thaw
+
+        def block() -> None:
+            frozen.set()
+            thaw.wait()
+
+        self._loop.call_soon_threadsafe(block)
+        frozen.wait(GENEROUS)
+
+    def thaw(self) -> None:
+        """Go on, as SIGCONT does."""
+        if self._thaw is not None:
+            self._thaw.set()
+            self._thaw = None
+
+    def end(self) -> None:
+        """Stop the loop for good."""
+        # Tasks of a killed process must not run again, not even to clean up.
+        LEFT_BEHIND.extend(asyncio.all_tasks(self._loop))
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(GENEROUS)
+
+
 @dataclass(kw_only=True)
 class Node:
     """Hold one process of the system under test."""
@@ -115,6 +172,7 @@
     name: str
     core: Core
     log: GatedLog
+    thread: LoopThread
     sidecar: Sidecar | None = None
     gateway: Gateway | None = None
     address: str = ""
@@ -135,8 +193,6 @@
         program: dict[str, Any] | None = None,
         publish: bool = True,
     ) -> None:
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._run_loop, daemon=True)
         self._limits = limits or LimitOptions(
             lame_duck=0.0,
             submit_timeout=1.0,
@@ -163,18 +219,14 @@
             stand_in.start()
         for name in [*self._engine_names, *self._service_names]:
             self.platform.set_host(HostName(f"host-{name}"), HostState.LIVE)
-        self._thread.start()
         for name in [*self._engine_names, *self._service_names]:
-            self.wait(self._add_sidecar(name, "tcp://127.0.0.1:*"))
+            self._add_sidecar(name, "tcp://127.0.0.1:*")
         if self._publish:
             self.publish(self.documents())
-        for name in [*self._engine_names, *self._service_names]:
-            node = self.nodes[name]
-            assert node.sidecar is not None
-            if self._publish:
-                self.wait(node.sidecar.start())
+            for name in [*self._engine_names, *self._service_names]:
+                self._start_sidecar(self.nodes[name])
         for name in self._gateway_names:
-            self.wait(self._add_gateway(name))
+            self.add_gateway(name)
         return self
 
     def stop(self) -> None:
@@ -183,32 +235,10 @@
             self.kill(name)
         for stand_in in self._stand_ins():
             stand_in.stop()
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(GENEROUS)
 
     def _stand_ins(self) -> list[StandIn]:
         return [self.platform, *self.engines, *self.services]
 
-    def _run_loop(self) -> None:
-        asyncio.set_event_loop(self._loop)
-        self._loop.run_forever()
-
-    def submit(self, work: Coroutine[Any, Any, T]) -> Future[T]:
-        """Start a coroutine in the loop of the system."""
-        return asyncio.run_coroutine_threadsafe(work, self._loop)
-
-    def wait(self, work: Coroutine[Any, Any, T]) -> T:
-        """Run a coroutine in the loop of the system."""
-        return self.submit(work).result(GENEROUS)
-
-    def call(self, work: Callable[[], T]) -> T:
-        """Run a plain function in the loop of the system."""
-
-        async def run() -> T:
-            return work()
-
-        return self.wait(run())
-
     def settings(self, role: Role, name: str, inner: str) -> Settings:
         """Return the settings of one process."""
         return Settings(
@@ -241,51 +271,71 @@
         )
         return core, log
 
-    async def _add_sidecar(self, name: str, inner: str) -> Node:
-        settings = self.settings(Role.SIDECAR, name, inner)
-        core, log = self._make_core(settings, name)
-        sidecar = Sidecar(core=core, target=TargetName(name))
-        address = sidecar.bind()
-        core.start()
-        node = Node(name=name, core=core, log=log, sidecar=sidecar, address=address)
-        self.nodes[name] = node
-        return node
+    def _add_sidecar(self, name: str, inner: str) -> Node:
+        thread = LoopThread(name=name)
+
+        async def build() -> Node:
+            settings = self.settings(Role.SIDECAR, name, inner)
+            core, log = self._make_core(settings, name)
+            sidecar = Sidecar(core=core, target=TargetName(name))
+            address = sidecar.bind()
+            core.start()
+            return Node(
+                name=name,
+                core=core,
+                log=log,
+                thread=thread,
+                sidecar=sidecar,
+                address=address,
+            )
 
-    async def _add_gateway(self, name: str) -> Node:
-        settings = self.settings(Role.GATEWAY, name, "tcp://127.0.0.1:*")
-        core, log = self._make_core(settings, name)
-        core.start()
-        gateway = Gateway(core=core, rng=random.Random(7))
-        node = Node(name=name, core=core, log=log, gateway=gateway)
+        node = thread.wait(build())
         self.nodes[name] = node
-        await gateway.start()
         return node
 
+    def _start_sidecar(self, node: Node) -> None:
+        assert node.sidecar is not None
+        node.thread.wait(node.sidecar.start())
+
     def add_gateway(self, name: str) -> Node:
-        """Start one more gateway."""
-        return self.wait(self._add_gateway(name))
+        """Start a gateway."""
+        thread = LoopThread(name=name)
+
+        async def build() -> Node:
+            settings = self.settings(Role.GATEWAY, name, "tcp://127.0.0.1:*")
+            core, log = self._make_core(settings, name)
+            core.start()
+            gateway = Gateway(core=core, rng=random.Random(7))
+            await gateway.start()
+            return Node(name=name, core=core, log=log, thread=thread, gateway=gateway)
+
+        node = thread.wait(build())
+        self.nodes[name] = node
+        return node
 
     def kill(self, name: str) -> None:
         """End a process as SIGKILL does: nothing is said or finished."""
         node = self.nodes.pop(name)
-        self.wait(self._kill(node))
+        node.log.cut = True
+        node.thread.thaw()
+        node.thread.wait(self._kill(node))
+        node.thread.end()
 
     async def _kill(self, node: Node) -> None:
-        node.log.cut = True
         node.log.release()
         if node.sidecar is not None:
             node.sidecar.close()
         if node.gateway is not None:
-            node.gateway.close()
+            node.gateway.abort()
+            in_thread(node.gateway.close)
         node.core.close()
         node.core.context.destroy(linger=0)
 
     def restart(self, name: str) -> Node:
         """Start a sidecar again at the address that it had."""
         document = next(one for one in self.documents_in_force() if one.name == name)
-        node = self.wait(self._add_sidecar(name, document.spec.address))
-        assert node.sidecar is not None
-        self.wait(node.sidecar.start())
+        node = self._add_sidecar(name, document.spec.address)
+        self._start_sidecar(node)
         return node
 
     def stop_politely(self, name: str) -> None:
@@ -293,7 +343,7 @@
         node = self.nodes[name]
         part = node.sidecar or node.gateway
         assert part is not None
-        self.wait(part.stop())
+        node.thread.wait(part.stop())
         self.kill(name)
 
     # Configuration.
@@ -349,7 +399,7 @@
             ],
         )
         log = HttpLog(client=HttpClient(url=self.platform.url, threads=1))
-        self.wait(log.append("config", [encode_config(publication)]))
+        asyncio.run(log.append("config", [encode_config(publication)]))
 
     # Looking.
 
--- a/sequoiaarch/webserver.py
+++ b/sequoiaarch/webserver.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -72,6 +74,15 @@
         self._stopped.set()
         self._server.stop()
 
+    def abort(self) -> None:
+        """Break all open connections off, for a stop that can't wait."""
+        pool: ThreadPool = self._server.requests
+        for worker in list(pool._threads):  # type: ignore[attr-defined]
+            connection = worker.conn
+            if connection is not None:
+                with contextlib.suppress(OSError):
+                    connection.socket.shutdown(socket.SHUT_RDWR)
+
     def _grow(self) -> None:
         pool: ThreadPool = self._server.requests
         total = SPARE_THREADS
--- a/sequoiaarch/wire/links.py
+++ b/sequoiaarch/wire/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
@@ -29,6 +30,7 @@
 
 PING_INTERVAL = 0.5
 SILENCE_LIMIT = 3.0
+RECONNECT_LIMIT = 0.3
 ID_BYTES = 8
 MORE = b"+"
 LAST = b"."
@@ -150,6 +152,7 @@
         self._ids = itertools.count(1)
         self._open: dict[bytes, asyncio.Queue[tuple[bytes, Reply]]] = {}
         self._heard = 0.0
+        self._broken = False
         self._socket = self._connect()
         self._tasks = self._start()
         self._watcher = asyncio.create_task(self._watch())
@@ -160,7 +163,9 @@
         return self._address
 
     def _start(self) -> list[asyncio.Task[None]]:
-        monitor = self._socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        monitor = self._socket.get_monitor_socket(
+            zmq.EVENT_DISCONNECTED | zmq.EVENT_HANDSHAKE_SUCCEEDED
+        )
         return [
             asyncio.create_task(self._receive()),
             asyncio.create_task(self._watch_connection(monitor)),
@@ -169,6 +174,9 @@
     def _connect(self) -> zmq.asyncio.Socket:
         socket = self._context.socket(zmq.DEALER)
         socket.setsockopt(zmq.LINGER, 0)
+        # A message waits here until a connection stands, and not inside the
+        # socket, so that "it never left" can be said truly.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.SNDHWM, HIGH_WATER)
         socket.setsockopt(zmq.RCVHWM, HIGH_WATER)
         socket.setsockopt(zmq.RECONNECT_IVL, 50)
@@ -188,7 +196,9 @@
             self._heard = asyncio.get_running_loop().time()
         self._open[request_id] = replies
         try:
-            await self._socket.send_multipart([request_id, encode(request)])
+            if not await self._send([request_id, encode(request)]):
+                yield Failed(failure=self._lost("no connection", NotRun.YES))
+                return
             mark = MORE
             while mark == MORE:
                 mark, reply = await replies.get()
@@ -196,6 +206,22 @@
         finally:
             self._open.pop(request_id, None)
 
+    async def _send(self, frames: list[bytes]) -> bool:
+        """Send frames; False says that nothing left this process."""
+        limit = RECONNECT_LIMIT if self._broken else self._silence_limit
+        try:
+            async with asyncio.timeout(limit):
+                await self._socket.send_multipart(frames)
+        except TimeoutError:
+            return False
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # The socket was closed below the waiting message.
+            return False
+        return True
+
     async def call(self, request: Message, *, timeout: float = 30.0) -> Reply:
         """Send a request and return its last reply."""
         last: Reply = Failed(failure=self._lost("no reply"))
@@ -207,11 +233,11 @@
             return Failed(failure=self._lost(f"no reply within {timeout} s"))
         return last
 
-    def _lost(self, reason: str) -> Failure:
+    def _lost(self, reason: str, not_run: NotRun = NotRun.UNKNOWN) -> Failure:
         return Failure(
             kind=ErrorKind.INTERRUPTED,
             reason=f"peer {self._address}: {reason}",
-            not_run=NotRun.UNKNOWN,
+            not_run=not_run,
         )
 
     async def _receive(self) -> None:
@@ -232,8 +258,9 @@
 
     async def _watch_connection(self, monitor: zmq.asyncio.Socket) -> None:
         while True:
-            await recv_monitor_message(monitor)
-            if self._open:
+            message = await recv_monitor_message(monitor)
+            self._broken = message["event"] == zmq.EVENT_DISCONNECTED
+            if self._broken and self._open:
                 self._fail_open("disconnected")
 
     async def _watch(self) -> None:
@@ -245,7 +272,9 @@
             if loop.time() - self._heard > self._silence_limit:
                 self._fail_open("silent")
                 continue
-            await self._socket.send_multipart([PING_ID, encode(Ping())])
+            with contextlib.suppress(zmq.Again):
+                frames = [PING_ID, encode(Ping())]
+                await self._socket.send_multipart(frames, flags=zmq.NOBLOCK)
 
     def _fail_open(self, reason: str) -> None:
         # A message that still waits in the socket must not reach a peer that
@@ -255,6 +284,7 @@
         for replies in self._open.values():
             replies.put_nowait((LAST, Failed(failure=self._lost(reason))))
         self._open.clear()
+        self._broken = True
         self._disconnect()
         self._socket = self._connect()
         self._tasks = self._start()
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -160,6 +160,7 @@
     spec: ProgramSpec
     child: ProgramId
     budget: int
+    silent_home: TargetName | None = None
 
 
 class EndRequest(Message, frozen=True, kw_only=True, tag="end"):
@@ -168,6 +169,7 @@
     program: ProgramId
     spec: ProgramSpec
     reason: str
+    silent_home: TargetName | None = None
 
 
 class LoadRequest(Message, frozen=True, kw_only=True, tag="load"):
