--- a/sequoiaarch/config/documents.py
+++ b/sequoiaarch/config/documents.py
@@ -113,6 +113,7 @@
     service_timeout: float = Field(default=60.0, gt=0)
     idle_limit: float = Field(default=86_400.0, gt=0)
     commit_wait: float = Field(default=0.0, ge=0)
+    start_wait: float = Field(default=30.0, gt=0)
     log_away: WhenLogIsAway = WhenLogIsAway.REFUSE
 
 
--- a/sequoiaarch/standins/engine.py
+++ b/sequoiaarch/standins/engine.py
@@ -42,6 +42,7 @@
     step_share: float = 0.0004
     group: int = 1
     import_rate: float = 400_000.0
+    host_tokens: int = 240_000
     load_lag: float = 0.2
     event_lag: float = 0.3
     event_gap: int = 0
@@ -456,8 +457,13 @@
             entry = self._cache.pop(key, None)
             if entry is None:
                 return json_response({"error": {"message": "not cached"}}, 404)
+            held = sum(one.tokens for one in self._exported.values())
+            if held + entry.tokens > self.options.host_tokens:
+                self._event(key, "evicted")
+                return json_response({"error": {"message": "no room"}}, 507)
             self._exported[key] = entry
             self._event(key, "exported")
+        time.sleep(entry.tokens / self.options.import_rate)
         return json_response({"tokens": entry.tokens})
 
     def _import(self, request: Request, key: str) -> Response:
