Outlive the log's memory, leave by the host list, refuse new programs early

Cause: nothing appended again before retention ended for idle shards or the configuration; a host that the list showed as leaving kept its programs; new programs queued without end under overload.

--- a/sequoiaarch/bench/__main__.py
+++ b/sequoiaarch/bench/__main__.py
@@ -5,6 +5,8 @@
 import click
 
 from .compare import DEPLOYMENTS, LOADS, WINDOW, run_all, run_one
+from .cost import PARTS, run_cost
+from .soak import run_soak
 
 
 def parse_loads(text: str) -> tuple[int, ...]:
@@ -51,5 +53,20 @@
     run_one(name, kind, parse_loads(loads), window)
 
 
+@main.command()
+@click.argument("parts", nargs=-1, type=click.Choice(PARTS))
+def cost(parts: tuple[str, ...]) -> None:
+    """Measure what the system itself costs."""
+    run_cost(parts)
+
+
+@main.command()
+@click.option("--seconds", default=120.0, help="How long to disturb.")
+@click.option("--seed", default=1, help="What the disturbances come from.")
+def soak(seconds: float, seed: int) -> None:
+    """Run programs while processes die, pause and the log goes away."""
+    run_soak(seconds, seed)
+
+
 if __name__ == "__main__":
     main()
--- a/sequoiaarch/config/follower.py
+++ b/sequoiaarch/config/follower.py
@@ -55,6 +55,8 @@
         self._metrics = metrics
         self._advanced = asyncio.Condition()
         self._read_once = asyncio.Event()
+        self._first = Offset(0)
+        self._renewed_at: float | None = None
 
     @property
     def view(self) -> ConfigView:
@@ -79,6 +81,7 @@
                 delay = min(delay * 2, RETRY_LIMIT)
                 continue
             delay = RETRY_FIRST
+            self._first = page.first
             if page.start > self._view.next_offset:
                 self._view.start_at(page.start)
             for place, data in enumerate(page.records):
@@ -137,7 +140,18 @@
         assert verdict is not None
         return verdict
 
-    async def renew(self) -> None:
-        """Append a snapshot, so that the newest configuration is retained."""
-        snapshot = self._view.snapshot(RecordId(new_id("config")))
-        await self._log.append(STREAM, [encode_config(snapshot)])
+    async def renew_if_due(self, records: int, seconds: float) -> None:
+        """Append a snapshot before the log forgets what is in force."""
+        now = asyncio.get_running_loop().time()
+        end = self._view.next_offset
+        if self._renewed_at is None:
+            self._renewed_at = now
+        nearing = self._first > 0 and self._view.oldest < self._first + max(
+            1, (end - self._first) // 4
+        )
+        old = self._view.oldest < end - records
+        if end and (nearing or old or now - self._renewed_at > seconds):
+            self._renewed_at = now
+            snapshot = self._view.snapshot(RecordId(new_id("config")))
+            await self._log.append(STREAM, [encode_config(snapshot)])
+            log.info("The configuration was appended again.")
--- a/sequoiaarch/config/settings.py
+++ b/sequoiaarch/config/settings.py
@@ -97,6 +97,11 @@
         ge=16,
         description="records after which a program is appended again",
     )
+    renew_interval: float = Field(
+        default=21_600.0,
+        gt=0,
+        description="seconds after which a program is appended again",
+    )
 
 
 class Settings(Options):
--- a/sequoiaarch/config/store.py
+++ b/sequoiaarch/config/store.py
@@ -100,6 +100,7 @@
         self._seen: dict[RecordId, PublishVerdict] = {}
         self._next = Offset(0)
         self._newest = Offset(-1)
+        self._oldest = Offset(0)
         self._complete = True
         self._early: list[tuple[Offset, ConfigRecord]] = []
 
@@ -113,6 +114,11 @@
         """Return the offset of the newest publication in force."""
         return self._newest
 
+    @property
+    def oldest(self) -> Offset:
+        """Return the oldest offset that a new reader needs."""
+        return self._oldest
+
     @property
     def complete(self) -> bool:
         """Return whether nothing is missing from the beginning."""
@@ -155,6 +161,8 @@
             self._early.append((offset, record))
         if isinstance(record, ConfigSnapshot):
             self._adopt(record)
+            if self._complete:
+                self._oldest = Offset(max(self._oldest, record.as_of + 1))
         elif self._complete:
             self._publish(offset, record)
 
--- a/sequoiaarch/gateway/operators.py
+++ b/sequoiaarch/gateway/operators.py
@@ -191,17 +191,16 @@
             raise fail(
                 ErrorKind.NOT_FOUND, f"no target {body.target!r}", field="target"
             )
-        order = DrainRequest(drain=body.drain)
+        return _json(self._bridge.wait(self._drain_target(target, body.drain)))
+
+    async def _drain_target(self, target: TargetDocument, drain: bool) -> TargetView:
         link = self._core.links.to(target.spec.address)
-        reply = self._bridge.wait(link.call(order, timeout=PEER_TIMEOUT))
+        reply = await link.call(DrainRequest(drain=drain), timeout=PEER_TIMEOUT)
         if isinstance(reply, Failed):
             raise FailureError(reply.failure)
-        assert isinstance(reply, Accepted)
-        self._bridge.wait(self._note(reply.load))
-        return _json(self._bridge.wait(self._ask_target(target)))
-
-    async def _note(self, load: Load | None) -> None:
-        self._core.membership.note_load(load)
+        if isinstance(reply, Accepted):
+            self._core.membership.note_load(reply.load)
+        return await self._ask_target(target)
 
     def _config(self, request: Request) -> Response:
         snapshot = self._core.view.snapshot(RecordId(""))
--- a/sequoiaarch/gateway/router.py
+++ b/sequoiaarch/gateway/router.py
@@ -255,7 +255,7 @@
         return self._routed(choice, home, call.target)
 
     def _home_candidates(self, call: CallRequest) -> list[Candidate]:
-        found = self._model_candidates(call, None, set())
+        found = self._model_candidates(call, set())
         if not found:
             found = [
                 self._candidate(target)
@@ -269,7 +269,7 @@
     def _route_model(
         self, call: CallRequest, home: TargetName | None, avoid: set[TargetName]
     ) -> Route:
-        candidates = self._model_candidates(call, home, avoid)
+        candidates = self._model_candidates(call, avoid)
         if not candidates:
             raise fail(ErrorKind.NO_TARGET, "no target of this model takes work now")
         choice = self._place(call, home, candidates)
@@ -319,10 +319,7 @@
         return choice
 
     def _model_candidates(
-        self,
-        call: CallRequest,
-        home: TargetName | None,
-        avoid: set[TargetName],
+        self, call: CallRequest, avoid: set[TargetName]
     ) -> list[Candidate]:
         document = self._core.catalogue.program(call.spec.name)
         if document is None:
@@ -337,17 +334,10 @@
             name = TargetName(target.name)
             if name in avoid:
                 continue
-            takes = self._core.membership.takes_work(target)
-            if takes or (name == home and self._stays(target)):
+            if self._core.membership.takes_work(target):
                 found.append(self._candidate(target))
         return found
 
-    def _stays(self, target: TargetDocument) -> bool:
-        """Return whether a program may stay at a target that is leaving."""
-        load = self._core.membership.load(TargetName(target.name))
-        draining = load is not None and load.draining
-        return self._core.membership.answers(target) and not draining
-
     def _candidate(self, target: TargetDocument) -> Candidate:
         membership = self._core.membership
         name = TargetName(target.name)
--- a/sequoiaarch/home/homes.py
+++ b/sequoiaarch/home/homes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import logbook
@@ -69,8 +70,10 @@
         limits: LimitOptions,
         metrics: Metrics,
         decisions: Decisions,
+        refuse_new: Callable[[], Failure | None],
     ) -> None:
         self._me = me
+        self._refuse_new = refuse_new
         self._catalogue = catalogue
         self._membership = membership
         self._links = links
@@ -130,6 +133,10 @@
                 await self._take_from(state, opening)
             elif not opening.create:
                 raise fail(ErrorKind.NOT_FOUND, f"no program {program}")
+            elif opening.spec.parent is None:
+                refusal = self._refuse_new()
+                if refusal is not None:
+                    raise FailureError(refusal)
             running = await self._submit_claim(
                 program, opening.spec, state, opening.first_call
             )
--- a/sequoiaarch/home/runner.py
+++ b/sequoiaarch/home/runner.py
@@ -8,7 +8,7 @@
 import logbook
 import xxhash
 
-from ..config.documents import PolicySpecification, TargetType
+from ..config.documents import PolicySpecification, TargetType, WhenLogIsAway
 from ..config.settings import LimitOptions
 from ..config.store import Catalogue
 from ..errors import ErrorKind, Failure, FailureError, NotRun, fail
@@ -571,7 +571,7 @@
             executor=target,
             attempt=AttemptId(new_id("attempt")),
         )
-        reply = await self._shards.submit(record, timeout=self._limits.submit_timeout)
+        reply = await self._shards.submit(record, timeout=self._patience(request))
         if isinstance(reply, Failure):
             # Whatever becomes of the record, nothing was dispatched.
             running.abandoned.add(request.key)
@@ -591,6 +591,13 @@
             attempt=record.attempt,
         )
 
+    def _patience(self, request: CallRequest) -> float:
+        """Return the seconds that an intent may wait for the log."""
+        policy = self._homes.policy(request.spec)
+        if policy.log_away is WhenLogIsAway.WAIT:
+            return min(request.deadline, policy.service_timeout)
+        return self._limits.submit_timeout
+
     async def _withdraw(
         self, running: RunningProgram, request: CallRequest, intent: IntentState
     ) -> None:
--- a/sequoiaarch/membership/view.py
+++ b/sequoiaarch/membership/view.py
@@ -77,6 +77,11 @@
         live = self._host_state(target) is HostState.LIVE
         return live and self.answers(target)
 
+    def leaving(self, name: TargetName) -> bool:
+        """Return whether the host list shows a target's host as leaving."""
+        target = self._catalogue.target(name)
+        return target is not None and self._host_state(target) is HostState.LEAVING
+
     def _host_state(self, target: TargetDocument) -> HostState | None:
         if self._hosts is None:
             # The list was never read. Peers that do not answer are found
--- a/sequoiaarch/records/acceptance.py
+++ b/sequoiaarch/records/acceptance.py
@@ -64,9 +64,23 @@
 
 
 class ShardView:
-    """Fold the records of one shard into the state of its programs."""
-
-    def __init__(self, *, first: Offset = BEGINNING) -> None:
+    """Fold the records of one shard into the state of its programs.
+
+    A reader that begins at `first`, after the log has forgotten what was
+    before, can't know by itself whether a claim of a new program is a late
+    copy for one that exists. A later snapshot tells; the program then stands
+    in `conflicts`, and reading must begin again with it in `distrusted`.
+    """
+
+    def __init__(
+        self,
+        *,
+        first: Offset = BEGINNING,
+        distrusted: frozenset[ProgramId] = frozenset(),
+    ) -> None:
+        self._distrusted = distrusted
+        self._created_here: dict[ProgramId, Offset] = {}
+        self.conflicts: set[ProgramId] = set()
         self._programs: dict[ProgramId, ProgramState] = {}
         self._verdicts: OrderedDict[RecordId, Verdict] = OrderedDict()
         self._orphans: dict[ProgramId, list[tuple[Offset, ShardRecord]]] = {}
@@ -95,6 +109,7 @@
         """Drop an ended program from memory."""
         self._programs.pop(program, None)
         self._orphans.pop(program, None)
+        self._created_here.pop(program, None)
 
     def apply(self, offset: Offset, record: ShardRecord) -> Verdict:
         """Judge the record at its offset and fold it in if it is valid."""
@@ -123,7 +138,8 @@
             return self._snapshot(offset, record)
         state = self._programs.get(record.program)
         if state is None:
-            if isinstance(record, Claim) and record.replaces == 0:
+            doubted = record.program in self._distrusted
+            if isinstance(record, Claim) and record.replaces == 0 and not doubted:
                 return self._create(offset, record)
             if self._first > 0:
                 # The stream's beginning has left retention. A snapshot may
@@ -168,10 +184,13 @@
             epoch=_epoch(offset),
             home=record.home,
             claim=record.id,
+            created=offset,
             base=offset,
         )
         state.open_block = min(record.block, state.available)
         self._programs[record.program] = state
+        if self._first > 0:
+            self._created_here[record.program] = offset
         return Refusal.NONE
 
     def _claim(self, state: ProgramState, offset: Offset, record: Claim) -> Refusal:
@@ -284,11 +303,10 @@
 
     def _snapshot(self, offset: Offset, record: Snapshot) -> Refusal:
         known = self._programs.get(record.program)
-        if known is not None and known.base > record.as_of:
-            # A late copy of the claim that created the program may stand
-            # alone after its beginning left retention. The snapshot tells
-            # what that claim would have met.
-            known = None
+        created = self._created_here.get(record.program)
+        if created is not None and created != record.state.created:
+            self.conflicts.add(record.program)
+            return Refusal.NONE
         if known is None:
             if record.as_of + 1 < self._first:
                 return Refusal.STALE_SNAPSHOT
@@ -309,7 +327,9 @@
         """Read the history from the snapshot instead of older records."""
         later = [entry for entry in state.entries if entry > record.as_of]
         state.entries = [offset, *later]
-        state.base = offset
+        # What lies between the snapshot's knowledge and its place is needed
+        # too by a reader who begins with it.
+        state.base = Offset(record.as_of + 1)
 
 
 def _epoch(offset: Offset) -> Epoch:
--- a/sequoiaarch/records/types.py
+++ b/sequoiaarch/records/types.py
@@ -160,6 +160,7 @@
     epoch: Epoch
     home: TargetName
     claim: RecordId
+    created: Offset
     base: Offset
     seq: Seq = Seq(0)
     digest: str = ""
--- a/sequoiaarch/shards/keeper.py
+++ b/sequoiaarch/shards/keeper.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import logbook
 
+from ..config.settings import LimitOptions
 from ..errors import Failure
 from ..ids import Offset, ProgramId, RecordId, Seq, new_id
 from ..records.codec import encode_record
@@ -30,6 +31,9 @@
 log = logbook.Logger("keeper")
 
 CHECK_INTERVAL = 1.0
+CONFIG_SHARD = 0
+
+RenewConfig = Callable[[int, float], Awaitable[None]]
 
 
 class ShardKeeper:
@@ -41,12 +45,15 @@
         local: LocalShards,
         shards: Shards,
         mine: Callable[[], list[int]],
-        renew_after: int,
+        renew_config: RenewConfig,
+        limits: LimitOptions,
     ) -> None:
         self._local = local
         self._shards = shards
         self._mine = mine
-        self._renew_after = renew_after
+        self._renew_config = renew_config
+        self._limits = limits
+        self._seen: dict[ProgramId, tuple[Offset, float]] = {}
 
     async def submit(self, request: SubmitRequest) -> Reply:
         """Append and judge a record."""
@@ -72,21 +79,41 @@
     async def run(self) -> None:
         """Read the own shards and renew what nears the end of retention."""
         while True:
-            for shard in self._mine():
+            shards = self._mine()
+            for shard in shards:
                 stream = self._local.stream(shard)
                 if await stream.ready(CHECK_INTERVAL):
                     await self._renew(stream)
+            if CONFIG_SHARD in shards:
+                await self._renew_config(
+                    self._limits.renew_after, self._limits.renew_interval
+                )
             await asyncio.sleep(CHECK_INTERVAL)
 
     async def _renew(self, stream: ShardStream) -> None:
-        horizon = stream.view.next_offset - self._renew_after
-        due = [
-            state.program
-            for state in stream.view.programs.values()
-            if state.ended is None and _oldest(state) < horizon
-        ]
-        for program in due:
-            await self._append_snapshot(stream, program)
+        now = asyncio.get_running_loop().time()
+        for state in list(stream.view.programs.values()):
+            if state.ended is not None:
+                self._seen.pop(state.program, None)
+            elif self._due(stream, state, now):
+                await self._append_snapshot(stream, state.program)
+
+    def _due(self, stream: ShardStream, state: ProgramState, now: float) -> bool:
+        """Return whether a program's oldest record may soon be forgotten."""
+        oldest = min([state.base, *state.entries])
+        known, since = self._seen.get(state.program, (oldest, now))
+        if known != oldest:
+            since = now
+        self._seen[state.program] = (oldest, since)
+        if now - since > self._limits.renew_interval:
+            return True
+        end = stream.view.next_offset
+        if oldest < end - self._limits.renew_after:
+            return True
+        # The log tells where its memory begins. A record in the oldest
+        # quarter of what is kept is the next to go.
+        first = stream.first
+        return first > 0 and oldest < first + (end - first) // 4
 
     async def _append_snapshot(self, stream: ShardStream, program: ProgramId) -> None:
         as_of = Offset(stream.view.next_offset - 1)
@@ -107,8 +134,3 @@
         )
         await stream.submit(record, timeout=CHECK_INTERVAL * 10)
         log.info("Program {} was appended again.", program)
-
-
-def _oldest(state: ProgramState) -> Offset:
-    """Return the oldest offset that a reader needs for a program."""
-    return min([state.base, *state.entries])
--- a/sequoiaarch/shards/stream.py
+++ b/sequoiaarch/shards/stream.py
@@ -67,6 +67,7 @@
         self._pending: dict[RecordId, _Pending] = {}
         self._arrived = asyncio.Event()
         self._away = False
+        self._first = Offset(0)
         self._tasks = [
             asyncio.create_task(self._tail()),
             asyncio.create_task(self._append_groups()),
@@ -82,6 +83,11 @@
         """Return whether the log did not answer lately."""
         return self._away
 
+    @property
+    def first(self) -> Offset:
+        """Return the oldest offset that the log keeps, as read last."""
+        return self._first
+
     async def ready(self, timeout: float) -> bool:
         """Wait until the shard was read to its end once."""
         try:
@@ -188,13 +194,19 @@
             log.warning("The log {} for {}.", text, self._stream)
 
     async def _fold(self, page: Page) -> None:
+        self._first = page.first
         if page.start > self._view.next_offset:
             # What was not read has left retention: begin again from what is
             # left, where snapshots stand for the rest.
             log.warning("{} lost records before {}.", self._stream, page.first)
             self._view = ShardView(first=page.start)
         self._apply(page.start, page.records)
-        if self._view.next_offset >= page.end:
+        if self._view.conflicts:
+            log.warning("{} is read anew: a late claim came first.", self._stream)
+            distrusted = frozenset(self._view.conflicts)
+            self._view = ShardView(first=page.first, distrusted=distrusted)
+            self._ready.clear()
+        elif self._view.next_offset >= page.end:
             self._ready.set()
         async with self._advanced:
             self._advanced.notify_all()
--- a/sequoiaarch/sidecar/queue.py
+++ b/sequoiaarch/sidecar/queue.py
@@ -4,16 +4,20 @@
 
 import asyncio
 import itertools
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..config.documents import PolicySpecification
-from ..errors import ErrorKind, fail
+from ..errors import ErrorKind, Failure, fail
 from ..observe.metrics import Metrics
 from ..policies.admission import Occupancy, make_admission
 from ..policies.order import Ticket, make_order
 
 RECHECK = 0.25
+RATE_WINDOW = 20.0
+STARTS_KEPT = 256
+STARTS_NEEDED = 4
 
 
 @dataclass(kw_only=True, eq=False)
@@ -24,6 +28,25 @@
     called: asyncio.Future[None]
 
 
+class StartRate:
+    """Measure how many programs start at the target in a second."""
+
+    def __init__(self) -> None:
+        self._starts: deque[float] = deque(maxlen=STARTS_KEPT)
+
+    def note(self, now: float) -> None:
+        """Count one start."""
+        self._starts.append(now)
+
+    def wait_for(self, waiting: int, now: float) -> float:
+        """Return the seconds until so many programs will have started."""
+        recent = [start for start in self._starts if start > now - RATE_WINDOW]
+        if len(recent) < STARTS_NEEDED:
+            return 0.0
+        rate = len(recent) / max(now - recent[0], RECHECK)
+        return waiting / rate
+
+
 class TargetQueue:
     """Call up waiting calls by rank while the target has slots."""
 
@@ -45,6 +68,7 @@
         self._running = 0
         self._numbers = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
+        self._starts = StartRate()
 
     @property
     def running(self) -> int:
@@ -61,6 +85,24 @@
         """Return the prompt tokens of the calls that wait."""
         return sum(one.ticket.tokens for one in self._waiting)
 
+    def refusal_of_new(self) -> Failure | None:
+        """Return why a new program should go away, if it would wait too long.
+
+        New programs are refused before calls of running ones, since those
+        have work and memory in the system already.
+        """
+        waiting = sum(not one.ticket.started for one in self._waiting)
+        now = asyncio.get_running_loop().time()
+        wait = self._starts.wait_for(waiting, now)
+        limit = self._policy().start_wait
+        if wait <= limit:
+            return None
+        return Failure(
+            kind=ErrorKind.OVERLOADED,
+            reason=f"a new program would wait {wait:.0f} s here, over {limit:.0f} s",
+            retry_after=round(wait - limit + 1, 1),
+        )
+
     async def enter(self, ticket: Ticket) -> None:
         """Wait for a slot; `leave` must follow."""
         if len(self._waiting) >= self._limit:
@@ -103,6 +145,8 @@
             self._waiting.remove(waiting)
             if not waiting.called.done():
                 self._running += 1
+                if not waiting.ticket.started:
+                    self._starts.note(now)
                 waiting.called.set_result(None)
         self._metrics.queue.set({}, len(self._waiting))
         self._metrics.running.set({}, self._running)
--- a/sequoiaarch/sidecar/sidecar.py
+++ b/sequoiaarch/sidecar/sidecar.py
@@ -51,6 +51,7 @@
 ENGINE_THREADS = 64
 SERVICE_THREADS = 64
 STOP_CHECK = 0.02
+HOST_CHECK = 0.5
 
 
 class Sidecar:
@@ -74,12 +75,14 @@
             limits=core.settings.limits,
             metrics=core.metrics,
             decisions=core.decisions,
+            refuse_new=self._refuse_new,
         )
         self._keeper = ShardKeeper(
             local=core.local,
             shards=core.shards,
             mine=self._kept_shards,
-            renew_after=core.settings.limits.renew_after,
+            renew_config=core.follower.renew_if_due,
+            limits=core.settings.limits,
         )
 
     @property
@@ -120,6 +123,9 @@
             if self._target in shards.keepers(shard)[:1]
         ]
 
+    def _refuse_new(self) -> Failure | None:
+        return self._queue.refusal_of_new() if self._queue else None
+
     def _occupancy(self, running: int) -> Occupancy:
         memory = self._memory
         return Occupancy(
@@ -169,6 +175,7 @@
         self._core.tasks.append(asyncio.create_task(self._keeper.run()))
         self._core.tasks.append(asyncio.create_task(self._homes.run()))
         self._core.tasks.append(asyncio.create_task(self._free_left()))
+        self._core.tasks.append(asyncio.create_task(self._watch_host()))
         log.info("Target {} takes work.", self._target)
 
     def _build(self, document: TargetDocument) -> None:
@@ -219,6 +226,16 @@
             load=self.load,
         )
 
+    async def _watch_host(self) -> None:
+        """Drain when the host list shows the own host as leaving."""
+        left = False
+        while True:
+            leaving = self._core.membership.leaving(self._target)
+            if leaving != left:
+                left = leaving
+                await self._homes.drain(leaving)
+            await asyncio.sleep(HOST_CHECK)
+
     async def _free_left(self) -> None:
         while True:
             program, cause = await self._homes.left.get()
--- a/sequoiaarch/standins/platform.py
+++ b/sequoiaarch/standins/platform.py
@@ -103,6 +103,16 @@
             stream = self._streams.get(name)
             return list(stream.records) if stream else []
 
+    def first(self, name: str) -> int:
+        """Return the oldest offset that a stream keeps."""
+        with self._grown:
+            return self._streams.setdefault(name, Stream()).first
+
+    def end(self, name: str) -> int:
+        """Return the offset that the next record of a stream will get."""
+        with self._grown:
+            return self._streams.setdefault(name, Stream()).end
+
     def _append(self, request: Request, name: str) -> Response:
         if self.faults.down:
             return json_response({"error": "down"}, 503)
--- a/sequoiaarch/tests/base.py
+++ b/sequoiaarch/tests/base.py
@@ -220,11 +220,11 @@
         for name in [*self._engine_names, *self._service_names]:
             self.platform.set_host(HostName(f"host-{name}"), HostState.LIVE)
         for name in [*self._engine_names, *self._service_names]:
-            self._add_sidecar(name, "tcp://127.0.0.1:*")
+            self.add_sidecar(name, "tcp://127.0.0.1:*")
         if self._publish:
             self.publish(self.documents())
             for name in [*self._engine_names, *self._service_names]:
-                self._start_sidecar(self.nodes[name])
+                self.start_sidecar(self.nodes[name])
         for name in self._gateway_names:
             self.add_gateway(name)
         return self
@@ -271,7 +271,8 @@
         )
         return core, log
 
-    def _add_sidecar(self, name: str, inner: str) -> Node:
+    def add_sidecar(self, name: str, inner: str) -> Node:
+        """Start a sidecar's process; it waits for its document."""
         thread = LoopThread(name=name)
 
         async def build() -> Node:
@@ -293,7 +294,8 @@
         self.nodes[name] = node
         return node
 
-    def _start_sidecar(self, node: Node) -> None:
+    def start_sidecar(self, node: Node) -> None:
+        """Wait until a sidecar takes work."""
         assert node.sidecar is not None
         node.thread.wait(node.sidecar.start())
 
@@ -334,8 +336,8 @@
     def restart(self, name: str) -> Node:
         """Start a sidecar again at the address that it had."""
         document = next(one for one in self.documents_in_force() if one.name == name)
-        node = self._add_sidecar(name, document.spec.address)
-        self._start_sidecar(node)
+        node = self.add_sidecar(name, document.spec.address)
+        self.start_sidecar(node)
         return node
 
     def stop_politely(self, name: str) -> None:
@@ -411,11 +413,13 @@
 
     def view(self, shard: int) -> ShardView:
         """Return what the log says of a shard, read anew."""
-        view = ShardView()
-        for place, data in enumerate(self.platform.records(stream_name(shard))):
+        name = stream_name(shard)
+        first = self.platform.first(name)
+        view = ShardView(first=Offset(first))
+        for place, data in enumerate(self.platform.records(name)):
             record = decode_record(data)
             assert record is not None
-            view.apply(Offset(place), record)
+            view.apply(Offset(first + place), record)
         return view
 
     def state(self, name: str, workspace: str = WORKSPACE) -> Any:
--- /dev/null
+++ b/sequoiaarch/tests/config/validation_tests.py
@@ -0,0 +1,101 @@
+"""Test that every error is reported at once, in the author's terms."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from ...config.documents import parse_documents
+from ...config.settings import Settings, load_settings
+from ...config.validation import InvalidDocument, parse_jsonc, validate
+
+GOOD: dict[str, Any] = {
+    "role": "gateway",
+    "host": "h",
+    "data_centre": "d",
+    "platform": {"log": "http://127.0.0.1:1"},
+    "callers": [{"key": "12345678", "workspace": "w"}],
+}
+
+
+class SettingsTests(unittest.TestCase):
+    """Check the settings of a daemon."""
+
+    def problems(self, value: Any) -> list[str]:
+        """Return all problems of some settings."""
+        with self.assertRaises(InvalidDocument) as caught:
+            validate(Settings, value)
+        return [str(problem) for problem in caught.exception.problems]
+
+    def test_good(self) -> None:
+        """Accept good settings and fill in defaults."""
+        self.assertEqual(validate(Settings, GOOD).shards, 4)
+
+    def test_all_errors_at_once(self) -> None:
+        """Report each error with its path."""
+        bad = {
+            **GOOD,
+            "http": {"port": 70_000},
+            "shards": 0,
+            "limits": {"queue_length": "many"},
+        }
+        found = self.problems(bad)
+        self.assertEqual(len(found), 3)
+        for path in ("http.port", "shards", "limits.queue_length"):
+            self.assertTrue(any(line.startswith(path) for line in found), path)
+
+    def test_unknown_name(self) -> None:
+        """Name the nearest option."""
+        found = self.problems({**GOOD, "limits": {"que_length": 3}, "hots": "x"})
+        self.assertIn("did you mean 'queue_length'?", found[0])
+        self.assertIn("did you mean 'host'?", found[1])
+
+    def test_role_needs(self) -> None:
+        """Say what a role needs."""
+        for role, word in (("sidecar", "target"), ("gateway", "callers")):
+            value = {**GOOD, "role": role, "callers": []}
+            self.assertIn(word, self.problems(value)[0])
+
+    def test_comments(self) -> None:
+        """Read JSON with comments, and say where it is broken."""
+        self.assertEqual(parse_jsonc('{"a": 1} // one', "x"), {"a": 1})
+        with self.assertRaises(InvalidDocument) as caught:
+            parse_jsonc('{"a": ', "x.jsonc")
+        self.assertIn("x.jsonc", str(caught.exception))
+
+    def test_missing_file(self) -> None:
+        """Say that there is no such file."""
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            self.assertRaises(InvalidDocument) as caught,
+        ):
+            load_settings(Path(folder) / "none.jsonc")
+        self.assertIn("none.jsonc", str(caught.exception))
+
+
+class DocumentTests(unittest.TestCase):
+    """Check documents."""
+
+    def test_all_errors_of_all_documents(self) -> None:
+        """Report the errors of each document with its place."""
+        documents = [
+            {"kind": "Policy", "name": "p", "spec": {"latency_weight": 3}},
+            {"kind": "Target", "name": "T!", "spec": {"type": "engine"}},
+            {"kind": "Nothing"},
+        ]
+        with self.assertRaises(InvalidDocument) as caught:
+            parse_documents(documents)
+        paths = [problem.path for problem in caught.exception.problems]
+        self.assertIn("[0].spec.latency_weight", paths)
+        self.assertIn("[1].name", paths)
+        self.assertIn("[1].spec.url", paths)
+        self.assertIn("[2].kind", paths)
+
+    def test_given_twice(self) -> None:
+        """Refuse two documents of one name."""
+        one = {"kind": "Policy", "name": "p"}
+        with self.assertRaises(InvalidDocument) as caught:
+            parse_documents([one, one])
+        self.assertIn("given twice", str(caught.exception))
--- a/sequoiaarch/tests/faults/table.py
+++ b/sequoiaarch/tests/faults/table.py
@@ -59,7 +59,11 @@
         Moment.DURING_ANSWER,
     ),
     Fault.DRAIN_HOME: (Moment.AFTER_FIRST, Moment.BETWEEN, Moment.DURING_ANSWER),
-    Fault.HOST_LEAVES: (Moment.BEFORE_START,),
+    Fault.HOST_LEAVES: (
+        Moment.BEFORE_START,
+        Moment.BETWEEN,
+        Moment.DURING_ANSWER,
+    ),
     Fault.HOST_LIST_LAGS: (Moment.BETWEEN,),
     Fault.KILL_GATEWAY: (
         Moment.DURING_FIRST,
--- a/sequoiaarch/webserver.py
+++ b/sequoiaarch/webserver.py
@@ -18,6 +18,7 @@
 MAX_HEADER_BYTES = 32 * 1024
 SOCKET_TIMEOUT = 30
 WATCH_INTERVAL = 0.02
+CLIENT_GONE = "socket.error"
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -96,7 +97,8 @@
 def _log_server_error(
     message: str = "", level: int = 20, traceback: bool = False
 ) -> None:
-    if traceback:
+    # A client that goes away in the middle is no fault of the server.
+    if traceback and not message.startswith(CLIENT_GONE):
         log.exception("{}", message)
     else:
         log.debug("{}", message)
