Start no call that does not fit beside those that run

The engines' event counts showed 36 evictions: a call was let in while the running ones filled the memory, waited inside the engine, and evicted the next prefix that fell idle. Ruled out: moves (0 takeovers) and failed exports (7 of 109). Change: admission counts the memory of running calls, and exported prefixes against the memory that exports may use; a call counts its expected answer.

--- a/sequoiaarch/bench/fleet.py
+++ b/sequoiaarch/bench/fleet.py
@@ -228,6 +228,7 @@
                 "model": MODEL,
                 "slots": plan.options.slots,
                 "cache_tokens": plan.options.cache_tokens,
+                "export_tokens": plan.options.host_tokens,
                 "min_bytes_per_token": 2.0,
             }
             found.append(self._target(place, "engine", spec))
--- a/sequoiaarch/config/documents.py
+++ b/sequoiaarch/config/documents.py
@@ -88,6 +88,7 @@
     service: str | None = None
     slots: int = Field(default=8, ge=1)
     cache_tokens: int = Field(default=100_000, ge=0)
+    export_tokens: int = Field(default=0, ge=0)
     fencing: bool = False
     min_bytes_per_token: float = Field(default=1.0, gt=0, le=8)
 
--- a/sequoiaarch/home/runner.py
+++ b/sequoiaarch/home/runner.py
@@ -63,6 +63,7 @@
 CHAT_PATH = "/v1/chat/completions"
 CUT_SLACK = 64
 LEAST_ANSWER = 1
+EXPECTED_ANSWER = 256
 SERVICE_TRIES = 2
 COMMIT_WAIT_ONCE = 1.0
 
@@ -366,7 +367,7 @@
             trace=trace,
             attained=running.attained,
             weight=policy.priority,
-            tokens=estimate_tokens(chat),
+            tokens=estimate_tokens(chat) + min(limit, EXPECTED_ANSWER),
         )
 
         def emit(payload: bytes) -> None:
--- a/sequoiaarch/policies/retention.py
+++ b/sequoiaarch/policies/retention.py
@@ -137,6 +137,16 @@
         """Return all prefixes."""
         return list(self._prefixes.values())
 
+    @property
+    def kept(self) -> int:
+        """Return the tokens of all prefixes, exported ones included."""
+        return sum(one.tokens for one in self._prefixes.values())
+
+    @property
+    def running(self) -> int:
+        """Return the tokens of prefixes whose calls are under way."""
+        return sum(one.tokens for one in self._prefixes.values() if one.running)
+
     @property
     def held(self) -> int:
         """Return the tokens in engine memory."""
--- a/sequoiaarch/sidecar/executor.py
+++ b/sequoiaarch/sidecar/executor.py
@@ -132,6 +132,8 @@
         )
         try:
             await self._queue.enter(ticket)
+            if memory is not None and dispatch.kind is CallKind.MODEL:
+                memory.begin(dispatch.program, dispatch.name, dispatch.tokens)
         except asyncio.CancelledError:
             # The deadline passed while the call waited: it never ran.
             raise fail(
@@ -155,7 +157,7 @@
         memory = self._memory
         if engine is None or memory is None:
             raise fail(ErrorKind.NO_TARGET, "no engine stands behind this target")
-        await memory.prepare(dispatch.program, dispatch.name, dispatch.tokens)
+        await memory.prepare(dispatch.program)
         request = EngineRequest(
             program=dispatch.program,
             attempt=dispatch.attempt,
--- a/sequoiaarch/sidecar/memory.py
+++ b/sequoiaarch/sidecar/memory.py
@@ -50,6 +50,7 @@
         self._pauses = Pauses()
         self._growth: dict[str, float] = {}
         self._started: dict[ProgramId, tuple[str, int]] = {}
+        self._to_import: set[ProgramId] = set()
         self._moving: dict[ProgramId, asyncio.Task[bool]] = {}
 
     @property
@@ -57,6 +58,16 @@
         """Return the tokens that are believed to be in engine memory."""
         return self._table.held
 
+    @property
+    def kept(self) -> int:
+        """Return the tokens of all prefixes, exported ones included."""
+        return self._table.kept
+
+    @property
+    def running(self) -> int:
+        """Return the tokens of prefixes whose calls are under way."""
+        return self._table.running
+
     @property
     def programs(self) -> int:
         """Return how many programs have a prefix here."""
@@ -77,28 +88,35 @@
             return 0
         return int(sum(self._growth.values()) / len(self._growth))
 
-    async def prepare(self, program: ProgramId, name: str, tokens: int) -> None:
-        """Make room for a call and bring its prefix back."""
+    def begin(self, program: ProgramId, name: str, tokens: int) -> None:
+        """Count the memory of a call that has got a slot."""
         now = asyncio.get_running_loop().time()
         own = self._table.get(program)
         if own is not None and not own.running:
             self._pauses.note(name, now - own.last_used)
         exported = own is not None and own.exported
-        before = own.tokens if own is not None and not exported else 0
-        prefix = Prefix(
-            program=program,
-            name=name,
-            tokens=max(tokens, before),
-            last_used=now,
-            running=True,
+        before = own.tokens if own is not None else 0
+        self._table.put(
+            Prefix(
+                program=program,
+                name=name,
+                tokens=max(tokens, before),
+                last_used=now,
+                running=True,
+            )
         )
-        self._table.put(prefix)
         self._started.setdefault(program, (name, tokens))
-        await self._make_room(now)
+        if exported:
+            self._to_import.add(program)
+
+    async def prepare(self, program: ProgramId) -> None:
+        """Make room for a call that has begun and bring its prefix back."""
+        await self._make_room(asyncio.get_running_loop().time())
         moving = self._moving.get(program)
         if moving is not None:
-            exported = await moving
-        if exported:
+            await moving
+        if program in self._to_import:
+            self._to_import.discard(program)
             await self._engine.import_(program)
 
     async def _make_room(self, now: float) -> None:
--- a/sequoiaarch/sidecar/queue.py
+++ b/sequoiaarch/sidecar/queue.py
@@ -15,6 +15,7 @@
 from ..policies.order import Ticket, make_order
 
 RECHECK = 0.25
+PASSED_BY_LIMIT = 2.0
 RATE_WINDOW = 20.0
 STARTS_KEPT = 256
 STARTS_NEEDED = 4
@@ -141,6 +142,10 @@
             if self._running >= self._slots():
                 break
             if not admission.admits(waiting.ticket, self._occupancy(self._running)):
+                if now - waiting.ticket.arrived > PASSED_BY_LIMIT:
+                    # Smaller calls may pass one that does not fit, but not
+                    # for ever.
+                    break
                 continue
             self._waiting.remove(waiting)
             if not waiting.called.done():
--- a/sequoiaarch/sidecar/sidecar.py
+++ b/sequoiaarch/sidecar/sidecar.py
@@ -128,11 +128,14 @@
 
     def _occupancy(self, running: int) -> Occupancy:
         memory = self._memory
+        document = self._document()
         return Occupancy(
             running=running,
             slots=self._slots(),
-            kept_tokens=memory.held if memory else 0,
+            running_tokens=memory.running if memory else 0,
+            kept_tokens=memory.kept if memory else 0,
             cache_tokens=self._cache_tokens(),
+            export_tokens=document.spec.export_tokens if document else 0,
             growth=memory.growth() if memory else 0,
         )
 
--- a/sequoiaarch/standins/engine.py
+++ b/sequoiaarch/standins/engine.py
@@ -11,7 +11,7 @@
 import queue
 import threading
 import time
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterator
 from enum import Enum
 from typing import Any
@@ -152,6 +152,7 @@
         self.prompt_tokens = 0
         self.cached_tokens = 0
         self.requests = 0
+        self.event_counts: Counter[str] = Counter()
         self._lock = threading.Condition()
         self._waiting: list[Sequence] = []
         self._running: list[Sequence] = []
@@ -307,6 +308,7 @@
 
     def _event(self, key: str, what: str) -> None:
         number = next(self._numbers)
+        self.event_counts[what] += 1
         gap = self.options.event_gap
         if gap and number % gap == 0:
             return
@@ -491,6 +493,7 @@
                 "prompt_tokens": self.prompt_tokens,
                 "cached_tokens": self.cached_tokens,
                 "requests": self.requests,
+                "events": dict(self.event_counts),
             }
         )
 
