Bound the quiet wait of a stopping gateway

Cause: a soak stopped a gateway whose callers went on asking it; the port never fell quiet and the stop took the whole drain timeout of 120 s. Change: what runs may take the drain timeout, the quiet while 5 s at most. A restarted gateway gets a port that was never bound as port 0. Before: 120 s for that stop.

--- a/sequoiaarch/bench/fleet.py
+++ b/sequoiaarch/bench/fleet.py
@@ -5,6 +5,7 @@
 import queue
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -57,6 +58,17 @@
     silence_limit: float = 3.0
 
 
+def free_port() -> int:
+    """Return a port that the kernel chose and that is free again.
+
+    A gateway that listened on port 0 could not be started again at its port:
+    connections of the old process in TIME_WAIT bar it.
+    """
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return one.getsockname()[1]
+
+
 class RunningProcess:
     """Hold one process that the bench started."""
 
@@ -124,6 +136,7 @@
         self._deployment = deployment
         self._folder = Path(tempfile.mkdtemp(prefix="sequoiaarch-"))
         self.processes: dict[str, RunningProcess] = {}
+        self._ports: dict[str, int] = {}
         self._http = urllib3.PoolManager(maxsize=8)
 
     @property
@@ -214,6 +227,7 @@
             "callers": [{"key": CALLER_KEY, "workspace": WORKSPACE}],
             "operator_keys": [OPERATOR_KEY],
             "inner": {"silence_limit": self._deployment.silence_limit},
+            "http": {"port": self._ports.setdefault(place.name, free_port())},
         }
 
     # Configuration.
@@ -349,7 +363,5 @@
             self._daemon(sidecar, self._sidecar_settings(sidecar, urls[1]))
         else:
             gateway = next(one for one in self._deployment.gateways if one.name == name)
-            settings = self._gateway_settings(gateway)
-            settings["http"] = {"port": int(urls[0].rsplit(":", 1)[1])}
-            self._daemon(gateway, settings)
+            self._daemon(gateway, self._gateway_settings(gateway))
         self.processes[name].listening()
--- a/sequoiaarch/bench/soak.py
+++ b/sequoiaarch/bench/soak.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import queue
 import random
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -34,6 +36,13 @@
 QUIET_AT_END = 5.0
 MEMORY_LIMIT = 60.0
 BUDGET = 200_000
+TROUBLED = (
+    RuntimeError,
+    queue.Empty,
+    subprocess.TimeoutExpired,
+    ClientError,
+    urllib3.exceptions.HTTPError,
+)
 REPEATED = {"interrupted", "superseded", "internal", "deadline_exceeded"}
 
 
@@ -233,11 +242,11 @@
         """Do something every few seconds until it is over."""
         works = [self.kill, self.kill, self.pause, self.pause, self.cut_log]
         works += [self.slow_log, self.lose_replies, self.stop, self.publish]
-        while not over.wait(self._rng.uniform(1.0, 3.0)):
+        while not over.wait(self._rng.uniform(0.3, 1.2)):
             work = self._rng.choice(works)
             try:
                 work()
-            except (RuntimeError, ClientError, urllib3.exceptions.HTTPError):
+            except TROUBLED:
                 # What is disturbed may not answer the one who disturbs it.
                 self._tally.count(f"fault not done: {work.__name__}")
 
--- a/sequoiaarch/gateway/gateway.py
+++ b/sequoiaarch/gateway/gateway.py
@@ -17,6 +17,7 @@
 log = logbook.Logger("gateway")
 
 STOP_CHECK = 0.02
+QUIET_LIMIT = 5.0
 
 
 class Gateway:
@@ -73,16 +74,20 @@
         await asyncio.sleep(limits.lame_duck)
         self._app.refusing = True
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + limits.drain_timeout
-        while loop.time() < deadline and self._busy():
+        begun = loop.time()
+        while loop.time() < begun + limits.drain_timeout and self._busy():
+            await asyncio.sleep(STOP_CHECK)
+        while loop.time() < begun + QUIET_LIMIT and not self._quiet():
             await asyncio.sleep(STOP_CHECK)
         if self._busy():
             log.warning("Stopping with {} calls open.", self._app.open_requests)
             self._server.abort()
 
     def _busy(self) -> bool:
-        quiet = self._app.quiet_for >= self._core.settings.limits.lame_duck
-        return bool(self._app.open_requests or self._router.open_calls or not quiet)
+        return bool(self._app.open_requests or self._router.open_calls)
+
+    def _quiet(self) -> bool:
+        return self._app.quiet_for >= self._core.settings.limits.lame_duck
 
     def abort(self) -> None:
         """Break all connections off."""
--- a/sequoiaarch/tests/engines/contract_tests.py
+++ b/sequoiaarch/tests/engines/contract_tests.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import unittest
 from typing import Any
 
 import msgspec
 
+from ...bench.fleet import free_port
 from ...engines.http import HttpEngine, HttpService
 from ...engines.interfaces import (
     EngineAnswer,
@@ -249,10 +249,3 @@
 def texts(payload: bytes) -> Any:
     """Return what an event adds to the answer."""
     return msgspec.json.decode(payload)["choices"]
-
-
-def free_port() -> int:
-    """Return a port on which nothing listens."""
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
