Send the tokens of one step as one message

Cause: relaying a token cost about 0.2 ms of processor time in the gateway and as much in the sidecar; the profile of work is one wake of the loop and one ZeroMQ message for each token of each stream. Change: replies to one peer in the same turn of the loop travel as one message; threads that read engine streams share one wake. After: 162 us and 160 us; 39.0 ms. The first token takes 4.2 ms longer than from the bare engine, as before.

--- a/sequoiaarch/engines/http.py
+++ b/sequoiaarch/engines/http.py
@@ -19,6 +19,7 @@
 
 from ..errors import ErrorKind, Failure, NotRun
 from ..ids import AttemptId, Epoch, ProgramId
+from ..mailbox import Mailbox
 from .interfaces import (
     CacheEvent,
     CacheListing,
@@ -73,15 +74,19 @@
         self._pool = urllib3.PoolManager(maxsize=threads, block=False, retries=False)
         self._streams = ThreadPoolExecutor(threads, thread_name_prefix="engine")
         self._control = ThreadPoolExecutor(4, thread_name_prefix="control")
+        self._mailbox: Mailbox | None = None
 
     async def complete(
         self, request: EngineRequest, emit: Emit
     ) -> EngineAnswer | Failure:
         """Run one request and emit the payload of each event in order."""
         loop = asyncio.get_running_loop()
+        if self._mailbox is None or self._mailbox.loop is not loop:
+            self._mailbox = Mailbox(loop=loop)
+        mailbox = self._mailbox
 
         def emit_in_loop(data: bytes) -> None:
-            loop.call_soon_threadsafe(emit, data)
+            mailbox.post(emit, data)
 
         run = loop.run_in_executor(self._streams, self._complete, request, emit_in_loop)
         try:
--- a/sequoiaarch/wire/links.py
+++ b/sequoiaarch/wire/links.py
@@ -7,6 +7,7 @@
 import itertools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import logbook
 import zmq
@@ -32,6 +33,7 @@
 SILENCE_LIMIT = 3.0
 RECONNECT_LIMIT = 0.3
 ID_BYTES = 8
+FRAMES_A_REPLY = 3
 MORE = b"+"
 LAST = b"."
 HIGH_WATER = 100_000
@@ -72,6 +74,7 @@
             self._socket.curve_secretkey = keys.secret.encode()
             self._socket.curve_publickey = keys.public.encode()
         self._socket.bind(address)
+        self._outbox: dict[bytes, list[bytes]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -88,7 +91,7 @@
             peer, request_id, body = frames
             request = decode_request(body)
             if isinstance(request, Ping):
-                await self._reply(peer, request_id, LAST, Accepted())
+                self._reply(peer, request_id, LAST, Accepted())
                 continue
             task = asyncio.create_task(self._answer(peer, request_id, request))
             self._tasks.add(task)
@@ -99,11 +102,11 @@
     ) -> None:
         if request is None:
             failure = Failure(kind=ErrorKind.MALFORMED, reason="message not understood")
-            await self._reply(peer, request_id, LAST, Failed(failure=failure))
+            self._reply(peer, request_id, LAST, Failed(failure=failure))
             return
 
         async def send(reply: Reply) -> None:
-            await self._reply(peer, request_id, MORE, reply)
+            self._reply(peer, request_id, MORE, reply)
 
         try:
             last = await self._handler(request, send)
@@ -113,21 +116,43 @@
             log.exception("A handler failed on {}.", type(request).__name__)
             reason = f"{type(error).__name__}: {error}"
             last = Failed(failure=Failure(kind=ErrorKind.INTERNAL, reason=reason))
-        await self._reply(peer, request_id, LAST, last)
-
-    async def _reply(
-        self, peer: bytes, request_id: bytes, mark: bytes, reply: Reply
-    ) -> None:
-        frames = [peer, request_id, mark, encode(reply)]
-        await self._socket.send_multipart(frames)
+        self._reply(peer, request_id, LAST, last)
+
+    def _reply(self, peer: bytes, request_id: bytes, mark: bytes, reply: Reply) -> None:
+        """Put a reply into the next message to a peer.
+
+        An engine gives a token to all its streams at once. What goes to one
+        peer in the same turn of the event loop travels as one message.
+        """
+        if not self._outbox:
+            asyncio.get_running_loop().call_soon(self._flush)
+        frames = self._outbox.setdefault(peer, [peer])
+        frames += (request_id, mark, encode(reply))
+
+    def _flush(self) -> None:
+        outbox = self._outbox
+        self._outbox = {}
+        if self._socket.closed:
+            return
+        for frames in outbox.values():
+            # A router drops what a vanished peer can't take; the peer's own
+            # requests end by its silence limit.
+            sent = self._socket.send_multipart(frames, flags=zmq.NOBLOCK)
+            asyncio.ensure_future(sent).add_done_callback(_ignore_failure)
 
     def close(self) -> None:
         """Stop answering."""
         for task in self._tasks:
             task.cancel()
+        self._flush()
         self._socket.close()
 
 
+def _ignore_failure(sent: asyncio.Future[Any]) -> None:
+    if not sent.cancelled():
+        sent.exception()
+
+
 class Link:
     """Send requests to one peer and hand out its replies.
 
@@ -244,17 +269,18 @@
         while True:
             frames = await self._socket.recv_multipart()
             self._heard = asyncio.get_running_loop().time()
-            if len(frames) != 3:
-                continue
-            request_id, mark, body = frames
-            replies = self._open.get(request_id)
-            if replies is None:
-                continue
-            reply = decode_reply(body)
-            if reply is None:
-                reply = Failed(failure=self._lost("reply not understood"))
-                mark = LAST
-            replies.put_nowait((mark, reply))
+            for place in range(0, len(frames) - 2, FRAMES_A_REPLY):
+                self._deliver(*frames[place : place + FRAMES_A_REPLY])
+
+    def _deliver(self, request_id: bytes, mark: bytes, body: bytes) -> None:
+        replies = self._open.get(request_id)
+        if replies is None:
+            return
+        reply = decode_reply(body)
+        if reply is None:
+            reply = Failed(failure=self._lost("reply not understood"))
+            mark = LAST
+        replies.put_nowait((mark, reply))
 
     async def _watch_connection(self, monitor: zmq.asyncio.Socket) -> None:
         while True:
