Keep no committed turn in memory, and forget ended programs

Cause: a program with 120,000 tokens of history held 550 KiB at its home: the answered call kept the gateway's copy of its turn after the commit. A shard's view kept every ended program for ever. Change: the copy is dropped when the log holds the turn; every view forgets an ended program at the same place in the shard, later if it used a key.

--- a/sequoiaarch/bench/cost.py
+++ b/sequoiaarch/bench/cost.py
@@ -224,7 +224,7 @@
                 now = self._resident(fleet)
                 for role in (*ROLES, "tools-1"):
                     grown = (now[role] - idle[role]) / 1024
-                    self.note(f"memory of {what}s", role, count, grown, "KiB")
+                    self.note(f"memory by {what}", role, count, grown, "KiB")
             for role in (*ROLES, "tools-1"):
                 base = idle[role] / 1024 / 1024
                 self.note("memory at rest", role, 0, base, "MiB")
--- a/sequoiaarch/home/calls.py
+++ b/sequoiaarch/home/calls.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import msgspec
+
 from ..errors import Failure
 from ..ids import CallKey, Seq
 from ..wire.messages import CallKind, Chunk, Done
@@ -82,11 +84,16 @@
         # The whole answer stands in `done`; the pieces are not needed again.
         if isinstance(done, Done):
             self._chunks.clear()
+            if self.kept:
+                self._done = msgspec.structs.replace(done, turn=None)
 
     def settle(self, failure: Failure | None) -> None:
         """Say that the log holds the call, or why it never will."""
         if not self._committed.done():
             self._committed.set_result(failure)
+        if failure is None and isinstance(self._done, Done):
+            # The log holds the turn; only the answer may be asked for again.
+            self._done = msgspec.structs.replace(self._done, turn=None)
 
     async def settled(self) -> Failure | None:
         """Wait until the log holds the call, or will not."""
--- a/sequoiaarch/records/acceptance.py
+++ b/sequoiaarch/records/acceptance.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from enum import Enum
 
 import msgspec
@@ -32,6 +32,8 @@
 
 VERDICTS_KEPT = 8192
 BEGINNING = Offset(0)
+ENDED_KEPT = 20_000
+KEYED_KEPT = 500_000
 
 
 class Refusal(Enum):
@@ -84,6 +86,8 @@
         self._programs: dict[ProgramId, ProgramState] = {}
         self._verdicts: OrderedDict[RecordId, Verdict] = OrderedDict()
         self._orphans: dict[ProgramId, list[tuple[Offset, ShardRecord]]] = {}
+        self._ended: deque[tuple[Offset, ProgramId]] = deque()
+        self._ended_keyed: deque[tuple[Offset, ProgramId]] = deque()
         self._first = first
         self._next = first
 
@@ -105,15 +109,11 @@
         """Return the first verdict on a record that was read lately."""
         return self._verdicts.get(record)
 
-    def forget(self, program: ProgramId) -> None:
-        """Drop an ended program from memory."""
-        self._programs.pop(program, None)
-        self._orphans.pop(program, None)
-        self._created_here.pop(program, None)
-
     def apply(self, offset: Offset, record: ShardRecord) -> Verdict:
         """Judge the record at its offset and fold it in if it is valid."""
         self._next = Offset(offset + 1)
+        self._forget_ended(self._ended, offset - ENDED_KEPT)
+        self._forget_ended(self._ended_keyed, offset - KEYED_KEPT)
         earlier = self._verdicts.get(record.id)
         if earlier is not None:
             # A writer whose append reply was lost appends again. The first
@@ -128,6 +128,19 @@
         """Pass over bytes that are no record of ours."""
         self._next = Offset(offset + 1)
 
+    def _forget_ended(
+        self, ended: deque[tuple[Offset, ProgramId]], horizon: int
+    ) -> None:
+        """Drop programs that ended long ago, at the same place in every view.
+
+        Those with idempotency keys are kept for longer, since a repeat of a
+        key must find out that it was used.
+        """
+        while ended and ended[0][0] < horizon:
+            _, program = ended.popleft()
+            self._programs.pop(program, None)
+            self._created_here.pop(program, None)
+
     def _remember(self, verdict: Verdict) -> None:
         self._verdicts[verdict.record] = verdict
         while len(self._verdicts) > VERDICTS_KEPT:
@@ -166,7 +179,7 @@
             case Release():
                 return self._release(state, record)
             case End():
-                return self._end(state, record)
+                return self._end(state, offset, record)
 
     def _create(self, offset: Offset, record: Claim) -> Refusal:
         spec = record.spec
@@ -279,20 +292,22 @@
         state.home = TargetName("")
         return Refusal.NONE
 
-    def _end(self, state: ProgramState, record: End) -> Refusal:
+    def _end(self, state: ProgramState, offset: Offset, record: End) -> Refusal:
         state.spent += record.used if record.settled else state.open_block
         state.open_block = 0
-        self._close(state, record.reason)
+        self._close(state, offset, record.reason)
         return Refusal.NONE
 
-    def _close(self, state: ProgramState, reason: str) -> None:
+    def _close(self, state: ProgramState, offset: Offset, reason: str) -> None:
         state.ended = reason
+        ended = self._ended_keyed if state.intents else self._ended
+        ended.append((offset, state.program))
         for child in list(state.moved):
             running = self._programs.get(child)
             if running is not None and running.ended is None:
                 running.spent += running.open_block
                 running.open_block = 0
-                self._close(running, "parent ended")
+                self._close(running, offset, "parent ended")
         for intent in state.intents.values():
             if intent.outcome is Outcome.OPEN:
                 intent.outcome = Outcome.UNKNOWN
--- a/sequoiaarch/tests/records/acceptance_tests.py
+++ b/sequoiaarch/tests/records/acceptance_tests.py
@@ -4,6 +4,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 import msgspec
 from hypothesis import given, settings, strategies as st
@@ -19,6 +20,7 @@
     TargetName,
     Workspace,
 )
+from ...records import acceptance
 from ...records.acceptance import Refusal, ShardView
 from ...records.codec import decode_record, encode_record
 from ...records.types import (
@@ -62,7 +64,7 @@
         self, program: ProgramId = ROOT, replaces: int = 0, **extra: Any
     ) -> Refusal:
         """Append a claim."""
-        parent = ROOT if program != ROOT else None
+        parent = ROOT if program == CHILD else None
         budget = extra.pop("budget", 100)
         spec = ProgramSpec(
             workspace=Workspace("alpha"), name="p", budget=budget, parent=parent
@@ -254,6 +256,35 @@
         self.assertIsNotNone(child.ended)
         self.assertIs(self.writer.claim(replaces=self.writer.epoch()), Refusal.ENDED)
 
+    def test_ended_programs_are_forgotten(self) -> None:
+        """Forget an ended program, and later one that used a key."""
+        self.writer.intent()
+        self.end(ROOT)
+        other = ProgramId("alpha:other")
+        self.writer.claim(other)
+        self.end(other)
+        with (
+            mock.patch.object(acceptance, "ENDED_KEPT", 3),
+            mock.patch.object(acceptance, "KEYED_KEPT", 8),
+        ):
+            for number in range(5):
+                self.writer.claim(ProgramId(f"alpha:p{number}"))
+            self.assertIsNone(self.writer.view.state(other))
+            self.assertIsNotNone(self.state)
+            for number in range(5, 10):
+                self.writer.claim(ProgramId(f"alpha:p{number}"))
+            self.assertIsNone(self.state)
+
+    def end(self, program: ProgramId) -> None:
+        """End a program."""
+        record = End(
+            id=self.writer.name(),
+            program=program,
+            epoch=self.writer.epoch(program),
+            reason="over",
+        )
+        self.assertIs(self.writer.add(record), Refusal.NONE)
+
     def test_records_survive_the_codec(self) -> None:
         """Decode what was encoded."""
         self.writer.commit(1)
