Recover turns of a lost home without waiting for the caller

Cause: a turn whose home died before its commit was committed only when the caller asked again through the same gateway; through another it was refused as out of sequence, and a copy that nobody asked for filled the buffer for ever. Change: the gateway that holds the copy has it committed by the next home, and gives it up after ten minutes.

--- a/sequoiaarch/bench/__main__.py
+++ b/sequoiaarch/bench/__main__.py
@@ -4,7 +4,7 @@
 
 import click
 
-from .compare import DEPLOYMENTS, LOADS, WINDOW, run_all, run_one
+from .compare import DEPLOYMENTS, KINDS, LOADS, WINDOW, run_all, run_one
 from .cost import PARTS, run_cost
 from .soak import run_soak
 
@@ -43,9 +43,17 @@
     run_all("ablate", parse_loads(loads), window)
 
 
+@main.command()
+@LOADS_OPTION
+@WINDOW_OPTION
+def weigh(loads: str, window: float) -> None:
+    """Compare the weight of latency at 1 with the weight at 0."""
+    run_all("weigh", parse_loads(loads), window)
+
+
 @main.command()
 @click.argument("name", type=click.Choice(sorted(DEPLOYMENTS)))
-@click.argument("kind", type=click.Choice(["compare", "ablate"]))
+@click.argument("kind", type=click.Choice(sorted(KINDS)))
 @LOADS_OPTION
 @WINDOW_OPTION
 def one(name: str, kind: str, loads: str, window: float) -> None:
--- a/sequoiaarch/bench/compare.py
+++ b/sequoiaarch/bench/compare.py
@@ -43,6 +43,13 @@
 }
 
 
+WEIGHTS: dict[str, dict[str, Any]] = {
+    "weight_0": {"latency_weight": 0.0},
+    OURS: {"latency_weight": 1.0},
+}
+KINDS = {"compare": CONTENDERS, "ablate": ABLATIONS, "weigh": WEIGHTS}
+
+
 class Figures(msgspec.Struct, kw_only=True):
     """Hold the absolute figures of one run; times in seconds."""
 
@@ -216,8 +223,7 @@
 
 def run_one(name: str, kind: str, loads: tuple[int, ...], window: float) -> None:
     """Run one deployment and leave its figures in the results folder."""
-    contenders = ABLATIONS if kind == "ablate" else CONTENDERS
-    runs = run_deployment(DEPLOYMENTS[name](), contenders, loads, window)
+    runs = run_deployment(DEPLOYMENTS[name](), KINDS[kind], loads, window)
     RESULTS.mkdir(exist_ok=True)
     path = RESULTS / f"{kind}-{name}.json"
     path.write_bytes(msgspec.json.format(msgspec.json.encode(runs)))
--- a/sequoiaarch/bench/cost.py
+++ b/sequoiaarch/bench/cost.py
@@ -120,6 +120,30 @@
         finally:
             fleet.stop()
 
+    # Finding the home of a program.
+
+    def lookup(self) -> None:
+        """Compare a request that asks the keeper with one that does not."""
+        fleet = cost_fleet(AT_ONCE)
+        try:
+            fleet.start()
+            client = fleet.caller()
+            chat_once(client, "looked-up", 50)
+            operator = fleet.operator()
+            path = "/v1/admin/programs/bench:looked-up"
+            for role, where in (("without", "/v1/admin/status"), ("with", path)):
+                histogram = HdrHistogram(1, LONGEST, DIGITS)
+                for _ in range(300):
+                    begun = time.monotonic()
+                    operator.request("GET", where)
+                    seconds = time.monotonic() - begun
+                    histogram.record_value(int(seconds * MICROSECONDS))
+                for share in (50, 95):
+                    value = histogram.get_value_at_percentile(share) / 1000
+                    self.note("lookup of a home", role, share, value, "ms")
+        finally:
+            fleet.stop()
+
     # Time between tokens, and processor time for each token.
 
     def streams(self, counts: tuple[int, ...] = (50, 100, 200)) -> None:
@@ -354,6 +378,7 @@
 
 PARTS: tuple[str, ...] = (
     "first_token",
+    "lookup",
     "streams",
     "calls",
     "programs",
--- a/sequoiaarch/gateway/app.py
+++ b/sequoiaarch/gateway/app.py
@@ -21,14 +21,12 @@
 from ..config.settings import Settings
 from ..daemon.base import Core
 from ..errors import ErrorKind, Failure, FailureError, fail
-from ..home.answers import error_body
-from ..home.chat import parse_chat, replay_events
+from ..home.chat import parse_chat
 from ..ids import CallKey, ProgramId, Workspace, new_id, root_of
 from ..records.types import ProgramSpec, ProgramState
 from ..wire.messages import (
     CallKind,
     CallRequest,
-    Chunk,
     CreateRequest,
     Done,
     EndRequest,
@@ -50,59 +48,23 @@
     read_key,
     read_seq,
 )
+from .responses import (
+    end_span,
+    error_response,
+    event_stream,
+    http_failure,
+    json_response,
+)
 from .router import Router
+from .views import HistoryEntry, Model, ModelList, program_view
 
 log = logbook.Logger("gateway")
 
-EMPTY_CHOICES = b'"choices":[]'
 ORDER_TIMEOUT = 20.0
 SINGLE_PREFIX = "single"
 METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 
 
-class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """Show one call of a history."""
-
-    seq: int
-    messages: list[Any]
-    tokens: int
-
-
-class ProgramView(msgspec.Struct, frozen=True, kw_only=True):
-    """Show one program to its caller; amounts in tokens."""
-
-    id: str
-    state: str
-    program: str
-    labels: dict[str, str]
-    parent: str | None
-    home: str
-    epoch: int
-    committed_seq: int
-    budget: int
-    spent: int
-    reserved: int
-    moved: int
-    available: int
-    history: list[HistoryEntry] = []
-
-
-class Model(msgspec.Struct, frozen=True, kw_only=True):
-    """Show one model."""
-
-    id: str
-    object: str = "model"
-    created: int = 0
-    owned_by: str = "sequoiaarch"
-
-
-class ModelList(msgspec.Struct, frozen=True, kw_only=True):
-    """Show the models of a workspace."""
-
-    object: str = "list"
-    data: list[Model]
-
-
 class CallerApp:
     """Answer callers, operators and the platform's probes."""
 
@@ -163,7 +125,7 @@
         except FailureError as error:
             response = error_response(error.failure)
         except HTTPException as error:
-            response = error_response(_http_failure(error))
+            response = error_response(http_failure(error))
         except Exception as error:
             log.exception("A request failed.")
             response = error_response(
@@ -237,9 +199,9 @@
     ) -> Response:
         first = next(events)
         if isinstance(first, Failure):
-            _end_span(span, first)
+            end_span(span, first)
             raise FailureError(first)
-        pieces = _event_stream(first, events, span, wants_usage)
+        pieces = event_stream(first, events, span, wants_usage)
         response = Response(pieces, mimetype="text/event-stream")
         response.headers["Cache-Control"] = "no-cache"
         response.headers["X-Program-Id"] = outer_id(call.program)
@@ -250,10 +212,10 @@
     ) -> Response:
         last = deque(events, maxlen=1).pop()
         if isinstance(last, Failure):
-            _end_span(span, last)
+            end_span(span, last)
             raise FailureError(last)
         assert isinstance(last, Done) and last.answer is not None
-        _end_span(span, None)
+        end_span(span, None)
         response = Response(
             last.answer.body,
             status=last.answer.status,
@@ -290,7 +252,7 @@
         if body.id is not None and self._find(program, workspace) is not None:
             raise fail(ErrorKind.KEY_CONFLICT, "the program exists", field="id")
         self._create_at_home(program, spec)
-        return json_response(self._view(self._need(program, workspace)), 201)
+        return json_response(program_view(self._need(program, workspace)), 201)
 
     def _create_at_home(self, program: ProgramId, spec: ProgramSpec) -> None:
         async def create() -> None:
@@ -303,7 +265,7 @@
         workspace = self._keys.workspace(request)
         program = inner_id(workspace, name, "id")
         state = self._need(program, workspace)
-        return json_response(self._view(state, self._history(program)))
+        return json_response(program_view(state, self._history(program)))
 
     def _history(self, program: ProgramId) -> list[HistoryEntry]:
         commits = self._bridge.wait(self._core.shards.commits(program))
@@ -330,7 +292,7 @@
                 ),
             )
             self._router.forget(program)
-        return json_response(self._view(self._need(program, workspace)))
+        return json_response(program_view(self._need(program, workspace)))
 
     def _spawn(self, request: Request, name: str) -> Response:
         workspace = self._keys.workspace(request)
@@ -355,7 +317,7 @@
         )
         self._order_at_home(parent, order)
         self._create_at_home(child, spec)
-        return json_response(self._view(self._need(child, workspace)), 201)
+        return json_response(program_view(self._need(child, workspace)), 201)
 
     def _order_at_home(
         self, state: ProgramState, order: SpawnRequest | EndRequest
@@ -375,26 +337,6 @@
             raise fail(ErrorKind.NOT_FOUND, f"no program {outer_id(program)!r}")
         return state
 
-    def _view(
-        self, state: ProgramState, history: list[HistoryEntry] | None = None
-    ) -> ProgramView:
-        return ProgramView(
-            id=outer_id(state.program),
-            state="ended" if state.ended is not None else "running",
-            program=state.spec.name,
-            labels=state.spec.labels,
-            parent=outer_id(state.spec.parent) if state.spec.parent else None,
-            home=state.home,
-            epoch=state.epoch,
-            committed_seq=state.seq,
-            budget=state.spec.budget,
-            spent=state.spent,
-            reserved=state.open_block,
-            moved=sum(state.moved.values()),
-            available=state.available,
-            history=history or [],
-        )
-
     # Tools and services.
 
     def _tool(
@@ -540,54 +482,3 @@
         return self._core.tracing.start(
             name, parent, program=program, root=root_of(program)
         )
-
-
-def _end_span(span: Span, failure: Failure | None) -> None:
-    span.set_attribute("result", failure.kind.value if failure else "answered")
-    span.end()
-
-
-def _event_stream(
-    first: Event, events: Iterator[Event], span: Span, wants_usage: bool
-) -> Iterator[bytes]:
-    """Yield the answer as server-sent events."""
-    pieces = 0
-    event: Event = first
-    while isinstance(event, Chunk):
-        pieces += 1
-        if wants_usage or EMPTY_CHOICES not in event.data:
-            yield b"data: " + event.data + b"\n\n"
-        event = next(events)
-    if isinstance(event, Failure):
-        _end_span(span, event)
-        yield b"data: " + msgspec.json.encode(error_body(event)) + b"\n\n"
-        return
-    if pieces == 0 and event.answer is not None:
-        # The answer was complete before this caller asked for it.
-        for payload in replay_events(event.answer.body):
-            yield b"data: " + payload + b"\n\n"
-    _end_span(span, None)
-    committed = b"true" if event.committed else b"false"
-    yield b": seq %d committed %s\n\n" % (event.seq, committed)
-    yield b"data: [DONE]\n\n"
-
-
-def _http_failure(error: HTTPException) -> Failure:
-    kind = ErrorKind.NOT_FOUND
-    if error.code != 404:
-        kind = ErrorKind.MALFORMED
-    return Failure(kind=kind, reason=error.description or error.name)
-
-
-def json_response(value: object, status: int = 200) -> Response:
-    """Return a JSON answer."""
-    body = msgspec.json.encode(value)
-    return Response(body, status=status, mimetype="application/json")
-
-
-def error_response(failure: Failure) -> Response:
-    """Return the answer that a failure gets."""
-    response = json_response(error_body(failure), failure.answer.status)
-    if failure.wait is not None:
-        response.headers["Retry-After"] = str(max(1, round(failure.wait)))
-    return response
--- a/sequoiaarch/gateway/copies.py
+++ b/sequoiaarch/gateway/copies.py
@@ -25,6 +25,11 @@
         """Return whether no further turn can be held."""
         return self._size >= self._limit
 
+    @property
+    def programs(self) -> int:
+        """Return the programs of which turns are held."""
+        return len(self._turns)
+
     def add(self, program: ProgramId, turn: Turn) -> None:
         """Hold one turn."""
         held = self._turns.setdefault(program, {})
@@ -44,6 +49,11 @@
         if not held:
             del self._turns[program]
 
+    def drop(self, program: ProgramId) -> None:
+        """Drop all copies of a program."""
+        for turn in self._turns.pop(program, {}).values():
+            self._size -= _size(turn)
+
     def of(self, program: ProgramId) -> list[Turn]:
         """Return the held turns of a program in sequence."""
         held = self._turns.get(program, {})
--- a/sequoiaarch/gateway/gateway.py
+++ b/sequoiaarch/gateway/gateway.py
@@ -53,6 +53,11 @@
         """Return whether the balancer should send callers here."""
         return self._started and not self._app.leaving
 
+    @property
+    def held_copies(self) -> int:
+        """Return the programs of which uncommitted turns are held here."""
+        return self._router.held_copies
+
     async def start(self) -> None:
         """Answer probes at once, and callers when the configuration is known."""
         self._server.start()
--- a/sequoiaarch/gateway/operators.py
+++ b/sequoiaarch/gateway/operators.py
@@ -33,6 +33,7 @@
 )
 from .bridge import Bridge
 from .requests import DrainBody, KeyTable, PublishBody, decode_body, read_body
+from .responses import json_response
 from .router import Router
 
 PEER_TIMEOUT = 2.0
@@ -147,7 +148,7 @@
         membership = self._core.membership
         targets = self._core.catalogue.targets
         streams = self._core.local.streams.values()
-        return _json(
+        return json_response(
             StatusView(
                 host=self._core.settings.host,
                 data_centre=self._core.settings.data_centre,
@@ -161,7 +162,7 @@
 
     def _targets(self, request: Request) -> Response:
         views = self._bridge.wait(self._ask_targets())
-        return _json(TargetList(targets=views))
+        return json_response(TargetList(targets=views))
 
     async def _ask_targets(self) -> list[TargetView]:
         targets = self._core.catalogue.targets
@@ -191,7 +192,7 @@
             raise fail(
                 ErrorKind.NOT_FOUND, f"no target {body.target!r}", field="target"
             )
-        return _json(self._bridge.wait(self._drain_target(target, body.drain)))
+        return json_response(self._bridge.wait(self._drain_target(target, body.drain)))
 
     async def _drain_target(self, target: TargetDocument, drain: bool) -> TargetView:
         link = self._core.links.to(target.spec.address)
@@ -204,14 +205,14 @@
 
     def _config(self, request: Request) -> Response:
         snapshot = self._core.view.snapshot(RecordId(""))
-        return _json(
+        return json_response(
             DocumentList(
                 version=self._core.view.newest + 1, documents=snapshot.documents
             )
         )
 
     def _history(self, request: Request) -> Response:
-        return _json(PublicationList(publications=self._core.view.history))
+        return json_response(PublicationList(publications=self._core.view.history))
 
     def _publish(self, request: Request) -> Response:
         body = decode_body(read_body(request, MAX_BODY), PublishBody)
@@ -226,10 +227,10 @@
         verdict = self._bridge.wait(self._core.follower.publish(publication))
         if isinstance(verdict, Failure):
             raise FailureError(verdict)
-        return _json(verdict, 200 if verdict.accepted else 409)
+        return json_response(verdict, 200 if verdict.accepted else 409)
 
     def _program(self, request: Request, program: str) -> Response:
-        return _json(self._state(program))
+        return json_response(self._state(program))
 
     def _state(self, program: str) -> Any:
         state = self._bridge.wait(self._router.locate(ProgramId(program)))
@@ -244,14 +245,14 @@
                 program=state.program, spec=state.spec, reason="ended by an operator"
             )
             self._bridge.wait(self._router.order_at_home(state, order))
-        return _json(self._state(program))
+        return json_response(self._state(program))
 
     def _explain(self, request: Request, program: str) -> Response:
         known = ProgramId(program)
         found = self._core.decisions.of(known)
         found += self._bridge.wait(self._ask_decisions(known))
         found.sort(key=lambda decision: decision.at)
-        return _json(Explanation(program=program, decisions=found))
+        return json_response(Explanation(program=program, decisions=found))
 
     async def _ask_decisions(self, program: ProgramId) -> list[Decision]:
         request = ExplainRequest(program=program)
@@ -274,7 +275,7 @@
         for reply in self._bridge.wait(self._ask_all(TraceRequest(trace_id=trace))):
             if isinstance(reply, TraceReply):
                 spans.extend(reply.spans)
-        return _json(TraceView(spans=spans, tree=render_tree(spans)))
+        return json_response(TraceView(spans=spans, tree=render_tree(spans)))
 
 
 def probe_rules(core: Core, ready: Callable[[], bool]) -> list[Rule]:
@@ -297,8 +298,3 @@
         Rule("/healthz", methods=["GET"], endpoint=health),
         Rule("/readyz", methods=["GET"], endpoint=readiness),
     ]
-
-
-def _json(value: object, status: int = 200) -> Response:
-    body = msgspec.json.encode(value)
-    return Response(body, status=status, mimetype="application/json")
--- /dev/null
+++ b/sequoiaarch/gateway/responses.py
@@ -0,0 +1,71 @@
+"""Write answers: JSON, streams of events, and errors."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+from opentelemetry.trace import Span
+from werkzeug.exceptions import HTTPException
+from werkzeug.wrappers import Response
+
+from ..errors import ErrorKind, Failure
+from ..home.answers import error_body
+from ..home.chat import replay_events
+from ..wire.messages import Chunk
+from .bridge import Event
+
+EMPTY_CHOICES = b'"choices":[]'
+
+
+def end_span(span: Span, failure: Failure | None) -> None:
+    """End the span of a call with its result."""
+    span.set_attribute("result", failure.kind.value if failure else "answered")
+    span.end()
+
+
+def event_stream(
+    first: Event, events: Iterator[Event], span: Span, wants_usage: bool
+) -> Iterator[bytes]:
+    """Yield the answer as server-sent events."""
+    pieces = 0
+    event: Event = first
+    while isinstance(event, Chunk):
+        pieces += 1
+        if wants_usage or EMPTY_CHOICES not in event.data:
+            yield b"data: " + event.data + b"\n\n"
+        event = next(events)
+    if isinstance(event, Failure):
+        end_span(span, event)
+        yield b"data: " + msgspec.json.encode(error_body(event)) + b"\n\n"
+        return
+    if pieces == 0 and event.answer is not None:
+        # The answer was complete before this caller asked for it.
+        for payload in replay_events(event.answer.body):
+            yield b"data: " + payload + b"\n\n"
+    end_span(span, None)
+    committed = b"true" if event.committed else b"false"
+    yield b": seq %d committed %s\n\n" % (event.seq, committed)
+    yield b"data: [DONE]\n\n"
+
+
+def http_failure(error: HTTPException) -> Failure:
+    """Return the failure for a request that no route takes."""
+    kind = ErrorKind.NOT_FOUND
+    if error.code != 404:
+        kind = ErrorKind.MALFORMED
+    return Failure(kind=kind, reason=error.description or error.name)
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Return a JSON answer."""
+    body = msgspec.json.encode(value)
+    return Response(body, status=status, mimetype="application/json")
+
+
+def error_response(failure: Failure) -> Response:
+    """Return the answer that a failure gets."""
+    response = json_response(error_body(failure), failure.answer.status)
+    if failure.wait is not None:
+        response.headers["Retry-After"] = str(max(1, round(failure.wait)))
+    return response
--- a/sequoiaarch/gateway/router.py
+++ b/sequoiaarch/gateway/router.py
@@ -22,12 +22,11 @@
     CallRequest,
     Chunk,
     Committed,
-    CreateRequest,
     Done,
-    EndRequest,
     Failed,
     Head,
-    SpawnRequest,
+    ProgramOrder,
+    RecoverRequest,
 )
 from .copies import TurnCopies
 
@@ -47,6 +46,7 @@
 MOVING = {PlacementName.AFFINITY, PlacementName.STICKY}
 BYTES_A_TOKEN = 4
 ORDER_TIMEOUT = 10.0
+RECOVER_SECONDS = 600.0
 
 Emit = Callable[[Chunk | Done | Failure], None]
 
@@ -91,11 +91,17 @@
         self._copies = TurnCopies(limit=core.settings.limits.uncommitted_bytes)
         self._retries = RetryBudget(share=core.settings.limits.retry_budget)
         self._open = 0
+        self._recovering: dict[ProgramId, asyncio.Task[None]] = {}
 
     @property
     def open_calls(self) -> int:
-        """Return the calls that are being relayed."""
-        return self._open
+        """Return the calls that are being relayed or recovered."""
+        return self._open + len(self._recovering)
+
+    @property
+    def held_copies(self) -> int:
+        """Return the programs of which uncommitted turns are held here."""
+        return self._copies.programs
 
     async def run(self, call: CallRequest, emit: Emit, *, known: bool) -> None:
         """Run a call to its end; `known` says that the program may exist."""
@@ -185,8 +191,7 @@
             elif isinstance(reply, Failed):
                 self._note_failure(home, request.program, reply)
                 if done:
-                    # The caller has its answer. The copy stays, so that the
-                    # next home can commit it.
+                    self._recover_later(request)
                     return None
                 if not emitted:
                     return reply.failure
@@ -194,6 +199,43 @@
                 return None
         return None
 
+    def _recover_later(self, request: CallRequest) -> None:
+        """See to it that a turn is kept whose home was lost before its commit.
+
+        The caller has its answer and may never ask here again, or ask through
+        another gateway that has no copy.
+        """
+        if request.program in self._recovering:
+            return
+        task = asyncio.create_task(self._recover(request))
+        self._recovering[request.program] = task
+        task.add_done_callback(lambda _: self._recovering.pop(request.program, None))
+
+    async def _recover(self, request: CallRequest) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + RECOVER_SECONDS
+        while loop.time() < deadline:
+            turns = self._copies.of(request.program)
+            if not turns:
+                return
+            try:
+                state = await self.locate(request.program)
+                if state is None or state.ended is not None:
+                    break
+                if state.seq < turns[-1].seq:
+                    order = RecoverRequest(
+                        program=request.program, spec=request.spec, pending=turns
+                    )
+                    await self.order_at_home(state, order)
+                self._copies.committed(request.program, turns[-1].seq)
+                return
+            except FailureError as error:
+                log.info("Turns of {} wait: {}.", request.program, error)
+            await asyncio.sleep(RETRY_LIMIT)
+        # A copy that nobody can take must not fill the buffer for ever.
+        log.warning("Turns of {} are given up.", request.program)
+        self._copies.drop(request.program)
+
     def _note_home(self, program: ProgramId, home: TargetName) -> None:
         self._hints[program] = home
         self._hints.move_to_end(program)
@@ -355,9 +397,7 @@
             return 0.0
         return settings.near.get(data_centre, 0.0)
 
-    async def order_at_home(
-        self, state: ProgramState, order: SpawnRequest | EndRequest
-    ) -> None:
+    async def order_at_home(self, state: ProgramState, order: ProgramOrder) -> None:
         """Give an order to the home of a program, or to a new one."""
         membership = self._core.membership
         document = self._core.catalogue.target(state.home) if state.home else None
@@ -372,9 +412,7 @@
         silent = state.home or None
         await self.order(home, msgspec.structs.replace(order, silent_home=silent))
 
-    async def order(
-        self, home: TargetName, order: CreateRequest | SpawnRequest | EndRequest
-    ) -> None:
+    async def order(self, home: TargetName, order: ProgramOrder) -> None:
         """Give an order to a sidecar, or fail as it does."""
         address = self._core.membership.address(home)
         if address is None:
--- a/sequoiaarch/home/homes.py
+++ b/sequoiaarch/home/homes.py
@@ -254,6 +254,15 @@
             reason = f"call {turn.seq} was kept from the gateway's copy"
             self._decisions.note(running.id, "history", "recovered", reason)
 
+    async def recover(
+        self, running: RunningProgram, turns: list[Turn]
+    ) -> Failure | None:
+        """Commit turns of a lost home and wait until the log has them."""
+        await self.take_pending(running, turns)
+        if await running.flushed(self._limits.submit_timeout):
+            return None
+        return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="not committed yet")
+
     async def hand_over(self, program: ProgramId) -> Failure | None:
         """Release a program to another home once its calls have ended."""
         running = self._programs.get(program)
--- a/sequoiaarch/sidecar/sidecar.py
+++ b/sequoiaarch/sidecar/sidecar.py
@@ -11,6 +11,7 @@
 from ..engines.http import HttpEngine, HttpService
 from ..errors import ErrorKind, Failure, FailureError, NotRun
 from ..home.homes import Homes, Opening
+from ..home.parts import HomeParts
 from ..home.runner import CallRunner
 from ..ids import ProgramId, TargetName
 from ..policies.admission import Occupancy
@@ -34,6 +35,8 @@
     Load,
     LoadReply,
     LoadRequest,
+    ProgramOrder,
+    RecoverRequest,
     Reply,
     Request,
     SpawnRequest,
@@ -214,7 +217,7 @@
             metrics=core.metrics,
             tracing=core.tracing,
         )
-        self._runner = CallRunner(
+        parts = HomeParts(
             me=self._target,
             homes=self._homes,
             executor=self._executor,
@@ -225,9 +228,9 @@
             limits=limits,
             metrics=core.metrics,
             tracing=core.tracing,
-            decisions=core.decisions,
             load=self.load,
         )
+        self._runner = CallRunner(parts=parts)
 
     async def _watch_host(self) -> None:
         """Drain when the host list shows the own host as leaving."""
@@ -278,7 +281,7 @@
                 return await self._runner.handle(request, send)
             case DispatchRequest():
                 return await self._dispatch(request, send)
-            case CreateRequest() | SpawnRequest() | EndRequest():
+            case CreateRequest() | SpawnRequest() | EndRequest() | RecoverRequest():
                 return await self._change(request)
         failure = Failure(kind=ErrorKind.MALFORMED, reason="not a sidecar's request")
         return Failed(failure=failure)
@@ -320,17 +323,13 @@
             load=self.load(),
         )
 
-    async def _change(
-        self, request: CreateRequest | SpawnRequest | EndRequest
-    ) -> Reply:
+    async def _change(self, request: ProgramOrder) -> Reply:
         try:
             return _accepted(await self._carry_out(request))
         except FailureError as error:
             return Failed(failure=error.failure, load=self.load())
 
-    async def _carry_out(
-        self, request: CreateRequest | SpawnRequest | EndRequest
-    ) -> Failure | None:
+    async def _carry_out(self, request: ProgramOrder) -> Failure | None:
         if isinstance(request, CreateRequest):
             opening = Opening(program=request.program, spec=request.spec, create=True)
             await self._homes.open(opening)
@@ -339,6 +338,10 @@
             opening = _taking_over(request.parent, request)
             parent = await self._homes.open(opening)
             return await self._homes.spawn(parent, request.child, request.budget)
+        if isinstance(request, RecoverRequest):
+            opening = _taking_over(request.program, request)
+            running = await self._homes.open(opening)
+            return await self._homes.recover(running, request.pending)
         opening = _taking_over(request.program, request)
         running = await self._homes.open(opening)
         return await self._homes.end(running, request.reason)
@@ -365,7 +368,7 @@
             self._responder.close()
 
 
-def _taking_over(program: ProgramId, request: SpawnRequest | EndRequest) -> Opening:
+def _taking_over(program: ProgramId, request: ProgramOrder) -> Opening:
     """Return how to open a program whose home the asker may have found silent."""
     return Opening(
         program=program,
--- /dev/null
+++ b/sequoiaarch/tests/faults/recovery_tests.py
@@ -0,0 +1,40 @@
+"""Test that turns outlive the home that streamed them."""
+
+from __future__ import annotations
+
+import unittest
+
+from ..base import Conversation, SystemUnderTest, wait_until
+
+
+class RecoveryTests(unittest.TestCase):
+    """Lose a home between answer and commit."""
+
+    def test_another_gateway_finds_the_turn(self) -> None:
+        """Keep a turn whose home died before the log had it.
+
+        The log takes nothing while the second answer streams, so its turn
+        stands only in its home and in the first gateway. The home is killed.
+        The caller goes on through the second gateway, which has no copy. The
+        first gateway must have the turn committed by itself.
+        """
+        system = SystemUnderTest(gateways=2).start()
+        self.addCleanup(system.stop)
+        talk = Conversation(client=system.client(), program="copied")
+        talk.say("first", seq=1)
+        wait_until(lambda: system.state("copied").seq == 1, "first commit")
+        system.platform.faults.down = True
+        talk.say("second", seq=2)
+        system.kill(system.home_of("copied"))
+        system.platform.faults.down = False
+        talk.client = system.client("gateway-2")
+        wait_until(lambda: system.state("copied").seq == 2, "the turn is kept")
+        talk.say("third", seq=3)
+        wait_until(lambda: len(talk.kept()) == 6, "all turns")
+        self.assertEqual(
+            [one["content"] for one in talk.kept()],
+            [one["content"] for one in talk.messages],
+        )
+        router = system.nodes["gateway-1"].gateway
+        assert router is not None
+        wait_until(lambda: router.held_copies == 0, "the copy is dropped")
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -151,6 +151,7 @@
 
     program: ProgramId
     spec: ProgramSpec
+    silent_home: TargetName | None = None
 
 
 class SpawnRequest(Message, frozen=True, kw_only=True, tag="spawn"):
@@ -163,6 +164,15 @@
     silent_home: TargetName | None = None
 
 
+class RecoverRequest(Message, frozen=True, kw_only=True, tag="recover"):
+    """Ask for a home that commits turns whose own home was lost."""
+
+    program: ProgramId
+    spec: ProgramSpec
+    pending: list[Turn]
+    silent_home: TargetName | None = None
+
+
 class EndRequest(Message, frozen=True, kw_only=True, tag="end"):
     """Ask the home of a program to end it."""
 
@@ -172,6 +182,9 @@
     silent_home: TargetName | None = None
 
 
+ProgramOrder = CreateRequest | SpawnRequest | RecoverRequest | EndRequest
+
+
 class LoadRequest(Message, frozen=True, kw_only=True, tag="load"):
     """Ask a sidecar for its load."""
 
@@ -211,6 +224,7 @@
     | HandoverRequest
     | CreateRequest
     | SpawnRequest
+    | RecoverRequest
     | EndRequest
     | LoadRequest
     | ConfigRequest
