Move programs only on fresh reports, and never for a doubled gain

Change: the weight scales the gain from 0 to 1; only targets that reported within a second are moved to.

--- a/sequoiaarch/gateway/router.py
+++ b/sequoiaarch/gateway/router.py
@@ -389,6 +389,7 @@
             load=membership.load(name),
             sent=membership.sent_since(name),
             distance=self._distance(target.spec.data_centre),
+            age=membership.report_age(name),
         )
 
     def _distance(self, data_centre: str) -> float:
--- a/sequoiaarch/membership/view.py
+++ b/sequoiaarch/membership/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 
 import logbook
@@ -93,6 +94,11 @@
         """Return the last load that a target reported."""
         return self._loads.get(name)
 
+    def report_age(self, name: TargetName) -> float:
+        """Return the seconds since a target reported its load."""
+        reported = self._reported.get(name)
+        return time.monotonic() - reported if reported is not None else math.inf
+
     def sent_since(self, name: TargetName) -> int:
         """Return the calls sent to a target since it reported."""
         return self._sent.get(name, 0)
--- a/sequoiaarch/policies/placement.py
+++ b/sequoiaarch/policies/placement.py
@@ -14,6 +14,7 @@
 SECONDS_A_CALL = 0.5
 REBUILD_RATE = 20_000.0
 MOVE_MARGIN = 1.5
+REPORT_LIMIT = 1.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -21,7 +22,7 @@
     """Describe a target that could run a call.
 
     `sent` counts the calls sent since the load was reported; `distance` is
-    the delay to it in seconds, one way.
+    the delay to it in seconds, one way, and `age` how old the report is.
     """
 
     target: TargetName
@@ -29,6 +30,7 @@
     load: Load | None
     sent: int
     distance: float
+    age: float = 0.0
 
     @property
     def busy(self) -> float:
@@ -130,14 +132,18 @@
         home = next((one for one in candidates if one.target == placing.home), None)
         if home is None:
             return self._start(placing, candidates)
-        others = [one for one in candidates if one is not home]
+        # An old report shows a queue that has filled since: programs that
+        # follow it all move to the same place and wait there.
+        others = [
+            one for one in candidates if one is not home and one.age < REPORT_LIMIT
+        ]
         if not others:
-            return Choice(target=home.target, reason="the only target")
+            return Choice(target=home.target, reason="nothing better is known")
         best = min(others, key=lambda one: one.expected_wait + one.distance)
         # The weight of latency scales what moving costs: with weight 0 a
         # prefix is never thrown away to save waiting.
         rebuild = placing.context_tokens / REBUILD_RATE
-        gain = (home.expected_wait - best.expected_wait) * placing.latency_weight * 2
+        gain = (home.expected_wait - best.expected_wait) * placing.latency_weight
         if gain > MOVE_MARGIN * rebuild + best.distance + SECONDS_A_CALL:
             reason = f"waits {gain:.2f} s less there, rebuild takes {rebuild:.2f} s"
             return Choice(target=best.target, reason=reason)
