--- a/sequoiaarch/policies/placement.py
+++ b/sequoiaarch/policies/placement.py
@@ -45,7 +45,13 @@
         load = self.load
         queued = self.sent + (load.queued if load else 0)
         free = self.slots - (load.running if load else 0)
-        return max(0, queued - free + 1) / self.slots * SECONDS_A_CALL
+        return max(0, queued - free + 1) / self.slots * self.call_seconds
+
+    @property
+    def call_seconds(self) -> float:
+        """Return the seconds that a call takes there."""
+        known = self.load.call_seconds if self.load else 0.0
+        return known or SECONDS_A_CALL
 
     @property
     def crowd(self) -> float:
@@ -144,7 +150,7 @@
         # prefix is never thrown away to save waiting.
         rebuild = placing.context_tokens / REBUILD_RATE
         gain = (home.expected_wait - best.expected_wait) * placing.latency_weight
-        if gain > MOVE_MARGIN * rebuild + best.distance + SECONDS_A_CALL:
+        if gain > MOVE_MARGIN * rebuild + best.distance + best.call_seconds:
             reason = f"waits {gain:.2f} s less there, rebuild takes {rebuild:.2f} s"
             return Choice(target=best.target, reason=reason)
         reason = f"prefix of {placing.context_tokens} tokens is cached there"
--- a/sequoiaarch/sidecar/executor.py
+++ b/sequoiaarch/sidecar/executor.py
@@ -30,6 +30,7 @@
 
 ATTEMPTS_KEPT = 16_384
 EPOCHS_KEPT = 16_384
+LEARNING = 0.1
 
 
 class Execution(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,8 +65,18 @@
         self._metrics = metrics
         self._tracing = tracing
         self._attempts: OrderedDict[AttemptId, None] = OrderedDict()
+        self._call_seconds = 0.0
         self._epochs: OrderedDict[ProgramId, Epoch] = OrderedDict()
 
+    @property
+    def call_seconds(self) -> float:
+        """Return the seconds that a call has lately taken at the target."""
+        return self._call_seconds
+
+    def _learn(self, seconds: float) -> None:
+        mean = self._call_seconds or seconds
+        self._call_seconds = mean + LEARNING * (seconds - mean)
+
     async def run(self, dispatch: DispatchRequest, emit: Emit) -> Execution | Failure:
         """Run one attempt; the failure says truly whether it ran."""
         span = self._tracing.start(
@@ -148,6 +159,7 @@
                 return await self._run_model(dispatch, emit, trace, begun)
             return await self._run_service(dispatch, trace, begun)
         finally:
+            self._learn(loop.time() - begun)
             self._queue.leave()
 
     async def _run_model(
--- a/sequoiaarch/sidecar/sidecar.py
+++ b/sequoiaarch/sidecar/sidecar.py
@@ -154,6 +154,7 @@
             slots=self._slots(),
             cache_free=memory.free if memory else 0,
             programs=len(self._homes.programs),
+            call_seconds=self._executor.call_seconds if self._executor else 0.0,
             draining=self._homes.draining,
         )
 
--- /dev/null
+++ b/sequoiaarch/tests/policies/policy_tests.py
@@ -0,0 +1,188 @@
+"""Test the decisions by themselves."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from ...config.documents import PlacementName
+from ...ids import ProgramId, TargetName
+from ...policies.admission import Occupancy, OpenAdmission, WorkingSetAdmission
+from ...policies.order import AttainedOrder, FirstComeOrder, Ticket
+from ...policies.placement import Candidate, Placing, make_placement
+from ...policies.retention import Pauses, PredictedRetention, Prefix
+from ...wire.messages import Load
+
+P = ProgramId("alpha:p")
+
+
+def candidate(
+    name: str, running: int = 0, queued: int = 0, programs: int = 0
+) -> Candidate:
+    """Return a target with a load."""
+    target = TargetName(name)
+    load = Load(
+        target=target, slots=4, running=running, queued=queued, programs=programs
+    )
+    return Candidate(
+        target=target,
+        slots=4,
+        load=load,
+        sent=0,
+        distance=0.0,
+    )
+
+
+class PlacementTests(unittest.TestCase):
+    """Choose targets."""
+
+    def choose(
+        self,
+        name: PlacementName,
+        home: str | None,
+        *found: Candidate,
+        weight: float = 1,
+    ) -> str:
+        """Return the chosen target."""
+        placing = Placing(
+            home=TargetName(home) if home else None,
+            context_tokens=2_000,
+            latency_weight=weight,
+        )
+        placement = make_placement(name, random.Random(3))
+        return placement.choose(placing, list(found)).target
+
+    def test_affinity_stays(self) -> None:
+        """Stay at the home while nothing is gained elsewhere."""
+        busy = candidate("a", running=4, queued=1)
+        chosen = self.choose(PlacementName.AFFINITY, "a", busy, candidate("b"))
+        self.assertEqual(chosen, "a")
+
+    def test_affinity_moves_from_a_long_queue(self) -> None:
+        """Move when waiting costs more than building the prefix again."""
+        full = candidate("a", running=4, queued=40)
+        free = candidate("b")
+        self.assertEqual(self.choose(PlacementName.AFFINITY, "a", full, free), "b")
+        stays = self.choose(PlacementName.AFFINITY, "a", full, free, weight=0)
+        self.assertEqual(stays, "a")
+
+    def test_affinity_starts_where_few_live(self) -> None:
+        """Start at the less crowded of two."""
+        crowded = candidate("a", programs=30)
+        chosen = self.choose(PlacementName.AFFINITY, None, crowded, candidate("b"))
+        self.assertEqual(chosen, "b")
+
+    def test_baselines(self) -> None:
+        """Choose as the baselines say."""
+        busy = candidate("a", running=4, queued=9)
+        free = candidate("b")
+        least = self.choose(PlacementName.LEAST_LOADED, "a", busy, free)
+        self.assertEqual(least, "b")
+        self.assertEqual(self.choose(PlacementName.STICKY, "a", busy, free), "a")
+        self.assertIn(self.choose(PlacementName.RANDOM, "a", busy, free), ("a", "b"))
+
+
+class OrderTests(unittest.TestCase):
+    """Order waiting calls."""
+
+    def test_least_attained_goes_first(self) -> None:
+        """Prefer the program that has had less service."""
+        order = AttainedOrder()
+        new = Ticket(program=P, arrived=5.0, attained=0.1)
+        old = Ticket(program=P, arrived=4.0, attained=9.0)
+        self.assertLess(order.rank(new, 6.0), order.rank(old, 6.0))
+
+    def test_nothing_starves(self) -> None:
+        """Let a program that waits come first in the end."""
+        order = AttainedOrder()
+        old = Ticket(program=P, arrived=0.0, attained=9.0)
+        new = Ticket(program=P, arrived=60.0, attained=0.0)
+        self.assertLess(order.rank(old, 60.0), order.rank(new, 60.0))
+
+    def test_weight(self) -> None:
+        """Prefer the program with the higher priority."""
+        order = AttainedOrder()
+        high = Ticket(program=P, arrived=0.0, attained=2.0, weight=4.0)
+        low = Ticket(program=P, arrived=0.0, attained=2.0)
+        self.assertLess(order.rank(high, 0.0), order.rank(low, 0.0))
+
+    def test_first_come(self) -> None:
+        """Keep the order of arrival."""
+        order = FirstComeOrder()
+        first = Ticket(program=P, arrived=1.0, attained=99.0)
+        second = Ticket(program=P, arrived=2.0)
+        self.assertLess(order.rank(first, 9.0), order.rank(second, 9.0))
+
+
+class AdmissionTests(unittest.TestCase):
+    """Let programs start."""
+
+    def occupancy(self, **changed: int) -> Occupancy:
+        """Return how full a target is."""
+        values = {
+            "running": 6,
+            "slots": 8,
+            "running_tokens": 500,
+            "kept_tokens": 900,
+            "cache_tokens": 1_000,
+            "export_tokens": 0,
+            "growth": 0,
+        }
+        return Occupancy(**{**values, **changed})
+
+    def test_working_set(self) -> None:
+        """Admit what fits, and what keeps the engine from standing idle."""
+        admission = WorkingSetAdmission()
+        new = Ticket(program=P, arrived=0, tokens=200)
+        cases = [
+            ({}, False),
+            ({"kept_tokens": 700}, True),
+            ({"export_tokens": 500}, True),
+            ({"running": 2}, True),
+            ({"running_tokens": 900, "kept_tokens": 0}, False),
+        ]
+        for changed, admitted in cases:
+            with self.subTest(changed=changed):
+                found = admission.admits(new, self.occupancy(**changed))
+                self.assertEqual(found, admitted)
+
+    def test_started_programs(self) -> None:
+        """Admit a running program unless it does not fit beside the others."""
+        admission = WorkingSetAdmission()
+        ticket = Ticket(program=P, arrived=0, tokens=200, started=True)
+        self.assertTrue(admission.admits(ticket, self.occupancy()))
+        full = self.occupancy(running_tokens=900)
+        self.assertFalse(admission.admits(ticket, full))
+        self.assertTrue(OpenAdmission().admits(ticket, full))
+
+
+class RetentionTests(unittest.TestCase):
+    """Choose what leaves memory."""
+
+    def prefix(self, name: str, last_used: float, **changed: bool) -> Prefix:
+        """Return a prefix of 100 tokens."""
+        return Prefix(
+            program=ProgramId(name),
+            name=name[0],
+            tokens=100,
+            last_used=last_used,
+            **changed,
+        )
+
+    def test_latest_return_leaves_first(self) -> None:
+        """Export the prefix whose program is expected back last."""
+        pauses = Pauses()
+        pauses.note("s", 0.5)
+        pauses.note("l", 60.0)
+        retention = PredictedRetention(pauses=pauses)
+        prefixes = [
+            self.prefix("short", 10.0),
+            self.prefix("long", 10.0),
+            self.prefix("l-running", 10.0, running=True),
+            self.prefix("l-gone", 10.0, exported=True),
+        ]
+        victims = retention.victims(prefixes, 50, 10.1)
+        self.assertEqual([one.program for one in victims], ["long"])
+        both = retention.victims(prefixes, 150, 10.1)
+        self.assertEqual([one.program for one in both], ["long", "short"])
+        self.assertEqual(retention.victims(prefixes, 0, 10.1), [])
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -46,7 +46,8 @@
     """Report the load of one target.
 
     `queued_tokens` is the work that waits, in tokens; `cache_free` is the
-    prefix memory that no kept program uses, in tokens.
+    prefix memory that no kept program uses, in tokens; `call_seconds` is the
+    time that a call has lately taken, 0 where none is known.
     """
 
     target: TargetName
@@ -56,6 +57,7 @@
     slots: int = 1
     cache_free: int = 0
     programs: int = 0
+    call_seconds: float = 0.0
     draining: bool = False
 
 
