Compile routes one at a time, and end the tests with their verdict

Cause: in a fresh clone one of 133 tests failed with a SystemError of the ast module (Python 3.11 fails when two threads compile routes at once), and the run did not end since threads of that half-started system were waited for. Change: routes are made under a lock; the test command ends with its verdict. Before: 132 passed, 1 failed, no end.

--- a/sequoiaarch/daemon/run.py
+++ b/sequoiaarch/daemon/run.py
@@ -11,7 +11,6 @@
 import logbook
 import zmq.asyncio
 from werkzeug.exceptions import HTTPException
-from werkzeug.routing import Map
 from werkzeug.wrappers import Request
 
 from ..config.settings import Role, Settings
@@ -19,7 +18,7 @@
 from ..gateway.operators import probe_rules
 from ..ids import TargetName
 from ..sidecar.sidecar import Sidecar
-from ..webserver import WebServer, WsgiApp
+from ..webserver import WebServer, WsgiApp, make_routes
 from .base import Core, connect_platform, make_core
 from .standalone import run_standalone
 
@@ -28,7 +27,7 @@
 
 def probe_app(core: Core, ready: Callable[[], bool]) -> WsgiApp:
     """Return an application that answers metrics and probes only."""
-    routes = Map(probe_rules(core, ready))
+    routes = make_routes(probe_rules(core, ready))
 
     def app(
         environ: dict[str, Any], start_response: Callable[..., Any]
--- a/sequoiaarch/gateway/app.py
+++ b/sequoiaarch/gateway/app.py
@@ -14,7 +14,7 @@
 import xxhash
 from opentelemetry.trace import Span
 from werkzeug.exceptions import HTTPException
-from werkzeug.routing import Map, Rule
+from werkzeug.routing import Rule
 from werkzeug.wrappers import Request, Response
 
 from ..config.documents import ProgramDocument
@@ -24,6 +24,7 @@
 from ..home.chat import parse_chat
 from ..ids import CallKey, ProgramId, Workspace, new_id, root_of
 from ..records.types import ProgramSpec, ProgramState
+from ..webserver import make_routes
 from ..wire.messages import (
     CallKind,
     CallRequest,
@@ -82,7 +83,7 @@
         self._last_request = 0.0
         self.leaving = False
         self.refusing = False
-        self._map = Map(self._rules())
+        self._map = make_routes(self._rules())
 
     @property
     def open_requests(self) -> int:
--- a/sequoiaarch/standins/web.py
+++ b/sequoiaarch/standins/web.py
@@ -7,10 +7,10 @@
 
 import msgspec
 from werkzeug.exceptions import HTTPException
-from werkzeug.routing import Map, Rule
+from werkzeug.routing import Rule
 from werkzeug.wrappers import Request, Response
 
-from ..webserver import WebServer
+from ..webserver import WebServer, make_routes
 
 Handler = Callable[..., Response]
 
@@ -32,7 +32,7 @@
             Rule(path, methods=[method], endpoint=handler)
             for method, path, handler in routes
         ]
-        self._map = Map(rules)
+        self._map = make_routes(rules)
         self._server = WebServer(app=self._app, address="127.0.0.1", port=port)
 
     @property
--- a/sequoiaarch/tests/__main__.py
+++ b/sequoiaarch/tests/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import unittest
 from pathlib import Path
@@ -31,4 +32,9 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Threads of processes that a test killed may still wait for something;
+    # the verdict stands and must not wait for them.
+    os._exit(code)
--- a/sequoiaarch/webserver.py
+++ b/sequoiaarch/webserver.py
@@ -11,6 +11,7 @@
 import logbook
 from cheroot import wsgi
 from cheroot.workers.threadpool import ThreadPool
+from werkzeug.routing import Map, Rule
 
 log = logbook.Logger("http")
 
@@ -23,6 +24,20 @@
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
+_COMPILING = threading.Lock()
+
+
+def make_routes(rules: Iterable[Rule]) -> Map:
+    """Return the map of routes.
+
+    Rules are compiled through the `ast` module, which on Python 3.11 fails
+    with a SystemError when two threads use it at once. One at a time is
+    enough, since routes are made only at the start.
+    """
+    with _COMPILING:
+        return Map(rules)
+
+
 class WebServer:
     """Serve one WSGI application, a thread for each open connection.
 
