--- a/sequoiaarch/home/homes.py
+++ b/sequoiaarch/home/homes.py
@@ -292,10 +292,6 @@
         self._metrics.programs.set({}, len(self._programs))
         await self._left.put((running.id, cause))
 
-    async def drop_lost(self, running: RunningProgram) -> None:
-        """Forget a program that another home has taken over."""
-        await self._remove(running, "superseded")
-
     async def spawn(
         self, parent: RunningProgram, child: ProgramId, budget: int
     ) -> Failure | None:
--- a/sequoiaarch/observe/metrics.py
+++ b/sequoiaarch/observe/metrics.py
@@ -18,7 +18,6 @@
         self.records = self._counter("log_records_total", "Records by verdict.")
         self.appends = self._counter("log_appends_total", "Appends by result.")
         self.claims = self._counter("claims_total", "Claims by cause.")
-        self.takeovers = self._counter("takeovers_total", "Homes replaced.")
         self.freed = self._counter("cache_freed_total", "Prefixes freed by cause.")
         self.peers_lost = self._counter("peers_lost_total", "Peers found silent.")
         self.cached_tokens = self._counter(
--- a/sequoiaarch/shards/client.py
+++ b/sequoiaarch/shards/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
 
 import logbook
 import xxhash
@@ -34,18 +33,6 @@
 FIRST = Seq(0)
 
 
-class Peer(Protocol):
-    """Name a process that can keep shards."""
-
-    @property
-    def name(self) -> TargetName:
-        """Return the name of the target that the process stands beside."""
-
-    @property
-    def address(self) -> str:
-        """Return where the inner protocol is spoken."""
-
-
 def shard_of(program: ProgramId, shards: int) -> int:
     """Return the shard of a program; sub-agents share that of their root."""
     return xxhash.xxh3_64_intdigest(root_of(program).encode()) % shards
@@ -180,9 +167,7 @@
         found = [stream.state(program) for program in programs]
         return [state for state in found if state is not None]
 
-    async def state(
-        self, program: ProgramId, *, fresh: bool = False
-    ) -> ProgramState | None | Failure:
+    async def state(self, program: ProgramId) -> ProgramState | None | Failure:
         """Return what the log says of one program."""
         found = await self.states(self.shard_of(program), [program])
         if isinstance(found, Failure):
--- a/sequoiaarch/tests/base.py
+++ b/sequoiaarch/tests/base.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-import msgspec
 import zmq.asyncio
 
 from ..client import Client
@@ -586,8 +585,3 @@
 
     threading.Thread(target=run, daemon=True).start()
     return future
-
-
-def as_json(value: Any) -> Any:
-    """Return a value as it looks after JSON."""
-    return msgspec.json.decode(msgspec.json.encode(value))
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -24,7 +24,6 @@
 from ..records.acceptance import Verdict
 from ..records.types import (
     CallAnswer,
-    Outcome,
     ProgramSpec,
     ProgramState,
     ShardRecord,
@@ -131,7 +130,6 @@
 
     shard: int
     programs: list[ProgramId]
-    at_least: Offset = Offset(0)
 
 
 class HistoryRequest(Message, frozen=True, kw_only=True, tag="history"):
@@ -262,7 +260,6 @@
     committed: bool = False
     turn: Turn | None = None
     used: int = 0
-    outcome: Outcome | None = None
     load: Load | None = None
 
 
