--- a/sequoiaarch/bench/fleet.py
+++ b/sequoiaarch/bench/fleet.py
@@ -21,9 +21,9 @@
 from ..client import Client
 from ..config.settings import LimitOptions
 from ..ids import HostName, new_id
-from ..platform.interfaces import HostState
 from ..standins.engine import EngineOptions
 from ..standins.platform import Faults, HostChange
+from ..storage.interfaces import HostState
 
 START_LIMIT = 60.0
 STOP_LIMIT = 60.0
--- a/sequoiaarch/config/follower.py
+++ b/sequoiaarch/config/follower.py
@@ -11,7 +11,7 @@
 from ..errors import ErrorKind, Failure
 from ..ids import Offset, RecordId, new_id
 from ..observe.metrics import Metrics
-from ..platform.interfaces import AppendLog
+from ..storage.interfaces import AppendLog
 from .store import (
     ConfigSnapshot,
     ConfigView,
--- a/sequoiaarch/daemon/base.py
+++ b/sequoiaarch/daemon/base.py
@@ -21,10 +21,10 @@
 from ..observe.decisions import Decisions
 from ..observe.metrics import Metrics
 from ..observe.traces import Tracing
-from ..platform.http import HttpClient, HttpHostList, HttpLog
-from ..platform.interfaces import AppendLog, HostList
-from ..platform.memory import MemoryHostList
 from ..shards.client import LocalShards, Shards
+from ..storage.http import HttpClient, HttpHostList, HttpLog
+from ..storage.interfaces import AppendLog, HostList
+from ..storage.memory import MemoryHostList
 from ..wire.links import CurveKeys, Links
 from ..wire.messages import ConfigReply, ConfigRequest
 
--- a/sequoiaarch/daemon/standalone.py
+++ b/sequoiaarch/daemon/standalone.py
@@ -15,10 +15,10 @@
 from ..errors import Failure
 from ..gateway.gateway import Gateway
 from ..ids import RecordId, TargetName, new_id
-from ..platform.memory import MemoryLog
 from ..sidecar.sidecar import Sidecar
 from ..standins.engine import EngineOptions, EngineStandIn
 from ..standins.service import ServiceStandIn
+from ..storage.memory import MemoryLog
 from .base import Core, PlatformServices, fixed_hosts, make_core
 
 log = logbook.Logger("daemon")
--- a/sequoiaarch/errors.py
+++ b/sequoiaarch/errors.py
@@ -32,6 +32,7 @@
     PROGRAM_ENDED = "program_ended"
     PROGRAM_LIMIT = "program_limit"
     OVERLOADED = "overloaded"
+    STARTING = "starting"
     STOPPING = "stopping"
     MOVED = "moved"
     NO_TARGET = "no_target"
@@ -69,6 +70,7 @@
     ErrorKind.PROGRAM_ENDED: Answer(status=410, not_run=NotRun.YES),
     ErrorKind.PROGRAM_LIMIT: Answer(status=403, not_run=NotRun.YES),
     ErrorKind.OVERLOADED: Answer(status=429, not_run=NotRun.YES, retry_after=1.0),
+    ErrorKind.STARTING: Answer(status=503, not_run=NotRun.YES, retry_after=0.3),
     ErrorKind.STOPPING: Answer(status=503, not_run=NotRun.YES, retry_after=0.2),
     ErrorKind.MOVED: Answer(status=503, not_run=NotRun.YES, retry_after=0.2),
     ErrorKind.NO_TARGET: Answer(status=503, not_run=NotRun.YES, retry_after=1.0),
--- /dev/null
+++ b/sequoiaarch/http1/client.py
@@ -0,0 +1,227 @@
+"""Exchange requests with a target over one connection at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import h11
+
+from .messages import Headers, LinkError, LinkFault, RequestMessage, ResponseHead
+from .sockets import watch_peer
+
+MAX_INCOMPLETE_BYTES = 64 * 1024
+PAUSE_ABOVE_BYTES = 256 * 1024
+
+
+class ClientLink(asyncio.Protocol):
+    """Hold one connection to a target and the exchange on it.
+
+    Bytes that arrive while no request waits belong to no request: they make
+    the link unusable.
+    """
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
+        )
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._request: h11.Request | None = None
+        self._received = bytearray()
+        self._ended = False
+        self._error: Exception | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._sent = False
+        self.idle_since = 0.0
+        self.exchanges = 0
+        self.keep_alive: float | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Return whether a further request may be sent."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and not self._ended
+            and self._error is None
+            and not self._received
+            and self._http.our_state is h11.IDLE
+        )
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the connection is gone."""
+        return self._transport is None or self._transport.is_closing() or self._ended
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+        watch_peer(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the target."""
+        self._received += data
+        if self._request is None and self._transport is not None:
+            self._transport.abort()
+        if len(self._received) > PAUSE_ABOVE_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note that the target sends no more."""
+        self._ended = True
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note that the connection is gone."""
+        if exc is not None or not self._ended:
+            self._error = exc or ConnectionResetError("closed")
+        self._transport = None
+        self._writable.set()
+        self._wake()
+
+    def pause_writing(self) -> None:
+        """Hold back bytes that the target does not read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Send on."""
+        self._writable.set()
+
+    async def send(self, message: RequestMessage) -> None:
+        """Send a whole request."""
+        self._sent = False
+        headers = [*message.headers]
+        if message.body or message.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"Content-Length", str(len(message.body)).encode()))
+        self._request = h11.Request(
+            method=message.method, target=message.target, headers=headers
+        )
+        data = self._http.send(self._request) or b""
+        if message.body:
+            data += self._http.send(h11.Data(data=message.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise LinkError(LinkFault.RESET, "before the request", sent=False)
+        self.exchanges += 1
+        self._sent = True
+        transport.write(data)
+        await self._writable.wait()
+
+    async def head(self) -> ResponseHead:
+        """Wait for the head of the response."""
+        while True:
+            event = await self._event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise LinkError(LinkFault.GARBLED, "no status line", sent=True)
+            headers: Headers = list(event.headers.raw_items())
+            return ResponseHead(
+                status=event.status_code, reason=bytes(event.reason), headers=headers
+            )
+
+    async def body_part(self) -> bytes | None:
+        """Wait for bytes of the body; None marks its complete end."""
+        event = await self._event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise LinkError(LinkFault.GARBLED, "unexpected event", sent=True)
+
+    async def skip_response(self) -> None:
+        """Read past a response that answers another request, and await ours.
+
+        A target may send a second response late, where the next one is
+        expected. Passing it on would hand a caller somebody else's answer.
+        """
+        while await self.body_part() is not None:
+            pass
+        rest = bytes(self._http.trailing_data[0])
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
+        )
+        assert self._request is not None
+        stub = h11.Request(
+            method=self._request.method,
+            target=self._request.target,
+            headers=[(b"Host", b"awaited")],
+        )
+        self._http.send(stub)
+        self._http.send(h11.EndOfMessage())
+        self._received[:0] = rest
+
+    def finish(self) -> bool:
+        """End a complete exchange; return whether the link may be used again."""
+        if (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+            and not self._http.trailing_data[0]
+            and not self._received
+        ):
+            self._http.start_next_cycle()
+            self._request = None
+            if self.usable:
+                return True
+        self.abort()
+        return False
+
+    def abort(self) -> None:
+        """Reset the connection, which stops the target's work on it."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                fault = LinkFault.TRUNCATED if self._ended else LinkFault.GARBLED
+                raise LinkError(fault, str(error), sent=self._sent) from None
+            if event is h11.NEED_DATA:
+                await self._more()
+                continue
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise LinkError(LinkFault.TRUNCATED, "closed", sent=self._sent)
+            return cast(h11.Event, event)
+
+    async def _more(self) -> None:
+        """Feed received bytes to the parser, waiting for some."""
+        while not self._received:
+            if self._error is not None:
+                raise LinkError(LinkFault.RESET, str(self._error), sent=self._sent)
+            if self._ended:
+                self._http.receive_data(b"")
+                return
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        data = bytes(self._received)
+        self._received.clear()
+        self._http.receive_data(data)
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+async def connect(address: tuple[str, int], *, timeout: float) -> ClientLink:
+    """Return a link to an address; the time in seconds."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout):
+            _, link = await loop.create_connection(ClientLink, *address)
+    except TimeoutError:
+        raise LinkError(LinkFault.TIMEOUT, "connecting", sent=False) from None
+    except OSError as error:
+        raise LinkError(LinkFault.REFUSED, str(error), sent=False) from None
+    return link
--- a/sequoiaarch/ids.py
+++ b/sequoiaarch/ids.py
@@ -16,6 +16,10 @@
 Epoch = NewType("Epoch", int)
 Offset = NewType("Offset", int)
 Seq = NewType("Seq", int)
+ServiceName = NewType("ServiceName", str)
+InstanceId = NewType("InstanceId", str)
+SessionId = NewType("SessionId", str)
+TurnId = NewType("TurnId", str)
 
 RANDOM_ID_BYTES = 9
 CHILD_SEPARATOR = "."
--- /dev/null
+++ b/sequoiaarch/ingress/daemon.py
@@ -0,0 +1,193 @@
+"""Run one ingress daemon: followers, ledger and the callers' front."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import signal
+from collections.abc import Callable
+
+import logbook
+
+from ..http1.messages import RequestMessage
+from ..http1.server import Reply, Server, ServerLimits
+from ..ids import InstanceId
+from ..ledger.ledger import Ledger
+from ..policies.engines import LeastRunning, PrefixMemory, PrefixPlacement
+from ..routing.follower import TopicFollower
+from ..routing.routes import RouteTable
+from ..routing.targets import TargetEntry, Targets
+from ..storage.keyed import KeyedLog, KeyedRecord
+from .calls import CallCodec
+from .dispatcher import Dispatcher
+from .handler import RequestHandler
+from .options import IngressOptions
+
+log = logbook.Logger("daemon")
+
+# Heartbeats of all targets arrive several times a second; a target that drains
+# must get nothing new two seconds later. Seconds.
+TARGETS_GATHER = 0.3
+# The balancer asks once a second and needs two misses; new connections may
+# come until then. Seconds.
+READY_NOTICE = 2.6
+STOP_MARGIN = 1.0
+
+
+class Sources:
+    """Name the topics that the platform fills, and decode their records."""
+
+    def __init__(
+        self,
+        *,
+        routes_topic: str,
+        routes_key: str,
+        targets_topic: str,
+        decode_routes: Callable[[bytes], RouteTable],
+        decode_target: Callable[[str, bytes], TargetEntry],
+    ) -> None:
+        self.routes_topic = routes_topic
+        self.routes_key = routes_key
+        self.targets_topic = targets_topic
+        self.decode_routes = decode_routes
+        self.decode_target = decode_target
+
+
+class IngressDaemon:
+    """Hold the parts of one ingress daemon."""
+
+    def __init__(
+        self,
+        *,
+        options: IngressOptions,
+        keyed_log: KeyedLog,
+        codec: CallCodec,
+        sources: Sources,
+    ) -> None:
+        self._options = options
+        self._sources = sources
+        rng = random.Random()
+        self.targets = Targets()
+        self.ledger = Ledger(log=keyed_log, writer=secrets.token_hex(6))
+        self.dispatcher = Dispatcher(
+            codec=codec,
+            data_centre=options.data_centre,
+            targets=self.targets,
+            engines=PrefixPlacement(memory=PrefixMemory(), rng=rng),
+            plain=LeastRunning(rng=rng),
+            rng=rng,
+        )
+        handler = RequestHandler(dispatcher=self.dispatcher, ledger=self.ledger)
+        self.front = Server(handle=handler.handle, limits=ServerLimits())
+        self._ready = Server(handle=self._answer_ready, limits=ServerLimits())
+        self._routes_follower = TopicFollower(
+            log=keyed_log,
+            topic=sources.routes_topic,
+            replace=self._take_all_routes,
+            change=self._take_routes,
+        )
+        self._targets_follower = TopicFollower(
+            log=keyed_log,
+            topic=sources.targets_topic,
+            replace=self._take_all_targets,
+            change=self._take_target,
+            gather=TARGETS_GATHER,
+            lost=self.targets.store_lost,
+            regained=self.targets.store_regained,
+        )
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return (
+            self.dispatcher.routes is not None
+            and len(self.targets) > 0
+            and self.ledger.loaded
+            and not self.ledger.away
+            and not self._stopping.is_set()
+        )
+
+    async def run(self) -> None:
+        """Run until a signal stops the daemon."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        await self.start()
+        await self._stopping.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store."""
+        await self._ready.start(*self._options.ready)
+        await self.front.start(*self._options.front)
+        parts = (
+            self._routes_follower.follow(),
+            self._targets_follower.follow(),
+            self.ledger.start(),
+            self.ledger.expire(),
+            self.dispatcher.pool.sweep(),
+        )
+        self._tasks = [asyncio.create_task(part) for part in parts]
+        log.info("started as {}", self._options.host)
+
+    async def stop(self) -> None:
+        """Take no more callers, finish what runs, and end."""
+        log.info("stopping: {} connections", len(self.front.links))
+        self.front.stopping = True
+        await asyncio.sleep(READY_NOTICE)
+        self.front.stop_accepting()
+        left = self._options.stop_timeout - READY_NOTICE - STOP_MARGIN
+        drained = await self.front.drained(left)
+        await asyncio.wait_for(self.ledger.flush(), STOP_MARGIN / 2)
+        log.info("stopped, all answered: {}", drained)
+        for task in self._tasks:
+            task.cancel()
+
+    async def _answer_ready(self, message: RequestMessage, reply: Reply) -> None:
+        await reply.whole(200 if self.ready else 503, [], b"")
+
+    def _take_all_routes(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            self._take_routes(record)
+
+    def _take_routes(self, record: KeyedRecord) -> None:
+        if record.key != self._sources.routes_key or not record.value:
+            return
+        try:
+            routes = self._sources.decode_routes(record.value)
+        except ValueError as error:
+            log.error("configuration can't be read and is passed over: {}", error)
+            return
+        current = self.dispatcher.routes
+        if current is not None and routes.version <= current.version:
+            return
+        self.dispatcher.routes = routes
+        limits = routes.limits
+        self.front.limits = ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout=limits.header_timeout,
+            idle_timeout=limits.idle_timeout,
+        )
+        log.info("version {}: {} routes", routes.version, routes.route_count)
+
+    def _take_all_targets(self, records: list[KeyedRecord]) -> None:
+        decoded = [self._decode_target(record) for record in records if record.value]
+        self.targets.replace([entry for entry in decoded if entry is not None])
+
+    def _take_target(self, record: KeyedRecord) -> None:
+        entry = self._decode_target(record) if record.value else None
+        if entry is not None:
+            self.targets.put(entry)
+        elif not record.value:
+            self.targets.remove(InstanceId(record.key))
+
+    def _decode_target(self, record: KeyedRecord) -> TargetEntry | None:
+        try:
+            return self._sources.decode_target(record.key, record.value)
+        except ValueError as error:
+            log.error("registration {} can't be read: {}", record.key, error)
+            return None
--- /dev/null
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -0,0 +1,86 @@
+"""Choose targets and hold what all requests share."""
+
+from __future__ import annotations
+
+import random
+
+from ..ids import DataCentre, InstanceId, ServiceName
+from ..policies.engines import EngineChoice, EnginePlacement, PromptShape
+from ..routing.routes import Route, RouteTable
+from ..routing.targets import TargetEntry, Targets
+from .calls import CallCodec, CallInfo
+from .load import LoadBoard
+from .pool import TargetPool
+
+# Engines read 0 as the most urgent and 9 as the least.
+LEAST_URGENT = 9
+
+
+class Dispatcher:
+    """Hold the targets, connections and load, and place requests."""
+
+    def __init__(
+        self,
+        *,
+        codec: CallCodec,
+        data_centre: DataCentre,
+        targets: Targets,
+        engines: EnginePlacement,
+        plain: EnginePlacement,
+        rng: random.Random,
+    ) -> None:
+        self.codec = codec
+        self.pool = TargetPool()
+        self.load = LoadBoard()
+        self.routes: RouteTable | None = None
+        self._data_centre = data_centre
+        self._targets = targets
+        self._engines = engines
+        self._plain = plain
+        self._rng = rng
+
+    def choose(
+        self, route: Route, info: CallInfo, tried: set[InstanceId]
+    ) -> TargetEntry | None:
+        """Return the target for a request among those not yet tried."""
+        service = self._service(route)
+        entries = [
+            entry for entry in self._targets.of(service) if entry.instance not in tried
+        ]
+        if not entries:
+            return None
+        choices = [self._choice(entry) for entry in entries]
+        policy = self._engines if route.sticky else self._plain
+        instance, _ = policy.choose(_shape(info), choices)
+        return next(entry for entry in entries if entry.instance == instance)
+
+    def event_tokens(self, service: ServiceName) -> int:
+        """Return the tokens in each event of a service's streams."""
+        found = self.routes.services.get(service) if self.routes else None
+        if found is None or found.engine is None:
+            return 1
+        return found.engine.event_tokens
+
+    def urgency(self, route: Route) -> int | None:
+        """Return the urgency of a route's requests at an engine."""
+        if not route.sticky:
+            return None
+        return min(route.priority, LEAST_URGENT)
+
+    def _service(self, route: Route) -> ServiceName:
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [share.weight for share in route.services]
+        return self._rng.choices(route.services, weights)[0].service
+
+    def _choice(self, entry: TargetEntry) -> EngineChoice:
+        return EngineChoice(
+            instance=entry.instance,
+            slots=max(1, entry.slots),
+            running=self.load.running(entry.instance),
+            near=entry.data_centre == self._data_centre,
+        )
+
+
+def _shape(info: CallInfo) -> PromptShape:
+    return PromptShape(parts=tuple((one.part, one.tokens) for one in info.prefix))
--- /dev/null
+++ b/sequoiaarch/ingress/exchange.py
@@ -0,0 +1,331 @@
+"""Carry one request to a target and its answer back."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import logbook
+
+from ..errors import ErrorKind, FailureError, fail
+from ..http1.client import ClientLink
+from ..http1.events import EventSplitter, event_data
+from ..http1.messages import LinkError, RequestMessage, ResponseHead
+from ..http1.server import Reply
+from ..ids import InstanceId, TurnId
+from ..ledger.ledger import Ledger, Lookup, Reservation, TurnTerms, Verdict
+from ..routing.routes import Route, RouteKind
+from ..routing.targets import TargetEntry
+from .calls import AnswerInfo, CallInfo, Dispatch
+from .dispatcher import Dispatcher
+
+log = logbook.Logger("request")
+
+# A request that no target accepted is sent to at most so many: the others of
+# its service are as likely to be full.
+MOST_TRIES = 3
+# Times to come back, in seconds: after a full service, and after a store that
+# can't be reached from here while another host may reach it.
+BUSY_RETRY = 0.25
+STORE_RETRY = 0.1
+BODY_LIMIT = 16 * 1024 * 1024
+OK = 200
+REDIRECT = 300
+SERVER_ERROR = 500
+
+
+@dataclass(kw_only=True, eq=False)
+class _Running:
+    """Hold a request that a target answers."""
+
+    target: TargetEntry
+    link: ClientLink
+    head: ResponseHead
+    answer: AnswerInfo
+
+
+class Exchange:
+    """Carry one request; whatever happens, its target is let go at the end."""
+
+    def __init__(
+        self,
+        *,
+        message: RequestMessage,
+        info: CallInfo,
+        route: Route,
+        reply: Reply,
+        deadline: float,
+        dispatcher: Dispatcher,
+        ledger: Ledger,
+    ) -> None:
+        self._message = message
+        self._info = info
+        self._route = route
+        self._reply = reply
+        self._deadline = deadline
+        self._dispatcher = dispatcher
+        self._ledger = ledger
+        self._body = message.body
+        self._tried: set[InstanceId] = set()
+        self._sends = 0
+        self.trail: list[str] = []
+
+    async def run(self) -> None:
+        """Answer the request; raises FailureError before an answer started."""
+        if self._route.kind is not RouteKind.STREAM:
+            await self._plain()
+        elif self._info.budget is None:
+            await self._stream(None)
+        else:
+            await self._turn(self._info.budget)
+
+    async def _turn(self, budget: int) -> None:
+        """Run a turn of a program inside its budget."""
+        if self._route.retained:
+            if self._ledger.away:
+                raise fail(
+                    ErrorKind.LOG_UNAVAILABLE,
+                    "turns can't be kept at present",
+                    retry_after=STORE_RETRY,
+                )
+            await self._prepend_history()
+        terms = TurnTerms(
+            turn=TurnId(self._info.attempt),
+            program=self._info.program,
+            budget=budget,
+            most=self._info.most_tokens,
+            retention=self._route.retention,
+        )
+        reserved = await self._ledger.reserve(terms)
+        if isinstance(reserved, Verdict):
+            raise _budget_failure(reserved)
+        stream = _TurnStream(reservation=reserved)
+        try:
+            await self._stream(stream)
+        finally:
+            if not stream.committed:
+                self._ledger.settle(terms, used=stream.used)
+
+    async def _prepend_history(self) -> None:
+        previous = self._info.previous
+        if previous is None:
+            return
+        found = await self._ledger.history(self._info.program, previous)
+        if found is Lookup.ABSENT:
+            raise fail(ErrorKind.NOT_FOUND, f"no turn {previous}")
+        if isinstance(found, Lookup):
+            raise fail(ErrorKind.LOG_UNAVAILABLE, found.value, retry_after=STORE_RETRY)
+        self._body = found + self._message.body
+        self.trail.append(f"history={len(found)}B")
+
+    async def _plain(self) -> None:
+        """Pass on an answer once it is whole."""
+        while True:
+            running = await self._open()
+            try:
+                body = await self._whole_body(running)
+            except LinkError as error:
+                self._close(running, whole=False)
+                self._after_break(error)
+                continue
+            except BaseException:
+                self._close(running, whole=False)
+                raise
+            self._close(running, whole=True)
+            head = running.head
+            await self._reply.whole(
+                head.status, running.answer.headers, body, head.reason
+            )
+            return
+
+    async def _whole_body(self, running: _Running) -> bytes:
+        body = bytearray()
+        while (part := await running.link.body_part()) is not None:
+            body += part
+            if len(body) > BODY_LIMIT:
+                raise fail(ErrorKind.TARGET_FAILED, "the answer is too large")
+        return bytes(body)
+
+    def _after_break(self, error: LinkError) -> None:
+        """Return if the request may be sent again after a broken answer."""
+        self.trail.append(f"broken:{error.fault.name}")
+        again = self._route.kind is RouteKind.SAFE
+        if again and self._sends < self._route.max_attempts:
+            return
+        raise fail(ErrorKind.INTERRUPTED, str(error)) from error
+
+    async def _stream(self, turn: _TurnStream | None) -> None:
+        """Pass events on as they come."""
+        running = await self._open()
+        whole = False
+        try:
+            if not OK <= running.head.status < REDIRECT:
+                body = await self._whole_body(running)
+                whole = True
+                head = running.head
+                headers = running.answer.headers
+                await self._reply.whole(head.status, headers, body, head.reason)
+                return
+            whole = await self._relay(running, turn)
+        except LinkError as error:
+            self.trail.append(f"broken:{error.fault.name}")
+            if not self._reply.started:
+                raise fail(ErrorKind.INTERRUPTED, str(error)) from error
+            self._reply.abort()
+        finally:
+            self._close(running, whole=whole)
+
+    async def _relay(self, running: _Running, turn: _TurnStream | None) -> bool:
+        """Relay a stream; return whether it was whole."""
+        splitter = EventSplitter()
+        while (part := await running.link.body_part()) is not None:
+            for event in splitter.feed(part):
+                await self._pass_on(running, turn, event)
+        if splitter.pending:
+            raise fail(ErrorKind.INTERRUPTED, "the stream ended inside an event")
+        if turn is not None and self._route.retained:
+            await self._commit(turn)
+        if not self._reply.started:
+            await self._start(running)
+        await self._reply.end()
+        return True
+
+    async def _pass_on(
+        self, running: _Running, turn: _TurnStream | None, event: bytes
+    ) -> None:
+        if turn is not None:
+            if not self._reply.started:
+                await self._confirm(turn)
+            turn.used += self._dispatcher.event_tokens(running.target.service)
+            turn.produced.append(event_data(event) + b"\n")
+        if not self._reply.started:
+            await self._start(running)
+        await self._reply.part(event)
+
+    async def _confirm(self, turn: _TurnStream) -> None:
+        """Let the first event out only when its tokens are durably reserved."""
+        verdict = await turn.reservation.verdict()
+        if verdict is not Verdict.FITS:
+            self.trail.append(f"budget:{verdict.value}")
+            raise fail(ErrorKind.INTERRUPTED, f"the budget is {verdict.value}")
+
+    async def _commit(self, turn: _TurnStream) -> None:
+        terms = turn.reservation.terms
+        await self._ledger.commit(
+            terms,
+            used=turn.used,
+            parent=self._info.previous,
+            given=self._message.body,
+            produced=b"".join(turn.produced),
+        )
+        turn.committed = True
+
+    async def _start(self, running: _Running) -> None:
+        head = running.head
+        await self._reply.start(
+            ResponseHead(
+                status=head.status, reason=head.reason, headers=running.answer.headers
+            )
+        )
+
+    async def _open(self) -> _Running:
+        """Send the request until a target runs it."""
+        refusals = 0
+        while True:
+            target = self._dispatcher.choose(self._route, self._info, self._tried)
+            if target is None or refusals >= MOST_TRIES:
+                raise fail(
+                    ErrorKind.OVERLOADED if refusals else ErrorKind.NO_TARGET,
+                    f"{refusals} targets refused" if refusals else "no target",
+                    retry_after=BUSY_RETRY,
+                )
+            self._tried.add(target.instance)
+            running = await self._send(target)
+            if running is not None:
+                return running
+            refusals += 1
+
+    async def _send(self, target: TargetEntry) -> _Running | None:
+        """Send the request; None if it has surely not run there."""
+        self._dispatcher.load.started(target.instance)
+        link: ClientLink | None = None
+        kept = False
+        try:
+            link = await self._dispatcher.pool.take(target)
+            await link.send(self._outgoing(target))
+            running = await self._await_head(target, link)
+            kept = running is not None
+            return running
+        except LinkError as error:
+            self.trail.append(f"{target.instance}:{error.fault.name}")
+            if not error.sent:
+                return None
+            self._sends += 1
+            again = self._route.repeatable and self._sends < self._route.max_attempts
+            if again:
+                return None
+            raise fail(ErrorKind.INTERRUPTED, str(error)) from error
+        finally:
+            if not kept:
+                self._dispatcher.load.ended(target.instance)
+                if link is not None and not link.closed:
+                    link.abort()
+
+    async def _await_head(
+        self, target: TargetEntry, link: ClientLink
+    ) -> _Running | None:
+        while True:
+            head = await link.head()
+            answer = self._dispatcher.codec.answer(head)
+            if answer.attempt is None or answer.attempt == self._info.attempt:
+                break
+            self.trail.append("skipped another's answer")
+            await link.skip_response()
+        if answer.not_run:
+            self.trail.append(f"{target.instance}:not run {head.status}")
+            while await link.body_part() is not None:
+                pass
+            self._dispatcher.pool.give_back(target, link, answer.idle_limit)
+            return None
+        self._sends += 1
+        self.trail.append(f"{target.instance}:{head.status}")
+        return _Running(target=target, link=link, head=head, answer=answer)
+
+    def _outgoing(self, target: TargetEntry) -> RequestMessage:
+        left = self._deadline - asyncio.get_running_loop().time()
+        dispatch = Dispatch(
+            instance=target.instance,
+            deadline=left,
+            body=self._body,
+            urgency=self._dispatcher.urgency(self._route),
+        )
+        return self._dispatcher.codec.forward(self._message, dispatch)
+
+    def _close(self, running: _Running, *, whole: bool) -> None:
+        self._dispatcher.load.ended(running.target.instance)
+        if whole:
+            self._dispatcher.pool.give_back(
+                running.target, running.link, running.answer.idle_limit
+            )
+        else:
+            running.link.abort()
+
+
+class _TurnStream:
+    """Collect what a turn hands out."""
+
+    def __init__(self, *, reservation: Reservation) -> None:
+        self.reservation = reservation
+        self.used = 0
+        self.produced: list[bytes] = []
+        self.committed = False
+
+
+def _budget_failure(verdict: Verdict) -> FailureError:
+    if verdict is Verdict.EXCEEDED:
+        return fail(ErrorKind.BUDGET_EXHAUSTED, "the budget of the program is spent")
+    return fail(
+        ErrorKind.LOG_UNAVAILABLE,
+        "the budget can't be checked at present",
+        retry_after=STORE_RETRY,
+    )
--- a/sequoiaarch/membership/view.py
+++ b/sequoiaarch/membership/view.py
@@ -13,7 +13,7 @@
 from ..errors import Failure
 from ..ids import HostName, TargetName
 from ..observe.metrics import Metrics
-from ..platform.interfaces import HostList, HostState
+from ..storage.interfaces import HostList, HostState
 from ..wire.links import Links
 from ..wire.messages import Load, LoadReply, LoadRequest
 
--- a/sequoiaarch/platform/__init__.py
+++ b/sequoiaarch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Meet the services of the platform: log, host list and weight store."""
+"""Translate between the product and the users' platform."""
--- /dev/null
+++ b/sequoiaarch/platform/calls.py
@@ -0,0 +1,143 @@
+"""Translate the headers of requests and responses."""
+
+from __future__ import annotations
+
+from ..http1.messages import Headers, RequestMessage, ResponseHead, end_to_end
+from ..ids import AttemptId, InstanceId, ProgramId, SessionId, TurnId
+from ..ingress.calls import AnswerInfo, CallInfo, Dispatch, PromptPart
+
+ATTEMPT = b"x-attempt-id"
+DEADLINE = b"x-deadline-ms"
+PROGRAM = b"x-program-id"
+SESSION = b"x-session-id"
+PROGRAM_DEADLINE = b"x-program-deadline-ms"
+BUDGET = b"x-token-budget"
+USAGE = b"x-token-usage"  # prompt tokens, most output tokens
+PREFIX = b"x-prompt-prefix"
+PREVIOUS = b"x-previous-turn"
+HINT = b"x-length-hint"
+EXPECT_INSTANCE = b"x-expect-instance"
+INSTANCE = b"x-instance-id"
+NOT_RUN = b"x-not-executed"
+PRIORITY = b"x-request-priority"
+MISDIRECTED = 421
+READY_PATH = b"/-/readyz"
+
+# Headers by which a request holds engine memory or names a place in it. Only
+# the scheduler may set them: from a caller they would pin another's memory.
+RESERVED = frozenset(
+    {
+        b"x-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"x-expect-version",
+        EXPECT_INSTANCE,
+        PRIORITY,
+    }
+)
+
+
+class PlatformCalls:
+    """Read callers' headers and write those for targets."""
+
+    def read(self, message: RequestMessage) -> CallInfo:
+        """Return what a request says of itself; raises ValueError."""
+        found = {name.lower(): value.strip() for name, value in message.headers}
+        usage = _numbers(found.get(USAGE))
+        previous = _text(found.get(PREVIOUS))
+        return CallInfo(
+            attempt=AttemptId(_text(found.get(ATTEMPT)) or ""),
+            host=_text(found.get(b"host")) or "",
+            path=message.target.split(b"?", 1)[0].decode("latin-1"),
+            deadline=_seconds(found.get(DEADLINE)),
+            program=ProgramId(_text(found.get(PROGRAM)) or ""),
+            session=SessionId(_text(found.get(SESSION)) or ""),
+            program_deadline=_seconds(found.get(PROGRAM_DEADLINE)),
+            budget=_number(found.get(BUDGET)),
+            prompt_tokens=usage[0] if usage else 0,
+            most_tokens=usage[1] if len(usage) > 1 else 0,
+            expected_tokens=_number(found.get(HINT)),
+            previous=TurnId(previous) if previous else None,
+            prefix=_prefix(found.get(PREFIX)),
+        )
+
+    def forward(self, message: RequestMessage, dispatch: Dispatch) -> RequestMessage:
+        """Return the request as the target is to receive it."""
+        headers = [
+            (name, value)
+            for name, value in end_to_end(message.headers)
+            if name.lower() not in RESERVED and name.lower() != DEADLINE
+        ]
+        left = max(1, int(dispatch.deadline * 1000))
+        headers.append((b"X-Deadline-Ms", str(left).encode()))
+        headers.append((b"X-Expect-Instance", dispatch.instance.encode()))
+        if dispatch.urgency is not None:
+            headers.append((b"X-Request-Priority", str(dispatch.urgency).encode()))
+        return RequestMessage(
+            method=message.method,
+            target=message.target,
+            headers=headers,
+            body=dispatch.body,
+        )
+
+    def answer(self, head: ResponseHead) -> AnswerInfo:
+        """Return what a target's response says of itself."""
+        found = {name.lower(): value.strip() for name, value in head.headers}
+        not_run = NOT_RUN in found or head.status == MISDIRECTED
+        attempt = _text(found.get(ATTEMPT))
+        return AnswerInfo(
+            attempt=AttemptId(attempt) if attempt else None,
+            not_run=not_run,
+            instance=InstanceId(_text(found.get(INSTANCE)) or ""),
+            idle_limit=_keep_alive(found),
+            coded=b"content-encoding" in found,
+            headers=end_to_end(head.headers),
+        )
+
+    def failure_headers(self, attempt: AttemptId, retry_after: float | None) -> Headers:
+        """Return the headers of an answer of the system's own."""
+        headers: Headers = [(b"Content-Type", b"application/json")]
+        if attempt:
+            headers.append((b"X-Attempt-Id", attempt.encode()))
+        if retry_after is not None:
+            headers.append((b"Retry-After", f"{retry_after:.3f}".encode()))
+        return headers
+
+
+def _text(value: bytes | None) -> str | None:
+    return value.decode("latin-1") if value is not None else None
+
+
+def _number(value: bytes | None) -> int | None:
+    return int(value) if value else None
+
+
+def _numbers(value: bytes | None) -> list[int]:
+    return [int(part) for part in value.split(b",")] if value else []
+
+
+def _seconds(value: bytes | None) -> float | None:
+    return float(value) / 1000 if value else None
+
+
+def _prefix(value: bytes | None) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    parts = []
+    for entry in value.split(b","):
+        name, _, tokens = entry.strip().partition(b":")
+        parts.append(PromptPart(part=name.decode("latin-1"), tokens=int(tokens or 0)))
+    return tuple(parts)
+
+
+def _keep_alive(found: dict[bytes, bytes]) -> float | None:
+    """Return the seconds after which the target closes an idle connection."""
+    if b"close" in found.get(b"connection", b"").lower():
+        return 0.0
+    for part in found.get(b"keep-alive", b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
--- /dev/null
+++ b/sequoiaarch/platform/documents.py
@@ -0,0 +1,153 @@
+"""Decode the operator's configuration and the servers' registrations."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..ids import DataCentre, InstanceId, ServiceName
+from ..routing.routes import (
+    ClientLimits,
+    EngineTraits,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    ServiceShare,
+)
+from ..routing.targets import TargetEntry
+from .settings import split_address
+
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+TARGETS_TOPIC = "keyed.servers"
+DRAINING = "draining"
+
+
+class _Fields(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
+    """Accept fields that are not known."""
+
+
+class _Split(_Fields):
+    service: str
+    weight: float
+
+
+class _Route(_Fields):
+    name: str
+    host: str
+    path_prefix: str
+    type: RouteKind  # what may be repeated
+    timeout_ms: float
+    target_latency_ms: float = 1000
+    priority: int = 0
+    service: str = ""
+    split: list[_Split] = []
+    max_attempts: int = 1  # servers that one request may be sent to
+    retained: bool = False
+    retention_s: float = 60
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Runtime(_Fields):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    chunk_tokens: int = 1  # tokens in each event of a stream
+
+
+class _Service(_Fields):
+    name: str
+    max_conns: int = 100
+    runtime: _Runtime | None = None
+
+
+class _Limits(_Fields):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Config(_Fields):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _Registration(_Fields):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+def decode_routes(data: bytes) -> RouteTable:
+    """Return the routes in a configuration; raises msgspec.DecodeError."""
+    config = msgspec.json.decode(data, type=_Config, strict=False)
+    limits = ClientLimits(
+        header_bytes=config.limits.max_header_bytes,
+        body_bytes=config.limits.max_body_bytes,
+        header_timeout=config.limits.header_timeout_ms / 1000,
+        idle_timeout=config.limits.idle_timeout_ms / 1000,
+    )
+    return RouteTable(
+        version=config.version,
+        routes=[_route(one) for one in config.routes],
+        services=[_service(one) for one in config.services],
+        limits=limits,
+    )
+
+
+def decode_target(key: str, data: bytes) -> TargetEntry:
+    """Return the target in a registration; raises msgspec.DecodeError."""
+    found = msgspec.json.decode(data, type=_Registration, strict=False)
+    host, port = split_address(found.address)
+    return TargetEntry(
+        instance=InstanceId(key),
+        service=ServiceName(found.service),
+        host=host,
+        port=port,
+        data_centre=DataCentre(found.zone),
+        slots=found.slots,
+        draining=found.state == DRAINING,
+    )
+
+
+def _route(found: _Route) -> Route:
+    shares = found.split or [_Split(service=found.service, weight=1)]
+    return Route(
+        name=found.name,
+        host=found.host,
+        prefix=found.path_prefix,
+        kind=found.type,
+        services=tuple(
+            ServiceShare(service=ServiceName(one.service), weight=one.weight)
+            for one in shares
+        ),
+        timeout=found.timeout_ms / 1000,
+        latency_target=found.target_latency_ms / 1000,
+        priority=found.priority,
+        max_attempts=found.max_attempts,
+        retained=found.retained,
+        retention=found.retention_s,
+        sticky=found.sticky,
+        resumable=found.resumable,
+    )
+
+
+def _service(found: _Service) -> Service:
+    runtime = found.runtime
+    engine = None
+    if runtime is not None:
+        engine = EngineTraits(
+            slots=runtime.slots,
+            cache_tokens=runtime.kv_capacity_tokens,
+            event_tokens=runtime.chunk_tokens,
+        )
+    return Service(
+        name=ServiceName(found.name),
+        max_connections=found.max_conns,
+        engine=engine,
+    )
--- /dev/null
+++ b/sequoiaarch/platform/settings.py
@@ -0,0 +1,77 @@
+"""Read the platform's settings file."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from ..ids import DataCentre, HostName
+from ..ingress.options import IngressOptions, StoreOptions
+
+SETTINGS_VARIABLE = "SEQUOIAARCH_SETTINGS"
+MIB = 1024 * 1024
+
+
+class _Fields(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
+    """Accept fields that are not known."""
+
+
+class _Listen(_Fields):
+    front: str = ""  # where callers connect
+    ready: str = ""  # where the platform asks whether to send callers
+
+
+class _Limits(_Fields):
+    memory_mb: int = 256
+    max_fds: int = 4096
+
+
+class _Bounds(_Fields):
+    drain_ms: float = 2000
+    grace_s: float = 8
+    contact_ms: float = 3000
+
+
+class _Platform(_Fields):
+    address: str
+    retention_s: float = 300
+
+
+class _Settings(_Fields):
+    node_name: str
+    ip: str
+    zone: str
+    internal_port_range: tuple[int, int]
+    platform: _Platform
+    listen: _Listen = _Listen()
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def read_settings(path: Path) -> IngressOptions:
+    """Return the options in the file; raises OSError or ValueError."""
+    raw = tomllib.loads(path.read_text("utf-8"))
+    found = msgspec.convert(raw, _Settings, strict=False)
+    front_host, front_port = split_address(found.listen.front)
+    ready_host, ready_port = split_address(found.listen.ready)
+    store_host, store_port = split_address(found.platform.address)
+    return IngressOptions(
+        host=HostName(found.node_name),
+        data_centre=DataCentre(found.zone),
+        address=found.ip,
+        front=(front_host, front_port),
+        ready=(ready_host, ready_port),
+        inner_ports=found.internal_port_range,
+        memory_bytes=found.limits.memory_mb * MIB,
+        descriptors=found.limits.max_fds,
+        stop_timeout=found.bounds.grace_s,
+        store=StoreOptions(address=(store_host, store_port)),
+    )
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/sequoiaarch/platform/store.py
@@ -0,0 +1,168 @@
+"""Speak the store's protocol for keyed topics."""
+
+from __future__ import annotations
+
+import base64
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..errors import ErrorKind, Failure
+from ..ids import Offset
+from ..storage.calls import StoreCall, StoreCaller, StoreReply
+from ..storage.keyed import (
+    KeyedPage,
+    KeyedRecord,
+    LogGap,
+    Newest,
+    Partition,
+    Writer,
+)
+
+LENGTH_BYTES = 4
+HEAD_BYTES = 16
+READ_KIB = 1024
+# Seconds. A slow store needs 0.3 s for an answer; a lost answer never comes.
+APPEND_TIMEOUT = 1.2
+READ_TIMEOUT = 1.0
+PAGE_TIMEOUT = 2.0
+WAIT_MARGIN = 1.5
+
+
+class _Appended(msgspec.Struct, rename="camel", kw_only=True):
+    offset: int = 0
+    end_offset: int = 0
+
+
+class _Item(msgspec.Struct, kw_only=True):
+    key: str
+    value: str = ""
+    offset: int = 0
+
+
+class _Items(msgspec.Struct, rename="camel", kw_only=True):
+    items: list[_Item] = []
+    has_more: bool = False
+    end_offset: int = 0
+
+
+class PlatformLog:
+    """Append to and read from keyed topics of the platform's store."""
+
+    def __init__(self, *, caller: StoreCaller) -> None:
+        self._caller = caller
+
+    async def append(
+        self, partition: Partition, records: list[KeyedRecord], *, writer: Writer
+    ) -> Offset | Failure:
+        """Append all records or none; return the offset of the first."""
+        query = urlencode(
+            {
+                "topic": partition.topic,
+                "part": partition.number,
+                "producer": writer.name,
+                "epoch": writer.epoch,
+                "sequence": writer.sequence,
+            }
+        )
+        call = StoreCall(
+            method="POST",
+            path=f"/-/log-append?{query}",
+            body=b"".join(_frame(record) for record in records),
+            timeout=APPEND_TIMEOUT,
+        )
+        reply = await self._caller.call(call)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status != 200:
+            return _refused(call, reply)
+        return Offset(msgspec.json.decode(reply.body, type=_Appended).offset)
+
+    async def read(
+        self, partition: Partition, start: Offset, *, wait: float
+    ) -> KeyedPage | LogGap | Failure:
+        """Read from an offset, waiting up to `wait` seconds for a record."""
+        query = {
+            "topic": partition.topic,
+            "part": partition.number,
+            "from": start,
+            "maxKb": READ_KIB,
+        }
+        if wait:
+            query["waitMs"] = int(wait * 1000)
+        call = StoreCall(
+            method="GET",
+            path=f"/-/log-read?{urlencode(query)}",
+            timeout=wait + (WAIT_MARGIN if wait else READ_TIMEOUT),
+            waits=wait > 0,
+        )
+        reply = await self._caller.call(call)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status == 410:
+            return LogGap.TRIMMED
+        if reply.status != 200:
+            return _refused(call, reply)
+        return _page(start, reply.body)
+
+    async def newest(self, partition: Partition) -> Newest | Failure:
+        """Read the newest record of each key."""
+        records: list[KeyedRecord] = []
+        resume: int | None = None
+        after = ""
+        while True:
+            query = {"topic": partition.topic, "part": partition.number}
+            if after:
+                query["after"] = after
+            call = StoreCall(
+                method="GET",
+                path=f"/-/log-newest?{urlencode(query)}",
+                timeout=PAGE_TIMEOUT,
+            )
+            reply = await self._caller.call(call)
+            if isinstance(reply, Failure):
+                return reply
+            if reply.status == 404:
+                return Newest(records=[], resume=Offset(0))
+            if reply.status != 200:
+                return _refused(call, reply)
+            page = msgspec.json.decode(reply.body, type=_Items)
+            if resume is None:
+                resume = page.end_offset
+            for item in page.items:
+                value = base64.b64decode(item.value)
+                records.append(KeyedRecord(key=item.key, value=value))
+            if not page.has_more or not page.items:
+                return Newest(records=records, resume=Offset(resume))
+            after = page.items[-1].key
+
+
+def _frame(record: KeyedRecord) -> bytes:
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + record.value
+    return len(content).to_bytes(LENGTH_BYTES, "big") + content
+
+
+def _page(start: Offset, body: bytes) -> KeyedPage:
+    end = int.from_bytes(body[:8], "big")
+    records: list[KeyedRecord] = []
+    place = HEAD_BYTES
+    while place + LENGTH_BYTES <= len(body):
+        length = int.from_bytes(body[place : place + LENGTH_BYTES], "big")
+        place += LENGTH_BYTES
+        content = body[place : place + length]
+        place += length
+        key_length = content[0]
+        records.append(
+            KeyedRecord(
+                key=content[1 : 1 + key_length].decode(),
+                value=content[1 + key_length :],
+            )
+        )
+    return KeyedPage(start=start, end=Offset(end), records=records)
+
+
+def _refused(call: StoreCall, reply: StoreReply) -> Failure:
+    path = call.path.partition("?")[0]
+    reason = f"{path} answered {reply.status} {reply.body[:80]!r}"
+    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=reason)
--- /dev/null
+++ b/sequoiaarch/policies/engines.py
@@ -0,0 +1,124 @@
+"""Choose the target of a request among the instances of a service."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from typing import Protocol
+
+import msgspec
+
+from ..ids import InstanceId
+
+# Prompt tokens that an engine reads in a second; both deployments are near it.
+PREFILL_RATE = 165_000.0
+# What a request adds to the time of the others that run beside it, and what
+# waiting behind one costs once all slots are taken. Seconds.
+SHARE_SECONDS = 0.006
+QUEUE_SECONDS = 0.06
+# Leaving the data centre costs a millisecond or two each way and bytes that
+# are priced between data centres. Seconds.
+DISTANCE_SECONDS = 0.004
+PARTS_KEPT = 4096
+
+
+class EngineChoice(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe an instance that could run the request.
+
+    `running` counts the requests that are known to be there.
+    """
+
+    instance: InstanceId
+    slots: int
+    running: float
+    near: bool
+
+
+class PromptShape(msgspec.Struct, frozen=True, kw_only=True):
+    """List the parts of a prompt, in order, with their tokens."""
+
+    parts: tuple[tuple[str, int], ...]
+
+
+class EnginePlacement(Protocol):
+    """Choose among instances; there is always at least one."""
+
+    def choose(
+        self, shape: PromptShape, choices: list[EngineChoice]
+    ) -> tuple[InstanceId, str]:
+        """Return the instance and the reason."""
+
+
+class LeastRunning:
+    """Choose the instance with the fewest requests for its slots."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self, shape: PromptShape, choices: list[EngineChoice]
+    ) -> tuple[InstanceId, str]:
+        """Return the least loaded instance, a near one among equals."""
+        best = min(
+            choices,
+            key=lambda one: (one.running / one.slots, not one.near, self._rng.random()),
+        )
+        return best.instance, f"running={best.running:.1f}"
+
+
+class PrefixMemory:
+    """Remember which parts of prompts each instance has read lately."""
+
+    def __init__(self) -> None:
+        self._parts: dict[InstanceId, OrderedDict[str, None]] = {}
+
+    def note(self, instance: InstanceId, shape: PromptShape) -> None:
+        """Remember that an instance has read a prompt."""
+        kept = self._parts.setdefault(instance, OrderedDict())
+        for part, _ in shape.parts:
+            kept[part] = None
+            kept.move_to_end(part)
+        while len(kept) > PARTS_KEPT:
+            kept.popitem(last=False)
+
+    def unread(self, instance: InstanceId, shape: PromptShape) -> int:
+        """Return the tokens that the instance would have to read."""
+        kept = self._parts.get(instance, OrderedDict())
+        total = sum(tokens for _, tokens in shape.parts)
+        for part, tokens in shape.parts:
+            if part not in kept:
+                break
+            total -= tokens
+        return total
+
+    def forget(self, instance: InstanceId) -> None:
+        """Forget an instance that has left."""
+        self._parts.pop(instance, None)
+
+
+class PrefixPlacement:
+    """Choose the instance where the request is expected to end first.
+
+    Reading a long history again costs 20 ms and evicts what others have
+    cached; standing behind a full batch costs more. Both are weighed in
+    seconds.
+    """
+
+    def __init__(self, *, memory: PrefixMemory, rng: random.Random) -> None:
+        self._memory = memory
+        self._rng = rng
+
+    def choose(
+        self, shape: PromptShape, choices: list[EngineChoice]
+    ) -> tuple[InstanceId, str]:
+        """Return the instance with the lowest expected time."""
+        scored = [(self._cost(shape, one), self._rng.random(), one) for one in choices]
+        cost, _, best = min(scored, key=lambda entry: entry[:2])
+        self._memory.note(best.instance, shape)
+        return best.instance, f"cost={cost * 1000:.1f}ms running={best.running:.1f}"
+
+    def _cost(self, shape: PromptShape, one: EngineChoice) -> float:
+        queued = max(0.0, one.running + 1 - one.slots)
+        cost = one.running * SHARE_SECONDS + queued * QUEUE_SECONDS
+        cost += self._memory.unread(one.instance, shape) / PREFILL_RATE
+        return cost if one.near else cost + DISTANCE_SECONDS
--- /dev/null
+++ b/sequoiaarch/routing/follower.py
@@ -0,0 +1,95 @@
+"""Follow a keyed topic and pass on every change."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from ..errors import Failure
+from ..ids import Offset
+from ..storage.keyed import KeyedLog, KeyedRecord, LogGap, Partition
+
+log = logbook.Logger("follower")
+
+WAIT_SECONDS = 15.0
+RETRY_SECONDS = 0.2
+
+
+class TopicFollower:
+    """Read a topic from its newest records on.
+
+    `gather` seconds pass after each change before the next read, so that
+    frequent heartbeats don't cost a call each.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: KeyedLog,
+        topic: str,
+        replace: Callable[[list[KeyedRecord]], None],
+        change: Callable[[KeyedRecord], None],
+        gather: float = 0.0,
+        lost: Callable[[], None] = lambda: None,
+        regained: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._log = log
+        self._partition = Partition(topic=topic, number=0)
+        self._replace = replace
+        self._change = change
+        self._gather = gather
+        self._lost = lost
+        self._regained = regained
+        self._cursor: Offset | None = None
+        self._away = False
+        self.read_at = float("-inf")
+
+    @property
+    def away(self) -> bool:
+        """Return whether the last read failed."""
+        return self._away
+
+    async def follow(self) -> None:
+        """Read on for ever."""
+        while True:
+            reason = await self._step()
+            if reason is None:
+                self.read_at = asyncio.get_running_loop().time()
+                if self._away:
+                    self._away = False
+                    log.info("{} can be read again", self._partition.topic)
+                    self._regained()
+                await asyncio.sleep(self._gather)
+                continue
+            if not self._away:
+                self._away = True
+                log.warning("{} can't be read: {}", self._partition.topic, reason)
+                self._lost()
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _step(self) -> str | None:
+        """Read once; return why it failed."""
+        if self._cursor is None:
+            return await self._list()
+        # While the store is away a short read finds its return sooner.
+        wait = 0.0 if self._away else WAIT_SECONDS
+        page = await self._log.read(self._partition, self._cursor, wait=wait)
+        if page is LogGap.TRIMMED:
+            return await self._list()
+        if isinstance(page, Failure):
+            return page.reason
+        assert not isinstance(page, LogGap)
+        for record in page.records:
+            self._change(record)
+        self._cursor = page.next
+        return None
+
+    async def _list(self) -> str | None:
+        newest = await self._log.newest(self._partition)
+        if isinstance(newest, Failure):
+            return newest.reason
+        self._replace(newest.records)
+        self._cursor = newest.resume
+        return None
--- /dev/null
+++ b/sequoiaarch/routing/routes.py
@@ -0,0 +1,111 @@
+"""Hold one version of the routes and find the route of a request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from ..ids import ServiceName
+
+
+class RouteKind(Enum):
+    """Say what may be repeated on a route."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+class ServiceShare(msgspec.Struct, frozen=True, kw_only=True):
+    """Give a service its share of a route's requests."""
+
+    service: ServiceName
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one route; times in seconds, priority 0 is the most urgent."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[ServiceShare, ...]
+    timeout: float
+    latency_target: float
+    priority: int = 0
+    max_attempts: int = 1
+    retained: bool = False
+    retention: float = 60.0
+    sticky: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+
+class EngineTraits(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe the model engines of a service; sizes in tokens."""
+
+    slots: int
+    cache_tokens: int
+    event_tokens: int
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one service; `max_connections` holds for each target."""
+
+    name: ServiceName
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bound what a client may send; sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+class RouteTable:
+    """Hold the routes, services and limits of one configuration version."""
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[Service],
+        limits: ClientLimits,
+    ) -> None:
+        self.version = version
+        self.limits = limits
+        self.services = {service.name: service for service in services}
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for kept in self._by_host.values():
+            kept.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    @property
+    def route_count(self) -> int:
+        """Return the number of routes."""
+        return sum(len(kept) for kept in self._by_host.values())
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of the host with the longest prefix of the path."""
+        for route in self._by_host.get(_without_port(host), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def _without_port(host: str) -> str:
+    name = host.lower()
+    return name.rsplit(":", 1)[0] if ":" in name else name
--- a/sequoiaarch/shards/client.py
+++ b/sequoiaarch/shards/client.py
@@ -10,9 +10,9 @@
 from ..errors import ErrorKind, Failure
 from ..ids import ProgramId, Seq, TargetName, root_of
 from ..observe.metrics import Metrics
-from ..platform.interfaces import AppendLog
 from ..records.codec import decode_record
 from ..records.types import Commit, ProgramState, ShardRecord
+from ..storage.interfaces import AppendLog
 from ..wire.links import Links
 from ..wire.messages import (
     Failed,
--- a/sequoiaarch/shards/stream.py
+++ b/sequoiaarch/shards/stream.py
@@ -11,10 +11,10 @@
 from ..errors import ErrorKind, Failure, NotRun
 from ..ids import Offset, ProgramId, RecordId, Seq
 from ..observe.metrics import Metrics
-from ..platform.interfaces import AppendLog, Page
 from ..records.acceptance import ShardView, Verdict
 from ..records.codec import decode_record, encode_record
 from ..records.types import Commit, ProgramState, ShardRecord, Snapshot
+from ..storage.interfaces import AppendLog, Page
 
 log = logbook.Logger("shard")
 
--- a/sequoiaarch/standins/platform.py
+++ b/sequoiaarch/standins/platform.py
@@ -9,8 +9,8 @@
 from werkzeug.wrappers import Request, Response
 
 from ..ids import HostName, Offset
-from ..platform.http import AppendBody, Appended, ReserveReply
-from ..platform.interfaces import HostEntry, HostState, Page
+from ..storage.http import AppendBody, Appended, ReserveReply
+from ..storage.interfaces import HostEntry, HostState, Page
 from .web import StandInServer, json_response
 
 MAX_WAIT = 30.0
--- /dev/null
+++ b/sequoiaarch/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the services of the platform: log, host list and weight store."""
--- /dev/null
+++ b/sequoiaarch/storage/calls.py
@@ -0,0 +1,36 @@
+"""Carry single calls to the store, however they get there."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from ..errors import Failure
+
+
+class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one call; `waits` says that the store may hold it open.
+
+    The timeout is in seconds.
+    """
+
+    method: str
+    path: str
+    timeout: float
+    body: bytes = b""
+    waits: bool = False
+
+
+class StoreReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the store's answer to a call."""
+
+    status: int
+    body: bytes
+
+
+class StoreCaller(Protocol):
+    """Make calls to the store."""
+
+    async def call(self, call: StoreCall) -> StoreReply | Failure:
+        """Make a call and return its answer, or why there is none."""
--- /dev/null
+++ b/sequoiaarch/storage/direct.py
@@ -0,0 +1,79 @@
+"""Make calls to the store over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..errors import ErrorKind, Failure
+from ..http1.client import ClientLink, connect
+from ..http1.messages import LinkError, RequestMessage
+from .calls import StoreCall, StoreReply
+
+# Seconds. A store that is away does not refuse, it stays silent.
+CONNECT_TIMEOUT = 0.5
+IDLE_LIMIT = 10.0
+LINKS_KEPT = 16
+
+
+class DirectCaller:
+    """Make calls on connections of this process."""
+
+    def __init__(self, *, address: tuple[str, int]) -> None:
+        self._address = address
+        self._idle: list[ClientLink] = []
+
+    async def call(self, call: StoreCall) -> StoreReply | Failure:
+        """Make a call and return its answer, or why there is none."""
+        link: ClientLink | None = None
+        try:
+            async with asyncio.timeout(call.timeout):
+                link = await self._take()
+                reply = await self._exchange(link, call)
+        except TimeoutError:
+            return _unavailable(call, f"no answer in {call.timeout:.1f} s")
+        except LinkError as error:
+            return _unavailable(call, str(error))
+        finally:
+            if link is not None:
+                self._give_back(link)
+        return reply
+
+    async def _take(self) -> ClientLink:
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            link = self._idle.pop()
+            if link.usable and now < link.idle_since + IDLE_LIMIT:
+                return link
+            link.abort()
+        return await connect(self._address, timeout=CONNECT_TIMEOUT)
+
+    def _give_back(self, link: ClientLink) -> None:
+        if not link.finish():
+            return
+        if len(self._idle) >= LINKS_KEPT:
+            link.abort()
+            return
+        link.idle_since = asyncio.get_running_loop().time()
+        self._idle.append(link)
+
+    async def _exchange(self, link: ClientLink, call: StoreCall) -> StoreReply:
+        host, port = self._address
+        headers = [(b"Host", f"{host}:{port}".encode())]
+        await link.send(
+            RequestMessage(
+                method=call.method.encode(),
+                target=call.path.encode(),
+                headers=headers,
+                body=call.body,
+            )
+        )
+        head = await link.head()
+        body = bytearray()
+        while (part := await link.body_part()) is not None:
+            body += part
+        return StoreReply(status=head.status, body=bytes(body))
+
+
+def _unavailable(call: StoreCall, detail: str) -> Failure:
+    path = call.path.partition("?")[0]
+    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=f"{path}: {detail}")
--- a/sequoiaarch/tests/base.py
+++ b/sequoiaarch/tests/base.py
@@ -29,8 +29,6 @@
 from ..errors import ErrorKind, Failure
 from ..gateway.gateway import Gateway
 from ..ids import HostName, Offset, ProgramId, RecordId, TargetName, new_id
-from ..platform.http import HttpClient, HttpHostList, HttpLog
-from ..platform.interfaces import HostState, Page
 from ..records.acceptance import ShardView
 from ..records.codec import decode_record
 from ..shards.stream import stream_name
@@ -39,6 +37,8 @@
 from ..standins.engine import EngineOptions, EngineStandIn
 from ..standins.platform import PlatformStandIn
 from ..standins.service import ServiceStandIn
+from ..storage.http import HttpClient, HttpHostList, HttpLog
+from ..storage.interfaces import HostState, Page
 
 T = TypeVar("T")
 
--- a/sequoiaarch/tests/faults/limits_tests.py
+++ b/sequoiaarch/tests/faults/limits_tests.py
@@ -9,8 +9,8 @@
 from ...client import ClientError
 from ...config.settings import LimitOptions
 from ...ids import HostName
-from ...platform.interfaces import HostState
 from ...standins.engine import EngineOptions
+from ...storage.interfaces import HostState
 from ..base import (
     FAST_ENGINE,
     MODEL,
--- a/sequoiaarch/tests/faults/scenario.py
+++ b/sequoiaarch/tests/faults/scenario.py
@@ -22,7 +22,6 @@
 from ...config.settings import LimitOptions
 from ...daemon.base import Core
 from ...ids import HostName
-from ...platform.interfaces import HostState
 from ...standins.engine import (
     ChatBody,
     ChatMessage,
@@ -30,6 +29,7 @@
     EngineStandIn,
     Sequence,
 )
+from ...storage.interfaces import HostState
 from ..base import (
     MODEL,
     OTHER_KEY,
--- a/sequoiaarch/tests/platform/contract_tests.py
+++ b/sequoiaarch/tests/storage/contract_tests.py
@@ -10,10 +10,10 @@
 
 from ...errors import ErrorKind, Failure
 from ...ids import HostName, Offset
-from ...platform.http import HttpClient, HttpHostList, HttpLog, HttpWeightStore
-from ...platform.interfaces import AppendLog, HostState, Page
-from ...platform.memory import MemoryHostList, MemoryLog
 from ...standins.platform import LOADS_A_MINUTE, Faults, PlatformStandIn
+from ...storage.http import HttpClient, HttpHostList, HttpLog, HttpWeightStore
+from ...storage.interfaces import AppendLog, HostState, Page
+from ...storage.memory import MemoryHostList, MemoryLog
 from ..base import wait_until
 
 
