--- a/sequoiaarch/daemon/base.py
+++ b/sequoiaarch/daemon/base.py
@@ -38,17 +38,24 @@
 
     log: AppendLog
     hosts: HostList | None
+    clients: tuple[HttpClient, ...] = ()
+
+    def close(self) -> None:
+        """Let go of threads and connections."""
+        for client in self.clients:
+            client.close()
 
 
 def connect_platform(settings: Settings) -> PlatformServices:
     """Return the platform's services that the settings name."""
     assert settings.platform.log is not None
-    log = HttpLog(client=HttpClient(url=settings.platform.log))
+    clients = [HttpClient(url=settings.platform.log)]
+    log = HttpLog(client=clients[0])
     hosts: HostList | None = None
     if settings.platform.hosts is not None:
-        client = HttpClient(url=settings.platform.hosts, threads=2)
-        hosts = HttpHostList(client=client)
-    return PlatformServices(log=log, hosts=hosts)
+        clients.append(HttpClient(url=settings.platform.hosts, threads=2))
+        hosts = HttpHostList(client=clients[-1])
+    return PlatformServices(log=log, hosts=hosts, clients=tuple(clients))
 
 
 def fixed_hosts(settings: Settings) -> HostList:
@@ -100,6 +107,7 @@
         self.membership.close()
         self.local.close()
         self.links.close()
+        self.platform.close()
 
 
 def make_core(
--- a/sequoiaarch/gateway/gateway.py
+++ b/sequoiaarch/gateway/gateway.py
@@ -27,12 +27,15 @@
         self._core = core
         self._router = Router(core=core, rng=rng)
         self._started = False
-        bridge = Bridge(loop=asyncio.get_running_loop(), router=self._router)
+        self._bridge = Bridge(loop=asyncio.get_running_loop(), router=self._router)
         operators = OperatorApi(
-            core=core, router=self._router, bridge=bridge, ready=lambda: self.ready
+            core=core,
+            router=self._router,
+            bridge=self._bridge,
+            ready=lambda: self.ready,
         )
         self._app = CallerApp(
-            core=core, router=self._router, bridge=bridge, operators=operators
+            core=core, router=self._router, bridge=self._bridge, operators=operators
         )
         http = core.settings.http
         self._server = WebServer(
@@ -99,5 +102,6 @@
         self._server.abort()
 
     def close(self) -> None:
-        """Close the server."""
+        """End the waits of all callers and close the server."""
+        self._bridge.close()
         self._server.stop()
--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -11,7 +11,7 @@
 import logbook
 
 from .messages import Headers, RequestMessage, ResponseHead
-from .sockets import watch_peer
+from .sockets import reset_on_close, watch_peer
 
 log = logbook.Logger("http")
 
@@ -117,6 +117,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._gone = False
+        self._open = False
         self._task: asyncio.Task[None] | None = None
         self._handling: asyncio.Task[None] | None = None
 
@@ -128,7 +129,7 @@
     @property
     def busy(self) -> bool:
         """Return whether a request is being read or answered."""
-        return self._handling is not None or bool(self._received)
+        return self._open or bool(self._received)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the connection's task."""
@@ -173,8 +174,9 @@
         await self._writable.wait()
 
     def abort(self) -> None:
-        """Reset the connection."""
+        """Reset the connection, so that no answer on it looks complete."""
         if self._transport is not None:
+            reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
 
     def close_idle(self) -> None:
@@ -216,6 +218,7 @@
             raise
         finally:
             self._handling = None
+            self._open = False
         if not reply.ended:
             self.abort()
             return False
@@ -226,6 +229,7 @@
         first = await self._first_bytes(limits.idle_timeout)
         if not first:
             return None
+        self._open = True
         try:
             async with asyncio.timeout(limits.header_timeout):
                 head = await self._event()
@@ -372,6 +376,11 @@
         for link in list(self.links):
             link.close_idle()
 
+    def abort(self) -> None:
+        """Reset all connections."""
+        for link in list(self.links):
+            link.abort()
+
     async def drained(self, timeout: float) -> bool:
         """Wait up to `timeout` seconds until no request is under way."""
         deadline = asyncio.get_running_loop().time() + timeout
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 
 # A connection can fall silent without a reset; without these the caller of a
 # request on it would wait until the request's own deadline, and a stream that
@@ -26,3 +27,9 @@
     )
     for option, value in options:
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Have the close of a connection reset it instead of ending it."""
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -143,8 +143,18 @@
         drained = await self.front.drained(left)
         await asyncio.wait_for(self.ledger.flush(), STOP_MARGIN / 2)
         log.info("stopped, all answered: {}", drained)
+        await self.close()
+
+    async def close(self) -> None:
+        """End all parts at once."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in (self.front, self._ready):
+            server.stop_accepting()
+            server.abort()
+        self.dispatcher.pool.close()
+        await self.ledger.close()
 
     async def _answer_ready(self, message: RequestMessage, reply: Reply) -> None:
         await reply.whole(200 if self.ready else 503, [], b"")
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -183,8 +183,11 @@
                 await self._pass_on(running, turn, event)
         if splitter.pending:
             raise fail(ErrorKind.INTERRUPTED, "the stream ended inside an event")
-        if turn is not None and self._route.retained:
-            await self._commit(turn)
+        if turn is not None:
+            if not turn.used:
+                await self._confirm(turn)
+            if self._route.retained:
+                await self._commit(turn)
         if not self._reply.started:
             await self._start(running)
         await self._reply.end()
--- a/sequoiaarch/ingress/pool.py
+++ b/sequoiaarch/ingress/pool.py
@@ -51,6 +51,13 @@
         link.idle_since = asyncio.get_running_loop().time()
         self._idle[target.instance].append(link)
 
+    def close(self) -> None:
+        """Close all idle links."""
+        for links in self._idle.values():
+            for link in links:
+                link.abort()
+        self._idle.clear()
+
     async def sweep(self) -> None:
         """Close links that were idle for too long, again and again."""
         while True:
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -143,7 +143,16 @@
                 return Verdict.UNCERTAIN
             if self.state.spent(terms.program) + terms.most > terms.budget:
                 return Verdict.EXCEEDED
-        check = asyncio.create_task(self._check(partition, terms))
+        # Queued at once: a commit that overtook it would be replaced by it.
+        record = TurnRecord(
+            stage=Stage.RESERVED,
+            program=terms.program,
+            budget=terms.budget,
+            tokens=terms.most,
+            retention=terms.retention,
+        )
+        written = self._append(terms, record, urgent=True)
+        check = asyncio.create_task(self._check(terms, written))
         reservation = Reservation(terms=terms, check=check)
         if after <= terms.budget * CHECKED_LATER_SHARE:
             return reservation
@@ -191,6 +200,10 @@
         """Write all that is queued."""
         await asyncio.gather(*(one.flush() for one in self._partitions))
 
+    async def close(self) -> None:
+        """Stop to write."""
+        await asyncio.gather(*(one.close() for one in self._partitions))
+
     async def expire(self) -> None:
         """Remove the turns of programs that can't come back, again and again."""
         while True:
@@ -206,15 +219,11 @@
             if turns:
                 log.info("removed {} turns of ended programs", len(turns))
 
-    async def _check(self, partition: LedgerPartition, terms: TurnTerms) -> Verdict:
-        record = TurnRecord(
-            stage=Stage.RESERVED,
-            program=terms.program,
-            budget=terms.budget,
-            tokens=terms.most,
-            retention=terms.retention,
-        )
-        offset = await self._append(terms, record, urgent=True)
+    async def _check(
+        self, terms: TurnTerms, written: asyncio.Future[Offset]
+    ) -> Verdict:
+        partition = self._partition(terms.program)
+        offset = await written
         while partition.cursor <= offset:
             if not await partition.sync():
                 return Verdict.UNCERTAIN
--- a/sequoiaarch/ledger/partition.py
+++ b/sequoiaarch/ledger/partition.py
@@ -117,6 +117,12 @@
         if self._queue:
             await asyncio.wait([self._queue[-1].done])
 
+    async def close(self) -> None:
+        """Stop to write; what is still queued is lost."""
+        if self._appender is not None:
+            self._appender.cancel()
+            await asyncio.wait([self._appender])
+
     async def _read_after(self, current: asyncio.Task[bool] | None) -> bool:
         if current is not None:
             await asyncio.wait([current])
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -18,28 +18,28 @@
     """Accept fields that are not known."""
 
 
-class _Listen(_Fields):
+class _Listen(_Fields, frozen=True):
     front: str = ""  # where callers connect
     ready: str = ""  # where the platform asks whether to send callers
 
 
-class _Limits(_Fields):
+class _Limits(_Fields, frozen=True):
     memory_mb: int = 256
     max_fds: int = 4096
 
 
-class _Bounds(_Fields):
+class _Bounds(_Fields, frozen=True):
     drain_ms: float = 2000
     grace_s: float = 8
     contact_ms: float = 3000
 
 
-class _Platform(_Fields):
+class _Platform(_Fields, frozen=True):
     address: str
     retention_s: float = 300
 
 
-class _Settings(_Fields):
+class _Settings(_Fields, frozen=True):
     node_name: str
     ip: str
     zone: str
--- a/sequoiaarch/sidecar/sidecar.py
+++ b/sequoiaarch/sidecar/sidecar.py
@@ -65,6 +65,7 @@
         self._target = target
         self._responder: Responder | None = None
         self._executor: Executor | None = None
+        self._clients: list[HttpEngine | HttpService] = []
         self._memory: EngineMemory | None = None
         self._queue: TargetQueue | None = None
         self._runner: CallRunner | None = None
@@ -192,6 +193,7 @@
         service = None
         if document.spec.type is TargetType.ENGINE:
             engine = HttpEngine(url=document.spec.url, threads=ENGINE_THREADS)
+            self._clients.append(engine)
             self._memory = EngineMemory(
                 engine=engine,
                 capacity=self._cache_tokens,
@@ -203,6 +205,7 @@
             core.tasks.append(asyncio.create_task(self._memory.run(limits.cache_check)))
         else:
             service = HttpService(url=document.spec.url, threads=SERVICE_THREADS)
+            self._clients.append(service)
         self._queue = TargetQueue(
             slots=self._slots,
             occupancy=self._occupancy,
@@ -364,9 +367,11 @@
         return bool(running or self._dispatched or programs)
 
     def close(self) -> None:
-        """Close the socket for peers."""
+        """Close the socket for peers and the connections to the target."""
         if self._responder is not None:
             self._responder.close()
+        for client in self._clients:
+            client.close()
 
 
 def _taking_over(program: ProgramId, request: ProgramOrder) -> Opening:
--- a/sequoiaarch/standins/engine.py
+++ b/sequoiaarch/standins/engine.py
@@ -373,7 +373,8 @@
             try:
                 sequence.events.get(timeout=0.5)
             except queue.Empty:
-                continue
+                if self._stopped:
+                    raise ConnectionResetError("the engine stopped") from None
         yield self._last(sequence)
         yield b"data: [DONE]\n\n"
 
--- /dev/null
+++ b/sequoiaarch/standins/keyed_store.py
@@ -0,0 +1,201 @@
+"""Stand in for a store of keyed topics, with faults for each client."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from ..errors import ErrorKind, Failure
+from ..ids import Offset
+from ..storage.keyed import (
+    KeyedPage,
+    KeyedRecord,
+    LogGap,
+    Newest,
+    Partition,
+    Writer,
+)
+
+# The store repeats its first answer for so many of a writer's last appends.
+REPEATS_KEPT = 5
+
+
+@dataclass(kw_only=True)
+class StoreFaults:
+    """Say how the store misbehaves towards one client; times in seconds.
+
+    `lost_answers` appends are carried out and not answered, and with `late`
+    only that much later.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lost_answers: int = 0
+    late: float = 0.0
+
+
+@dataclass(kw_only=True)
+class _Producer:
+    epoch: int = -1
+    sequence: int = -1
+    answers: dict[int, Offset] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class _Topic:
+    records: list[KeyedRecord] = field(default_factory=list)
+    first: int = 0
+    newest: dict[str, bytes] = field(default_factory=dict)
+    producers: dict[str, _Producer] = field(
+        default_factory=lambda: defaultdict(_Producer)
+    )
+
+    @property
+    def end(self) -> int:
+        """Return the offset that the next record will get."""
+        return self.first + len(self.records)
+
+
+class KeyedStore:
+    """Keep topics in memory; each client has a view with faults of its own."""
+
+    def __init__(self) -> None:
+        self._topics: dict[Partition, _Topic] = defaultdict(_Topic)
+        self._grown = asyncio.Condition()
+        self.appends = 0
+        self.reads = 0
+
+    def client(self) -> KeyedStoreClient:
+        """Return a view of the store."""
+        return KeyedStoreClient(store=self)
+
+    def forget_history(self) -> None:
+        """Drop all records but the newest of each key."""
+        for topic in self._topics.values():
+            topic.first = topic.end
+            topic.records.clear()
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record as the operator or a target would."""
+        await self.add(Partition(topic=topic, number=0), key, value)
+
+    async def add(self, partition: Partition, key: str, value: bytes) -> None:
+        """Write one record without a writer's sequence."""
+        await self._store(partition, [KeyedRecord(key=key, value=value)])
+
+    async def append(
+        self, partition: Partition, records: list[KeyedRecord], writer: Writer
+    ) -> Offset | Failure:
+        """Append in the order of the writer's sequence."""
+        producer = self._topics[partition].producers[writer.name]
+        if writer.epoch < producer.epoch:
+            return _refused("fenced")
+        if writer.epoch == producer.epoch:
+            if writer.sequence in producer.answers:
+                return producer.answers[writer.sequence]
+            if writer.sequence != producer.sequence + 1:
+                return _refused(f"expected sequence {producer.sequence + 1}")
+        offset = await self._store(partition, records)
+        self.appends += 1
+        producer.epoch = writer.epoch
+        producer.sequence = writer.sequence
+        producer.answers[writer.sequence] = offset
+        for old in sorted(producer.answers)[:-REPEATS_KEPT]:
+            del producer.answers[old]
+        return offset
+
+    async def read(
+        self, partition: Partition, start: Offset, wait: float
+    ) -> KeyedPage | LogGap:
+        """Return the records from an offset on."""
+        self.reads += 1
+        topic = self._topics[partition]
+        if wait > 0 and topic.end <= start:
+            try:
+                async with asyncio.timeout(wait), self._grown:
+                    await self._grown.wait_for(lambda: topic.end > start)
+            except TimeoutError:
+                pass
+        if start < topic.first:
+            return LogGap.TRIMMED
+        records = topic.records[start - topic.first :]
+        return KeyedPage(start=start, end=Offset(topic.end), records=records)
+
+    def newest(self, partition: Partition) -> Newest:
+        """Return the newest record of each key."""
+        topic = self._topics[partition]
+        records = [
+            KeyedRecord(key=key, value=value) for key, value in topic.newest.items()
+        ]
+        return Newest(records=records, resume=Offset(topic.end))
+
+    async def _store(self, partition: Partition, records: list[KeyedRecord]) -> Offset:
+        async with self._grown:
+            topic = self._topics[partition]
+            offset = Offset(topic.end)
+            for record in records:
+                topic.records.append(record)
+                topic.newest.pop(record.key, None)
+                if record.value:
+                    topic.newest[record.key] = record.value
+            self._grown.notify_all()
+        return offset
+
+
+class KeyedStoreClient:
+    """See the store as one client does."""
+
+    def __init__(self, *, store: KeyedStore) -> None:
+        self._store = store
+        self.faults = StoreFaults()
+        self._late: set[asyncio.Task[Offset | Failure]] = set()
+
+    async def append(
+        self, partition: Partition, records: list[KeyedRecord], *, writer: Writer
+    ) -> Offset | Failure:
+        """Append all records or none; return the offset of the first."""
+        if await self._fails():
+            return _refused("down")
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            late = asyncio.create_task(
+                self._append_late(partition, records, writer, self.faults.late)
+            )
+            self._late.add(late)
+            late.add_done_callback(self._late.discard)
+            return _refused("the answer was lost")
+        return await self._store.append(partition, records, writer)
+
+    async def read(
+        self, partition: Partition, start: Offset, *, wait: float
+    ) -> KeyedPage | LogGap | Failure:
+        """Read from an offset, waiting up to `wait` seconds for a record."""
+        if await self._fails():
+            return _refused("down")
+        return await self._store.read(partition, start, wait)
+
+    async def newest(self, partition: Partition) -> Newest | Failure:
+        """Read the newest record of each key."""
+        if await self._fails():
+            return _refused("down")
+        return self._store.newest(partition)
+
+    async def _append_late(
+        self,
+        partition: Partition,
+        records: list[KeyedRecord],
+        writer: Writer,
+        delay: float,
+    ) -> Offset | Failure:
+        await asyncio.sleep(delay)
+        return await self._store.append(partition, records, writer)
+
+    async def _fails(self) -> bool:
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        return self.faults.down
+
+
+def _refused(reason: str) -> Failure:
+    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=reason)
--- a/sequoiaarch/standins/platform.py
+++ b/sequoiaarch/standins/platform.py
@@ -66,6 +66,7 @@
         self._changes: list[tuple[float, HostChange]] = []
         self._loads: list[float] = []
         self._grown = threading.Condition()
+        self._stopped = False
         self._server = StandInServer(
             routes=[
                 ("POST", "/streams/<name>/records", self._append),
@@ -89,7 +90,10 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stop to answer."""
+        """Stop to answer; readers that wait are sent away first."""
+        with self._grown:
+            self._stopped = True
+            self._grown.notify_all()
         self._server.stop()
 
     def set_host(self, host: HostName, state: HostState | None) -> None:
@@ -143,7 +147,9 @@
         wait = min(float(request.args.get("wait", "0")), MAX_WAIT)
         with self._grown:
             stream = self._streams.setdefault(name, Stream())
-            self._grown.wait_for(lambda: stream.end > start or self.faults.down, wait)
+            self._grown.wait_for(
+                lambda: stream.end > start or self.faults.down or self._stopped, wait
+            )
             start = max(start, stream.first)
             index = start - stream.first
             records = stream.records[index : index + limit]
--- a/sequoiaarch/standins/service.py
+++ b/sequoiaarch/standins/service.py
@@ -40,7 +40,8 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stop to answer."""
+        """Stop to answer; a call that hangs is let go first."""
+        self.hang.clear()
         self._server.stop()
 
     def _run(self, request: Request, path: str = "") -> Response:
--- a/sequoiaarch/tests/base.py
+++ b/sequoiaarch/tests/base.py
@@ -258,15 +258,18 @@
         )
 
     def _make_core(self, settings: Settings, name: str) -> tuple[Core, GatedLog]:
-        client = HttpClient(url=self.platform.url, threads=16)
-        log = GatedLog(log=HttpLog(client=client))
-        hosts = HttpHostList(client=HttpClient(url=self.platform.url, threads=2))
+        clients = (
+            HttpClient(url=self.platform.url, threads=16),
+            HttpClient(url=self.platform.url, threads=2),
+        )
+        log = GatedLog(log=HttpLog(client=clients[0]))
+        hosts = HttpHostList(client=clients[1])
         core = make_core(
             settings,
             name=name,
             me=TargetName(name) if settings.target else None,
             context=zmq.asyncio.Context(),
-            platform=PlatformServices(log=log, hosts=hosts),
+            platform=PlatformServices(log=log, hosts=hosts, clients=clients),
         )
         return core, log
 
@@ -399,8 +402,10 @@
                 )
             ],
         )
-        log = HttpLog(client=HttpClient(url=self.platform.url, threads=1))
+        client = HttpClient(url=self.platform.url, threads=1)
+        log = HttpLog(client=client)
         asyncio.run(log.append("config", [encode_config(publication)]))
+        client.close()
 
     # Looking.
 
--- /dev/null
+++ b/sequoiaarch/tests/http1/__init__.py
@@ -0,0 +1,1 @@
+"""Test the http1 package."""
--- /dev/null
+++ b/sequoiaarch/tests/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Test the ingress package."""
--- /dev/null
+++ b/sequoiaarch/tests/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Test the ledger package."""
--- /dev/null
+++ b/sequoiaarch/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the platform package."""
--- /dev/null
+++ b/sequoiaarch/tests/platform/site.py
@@ -0,0 +1,266 @@
+"""Build a small site: a store, targets and ingress daemons in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ...http1.client import ClientLink, connect
+from ...http1.messages import LinkError, RequestMessage
+from ...ids import DataCentre, HostName
+from ...ingress.daemon import IngressDaemon
+from ...ingress.options import IngressOptions, StoreOptions
+from ...platform.__main__ import SOURCES
+from ...platform.calls import PlatformCalls
+from ...standins.keyed_store import KeyedStore, KeyedStoreClient
+from ...standins.target import (
+    TargetExchange,
+    TargetStandIn,
+    chunk,
+    stream_head,
+    whole_answer,
+)
+
+PATIENCE = 15.0
+HOST = "site.example"
+ENGINES = "engines"
+TOOLS = "tools"
+EVENT_TOKENS = 10
+LOOPBACK = "127.0.0.1"
+
+
+def route(prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": f"r-{prefix.strip('/')}",
+        "host": HOST,
+        "pathPrefix": prefix,
+        "type": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 250,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 1,
+        **more,
+    }
+
+
+def config(version: int, routes: list[dict[str, Any]]) -> bytes:
+    """Return a configuration as the operator writes it."""
+    engine = {"slots": 8, "kvCapacityTokens": 90000, "chunkTokens": EVENT_TOKENS}
+    services = [
+        {"name": ENGINES, "healthPath": "/h", "maxConns": 100, "runtime": engine},
+        {"name": TOOLS, "healthPath": "/h", "maxConns": 100},
+    ]
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {"idleTimeoutMs": 15000},
+    }
+    return json.dumps(document).encode()
+
+
+ROUTES = [
+    route("/kept/", "stream", ENGINES, retained=True, retentionS=60, sticky=True),
+    route("/free/", "stream", ENGINES, resumable=True, sticky=True),
+    route("/safe/", "safe", TOOLS, maxAttempts=2),
+    route("/once/", "unsafe", TOOLS),
+]
+
+
+@dataclass(kw_only=True)
+class Answer:
+    """Hold an answer as the caller got it; `whole` says that its end came."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = True
+
+
+def events_of(attempt: str, count: int = 3) -> list[bytes]:
+    """Return the events of an engine's answer."""
+    return [
+        f"id: {number}\ndata: {attempt}-{number}\n\n".encode()
+        for number in range(1, count + 1)
+    ]
+
+
+def attempt_of(exchange: TargetExchange) -> str:
+    """Return the id of the attempt that a target got."""
+    return (exchange.request.header(b"x-attempt-id") or b"").decode()
+
+
+async def stream_answer(exchange: TargetExchange) -> None:
+    """Answer with a stream of events."""
+    attempt = attempt_of(exchange)
+    exchange.send(stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s"))))
+    for event in events_of(attempt):
+        exchange.send(chunk(event))
+        await asyncio.sleep(0)
+    exchange.send(chunk(b""))
+
+
+async def tool_answer(exchange: TargetExchange) -> None:
+    """Answer with a body."""
+    attempt = attempt_of(exchange)
+    headers = (("X-Attempt-Id", attempt), ("X-Server-Stamp", "s"))
+    exchange.send(whole_answer(f"done {attempt}".encode(), headers=headers))
+
+
+async def not_run(exchange: TargetExchange) -> None:
+    """Refuse as a full target does."""
+    headers = (("X-Not-Executed", "1"),)
+    exchange.send(whole_answer(b"", status=503, headers=headers))
+
+
+Behaviour = Callable[[TargetExchange], Awaitable[None]]
+
+
+class SiteTestCase(unittest.IsolatedAsyncioTestCase):
+    """Run a site for each test."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the store."""
+        self.store = KeyedStore()
+        self.targets: dict[str, TargetStandIn] = {}
+        self.clients: dict[str, KeyedStoreClient] = {}
+        self.daemons: dict[str, IngressDaemon] = {}
+        self._ids = 0
+        await self.store.put("keyed.op", "config", config(1, ROUTES))
+
+    async def asyncTearDown(self) -> None:
+        """End the daemons and targets."""
+        for daemon in self.daemons.values():
+            await daemon.close()
+        for target in self.targets.values():
+            await target.stop()
+
+    async def add_target(
+        self, name: str, service: str, behaviour: Behaviour
+    ) -> TargetStandIn:
+        """Start a target and register it."""
+        target = TargetStandIn(behaviour=behaviour)
+        await target.start()
+        self.targets[name] = target
+        await self.register(name, service)
+        return target
+
+    async def register(self, name: str, service: str, state: str = "ready") -> None:
+        """Write a target's registration."""
+        entry = {
+            "service": service,
+            "address": f"{LOOPBACK}:{self.targets[name].port}",
+            "zone": "here",
+            "slots": 8,
+            "state": state,
+        }
+        await self.store.put("keyed.servers", name, json.dumps(entry).encode())
+
+    async def add_daemon(self, name: str) -> IngressDaemon:
+        """Start an ingress daemon and wait until it is ready."""
+        client = self.store.client()
+        options = IngressOptions(
+            host=HostName(name),
+            data_centre=DataCentre("here"),
+            address=LOOPBACK,
+            front=(LOOPBACK, 0),
+            ready=(LOOPBACK, 0),
+            inner_ports=(0, 0),
+            memory_bytes=2**28,
+            descriptors=1000,
+            stop_timeout=8.0,
+            store=StoreOptions(address=(LOOPBACK, 0)),
+        )
+        daemon = IngressDaemon(
+            options=options,
+            keyed_log=client,
+            codec=PlatformCalls(),
+            sources=SOURCES,
+        )
+        self.clients[name] = client
+        self.daemons[name] = daemon
+        await daemon.start()
+        async with asyncio.timeout(PATIENCE):
+            while not daemon.ready:
+                await asyncio.sleep(0.01)
+        return daemon
+
+    def fresh_id(self) -> str:
+        """Return the id of a new attempt."""
+        self._ids += 1
+        return f"{self._ids:016x}"
+
+    async def call(
+        self,
+        daemon: IngressDaemon,
+        path: str,
+        *,
+        body: bytes = b"",
+        attempt: str | None = None,
+        method: str = "POST",
+        **headers: str,
+    ) -> Answer:
+        """Send a request and return its answer; 0 where none came."""
+        sent = [
+            (b"Host", HOST.encode()),
+            (b"X-Attempt-Id", (attempt or self.fresh_id()).encode()),
+        ]
+        for name, value in headers.items():
+            sent.append((name.replace("_", "-").encode(), value.encode()))
+        message = RequestMessage(
+            method=method.encode(), target=path.encode(), headers=sent, body=body
+        )
+        link = await connect((LOOPBACK, daemon.front.port), timeout=PATIENCE)
+        try:
+            async with asyncio.timeout(PATIENCE):
+                return await _exchange(link, message)
+        finally:
+            link.abort()
+
+    async def turn(
+        self,
+        daemon: IngressDaemon,
+        body: bytes,
+        *,
+        attempt: str | None = None,
+        program: str = "program",
+        previous: str | None = None,
+        budget: int = 1000,
+        path: str = "/kept/a",
+    ) -> Answer:
+        """Run a turn of a program."""
+        more = {"X_Previous_Turn": previous} if previous else {}
+        return await self.call(
+            daemon,
+            path,
+            body=body,
+            attempt=attempt,
+            X_Program_Id=program,
+            X_Token_Budget=str(budget),
+            X_Token_Usage="10,100",
+            X_Deadline_Ms="3000",
+            **more,
+        )
+
+
+async def _exchange(link: ClientLink, message: RequestMessage) -> Answer:
+    answer = Answer(status=0, whole=False)
+    try:
+        await link.send(message)
+        head = await link.head()
+        answer.status = head.status
+        answer.headers = {
+            name.decode().lower(): value.decode() for name, value in head.headers
+        }
+        while (part := await link.body_part()) is not None:
+            answer.body += part
+        answer.whole = True
+    except LinkError:
+        answer.whole = False
+    return answer
--- /dev/null
+++ b/sequoiaarch/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Test the routing package."""
--- a/sequoiaarch/tests/storage/contract_tests.py
+++ b/sequoiaarch/tests/storage/contract_tests.py
@@ -167,7 +167,9 @@
         platform = PlatformStandIn()
         platform.start()
         self.addCleanup(platform.stop)
-        hosts = HttpHostList(client=HttpClient(url=platform.url, threads=1))
+        client = HttpClient(url=platform.url, threads=1)
+        self.addCleanup(client.close)
+        hosts = HttpHostList(client=client)
 
         def listed() -> dict[HostName, HostState]:
             found = asyncio.run(hosts.hosts())
@@ -190,7 +192,9 @@
         platform = PlatformStandIn()
         platform.start()
         self.addCleanup(platform.stop)
-        store = HttpWeightStore(client=HttpClient(url=platform.url, threads=1))
+        client = HttpClient(url=platform.url, threads=1)
+        self.addCleanup(client.close)
+        store = HttpWeightStore(client=client)
         waits = [
             asyncio.run(store.reserve("m", "1")) for _ in range(LOADS_A_MINUTE + 1)
         ]
