--- /dev/null
+++ b/sequoiaarch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Know the other ingress daemons and work through them."""
--- /dev/null
+++ b/sequoiaarch/fleet/peers.py
@@ -0,0 +1,143 @@
+"""Find the other daemons and make calls through them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import logbook
+import zmq.asyncio
+
+from ..errors import ErrorKind, Failure
+from ..ids import HostName
+from ..storage.calls import StoreCall, StoreCaller, StoreReply
+from ..storage.keyed import KeyedLog, KeyedRecord, Partition, Writer
+from ..wire.links import Links, Responder, Send
+from ..wire.messages import Failed, Reply, Request, StoreAnswer, StoreRequest
+
+log = logbook.Logger("peers")
+
+TOPIC = "keyed.peers"
+# A peer that has failed is asked last for this time. Seconds.
+SHUN_SECONDS = 3.0
+MOST_PEERS_ASKED = 3
+# A peer that is frozen answers nothing; the call goes on to the next. Seconds.
+PEER_TIMEOUT = 0.5
+PEER_SILENCE = 1.0
+REGISTER_RETRY = 0.5
+
+
+class Peers:
+    """Know the addresses of the other daemons and ask them to call the store."""
+
+    def __init__(
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        own: HostName,
+        own_address: str,
+        seeds: list[str],
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._own_address = own_address
+        self._seeds = [seed for seed in seeds if seed != own_address]
+        self._rng = rng
+        self._links = Links(context=context, silence_limit=PEER_SILENCE)
+        self._addresses: dict[HostName, str] = {}
+        self._shunned: dict[str, float] = {}
+        self._liked: str | None = None
+
+    def __len__(self) -> int:
+        return len(self._addresses)
+
+    def replace(self, records: list[KeyedRecord]) -> None:
+        """Take over the complete list."""
+        self._addresses.clear()
+        for record in records:
+            self.change(record)
+
+    def change(self, record: KeyedRecord) -> None:
+        """Take over one registration."""
+        host = HostName(record.key)
+        if host == self._own:
+            return
+        if record.value:
+            self._addresses[host] = record.value.decode()
+        else:
+            self._addresses.pop(host, None)
+
+    async def register(self, keyed_log: KeyedLog, writer: str) -> None:
+        """Tell the others where this process is."""
+        record = KeyedRecord(key=self._own, value=self._own_address.encode())
+        partition = Partition(topic=TOPIC, number=0)
+        first = Writer(name=f"peer-{writer}", epoch=1, sequence=0)
+        while True:
+            done = await keyed_log.append(partition, [record], writer=first)
+            if not isinstance(done, Failure):
+                return
+            await asyncio.sleep(REGISTER_RETRY)
+
+    async def relay(self, call: StoreCall) -> StoreReply | Failure:
+        """Make a call to the store through a peer that reaches it."""
+        failure = Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="no peer is known")
+        for address in self._order():
+            timeout = call.timeout if call.waits else PEER_TIMEOUT
+            link = self._links.to(f"tcp://{address}")
+            reply = await link.call(StoreRequest(call=call), timeout=timeout)
+            if isinstance(reply, StoreAnswer):
+                self._liked = address
+                return reply.reply
+            self._shun(address)
+            if isinstance(reply, Failed):
+                failure = reply.failure
+        return failure
+
+    def close(self) -> None:
+        """End all links."""
+        self._links.close()
+
+    def _order(self) -> list[str]:
+        """Return whom to ask: who answered last, then any, then the shunned."""
+        now = asyncio.get_running_loop().time()
+        known = list({*self._addresses.values(), *self._seeds})
+        self._rng.shuffle(known)
+        known.sort(
+            key=lambda one: (self._shunned.get(one, 0) > now, one != self._liked)
+        )
+        return known[:MOST_PEERS_ASKED]
+
+    def _shun(self, address: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._shunned[address] = now + SHUN_SECONDS
+        if self._liked == address:
+            self._liked = None
+
+
+class PeerServer:
+    """Make calls to the store for peers that it turns away."""
+
+    def __init__(
+        self, *, context: zmq.asyncio.Context, address: str, caller: StoreCaller
+    ) -> None:
+        self._caller = caller
+        self._responder = Responder(
+            context=context, address=f"tcp://{address}", handler=self._answer
+        )
+
+    async def run(self) -> None:
+        """Answer peers for ever."""
+        await self._responder.run()
+
+    def close(self) -> None:
+        """Stop to answer."""
+        self._responder.close()
+
+    async def _answer(self, request: Request, send: Send) -> Reply:
+        if not isinstance(request, StoreRequest):
+            reason = f"not for this process: {type(request).__name__}"
+            return Failed(failure=Failure(kind=ErrorKind.MALFORMED, reason=reason))
+        reply = await self._caller.call(request.call)
+        if isinstance(reply, Failure):
+            return Failed(failure=reply)
+        return StoreAnswer(reply=reply)
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -6,15 +6,17 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import logbook
 
+from ..fleet.peers import TOPIC as PEERS_TOPIC, Peers
 from ..http1.messages import RequestMessage
 from ..http1.server import Reply, Server, ServerLimits
 from ..ids import InstanceId
 from ..ledger.ledger import Ledger
-from ..policies.engines import LeastRunning, PrefixMemory, PrefixPlacement
+from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
 from ..routing.follower import TopicFollower
 from ..routing.routes import RouteTable
 from ..routing.targets import TargetEntry, Targets
@@ -33,6 +35,7 @@
 # come until then. Seconds.
 READY_NOTICE = 2.6
 STOP_MARGIN = 1.0
+WRITER_BYTES = 6
 
 
 class Sources:
@@ -64,18 +67,22 @@
         keyed_log: KeyedLog,
         codec: CallCodec,
         sources: Sources,
+        peers: Peers | None = None,
+        reload: Callable[[], IngressOptions] | None = None,
     ) -> None:
+        self._reload = reload
         self._options = options
         self._sources = sources
         rng = random.Random()
         self.targets = Targets()
-        self.ledger = Ledger(log=keyed_log, writer=secrets.token_hex(6))
+        writer = secrets.token_hex(WRITER_BYTES)
+        self.ledger = Ledger(log=keyed_log, writer=writer)
         self.dispatcher = Dispatcher(
             codec=codec,
             data_centre=options.data_centre,
             targets=self.targets,
             engines=PrefixPlacement(memory=PrefixMemory(), rng=rng),
-            plain=LeastRunning(rng=rng),
+            plain=NearestFree(rng=rng),
             rng=rng,
         )
         handler = RequestHandler(dispatcher=self.dispatcher, ledger=self.ledger)
@@ -96,6 +103,21 @@
             lost=self.targets.store_lost,
             regained=self.targets.store_regained,
         )
+        self._parts: list[Coroutine[Any, Any, None]] = [
+            self._routes_follower.follow(),
+            self._targets_follower.follow(),
+            self.ledger.start(),
+            self.ledger.expire(),
+            self.dispatcher.pool.sweep(),
+        ]
+        if peers is not None:
+            follower = TopicFollower(
+                log=keyed_log,
+                topic=PEERS_TOPIC,
+                replace=peers.replace,
+                change=peers.change,
+            )
+            self._parts += [follower.follow(), peers.register(keyed_log, writer)]
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -115,22 +137,30 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self._stopping.wait()
         await self.stop()
 
+    def reload(self) -> None:
+        """Read the settings again; addresses of this process stay as they are.
+
+        Without a handler the signal ends the process and every request on it.
+        """
+        if self._reload is None:
+            return
+        try:
+            self._options = self._reload()
+        except (OSError, ValueError) as error:
+            log.error("settings can't be read, the earlier ones stay: {}", error)
+            return
+        log.info("settings read again as {}", self._options.host)
+
     async def start(self) -> None:
         """Listen and begin to follow the store."""
         await self._ready.start(*self._options.ready)
         await self.front.start(*self._options.front)
-        parts = (
-            self._routes_follower.follow(),
-            self._targets_follower.follow(),
-            self.ledger.start(),
-            self.ledger.expire(),
-            self.dispatcher.pool.sweep(),
-        )
-        self._tasks = [asyncio.create_task(part) for part in parts]
+        self._tasks = [asyncio.create_task(part) for part in self._parts]
         log.info("started as {}", self._options.host)
 
     async def stop(self) -> None:
--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -18,8 +18,8 @@
 class IngressOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Set addresses and limits; sizes in bytes, times in seconds.
 
-    `inner_ports` are the first and last port that the daemons may use among
-    themselves.
+    Other daemons reach this one at `inner`; `seeds` are such addresses of a
+    few of them, some of which may be gone.
     """
 
     host: HostName
@@ -27,7 +27,8 @@
     address: str
     front: Address
     ready: Address
-    inner_ports: tuple[int, int]
+    inner: str
+    seeds: list[str]
     memory_bytes: int
     descriptors: int
     stop_timeout: float
--- a/sequoiaarch/platform/__main__.py
+++ b/sequoiaarch/platform/__main__.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import os
+import random
 import sys
 from pathlib import Path
 
 import logbook
+import zmq.asyncio
 
+from ..fleet.peers import Peers, PeerServer
 from ..ingress.daemon import IngressDaemon, Sources
 from ..storage.direct import DirectCaller
+from ..storage.hedged import HedgedCaller
+from ..storage.relayed import RelayedCaller
 from .calls import PlatformCalls
 from .documents import (
     CONFIG_KEY,
@@ -35,14 +40,31 @@
 
 async def _run(path: Path) -> None:
     options = read_settings(path)
-    caller = DirectCaller(address=options.store.address)
+    context = zmq.asyncio.Context()
+    direct = HedgedCaller(caller=DirectCaller(address=options.store.address))
+    peers = Peers(
+        context=context,
+        own=options.host,
+        own_address=options.inner,
+        seeds=options.seeds,
+        rng=random.Random(),
+    )
+    server = PeerServer(context=context, address=options.inner, caller=direct)
+    caller = RelayedCaller(direct=direct, relay=peers.relay)
     daemon = IngressDaemon(
         options=options,
         keyed_log=PlatformLog(caller=caller),
         codec=PlatformCalls(),
         sources=SOURCES,
+        peers=peers,
+        reload=lambda: read_settings(path),
     )
+    serving = asyncio.create_task(server.run())
     await daemon.run()
+    serving.cancel()
+    server.close()
+    peers.close()
+    context.destroy(linger=0)
 
 
 def main() -> int:
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -21,6 +21,7 @@
 class _Listen(_Fields, frozen=True):
     front: str = ""  # where callers connect
     ready: str = ""  # where the platform asks whether to send callers
+    control: str = ""  # where other daemons of the system connect
 
 
 class _Limits(_Fields, frozen=True):
@@ -45,6 +46,7 @@
     zone: str
     internal_port_range: tuple[int, int]
     platform: _Platform
+    seeds: list[str] = []  # some daemons' addresses, perhaps of gone ones
     listen: _Listen = _Listen()
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
@@ -63,7 +65,8 @@
         address=found.ip,
         front=(front_host, front_port),
         ready=(ready_host, ready_port),
-        inner_ports=found.internal_port_range,
+        inner=found.listen.control or f"{found.ip}:{found.internal_port_range[0]}",
+        seeds=found.seeds,
         memory_bytes=found.limits.memory_mb * MIB,
         descriptors=found.limits.max_fds,
         stop_timeout=found.bounds.grace_s,
--- a/sequoiaarch/platform/store.py
+++ b/sequoiaarch/platform/store.py
@@ -26,7 +26,7 @@
 APPEND_TIMEOUT = 1.2
 READ_TIMEOUT = 1.0
 PAGE_TIMEOUT = 2.0
-WAIT_MARGIN = 1.5
+WAIT_MARGIN = 0.8
 
 
 class _Appended(msgspec.Struct, rename="camel", kw_only=True):
--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -20,6 +20,9 @@
 # are priced between data centres. Seconds.
 DISTANCE_SECONDS = 0.004
 PARTS_KEPT = 4096
+# Up to this share of an instance's slots in use by one process it counts as
+# free; with a few processes to each data centre it is then about half full.
+FREE_SHARE = 0.4
 
 
 class EngineChoice(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,6 +52,29 @@
         """Return the instance and the reason."""
 
 
+class NearestFree:
+    """Choose the nearest instance with few requests, else the least loaded.
+
+    Requests and answers between data centres are priced, and a free instance
+    nearby answers sooner. What a process sees of an instance's load is its own
+    share, so "few" is a small part of the slots.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self, shape: PromptShape, choices: list[EngineChoice]
+    ) -> tuple[InstanceId, str]:
+        """Return a near and free instance, or the least loaded of all."""
+        near = [one for one in choices if one.near and _free(one)]
+        return LeastRunning(rng=self._rng).choose(shape, near or choices)
+
+
+def _free(one: EngineChoice) -> bool:
+    return one.running < one.slots * FREE_SHARE
+
+
 class LeastRunning:
     """Choose the instance with the fewest requests for its slots."""
 
--- a/sequoiaarch/routing/follower.py
+++ b/sequoiaarch/routing/follower.py
@@ -13,7 +13,9 @@
 
 log = logbook.Logger("follower")
 
-WAIT_SECONDS = 15.0
+# A connection that falls silent while a read waits on it hides every change.
+# The read ends by itself after this time and the next one finds out. Seconds.
+WAIT_SECONDS = 2.0
 RETRY_SECONDS = 0.2
 
 
--- a/sequoiaarch/tests/http1/__init__.py
+++ b/sequoiaarch/tests/http1/__init__.py
@@ -1,1 +1,1 @@
-"""Test the http1 package."""
+"""Test package http1."""
--- a/sequoiaarch/tests/ingress/__init__.py
+++ b/sequoiaarch/tests/ingress/__init__.py
@@ -1,1 +1,1 @@
-"""Test the ingress package."""
+"""Test package ingress."""
--- a/sequoiaarch/tests/ledger/__init__.py
+++ b/sequoiaarch/tests/ledger/__init__.py
@@ -1,1 +1,1 @@
-"""Test the ledger package."""
+"""Test package ledger."""
--- a/sequoiaarch/tests/platform/__init__.py
+++ b/sequoiaarch/tests/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Test the platform package."""
+"""Test package platform."""
--- a/sequoiaarch/tests/routing/__init__.py
+++ b/sequoiaarch/tests/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Test the routing package."""
+"""Test package routing."""
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -28,6 +28,7 @@
     ProgramState,
     ShardRecord,
 )
+from ..storage.calls import StoreCall, StoreReply
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field="t"):
@@ -211,12 +212,19 @@
     trace_id: str
 
 
+class StoreRequest(Message, frozen=True, kw_only=True, tag="store"):
+    """Ask a peer to make a call to the store."""
+
+    call: StoreCall
+
+
 class Ping(Message, frozen=True, kw_only=True, tag="ping"):
     """Ask whether the peer's process still answers."""
 
 
 Request = (
     CallRequest
+    | StoreRequest
     | DispatchRequest
     | SubmitRequest
     | StateRequest
@@ -354,6 +362,12 @@
     spans: list[SpanData]
 
 
+class StoreAnswer(Message, frozen=True, kw_only=True, tag="stored"):
+    """Answer with what the store said."""
+
+    reply: StoreReply
+
+
 class Accepted(Message, frozen=True, kw_only=True, tag="accepted"):
     """Say that an order was carried out."""
 
@@ -362,6 +376,7 @@
 
 Reply = (
     Chunk
+    | StoreAnswer
     | Head
     | Done
     | Executed
