--- a/sequoiaarch/storage/relayed.py
+++ b/sequoiaarch/storage/relayed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import logbook
 
@@ -16,9 +17,20 @@
 
 # While peers carry the calls, one call in this time also tries the direct way.
 PROBE_SECONDS = 0.5
+# While nobody reaches the store, one call in this time finds out whether it is
+# back; all others fail at once, so that their callers are told at once too.
+AWAY_PROBE_SECONDS = 0.25
 TURNED_AWAY = frozenset({429, 503})
 
 
+class Way(Enum):
+    """Say how calls reach the store at present."""
+
+    DIRECT = "directly"
+    RELAYED = "through a peer"
+    NONE = "not at all"
+
+
 class RelayedCaller:
     """Make calls directly, and through a peer while the direct way fails.
 
@@ -30,49 +42,54 @@
     def __init__(self, *, direct: StoreCaller, relay: RelayCall) -> None:
         self._direct = direct
         self._relay = relay
-        self._denied = False
+        self._way = Way.DIRECT
         self._probe_at = 0.0
         self._probe: asyncio.Task[StoreReply | Failure] | None = None
 
     @property
-    def denied(self) -> bool:
-        """Return whether the direct way has failed last."""
-        return self._denied
+    def way(self) -> Way:
+        """Return how the last call reached the store."""
+        return self._way
 
     async def call(self, call: StoreCall) -> StoreReply | Failure:
         """Make a call by the way that works."""
-        if self._denied:
-            self._probe_beside(call)
-            reply = await self._relay(call)
-            if _served(reply):
-                return reply
+        if self._way is Way.NONE and not self._probe_due(AWAY_PROBE_SECONDS):
+            return _unreached(call)
+        if self._way is Way.RELAYED:
+            if not call.waits and self._probe_due(PROBE_SECONDS):
+                self._probe = asyncio.create_task(self._try_direct(call))
+            return await self._try_relay(call)
         reply = await self._try_direct(call)
         if _served(reply):
             return reply
-        relayed = await self._relay(call)
+        relayed = await self._try_relay(call)
         return relayed if _served(relayed) else reply
 
     async def _try_direct(self, call: StoreCall) -> StoreReply | Failure:
         reply = await self._direct.call(call)
-        self._note(not _served(reply), _reason(reply))
+        if _served(reply):
+            self._note(Way.DIRECT, "")
         return reply
 
-    def _probe_beside(self, call: StoreCall) -> None:
-        """Try the direct way too, without waiting for what it brings."""
+    async def _try_relay(self, call: StoreCall) -> StoreReply | Failure:
+        reply = await self._relay(call)
+        self._note(Way.RELAYED if _served(reply) else Way.NONE, _reason(reply))
+        return reply
+
+    def _probe_due(self, interval: float) -> bool:
         now = asyncio.get_running_loop().time()
-        if call.waits or now < self._probe_at:
-            return
-        self._probe_at = now + PROBE_SECONDS
-        self._probe = asyncio.create_task(self._try_direct(call))
+        if now < self._probe_at:
+            return False
+        self._probe_at = now + interval
+        return True
 
-    def _note(self, denied: bool, reason: str) -> None:
-        if denied == self._denied:
+    def _note(self, way: Way, reason: str) -> None:
+        if way is self._way:
             return
-        self._denied = denied
-        if denied:
-            log.warning("lost the store: {}", reason)
-        else:
-            log.info("regained the store")
+        log.info(
+            "the store is reached {}, before {}; {}", way.value, self._way.value, reason
+        )
+        self._way = way
 
 
 def _served(reply: StoreReply | Failure) -> bool:
@@ -85,6 +102,7 @@
     return f"answered {reply.status}"
 
 
-def no_relay(call: StoreCall) -> Failure:
-    """Return that no peer can carry a call."""
-    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="no peer reaches the store")
+def _unreached(call: StoreCall) -> Failure:
+    path = call.path.partition("?")[0]
+    reason = f"{path}: the store is away"
+    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=reason)
--- /dev/null
+++ b/sequoiaarch/tests/storage/ways_tests.py
@@ -0,0 +1,102 @@
+"""Test how calls reach a store that answers late, in part or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from ...errors import ErrorKind, Failure
+from ...storage.calls import StoreCall, StoreReply
+from ...storage.hedged import HedgedCaller
+from ...storage.relayed import RelayedCaller, Way
+
+PATIENCE = 10.0
+CALL = StoreCall(method="GET", path="/x", timeout=PATIENCE)
+GOOD = StoreReply(status=200, body=b"good")
+BUSY = StoreReply(status=503, body=b"")
+FAILED = Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="down")
+
+
+class _Caller:
+    """Answer calls as a test says, and count them."""
+
+    def __init__(self, *replies: StoreReply | Failure | None) -> None:
+        self.replies = list(replies)
+        self.calls = 0
+
+    async def call(self, call: StoreCall) -> StoreReply | Failure:
+        """Return the next reply; None stands for an answer that never comes."""
+        self.calls += 1
+        reply = self.replies[0] if len(self.replies) == 1 else self.replies.pop(0)
+        if reply is None:
+            await asyncio.Event().wait()
+        assert reply is not None
+        return reply
+
+
+class HedgedTests(unittest.IsolatedAsyncioTestCase):
+    """Test the second call for a late answer."""
+
+    async def test_lost_answer(self) -> None:
+        """Get the answer by a second call when the first one's is lost.
+
+        The store carries the first call out and its answer is lost. The end
+        of a turn would wait for the whole timeout.
+        """
+        caller = _Caller(None, GOOD)
+        async with asyncio.timeout(PATIENCE / 2):
+            reply = await HedgedCaller(caller=caller).call(CALL)
+        self.assertEqual(reply, GOOD)
+        self.assertEqual(caller.calls, 2)
+
+    async def test_in_time(self) -> None:
+        """Call once when the answer comes."""
+        caller = _Caller(GOOD)
+        hedged = HedgedCaller(caller=caller)
+        for _ in range(10):
+            self.assertEqual(await hedged.call(CALL), GOOD)
+        self.assertEqual(caller.calls, 10)
+
+    async def test_both_fail(self) -> None:
+        """Fail when both calls do."""
+        reply = await HedgedCaller(caller=_Caller(FAILED)).call(CALL)
+        self.assertEqual(reply, FAILED)
+
+
+class RelayedTests(unittest.IsolatedAsyncioTestCase):
+    """Test the way through a peer."""
+
+    async def test_turned_away(self) -> None:
+        """Reach the store through a peer, and directly again once it serves.
+
+        The store turns this process away with a status while it serves the
+        others. Its callers' turns must still be kept.
+        """
+        direct, relay = _Caller(BUSY), _Caller(GOOD)
+        caller = RelayedCaller(direct=direct, relay=relay.call)
+        for _ in range(5):
+            self.assertEqual(await caller.call(CALL), GOOD)
+        self.assertIs(caller.way, Way.RELAYED)
+        direct.replies = [GOOD]
+        async with asyncio.timeout(PATIENCE):
+            while caller.way is not Way.DIRECT:
+                await caller.call(CALL)
+                await asyncio.sleep(0.05)
+
+    async def test_away(self) -> None:
+        """Ask for a store that nobody reaches now and then, not for each call.
+
+        The store is down. Every append, read and peer's relay that is tried
+        all the same is priced, and its caller waits to be told.
+        """
+        direct, relay = _Caller(FAILED), _Caller(FAILED)
+        caller = RelayedCaller(direct=direct, relay=relay.call)
+        for _ in range(100):
+            self.assertIsInstance(await caller.call(CALL), Failure)
+        self.assertIs(caller.way, Way.NONE)
+        self.assertLess(direct.calls, 10)
+        direct.replies = [GOOD]
+        async with asyncio.timeout(PATIENCE):
+            while await caller.call(CALL) != GOOD:
+                await asyncio.sleep(0.05)
+        self.assertIs(caller.way, Way.DIRECT)
