Grant budgets in blocks, and keep lapsed targets over a second outage

Cause: each turn wrote a reservation and its settlement, two calls to the store, and no turn with a budget could run while the store was away. Every process now holds a grant for a program that reaches some turns ahead, valid by the order of the log; its rest returns when the program is still or the budget half spent.

--- a/sequoiaarch/ids.py
+++ b/sequoiaarch/ids.py
@@ -20,6 +20,7 @@
 InstanceId = NewType("InstanceId", str)
 SessionId = NewType("SessionId", str)
 TurnId = NewType("TurnId", str)
+WriterId = NewType("WriterId", str)
 
 RANDOM_ID_BYTES = 9
 CHILD_SEPARATOR = "."
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -108,6 +108,7 @@
             self._targets_follower.follow(),
             self.ledger.start(),
             self.ledger.expire(),
+            self.ledger.give_back(),
             self.dispatcher.pool.sweep(),
         ]
         if peers is not None:
--- /dev/null
+++ b/sequoiaarch/ledger/budgets.py
@@ -0,0 +1,302 @@
+"""Hold budgets: nothing is handed out that was not granted durably before."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from enum import Enum
+
+import logbook
+import msgspec
+
+from ..ids import Offset, ProgramId, TurnId, WriterId
+from ..storage.keyed import KeyedRecord
+from .partition import LedgerPartition
+from .records import GrantRecord, encode_record, grant_key
+from .state import LedgerState
+
+log = logbook.Logger("budget")
+
+# A grant reaches so many turns ahead: each turn then needs no call of its own,
+# and a program goes on for some turns while the store is away.
+TURNS_AHEAD = 2
+# What a grant reaches ahead is at most this part of what is left of the first
+# half, so that other processes have their share of a program that works
+# through several of them.
+AHEAD_PART = 2
+# Below this share of the budget a grant is checked beside the engine's work;
+# above it, before the request is sent, so that a refusal stays true. Above it
+# nothing is held ahead either: another process may need the rest.
+CHECKED_LATER_SHARE = 0.5
+# A program that has been still for this long here returns what it doesn't use;
+# the pauses between its turns are shorter. Seconds.
+RETURN_AFTER = 0.8
+RETURN_INTERVAL = 0.4
+# Another process returns its rest within this time. Seconds.
+RETURN_BOUND = 2.0
+FORGET_AFTER = 120.0
+AWAY_CHECK = 0.1
+
+
+class Verdict(Enum):
+    """Say whether a turn fits the budget."""
+
+    FITS = "fits"
+    EXCEEDED = "exceeded"
+    HELD = "held by another process for a moment"
+    UNCERTAIN = "not known, as the log can't be read"
+
+
+class TurnTerms(msgspec.Struct, frozen=True, kw_only=True):
+    """Name a turn, the program it belongs to, and the most it may hand out."""
+
+    turn: TurnId
+    program: ProgramId
+    budget: int
+    most: int
+    retention: float
+
+
+class _Account:
+    """Hold what this process may hand out, and did, for one program."""
+
+    def __init__(self, *, terms: TurnTerms) -> None:
+        self.program = terms.program
+        self.budget = terms.budget
+        self.retention = terms.retention
+        self.most = terms.most
+        self.granted = 0
+        self.handed = 0
+        self.open: OrderedDict[TurnId, int] = OrderedDict()
+        self.raising: asyncio.Task[bool] | None = None
+        self.touched = 0.0
+
+    @property
+    def needed(self) -> int:
+        """Return what was handed out and what open turns may still need."""
+        return self.handed + sum(self.open.values())
+
+    def covers(self, turn: TurnId) -> bool:
+        """Return whether the grant covers a turn and all before it."""
+        needed = self.handed
+        for name, left in self.open.items():
+            needed += left
+            if name == turn:
+                break
+        return needed <= self.granted
+
+
+class Reservation:
+    """Hold the part of a budget that one turn may use."""
+
+    def __init__(
+        self, *, terms: TurnTerms, account: _Account, partition: LedgerPartition
+    ) -> None:
+        self.terms = terms
+        self._account = account
+        self._partition = partition
+
+    async def verdict(self) -> Verdict:
+        """Wait until it is known whether the turn is granted.
+
+        While the store is away the answer could come after the caller has
+        left, so it is given as unknown.
+        """
+        account = self._account
+        while not account.covers(self.terms.turn):
+            raising = account.raising
+            if raising is None:
+                return Verdict.EXCEEDED
+            await asyncio.wait([raising], timeout=AWAY_CHECK)
+            unknown = raising.done() and not raising.result()
+            if unknown or self._partition.stuck:
+                return Verdict.UNCERTAIN
+        return Verdict.FITS
+
+    def hand_out(self, tokens: int) -> None:
+        """Count tokens that go to the caller."""
+        account = self._account
+        left = account.open.get(self.terms.turn, 0)
+        account.handed += tokens
+        account.open[self.terms.turn] = max(0, left - tokens)
+
+    def close(self) -> None:
+        """Return what the turn did not use."""
+        self._account.open.pop(self.terms.turn, None)
+        self._account.touched = asyncio.get_running_loop().time()
+
+
+class Budgets:
+    """Grant turns their part of a budget, in blocks that the log orders."""
+
+    def __init__(self, *, state: LedgerState, writer: WriterId) -> None:
+        self._state = state
+        self._writer = writer
+        self._accounts: dict[ProgramId, _Account] = {}
+
+    async def admit(
+        self, partition: LedgerPartition, terms: TurnTerms
+    ) -> Reservation | Verdict:
+        """Reserve the most that a turn may use, or say why not.
+
+        Near the limit the answer waits for the log, since a request that was
+        refused for its budget must never have run.
+        """
+        account = self._account(terms)
+        reservation = Reservation(terms=terms, account=account, partition=partition)
+        if account.needed + terms.most <= account.granted:
+            account.open[terms.turn] = terms.most
+            return reservation
+        shortage = await self._shortage(partition, account, terms)
+        if shortage is not None:
+            return shortage
+        account.open[terms.turn] = terms.most
+        self._raise(partition, account)
+        after = self._state.granted_others(terms.program) + account.needed
+        if after <= terms.budget * CHECKED_LATER_SHARE:
+            return reservation
+        verdict = await reservation.verdict()
+        if verdict is Verdict.FITS:
+            return reservation
+        reservation.close()
+        return self._excess(terms) if verdict is Verdict.EXCEEDED else verdict
+
+    def ahead(self, partition: LedgerPartition, program: ProgramId) -> None:
+        """Ask for the next block if the present one is nearly used up.
+
+        Called when a record is written anyway, so that it costs no call.
+        """
+        account = self._accounts.get(program)
+        if account is None or account.raising is not None:
+            return
+        if account.needed + account.most > account.granted:
+            self._raise(partition, account)
+
+    def give_back(self, partition: LedgerPartition, program: ProgramId) -> None:
+        """Return what a program that is still does not use."""
+        account = self._accounts.get(program)
+        if account is None or account.raising is not None or account.open:
+            return
+        if account.granted > account.handed:
+            account.granted = account.handed
+            self._write(partition, account, account.handed, urgent=False)
+
+    def still(self) -> list[ProgramId]:
+        """Return the programs that have a rest to give back."""
+        now = asyncio.get_running_loop().time()
+        for program, account in list(self._accounts.items()):
+            if account.touched + FORGET_AFTER < now and not account.open:
+                self._forget(program, account)
+        return [
+            account.program
+            for account in self._accounts.values()
+            if account.granted > account.handed
+            and not account.open
+            and (self._tight(account) or account.touched + RETURN_AFTER < now)
+        ]
+
+    def _tight(self, account: _Account) -> bool:
+        """Return whether what is held ahead may be missing elsewhere."""
+        others = self._state.granted_others(account.program)
+        return others + account.granted > account.budget * CHECKED_LATER_SHARE
+
+    def _forget(self, program: ProgramId, account: _Account) -> None:
+        """Drop an account whose rest was returned; a later turn reads it back."""
+        if account.granted == account.handed and account.raising is None:
+            del self._accounts[program]
+
+    def _account(self, terms: TurnTerms) -> _Account:
+        account = self._accounts.get(terms.program)
+        if account is None:
+            account = self._accounts[terms.program] = _Account(terms=terms)
+            # Forgotten here a while ago: what was handed out then still counts.
+            account.handed = self._state.granted(terms.program, self._writer)
+            account.granted = account.handed
+        account.budget = terms.budget
+        account.most = max(account.most, terms.most)
+        account.touched = asyncio.get_running_loop().time()
+        return account
+
+    async def _shortage(
+        self, partition: LedgerPartition, account: _Account, terms: TurnTerms
+    ) -> Verdict | None:
+        """Return why a turn can't be granted, as the log stands."""
+        if partition.stuck:
+            return Verdict.UNCERTAIN
+        if self._fits(account, terms):
+            return None
+        if not await partition.sync():
+            return Verdict.UNCERTAIN
+        if self._fits(account, terms):
+            return None
+        return self._excess(terms)
+
+    def _excess(self, terms: TurnTerms) -> Verdict:
+        """Return whether the budget is spent, or held for a moment elsewhere."""
+        since = self._state.now() - RETURN_BOUND
+        held = self._state.returning(terms.program, since)
+        return Verdict.HELD if held else Verdict.EXCEEDED
+
+    def _fits(self, account: _Account, terms: TurnTerms) -> bool:
+        others = self._state.granted_others(terms.program)
+        return others + account.needed + terms.most <= terms.budget
+
+    def _raise(self, partition: LedgerPartition, account: _Account) -> None:
+        """Ask for a larger grant, after one that is under way."""
+        account.raising = asyncio.create_task(
+            self._raise_after(partition, account, account.raising)
+        )
+
+    async def _raise_after(
+        self,
+        partition: LedgerPartition,
+        account: _Account,
+        before: asyncio.Task[bool] | None,
+    ) -> bool:
+        """Write a grant and read whether it holds; False if that is unknown."""
+        own = asyncio.current_task()
+        try:
+            if before is not None:
+                await asyncio.wait([before])
+            for ahead in (self._ahead(account), 0):
+                wanted = account.needed + ahead
+                if wanted <= account.granted:
+                    return True
+                offset = await self._write(partition, account, wanted, urgent=True)
+                while partition.cursor <= offset:
+                    if not await partition.sync():
+                        return False
+                if self._state.granted(account.program, self._writer) >= wanted:
+                    account.granted = wanted
+                    return True
+            # The newest record names more than is valid: put that right.
+            self._write(partition, account, account.granted, urgent=False)
+            return True
+        finally:
+            if account.raising is own:
+                account.raising = None
+
+    def _ahead(self, account: _Account) -> int:
+        others = self._state.granted_others(account.program)
+        left = account.budget * CHECKED_LATER_SHARE - others - account.needed
+        return max(0, min(TURNS_AHEAD * account.most, int(left / AHEAD_PART)))
+
+    def _write(
+        self,
+        partition: LedgerPartition,
+        account: _Account,
+        tokens: int,
+        *,
+        urgent: bool,
+    ) -> asyncio.Future[Offset]:
+        record = GrantRecord(
+            program=account.program,
+            retention=account.retention,
+            writer=self._writer,
+            budget=account.budget,
+            tokens=tokens,
+            used=account.handed,
+        )
+        key = grant_key(account.program, self._writer)
+        keyed = KeyedRecord(key=key, value=encode_record(record))
+        return partition.append(keyed, urgent=urgent)
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -6,13 +6,13 @@
 from enum import Enum
 
 import logbook
-import msgspec
 import xxhash
 
-from ..ids import Offset, ProgramId, TurnId
+from ..ids import ProgramId, TurnId, WriterId
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition
+from .budgets import RETURN_INTERVAL, Budgets, Reservation, TurnTerms, Verdict
 from .partition import LedgerPartition
-from .records import Stage, TurnRecord, encode_turn
+from .records import TurnRecord, encode_record
 from .state import LedgerState
 
 log = logbook.Logger("ledger")
@@ -22,13 +22,9 @@
 # a second at a third of that, and each more is one more read for a turn whose
 # program is unknown.
 PARTITIONS = 4
-# Below this share of the budget a reservation is checked beside the engine's
-# work; above it, before the request is sent, so that a refusal stays true.
-CHECKED_LATER_SHARE = 0.5
-# Appends that fail for longer than this mean that the store is away. Seconds.
-AWAY_AFTER_SECONDS = 0.6
 EXPIRY_INTERVAL_SECONDS = 10.0
 EXPIRY_BATCH = 500
+LOAD_RETRY_SECONDS = 0.1
 
 
 class Lookup(Enum):
@@ -38,40 +34,6 @@
     UNCERTAIN = "the log can't be read to its end"
 
 
-class Verdict(Enum):
-    """Say whether a reservation fits the budget."""
-
-    FITS = "fits"
-    EXCEEDED = "exceeded"
-    UNCERTAIN = "uncertain"
-
-
-class TurnTerms(msgspec.Struct, frozen=True, kw_only=True):
-    """Name a turn, the program it belongs to, and the most it may hand out."""
-
-    turn: TurnId
-    program: ProgramId
-    budget: int
-    most: int
-    retention: float
-
-
-class Reservation:
-    """Hold the part of a budget that one turn may use."""
-
-    def __init__(
-        self, *, terms: TurnTerms, check: asyncio.Task[Verdict] | None
-    ) -> None:
-        self.terms = terms
-        self._check = check
-
-    async def verdict(self) -> Verdict:
-        """Wait until the reservation is durable and return if it fits."""
-        if self._check is None:
-            return Verdict.FITS
-        return await asyncio.shield(self._check)
-
-
 class Ledger:
     """Keep the turns of all programs in the log, with no owner for any.
 
@@ -81,7 +43,9 @@
     """
 
     def __init__(self, *, log: KeyedLog, writer: str) -> None:
-        self.state = LedgerState()
+        self.writer = WriterId(writer)
+        self.state = LedgerState(writer=self.writer)
+        self._budgets = Budgets(state=self.state, writer=self.writer)
         self._partitions = [
             LedgerPartition(
                 log=log,
@@ -91,7 +55,6 @@
             )
             for number in range(PARTITIONS)
         ]
-        self._background: set[asyncio.Task[object]] = set()
 
     @property
     def loaded(self) -> bool:
@@ -101,7 +64,7 @@
     @property
     def away(self) -> bool:
         """Return whether nothing can be written at present."""
-        return any(one.stuck_for > AWAY_AFTER_SECONDS for one in self._partitions)
+        return any(one.stuck for one in self._partitions)
 
     async def start(self) -> None:
         """Read all partitions, trying until it succeeds."""
@@ -131,70 +94,25 @@
         return Lookup.UNCERTAIN
 
     async def reserve(self, terms: TurnTerms) -> Reservation | Verdict:
-        """Reserve the most that a turn may use, or say why not.
-
-        Near the limit the answer waits for the log, since a request that was
-        refused for its budget must never have run.
-        """
-        partition = self._partition(terms.program)
-        after = self.state.spent(terms.program) + terms.most
-        if after > terms.budget:
-            if not await partition.sync():
-                return Verdict.UNCERTAIN
-            if self.state.spent(terms.program) + terms.most > terms.budget:
-                return Verdict.EXCEEDED
-        # Queued at once: a commit that overtook it would be replaced by it.
-        record = TurnRecord(
-            stage=Stage.RESERVED,
-            program=terms.program,
-            budget=terms.budget,
-            tokens=terms.most,
-            retention=terms.retention,
-        )
-        written = self._append(terms, record, urgent=True)
-        check = asyncio.create_task(self._check(terms, written))
-        reservation = Reservation(terms=terms, check=check)
-        if after <= terms.budget * CHECKED_LATER_SHARE:
-            return reservation
-        verdict = await reservation.verdict()
-        if verdict is Verdict.FITS:
-            return reservation
-        self.settle(terms, used=0)
-        return verdict
-
-    def settle(self, terms: TurnTerms, *, used: int) -> None:
-        """Record what a turn handed out."""
-        record = TurnRecord(
-            stage=Stage.SETTLED,
-            program=terms.program,
-            budget=terms.budget,
-            tokens=used,
-            retention=terms.retention,
-        )
-        self._append(terms, record, urgent=False)
+        """Reserve the most that a turn may use, or say why not."""
+        return await self._budgets.admit(self._partition(terms.program), terms)
 
     async def commit(
-        self,
-        terms: TurnTerms,
-        *,
-        used: int,
-        parent: TurnId | None,
-        given: bytes,
-        produced: bytes,
+        self, terms: TurnTerms, *, parent: TurnId | None, given: bytes, produced: bytes
     ) -> None:
         """Make a turn part of the history; return once that is durable."""
         record = TurnRecord(
-            stage=Stage.RETAINED,
             program=terms.program,
-            budget=terms.budget,
-            tokens=used,
             retention=terms.retention,
             parent=parent,
             given=given,
             produced=produced,
         )
-        await self._append(terms, record, urgent=True)
-        self.state.apply(terms.turn, encode_turn(record))
+        value = encode_record(record)
+        partition = self._partition(terms.program)
+        self._budgets.ahead(partition, terms.program)
+        await partition.append(KeyedRecord(key=terms.turn, value=value), urgent=True)
+        self.state.apply(terms.turn, value)
 
     async def flush(self) -> None:
         """Write all that is queued."""
@@ -204,36 +122,28 @@
         """Stop to write."""
         await asyncio.gather(*(one.close() for one in self._partitions))
 
+    async def give_back(self) -> None:
+        """Return the rests of still programs, again and again."""
+        while True:
+            await asyncio.sleep(RETURN_INTERVAL)
+            if self.away:
+                continue
+            for program in self._budgets.still():
+                self._budgets.give_back(self._partition(program), program)
+
     async def expire(self) -> None:
-        """Remove the turns of programs that can't come back, again and again."""
+        """Remove the records of programs that can't come back, again and again."""
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_SECONDS)
-            turns = self.state.expired()[:EXPIRY_BATCH]
-            for turn in turns:
-                program = self.state.program_of(turn)
-                if program is None:
-                    continue
-                empty = KeyedRecord(key=turn, value=b"")
-                self._partition(program).append(empty, urgent=False)
-                self.state.apply(turn, b"")
-            if turns:
-                log.info("removed {} turns of ended programs", len(turns))
-
-    async def _check(
-        self, terms: TurnTerms, written: asyncio.Future[Offset]
-    ) -> Verdict:
-        partition = self._partition(terms.program)
-        offset = await written
-        while partition.cursor <= offset:
-            if not await partition.sync():
-                return Verdict.UNCERTAIN
-        return Verdict.FITS if self.state.accepted(terms.turn) else Verdict.EXCEEDED
-
-    def _append(
-        self, terms: TurnTerms, record: TurnRecord, *, urgent: bool
-    ) -> asyncio.Future[Offset]:
-        keyed = KeyedRecord(key=terms.turn, value=encode_turn(record))
-        return self._partition(terms.program).append(keyed, urgent=urgent)
+            keys = self.state.expired()[:EXPIRY_BATCH]
+            for key in keys:
+                program = self.state.program_of(key)
+                if program is not None:
+                    empty = KeyedRecord(key=key, value=b"")
+                    self._partition(program).append(empty, urgent=False)
+                    self.state.remove(key)
+            if keys:
+                log.info("removed {} records of ended programs", len(keys))
 
     def _partition(self, program: ProgramId) -> LedgerPartition:
         digest = xxhash.xxh32_intdigest(program.encode())
@@ -241,4 +151,4 @@
 
     async def _load(self, partition: LedgerPartition) -> None:
         while not await partition.load():
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(LOAD_RETRY_SECONDS)
--- a/sequoiaarch/ledger/partition.py
+++ b/sequoiaarch/ledger/partition.py
@@ -21,6 +21,8 @@
 GATHER_SECONDS = 0.4
 RETRY_SECONDS = 0.05
 RETRY_LIMIT_SECONDS = 0.5
+# Appends that fail for longer than this mean that the store is away. Seconds.
+AWAY_AFTER_SECONDS = 0.3
 # Bytes of records in one append, well below what one call may carry.
 BATCH_BYTES = 1024 * 1024
 
@@ -67,11 +69,12 @@
         return self._cursor if self._cursor is not None else Offset(-1)
 
     @property
-    def stuck_for(self) -> float:
-        """Return for how many seconds appends have failed."""
+    def stuck(self) -> bool:
+        """Return whether appends have failed for so long that the store is away."""
         if self._stuck_since is None:
-            return 0.0
-        return asyncio.get_running_loop().time() - self._stuck_since
+            return False
+        now = asyncio.get_running_loop().time()
+        return now > self._stuck_since + AWAY_AFTER_SECONDS
 
     def start(self) -> None:
         """Start to write what is queued."""
--- a/sequoiaarch/ledger/records.py
+++ b/sequoiaarch/ledger/records.py
@@ -1,52 +1,64 @@
-"""Encode what the log keeps of each turn."""
+"""Encode what the log keeps of turns and budgets."""
 
 from __future__ import annotations
 
-from enum import IntEnum
-
 import msgspec
 
-from ..ids import ProgramId, TurnId
+from ..ids import ProgramId, TurnId, WriterId
+
 
+class TurnRecord(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="turn"
+):
+    """Hold one turn of a program's history.
 
-class Stage(IntEnum):
-    """Say how far a turn has come."""
+    `given` and `produced` are the exact bytes of its input and of its output
+    as they stand in later prompts; `retention` is in seconds.
+    """
 
-    RESERVED = 0
-    SETTLED = 1
-    RETAINED = 2
+    program: ProgramId
+    retention: float
+    parent: TurnId | None
+    given: bytes
+    produced: bytes
 
 
-class TurnRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Hold one turn; the newest record of a turn replaces the earlier ones.
+class GrantRecord(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="grant"
+):
+    """Grant a writer a part of a program's budget.
 
-    `tokens` is the most that the turn may hand out while it is reserved, and
-    what it handed out afterwards. Only a retained turn has its input and
-    output, as the exact bytes of its part of a prompt.
+    `tokens` is the most that the writer's turns of the program may hand out in
+    all, `used` what they had handed out when it was written.
     """
 
-    stage: Stage
     program: ProgramId
+    retention: float
+    writer: WriterId
     budget: int
     tokens: int
-    retention: float
-    parent: TurnId | None = None
-    given: bytes = b""
-    produced: bytes = b""
+    used: int
+
 
+Record = TurnRecord | GrantRecord
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(TurnRecord)
+_decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 
 
-def encode_turn(record: TurnRecord) -> bytes:
+def encode_record(record: Record) -> bytes:
     """Return the bytes of a record."""
     return _encoder.encode(record)
 
 
-def decode_turn(data: bytes) -> TurnRecord | None:
+def decode_record(data: bytes) -> Record | None:
     """Return the record in the bytes; None where they hold none."""
     try:
         return _decoder.decode(data)
     except msgspec.DecodeError:
         return None
+
+
+def grant_key(program: ProgramId, writer: WriterId) -> str:
+    """Return the key of a writer's grant."""
+    return f"{program}/{writer}"
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -54,8 +54,13 @@
         return len(self._entries)
 
     def store_lost(self) -> None:
-        """Note that the store stopped answering."""
+        """Note that the store stopped answering.
+
+        What lapsed before may not have had the time to come back.
+        """
         self._outage = True
+        for instance in self._lapsed:
+            self._lapsed[instance] = float("inf")
 
     def store_regained(self) -> None:
         """Note that the store answers again."""
