--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -77,11 +77,13 @@
         self.targets = Targets()
         writer = secrets.token_hex(WRITER_BYTES)
         self.ledger = Ledger(log=keyed_log, writer=writer)
+        memory = PrefixMemory()
         self.dispatcher = Dispatcher(
             codec=codec,
             data_centre=options.data_centre,
             targets=self.targets,
-            engines=PrefixPlacement(memory=PrefixMemory(), rng=rng),
+            engines=PrefixPlacement(memory=memory, rng=rng),
+            memory=memory,
             plain=NearestFree(rng=rng),
             rng=rng,
         )
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -5,7 +5,7 @@
 import random
 
 from ..ids import DataCentre, InstanceId, ServiceName
-from ..policies.engines import EngineChoice, EnginePlacement, PromptShape
+from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
 from .calls import CallCodec, CallInfo
@@ -26,6 +26,7 @@
         data_centre: DataCentre,
         targets: Targets,
         engines: EnginePlacement,
+        memory: PrefixMemory,
         plain: EnginePlacement,
         rng: random.Random,
     ) -> None:
@@ -36,6 +37,7 @@
         self._data_centre = data_centre
         self._targets = targets
         self._engines = engines
+        self._memory = memory
         self._plain = plain
         self._rng = rng
 
@@ -54,6 +56,13 @@
         instance, _ = policy.choose(_shape(info), choices)
         return next(entry for entry in entries if entry.instance == instance)
 
+    def sent(self, entry: TargetEntry, info: CallInfo, request: object) -> None:
+        """Note that an engine reads a request's prompt and owes its first event."""
+        shape = _shape(info)
+        reading = self._memory.reading(entry.instance, shape)
+        self._memory.note(entry.instance, shape)
+        self.load.awaits_first(entry.instance, request, reading)
+
     def event_tokens(self, service: ServiceName) -> int:
         """Return the tokens in each event of a service's streams."""
         found = self.routes.services.get(service) if self.routes else None
@@ -78,6 +87,7 @@
             instance=entry.instance,
             slots=max(1, entry.slots),
             running=self.load.running(entry.instance),
+            wait=self.load.wait(entry.instance),
             near=entry.data_centre == self._data_centre,
         )
 
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -197,6 +197,8 @@
     async def _pass_on(
         self, running: _Running, turn: _TurnStream | None, event: bytes
     ) -> None:
+        if not self._reply.started:
+            self._dispatcher.load.got_first(running.target.instance, self)
         if turn is not None:
             if not self._reply.started:
                 await self._confirm(turn)
@@ -255,6 +257,8 @@
         try:
             link = await self._dispatcher.pool.take(target)
             await link.send(self._outgoing(target))
+            if self._route.sticky:
+                self._dispatcher.sent(target, self._info, self)
             running = await self._await_head(target, link)
             kept = running is not None
             return running
@@ -269,6 +273,7 @@
             raise fail(ErrorKind.INTERRUPTED, str(error)) from error
         finally:
             if not kept:
+                self._dispatcher.load.gave_up(target.instance, self)
                 self._dispatcher.load.ended(target.instance)
                 if link is not None and not link.closed:
                     link.abort()
@@ -304,6 +309,7 @@
         return self._dispatcher.codec.forward(self._message, dispatch)
 
     def _close(self, running: _Running, *, whole: bool) -> None:
+        self._dispatcher.load.gave_up(running.target.instance, self)
         self._dispatcher.load.ended(running.target.instance)
         if whole:
             self._dispatcher.pool.give_back(
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -1,31 +1,91 @@
-"""Count the requests that run at each target."""
+"""Estimate how long a request would wait at each target."""
 
 from __future__ import annotations
 
+import asyncio
 from collections import defaultdict
+from dataclasses import dataclass, field
 
 from ..ids import InstanceId
 
+# The weight of a new observation. With about five answers a second from each
+# engine the estimate follows the load within half a second.
+SMOOTHING = 0.3
+# An estimate that nothing confirms falls to half in this time: other processes
+# move away too, and a target that is never tried is never seen to be free.
+HALF_LIFE = 0.6
+# What an idle engine takes to its first event beyond reading the prompt; the
+# least seen is used once there is one. Seconds.
+FIRST_GUESS = 0.06
+
+
+@dataclass(kw_only=True)
+class _Instance:
+    running: int = 0
+    wait: float = 0.0
+    seen: float = 0.0
+    waiting: dict[object, float] = field(default_factory=dict)
+
 
 class LoadBoard:
-    """Count this process's requests at each target and what peers report."""
+    """Learn the load of each target from the answers of this process.
 
-    def __init__(self) -> None:
-        self._own: dict[InstanceId, int] = defaultdict(int)
+    Load reports lag and cost a call each, and every process sees only its own
+    share of the requests. How long the first event of an answer took beyond
+    what an idle engine needs tells what the others have queued there.
+    """
 
-    @property
-    def own(self) -> dict[InstanceId, int]:
-        """Return this process's requests at each target."""
-        return {instance: count for instance, count in self._own.items() if count}
+    def __init__(self) -> None:
+        self._instances: dict[InstanceId, _Instance] = defaultdict(_Instance)
+        self._least = FIRST_GUESS
 
     def started(self, instance: InstanceId) -> None:
         """Count a request that was sent."""
-        self._own[instance] += 1
+        self._instances[instance].running += 1
 
     def ended(self, instance: InstanceId) -> None:
         """Count a request no longer."""
-        self._own[instance] -= 1
+        self._instances[instance].running -= 1
+
+    def awaits_first(
+        self, instance: InstanceId, request: object, reading: float
+    ) -> None:
+        """Note that a request waits; `reading` is the time for its prompt."""
+        now = asyncio.get_running_loop().time()
+        self._instances[instance].waiting[request] = now + reading
+
+    def got_first(self, instance: InstanceId, request: object) -> None:
+        """Learn from the first event of an answer."""
+        found = self._instances[instance]
+        begun = found.waiting.pop(request, None)
+        if begun is None:
+            return
+        now = asyncio.get_running_loop().time()
+        taken = max(0.0, now - begun)
+        self._least = min(self._least, taken)
+        excess = taken - self._least
+        before = self._faded(found, now)
+        found.wait = before + SMOOTHING * (excess - before)
+        found.seen = now
+
+    def gave_up(self, instance: InstanceId, request: object) -> None:
+        """Forget a request that ended without an event."""
+        self._instances[instance].waiting.pop(request, None)
+
+    def running(self, instance: InstanceId) -> int:
+        """Return this process's requests at a target."""
+        found = self._instances.get(instance)
+        return found.running if found is not None else 0
+
+    def wait(self, instance: InstanceId) -> float:
+        """Return the seconds that a request is expected to wait."""
+        found = self._instances.get(instance)
+        if found is None:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        oldest = min(found.waiting.values(), default=now)
+        # Requests that have waited for long say so before they are answered.
+        return max(self._faded(found, now), now - oldest - self._least)
 
-    def running(self, instance: InstanceId) -> float:
-        """Return the requests that are known to be at a target."""
-        return self._own.get(instance, 0)
+    def _faded(self, found: _Instance, now: float) -> float:
+        return found.wait * 0.5 ** ((now - found.seen) / HALF_LIFE)
--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -12,10 +12,9 @@
 
 # Prompt tokens that an engine reads in a second; both deployments are near it.
 PREFILL_RATE = 165_000.0
-# What a request adds to the time of the others that run beside it, and what
-# waiting behind one costs once all slots are taken. Seconds.
+# What a request of this process adds to the time of the next one beside it;
+# those of others show in the wait. Seconds.
 SHARE_SECONDS = 0.006
-QUEUE_SECONDS = 0.06
 # Leaving the data centre costs a millisecond or two each way and bytes that
 # are priced between data centres. Seconds.
 DISTANCE_SECONDS = 0.004
@@ -28,13 +27,15 @@
 class EngineChoice(msgspec.Struct, frozen=True, kw_only=True):
     """Describe an instance that could run the request.
 
-    `running` counts the requests that are known to be there.
+    `running` counts this process's requests there, `wait` is the time in
+    seconds that a request is expected to wait.
     """
 
     instance: InstanceId
     slots: int
-    running: float
+    running: int
     near: bool
+    wait: float = 0.0
 
 
 class PromptShape(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,7 +90,7 @@
             choices,
             key=lambda one: (one.running / one.slots, not one.near, self._rng.random()),
         )
-        return best.instance, f"running={best.running:.1f}"
+        return best.instance, f"running={best.running}"
 
 
 class PrefixMemory:
@@ -107,6 +108,10 @@
         while len(kept) > PARTS_KEPT:
             kept.popitem(last=False)
 
+    def reading(self, instance: InstanceId, shape: PromptShape) -> float:
+        """Return the seconds that the instance would read the prompt."""
+        return self.unread(instance, shape) / PREFILL_RATE
+
     def unread(self, instance: InstanceId, shape: PromptShape) -> int:
         """Return the tokens that the instance would have to read."""
         kept = self._parts.get(instance, OrderedDict())
@@ -140,11 +145,12 @@
         """Return the instance with the lowest expected time."""
         scored = [(self._cost(shape, one), self._rng.random(), one) for one in choices]
         cost, _, best = min(scored, key=lambda entry: entry[:2])
-        self._memory.note(best.instance, shape)
-        return best.instance, f"cost={cost * 1000:.1f}ms running={best.running:.1f}"
+        return (
+            best.instance,
+            f"cost={cost * 1000:.1f}ms running={best.running} wait={best.wait * 1000:.0f}ms",
+        )
 
     def _cost(self, shape: PromptShape, one: EngineChoice) -> float:
-        queued = max(0.0, one.running + 1 - one.slots)
-        cost = one.running * SHARE_SECONDS + queued * QUEUE_SECONDS
-        cost += self._memory.unread(one.instance, shape) / PREFILL_RATE
+        cost = one.wait + one.running * SHARE_SECONDS
+        cost += self._memory.reading(one.instance, shape)
         return cost if one.near else cost + DISTANCE_SECONDS
