--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -6,15 +6,13 @@
 
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
+from ..policies.urgency import ProgramStanding, Urgency, WorthUrgency
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
 from .calls import CallCodec, CallInfo
 from .load import LoadBoard
 from .pool import TargetPool
 
-# Engines read 0 as the most urgent and 9 as the least.
-LEAST_URGENT = 9
-
 
 class Dispatcher:
     """Hold the targets, connections and load, and place requests."""
@@ -39,6 +37,7 @@
         self._engines = engines
         self._memory = memory
         self._plain = plain
+        self._urgency: Urgency = WorthUrgency()
         self._rng = rng
 
     def choose(
@@ -70,11 +69,12 @@
             return 1
         return found.engine.event_tokens
 
-    def urgency(self, route: Route) -> int | None:
-        """Return the urgency of a route's requests at an engine."""
+    def urgency(self, route: Route, info: CallInfo) -> int | None:
+        """Return the urgency of a request at an engine; None for others."""
         if not route.sticky:
             return None
-        return min(route.priority, LEAST_URGENT)
+        standing = ProgramStanding(rank=route.priority, left=info.program_deadline)
+        return self._urgency.of(standing)
 
     def _service(self, route: Route) -> ServiceName:
         if len(route.services) == 1:
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -304,7 +304,7 @@
             instance=target.instance,
             deadline=left,
             body=self._body,
-            urgency=self._dispatcher.urgency(self._route),
+            urgency=self._dispatcher.urgency(self._route, self._info),
         )
         return self._dispatcher.codec.forward(self._message, dispatch)
 
--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -145,10 +145,8 @@
         """Return the instance with the lowest expected time."""
         scored = [(self._cost(shape, one), self._rng.random(), one) for one in choices]
         cost, _, best = min(scored, key=lambda entry: entry[:2])
-        return (
-            best.instance,
-            f"cost={cost * 1000:.1f}ms running={best.running} wait={best.wait * 1000:.0f}ms",
-        )
+        reason = f"cost={cost * 1000:.1f}ms wait={best.wait * 1000:.0f}ms"
+        return best.instance, reason
 
     def _cost(self, shape: PromptShape, one: EngineChoice) -> float:
         cost = one.wait + one.running * SHARE_SECONDS
