--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -26,9 +26,10 @@
 # its service are as likely to be full.
 MOST_TRIES = 3
 # Times to come back, in seconds: after a full service, and after a store that
-# can't be reached from here while another host may reach it.
+# neither this process nor a peer reaches. Such an outage takes seconds; callers
+# who come back sooner use up their tries before it ends.
 BUSY_RETRY = 0.25
-STORE_RETRY = 0.1
+STORE_RETRY = 1.0
 # Another process returns what it doesn't use of a budget within a second.
 HELD_RETRY = 0.5
 BODY_LIMIT = 16 * 1024 * 1024
