--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -57,6 +57,7 @@
         self._whole = False
         self.started = False
         self.ended = False
+        self.status = 0
 
     async def whole(
         self, status: int, headers: Headers, body: bytes, reason: bytes = b""
@@ -91,6 +92,7 @@
 
     def _head(self, head: ResponseHead) -> bytes:
         self.started = True
+        self.status = head.status
         headers = list(head.headers)
         if self._link.closing:
             headers.append((b"Connection", b"close"))
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -16,6 +16,8 @@
 from ..http1.server import Reply, Server, ServerLimits
 from ..ids import InstanceId
 from ..ledger.ledger import Ledger
+from ..observe.events import EventLog
+from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
 from ..routing.follower import TopicFollower
 from ..routing.routes import RouteTable
@@ -36,6 +38,7 @@
 READY_NOTICE = 2.6
 STOP_MARGIN = 1.0
 WRITER_BYTES = 6
+METRICS_PATH = b"/metrics"
 
 
 class Sources:
@@ -69,6 +72,9 @@
         sources: Sources,
         peers: Peers | None = None,
         reload: Callable[[], IngressOptions] | None = None,
+        events: EventLog | None = None,
+        metrics: RequestMetrics | None = None,
+        store_way: Callable[[], str] = lambda: "directly",
     ) -> None:
         self._reload = reload
         self._options = options
@@ -87,7 +93,14 @@
             plain=NearestFree(rng=rng),
             rng=rng,
         )
-        handler = RequestHandler(dispatcher=self.dispatcher, ledger=self.ledger)
+        self._metrics = metrics or RequestMetrics()
+        self.dispatcher.store_way = store_way
+        handler = RequestHandler(
+            dispatcher=self.dispatcher,
+            ledger=self.ledger,
+            metrics=self._metrics,
+            events=events,
+        )
         self.front = Server(handle=handler.handle, limits=ServerLimits())
         self._ready = Server(handle=self._answer_ready, limits=ServerLimits())
         self._routes_follower = TopicFollower(
@@ -105,6 +118,7 @@
             lost=self.targets.store_lost,
             regained=self.targets.store_regained,
         )
+        self.dispatcher.targets_read = lambda: self._targets_follower.read_at
         self._parts: list[Coroutine[Any, Any, None]] = [
             self._routes_follower.follow(),
             self._targets_follower.follow(),
@@ -113,6 +127,8 @@
             self.ledger.give_back(),
             self.dispatcher.pool.sweep(),
         ]
+        if events is not None:
+            self._parts.append(events.run())
         if peers is not None:
             follower = TopicFollower(
                 log=keyed_log,
@@ -190,8 +206,26 @@
         await self.ledger.close()
 
     async def _answer_ready(self, message: RequestMessage, reply: Reply) -> None:
+        if message.target.split(b"?")[0] == METRICS_PATH:
+            self._measure_state()
+            headers = [(b"Content-Type", b"text/plain")]
+            await reply.whole(200, headers, self._metrics.text())
+            return
         await reply.whole(200 if self.ready else 503, [], b"")
 
+    def _measure_state(self) -> None:
+        routes = self.dispatcher.routes
+        state = {
+            "ready": float(self.ready),
+            "config_version": float(routes.version if routes else 0),
+            "targets": float(len(self.targets)),
+            "turns": float(self.ledger.state.turns),
+            "connections": float(len(self.front.links)),
+            "target_connections_opened": float(self.dispatcher.pool.opened),
+        }
+        for name, value in state.items():
+            self._metrics.state(name, value)
+
     def _take_all_routes(self, records: list[KeyedRecord]) -> None:
         for record in records:
             self._take_routes(record)
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from collections.abc import Callable
 
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
@@ -33,6 +35,8 @@
         self.pool = TargetPool()
         self.load = LoadBoard()
         self.routes: RouteTable | None = None
+        self.targets_read: Callable[[], float] = lambda: 0.0
+        self.store_way: Callable[[], str] = lambda: ""
         self._data_centre = data_centre
         self._targets = targets
         self._engines = engines
@@ -44,18 +48,19 @@
 
     def choose(
         self, route: Route, info: CallInfo, tried: set[InstanceId]
-    ) -> TargetEntry | None:
-        """Return the target for a request among those not yet tried."""
+    ) -> tuple[TargetEntry | None, str]:
+        """Return the target for a request among those not yet tried, and why."""
         service = self._service(route)
         entries = [
             entry for entry in self._targets.of(service) if entry.instance not in tried
         ]
         if not entries:
-            return None
+            return None, ""
         choices = [self._choice(entry) for entry in entries]
         policy = self._engines if route.sticky else self._plain
-        instance, _ = policy.choose(_shape(info), choices)
-        return next(entry for entry in entries if entry.instance == instance)
+        instance, reason = policy.choose(_shape(info), choices)
+        chosen = next(entry for entry in entries if entry.instance == instance)
+        return chosen, reason
 
     def refuse_start(self, route: Route) -> float | None:
         """Return when a new program should come back; None to let it start."""
@@ -72,6 +77,10 @@
         self._memory.note(entry.instance, shape)
         self.load.awaits_first(entry.instance, request, reading)
 
+    def targets_age(self) -> float:
+        """Return the seconds since the list of targets was read."""
+        return asyncio.get_running_loop().time() - self.targets_read()
+
     def event_tokens(self, service: ServiceName) -> int:
         """Return the tokens in each event of a service's streams."""
         found = self.routes.services.get(service) if self.routes else None
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -5,8 +5,6 @@
 import asyncio
 from dataclasses import dataclass
 
-import logbook
-
 from ..errors import ErrorKind, FailureError, fail
 from ..http1.client import ClientLink
 from ..http1.events import EventSplitter, event_data
@@ -15,13 +13,12 @@
 from ..ids import InstanceId, TurnId
 from ..ledger.budgets import Reservation, TurnTerms, Verdict
 from ..ledger.ledger import Ledger, Lookup
+from ..observe.request_metrics import RequestMetrics
 from ..routing.routes import Route, RouteKind
 from ..routing.targets import TargetEntry
 from .calls import AnswerInfo, CallInfo, Dispatch
 from .dispatcher import Dispatcher
 
-log = logbook.Logger("request")
-
 # A request that no target accepted is sent to at most so many: the others of
 # its service are as likely to be full.
 MOST_TRIES = 3
@@ -61,7 +58,10 @@
         deadline: float,
         dispatcher: Dispatcher,
         ledger: Ledger,
+        metrics: RequestMetrics,
     ) -> None:
+        self._metrics = metrics
+        self._started = asyncio.get_running_loop().time()
         self._message = message
         self._info = info
         self._route = route
@@ -103,6 +103,7 @@
             retention=self._route.retention,
         )
         reserved = await self._ledger.reserve(terms)
+        self.trail.append(f"spent {self._ledger.spent(terms)} of {budget} tokens")
         if isinstance(reserved, Verdict):
             raise _budget_failure(reserved)
         self._spent = self._ledger.spent(terms) / max(1, budget)
@@ -132,7 +133,7 @@
         if isinstance(found, Lookup):
             raise fail(ErrorKind.LOG_UNAVAILABLE, found.value, retry_after=STORE_RETRY)
         self._body = found + self._message.body
-        self.trail.append(f"history={len(found)}B")
+        self.trail.append(f"history of {len(found)} bytes")
 
     async def _plain(self) -> None:
         """Pass on an answer once it is whole."""
@@ -214,6 +215,8 @@
     ) -> None:
         if not self._reply.started:
             self._dispatcher.load.got_first(running.target.instance, self)
+            now = asyncio.get_running_loop().time()
+            self._metrics.first_event(self._route.name, now - self._started)
         if turn is not None:
             if not self._reply.started:
                 await self._confirm(turn)
@@ -232,12 +235,16 @@
             raise fail(ErrorKind.INTERRUPTED, f"the budget is {verdict.value}")
 
     async def _commit(self, turn: _TurnStream) -> None:
+        begun = asyncio.get_running_loop().time()
         await self._ledger.commit(
             turn.reservation.terms,
             parent=self._info.previous,
             given=self._message.body,
             produced=b"".join(turn.produced),
         )
+        taken = asyncio.get_running_loop().time() - begun
+        self._metrics.committed(taken)
+        self.trail.append(f"committed in {taken * 1000:.1f} ms")
 
     async def _start(self, running: _Running) -> None:
         head = running.head
@@ -251,19 +258,25 @@
         """Send the request until a target runs it."""
         refusals = 0
         while True:
-            target = self._dispatcher.choose(self._route, self._info, self._tried)
+            target, why = self._dispatcher.choose(self._route, self._info, self._tried)
             if target is None or refusals >= MOST_TRIES:
-                raise fail(
-                    ErrorKind.OVERLOADED if refusals else ErrorKind.NO_TARGET,
-                    f"{refusals} targets refused" if refusals else "no target",
-                    retry_after=BUSY_RETRY,
-                )
+                raise self._unplaced(refusals)
             self._tried.add(target.instance)
+            self.trail.append(f"{target.instance} chosen: {why}")
             running = await self._send(target)
             if running is not None:
                 return running
             refusals += 1
 
+    def _unplaced(self, refusals: int) -> FailureError:
+        """Return why no target ran the request; no promise if one may have."""
+        if self._sends:
+            return fail(ErrorKind.INTERRUPTED, "an attempt broke, no other was left")
+        if refusals:
+            reason = f"{refusals} targets refused"
+            return fail(ErrorKind.OVERLOADED, reason, retry_after=BUSY_RETRY)
+        return fail(ErrorKind.NO_TARGET, "no target", retry_after=BUSY_RETRY)
+
     async def _send(self, target: TargetEntry) -> _Running | None:
         """Send the request; None if it has surely not run there."""
         self._dispatcher.load.started(target.instance)
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass, field
 
 import logbook
 import msgspec
@@ -12,6 +13,9 @@
 from ..http1.server import ClientGone, Reply
 from ..ids import AttemptId
 from ..ledger.ledger import Ledger
+from ..observe.events import EventLog
+from ..observe.request_metrics import RequestMetrics
+from ..routing.routes import Route, RouteTable
 from .calls import CallInfo
 from .dispatcher import Dispatcher
 from .exchange import Exchange
@@ -20,29 +24,56 @@
 
 # What the way from the caller takes: its deadline began that much earlier.
 CALLER_DELAY = 0.004
+CALLER_LEFT = "caller left"
+UNROUTED = "none"
+
+
+@dataclass(kw_only=True, eq=False)
+class _Request:
+    """Hold what is known of one request for its line in the log."""
+
+    started: float
+    info: CallInfo | None = None
+    routes: RouteTable | None = None
+    route: Route | None = None
+    exchange: Exchange | None = None
+    outcome: str = "answered"
+    reason: str = ""
+    trail: list[str] = field(default_factory=list)
 
 
 class RequestHandler:
-    """Route requests and turn failures into answers."""
+    """Route requests, turn failures into answers, and log what decided."""
 
-    def __init__(self, *, dispatcher: Dispatcher, ledger: Ledger) -> None:
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        ledger: Ledger,
+        metrics: RequestMetrics,
+        events: EventLog | None = None,
+    ) -> None:
         self._dispatcher = dispatcher
         self._ledger = ledger
+        self._metrics = metrics
+        self._events = events
 
     async def handle(self, message: RequestMessage, reply: Reply) -> None:
         """Answer one request."""
-        info: CallInfo | None = None
+        request = _Request(started=asyncio.get_running_loop().time())
         try:
-            info = self._read(message)
-            await self._serve(message, info, reply)
+            await self._serve(message, request, reply)
         except FailureError as error:
-            await self._refuse(info, reply, error.failure)
-        except ClientGone:
-            log.debug("{}: the caller left", info.attempt if info else "")
+            await self._refuse(request, reply, error.failure)
+        except (ClientGone, asyncio.CancelledError):
+            request.outcome = CALLER_LEFT
+            raise
         except Exception as error:
-            log.exception("{}: failed", info.attempt if info else "")
-            failure = Failure(kind=ErrorKind.INTERNAL, reason=type(error).__name__)
-            await self._refuse(info, reply, failure)
+            log.exception("a request failed")
+            failure = Failure(kind=ErrorKind.INTERNAL, reason=repr(error))
+            await self._refuse(request, reply, failure)
+        finally:
+            self._record(request, reply)
 
     def _read(self, message: RequestMessage) -> CallInfo:
         try:
@@ -51,39 +82,40 @@
             raise fail(ErrorKind.MALFORMED, str(error)) from None
 
     async def _serve(
-        self, message: RequestMessage, info: CallInfo, reply: Reply
+        self, message: RequestMessage, request: _Request, reply: Reply
     ) -> None:
-        started = asyncio.get_running_loop().time()
-        routes = self._dispatcher.routes
+        info = request.info = self._read(message)
+        routes = request.routes = self._dispatcher.routes
         if routes is None or not self._ledger.loaded:
             raise fail(ErrorKind.STARTING, "configuration or turns not yet read")
-        route = routes.match(info.host, info.path)
+        route = request.route = routes.match(info.host, info.path)
         if route is None:
             raise fail(ErrorKind.NOT_FOUND, "no route")
         limit = route.timeout
         if info.deadline is not None:
             limit = min(limit, info.deadline - CALLER_DELAY)
-        exchange = Exchange(
+        deadline = request.started + limit
+        exchange = request.exchange = Exchange(
             message=message,
             info=info,
             route=route,
             reply=reply,
-            deadline=started + limit,
+            deadline=deadline,
             dispatcher=self._dispatcher,
             ledger=self._ledger,
+            metrics=self._metrics,
         )
         try:
-            async with asyncio.timeout_at(started + limit):
+            async with asyncio.timeout_at(deadline):
                 await exchange.run()
         except TimeoutError:
-            reason = f"no answer in {limit:.3f} s; {' '.join(exchange.trail)}"
+            reason = f"no answer in {limit:.3f} s"
             raise fail(ErrorKind.DEADLINE_EXCEEDED, reason) from None
 
-    async def _refuse(
-        self, info: CallInfo | None, reply: Reply, failure: Failure
-    ) -> None:
-        attempt = info.attempt if info else AttemptId("")
-        log.info("{}: {} {}", attempt, failure.kind.value, failure.reason)
+    async def _refuse(self, request: _Request, reply: Reply, failure: Failure) -> None:
+        request.outcome = failure.kind.value
+        request.reason = failure.reason
+        self._metrics.failed(failure.kind.value)
         if reply.started:
             reply.abort()
             return
@@ -94,8 +126,34 @@
                 "not_run": failure.run_state.value,
             }
         )
+        attempt = request.info.attempt if request.info else AttemptId("")
         headers = self._dispatcher.codec.failure_headers(attempt, failure.wait)
         try:
             await reply.whole(failure.answer.status, headers, body)
         except ClientGone:
-            log.debug("{}: the caller left before its answer", attempt)
+            request.outcome = CALLER_LEFT
+
+    def _record(self, request: _Request, reply: Reply) -> None:
+        """Write the one line that explains the request, and count it."""
+        now = asyncio.get_running_loop().time()
+        route = request.route.name if request.route else UNROUTED
+        self._metrics.answered(route, reply.status, now - request.started)
+        if self._events is None:
+            return
+        info = request.info
+        self._events.emit(
+            "request",
+            id=info.attempt if info else "",
+            program=info.program if info else "",
+            session=info.session if info else "",
+            previous=info.previous if info else None,
+            route=route,
+            config=request.routes.version if request.routes else None,
+            targets_age=round(self._dispatcher.targets_age(), 3),
+            store=self._dispatcher.store_way(),
+            status=reply.status,
+            outcome=request.outcome,
+            reason=request.reason,
+            milliseconds=round((now - request.started) * 1000, 1),
+            steps=request.exchange.trail if request.exchange else [],
+        )
--- /dev/null
+++ b/sequoiaarch/observe/request_metrics.py
@@ -0,0 +1,66 @@
+"""Count what an ingress daemon does, for Prometheus."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
+
+
+class RequestMetrics:
+    """Hold the counters and histograms of one ingress daemon."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._answers = self._counter("answers_total", "Answers by route and status.")
+        self._failures = self._counter("failures_total", "Own failures by kind.")
+        self._calls = self._counter("store_calls_total", "Store calls by result.")
+        self._ways = self._counter("store_ways_total", "Changes of the store's way.")
+        self._gauge = Gauge(
+            "sequoiaarch_state", "State by name.", registry=self._registry
+        )
+        self._duration = self._histogram("request_seconds", "Time to the last byte.")
+        self._first = self._histogram("first_event_seconds", "Time to the first event.")
+        self._commit = self._histogram("commit_seconds", "Time of a turn's commit.")
+
+    def answered(self, route: str, status: int, seconds: float) -> None:
+        """Count an answer."""
+        self._answers.inc({"route": route, "status": str(status)})
+        self._duration.observe({"route": route}, seconds)
+
+    def failed(self, kind: str) -> None:
+        """Count a failure of the daemon's own."""
+        self._failures.inc({"kind": kind})
+
+    def first_event(self, route: str, seconds: float) -> None:
+        """Measure the time to the first event of a stream."""
+        self._first.observe({"route": route}, seconds)
+
+    def committed(self, seconds: float) -> None:
+        """Measure the commit of a turn."""
+        self._commit.observe({}, seconds)
+
+    def store_call(self, result: str) -> None:
+        """Count a call to the store."""
+        self._calls.inc({"result": result})
+
+    def store_way(self, way: str) -> None:
+        """Count a change of how the store is reached."""
+        self._ways.inc({"way": way})
+
+    def state(self, name: str, value: float) -> None:
+        """Set a value of the daemon's state."""
+        self._gauge.set({"name": name}, value)
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        return render(self._registry, ["text/plain"])[0]
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(f"sequoiaarch_{name}", text, registry=self._registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"sequoiaarch_{name}", text, buckets=SECONDS, registry=self._registry
+        )
--- a/sequoiaarch/platform/__main__.py
+++ b/sequoiaarch/platform/__main__.py
@@ -8,11 +8,11 @@
 import sys
 from pathlib import Path
 
-import logbook
 import zmq.asyncio
 
 from ..fleet.peers import Peers, PeerServer
 from ..ingress.daemon import IngressDaemon, Sources
+from ..observe.events import EventLog, events_to
 from ..storage.direct import DirectCaller
 from ..storage.hedged import HedgedCaller
 from ..storage.relayed import RelayedCaller
@@ -38,7 +38,7 @@
 )
 
 
-async def _run(path: Path) -> None:
+async def _run(path: Path, events: EventLog) -> None:
     options = read_settings(path)
     context = zmq.asyncio.Context()
     direct = HedgedCaller(caller=DirectCaller(address=options.store.address))
@@ -58,6 +58,8 @@
         sources=SOURCES,
         peers=peers,
         reload=lambda: read_settings(path),
+        events=events,
+        store_way=lambda: caller.way.value,
     )
     serving = asyncio.create_task(server.run())
     await daemon.run()
@@ -69,13 +71,15 @@
 
 def main() -> int:
     """Run until stopped; return the exit code."""
-    logbook.StreamHandler(sys.stdout, level=logbook.INFO).push_application()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    try:
-        asyncio.run(_run(path))
-    except (OSError, ValueError) as error:
-        print(f"{path}: {error}", file=sys.stderr)
-        return EXIT_INVALID
+    with events_to(sys.stdout.fileno()) as events:
+        try:
+            asyncio.run(_run(path, events))
+        except (OSError, ValueError) as error:
+            events.emit(
+                "start", outcome="failed", settings=str(path), reason=str(error)
+            )
+            return EXIT_INVALID
     return 0
 
 
