--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -153,11 +153,15 @@
 
     async def run(self) -> None:
         """Run until a signal stops the daemon."""
+        await self.start()
+        await self.run_until_stopped()
+
+    async def run_until_stopped(self) -> None:
+        """Wait for the signal that stops the daemon, and stop."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        await self.start()
         await self._stopping.wait()
         await self.stop()
 
--- /dev/null
+++ b/sequoiaarch/tests/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Test package observe."""
--- /dev/null
+++ b/sequoiaarch/tests/platform/names_tests.py
@@ -0,0 +1,61 @@
+"""Test that only the adapter knows the platform's names."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+PACKAGE = Path(__file__).parents[2]
+ADAPTER = PACKAGE / "platform"
+ADAPTER_TESTS = PACKAGE / "tests" / "platform"
+# The folder translates and no more: a larger share means that decisions or
+# state have moved into it.
+MOST_SHARE = 0.06
+
+NAMES = (
+    "x-attempt-id|x-deadline-ms|x-prompt-prefix|x-server-stamp|x-expect-instance"
+    "|x-not-executed|x-instance-id|x-token-usage|x-request-priority|x-weight-versions"
+    "|x-session-id|x-program-deadline-ms|x-token-budget|x-previous-turn"
+    "|x-expect-version|x-pin-ms|x-hold|x-length-hint|x-kv-backup|kv-from|kv-fetch"
+    "|/-/[a-z]|keyed\\.op|keyed\\.servers|op/config|pathprefix|targetlatencyms"
+    "|timeoutms|maxattempts|gaptargetms|retentions\\b|healthpath|maxconns"
+    "|kvcapacitytokens|kvtokenbytes|chunktokens|coldremainingms|heartbeatms"
+    "|maxheaderbytes|maxbodybytes|headertimeoutms|idletimeoutms|nodename"
+    "|machineclass|internalportrange|firstoffset|endoffset|hasmore|sequoiaarch_settings"
+)
+
+
+def sources() -> list[Path]:
+    """Return all modules of the product, tests aside."""
+    tests = PACKAGE / "tests"
+    return [one for one in PACKAGE.rglob("*.py") if tests not in one.parents]
+
+
+class NamesTests(unittest.TestCase):
+    """Read the sources."""
+
+    def test_names_stay_in_the_adapter(self) -> None:
+        """Find no name of the platform's protocol outside the adapter."""
+        pattern = re.compile(NAMES, re.IGNORECASE)
+        tests = [
+            one
+            for one in (PACKAGE / "tests").rglob("*.py")
+            if ADAPTER_TESTS not in one.parents
+        ]
+        found = [
+            f"{path.relative_to(PACKAGE)}:{number}: {match.group()}"
+            for path in [*sources(), *tests]
+            if ADAPTER not in path.parents
+            for number, line in enumerate(path.read_text().splitlines(), 1)
+            if (match := pattern.search(line))
+        ]
+        self.assertEqual(found, [])
+
+    def test_adapter_stays_small(self) -> None:
+        """Hold the adapter to its share of the code, and print it."""
+        lines = {path: len(path.read_text().splitlines()) for path in sources()}
+        own = sum(count for path, count in lines.items() if ADAPTER in path.parents)
+        share = own / sum(lines.values())
+        print(f"sequoiaarch/platform: {own} lines, {share:.1%} of the code")
+        self.assertLess(share, MOST_SHARE)
