--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -15,9 +15,11 @@
 # What a request of this process adds to the time of the next one beside it;
 # those of others show in the wait. Seconds.
 SHARE_SECONDS = 0.006
-# Leaving the data centre costs a millisecond or two each way and bytes that
-# are priced between data centres. Seconds.
-DISTANCE_SECONDS = 0.004
+# Leaving the data centre costs a millisecond or two each way and carries the
+# whole prompt between data centres, which is paid for. Four times what the way
+# takes halves these bytes and leaves waits as they are; eight times makes full
+# engines wait longer. Seconds.
+DISTANCE_SECONDS = 0.015
 PARTS_KEPT = 4096
 # Up to this share of an instance's slots in use by one process it counts as
 # free; with a few processes to each data centre it is then about half full.
