--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -8,6 +8,7 @@
 
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
+from ..policies.retries import RetryBudget, RetryPolicy
 from ..policies.starts import BoundedWait, Start, StartPolicy
 from ..policies.urgency import ProgramStanding, Urgency, WorthUrgency
 from ..routing.routes import Route, RouteTable
@@ -34,6 +35,7 @@
         self.codec = codec
         self.pool = TargetPool()
         self.load = LoadBoard()
+        self.retries: RetryPolicy = RetryBudget()
         self.routes: RouteTable | None = None
         self.targets_read: Callable[[], float] = lambda: 0.0
         self.store_way: Callable[[], str] = lambda: ""
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -8,12 +8,13 @@
 from ..errors import ErrorKind, FailureError, fail
 from ..http1.client import ClientLink
 from ..http1.events import EventSplitter, event_data
-from ..http1.messages import LinkError, RequestMessage, ResponseHead
+from ..http1.messages import LinkError, LinkFault, RequestMessage, ResponseHead
 from ..http1.server import Reply
 from ..ids import InstanceId, TurnId
 from ..ledger.budgets import Reservation, TurnTerms, Verdict
 from ..ledger.ledger import Ledger, Lookup
 from ..observe.request_metrics import RequestMetrics
+from ..policies.retries import patience
 from ..routing.routes import Route, RouteKind
 from ..routing.targets import TargetEntry
 from .calls import AnswerInfo, CallInfo, Dispatch
@@ -137,24 +138,44 @@
 
     async def _plain(self) -> None:
         """Pass on an answer once it is whole."""
+        self._dispatcher.retries.began()
         while True:
-            running = await self._open()
             try:
-                body = await self._whole_body(running)
+                async with asyncio.timeout(self._patience()):
+                    running, body = await self._whole_answer()
             except LinkError as error:
-                self._close(running, whole=False)
                 self._after_break(error)
                 continue
-            except BaseException:
-                self._close(running, whole=False)
-                raise
-            self._close(running, whole=True)
+            except TimeoutError:
+                self._after_break(LinkError(LinkFault.TIMEOUT, sent=True))
+                continue
             head = running.head
             await self._reply.whole(
                 head.status, running.answer.headers, body, head.reason
             )
             return
 
+    def _patience(self) -> float | None:
+        """Return the seconds to wait before another target is asked, if any.
+
+        A target can lose an answer and keep the connection open. Without this
+        the caller of an idempotent request waits until its deadline.
+        """
+        again = self._route.kind is RouteKind.SAFE
+        if not again or self._sends + 1 >= self._route.max_attempts:
+            return None
+        return patience(self._route.latency_target)
+
+    async def _whole_answer(self) -> tuple[_Running, bytes]:
+        running = await self._open()
+        whole = False
+        try:
+            body = await self._whole_body(running)
+            whole = True
+        finally:
+            self._close(running, whole=whole)
+        return running, body
+
     async def _whole_body(self, running: _Running) -> bytes:
         body = bytearray()
         while (part := await running.link.body_part()) is not None:
@@ -167,7 +188,8 @@
         """Return if the request may be sent again after a broken answer."""
         self.trail.append(f"broken:{error.fault.name}")
         again = self._route.kind is RouteKind.SAFE
-        if again and self._sends < self._route.max_attempts:
+        left = self._sends < self._route.max_attempts
+        if again and left and self._dispatcher.retries.take():
             return
         raise fail(ErrorKind.INTERRUPTED, str(error)) from error
 
@@ -285,6 +307,7 @@
         try:
             link = await self._dispatcher.pool.take(target)
             await link.send(self._outgoing(target))
+            self._sends += 1
             if self._route.sticky:
                 self._dispatcher.sent(target, self._info, self)
             running = await self._await_head(target, link)
@@ -294,9 +317,8 @@
             self.trail.append(f"{target.instance}:{error.fault.name}")
             if not error.sent:
                 return None
-            self._sends += 1
             again = self._route.repeatable and self._sends < self._route.max_attempts
-            if again:
+            if again and self._dispatcher.retries.take():
                 return None
             raise fail(ErrorKind.INTERRUPTED, str(error)) from error
         finally:
@@ -317,12 +339,12 @@
             self.trail.append("skipped another's answer")
             await link.skip_response()
         if answer.not_run:
+            self._sends -= 1
             self.trail.append(f"{target.instance}:not run {head.status}")
             while await link.body_part() is not None:
                 pass
             self._dispatcher.pool.give_back(target, link, answer.idle_limit)
             return None
-        self._sends += 1
         self.trail.append(f"{target.instance}:{head.status}")
         return _Running(target=target, link=link, head=head, answer=answer)
 
--- a/sequoiaarch/tests/platform/path_tests.py
+++ b/sequoiaarch/tests/platform/path_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ...ids import ServiceName
+from ...policies.retries import RETRY_BURST, RETRY_SHARE
 from ...standins.target import TargetExchange, chunk, stream_head, whole_answer
 from .site import (
     ENGINES,
@@ -98,6 +99,59 @@
         daemon = await self.add_daemon("a")
         self.assertEqual((await self.call(daemon, "/safe/x")).status, 200)
 
+    async def test_safe_answer_never_comes(self) -> None:
+        """Ask another target when one keeps the connection and says nothing.
+
+        The target runs the request and its answer is lost without a reset.
+        The caller would wait until its deadline, and its program fails.
+        """
+        asked = asyncio.Event()
+
+        async def first_is_mute(exchange: TargetExchange) -> None:
+            if asked.is_set():
+                await tool_answer(exchange)
+                return
+            asked.set()
+            await exchange.left.wait()
+
+        await self.add_target("i-1", TOOLS, first_is_mute)
+        await self.add_target("i-2", TOOLS, first_is_mute)
+        daemon = await self.add_daemon("a")
+        answer = await self.call(daemon, "/safe/x")
+        self.assertEqual(answer.status, 200)
+
+    async def test_mute_target_and_unsafe_request(self) -> None:
+        """Ask nobody else where the request may have run and must not again."""
+
+        async def mute(exchange: TargetExchange) -> None:
+            await exchange.left.wait()
+
+        first = await self.add_target("i-1", TOOLS, mute)
+        second = await self.add_target("i-2", TOOLS, mute)
+        daemon = await self.add_daemon("a")
+        answer = await self.call(daemon, "/once/x", X_Deadline_Ms="1000")
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(len(first.exchanges) + len(second.exchanges), 1)
+
+    async def test_retry_budget(self) -> None:
+        """Repeat a few requests of a service that loses every answer, not all.
+
+        Every target resets every request. Sending each one twice would double
+        the load of a service that is in trouble already.
+        """
+
+        async def lose(exchange: TargetExchange) -> None:
+            exchange.reset()
+
+        targets = [await self.add_target(f"i-{one}", TOOLS, lose) for one in (1, 2)]
+        daemon = await self.add_daemon("a")
+        calls = 60
+        for _ in range(calls):
+            self.assertEqual((await self.call(daemon, "/safe/x")).status, 502)
+        sent = sum(len(one.exchanges) for one in targets)
+        self.assertLessEqual(sent, calls + RETRY_BURST + RETRY_SHARE * calls)
+        self.assertGreater(sent, calls)
+
     async def test_route_timeout(self) -> None:
         """Give the final answer at the route's time limit."""
 
