--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -6,10 +6,11 @@
 import random
 
 import logbook
+import msgspec
 import zmq.asyncio
 
 from ..errors import ErrorKind, Failure
-from ..ids import HostName
+from ..ids import DataCentre, HostName
 from ..storage.calls import StoreCall, StoreCaller, StoreReply
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition, Writer
 from ..wire.links import Links, Responder, Send
@@ -18,6 +19,7 @@
 log = logbook.Logger("peers")
 
 TOPIC = "keyed.peers"
+PARTITION = Partition(topic=TOPIC, number=0)
 # A peer that has failed is asked last for this time. Seconds.
 SHUN_SECONDS = 3.0
 MOST_PEERS_ASKED = 3
@@ -27,6 +29,13 @@
 REGISTER_RETRY = 0.5
 
 
+class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Say where a daemon is."""
+
+    address: str
+    data_centre: DataCentre
+
+
 class Peers:
     """Know the addresses of the other daemons and ask them to call the store."""
 
@@ -36,24 +45,26 @@
         context: zmq.asyncio.Context,
         own: HostName,
         own_address: str,
+        data_centre: DataCentre,
         seeds: list[str],
         rng: random.Random,
     ) -> None:
         self._own = own
+        self._data_centre = data_centre
         self._own_address = own_address
         self._seeds = [seed for seed in seeds if seed != own_address]
         self._rng = rng
         self._links = Links(context=context, silence_limit=PEER_SILENCE)
-        self._addresses: dict[HostName, str] = {}
+        self._known: dict[HostName, PeerRecord] = {}
         self._shunned: dict[str, float] = {}
         self._liked: str | None = None
 
     def __len__(self) -> int:
-        return len(self._addresses)
+        return len(self._known)
 
     def replace(self, records: list[KeyedRecord]) -> None:
         """Take over the complete list."""
-        self._addresses.clear()
+        self._known.clear()
         for record in records:
             self.change(record)
 
@@ -62,22 +73,33 @@
         host = HostName(record.key)
         if host == self._own:
             return
-        if record.value:
-            self._addresses[host] = record.value.decode()
-        else:
-            self._addresses.pop(host, None)
+        if not record.value:
+            self._known.pop(host, None)
+            return
+        try:
+            self._known[host] = msgspec.json.decode(record.value, type=PeerRecord)
+        except msgspec.DecodeError as error:
+            log.warning("registration of {} can't be read: {}", host, error)
 
     async def register(self, keyed_log: KeyedLog, writer: str) -> None:
         """Tell the others where this process is."""
-        record = KeyedRecord(key=self._own, value=self._own_address.encode())
-        partition = Partition(topic=TOPIC, number=0)
+        own = PeerRecord(address=self._own_address, data_centre=self._data_centre)
+        record = KeyedRecord(key=self._own, value=msgspec.json.encode(own))
         first = Writer(name=f"peer-{writer}", epoch=1, sequence=0)
         while True:
-            done = await keyed_log.append(partition, [record], writer=first)
+            done = await keyed_log.append(PARTITION, [record], writer=first)
             if not isinstance(done, Failure):
                 return
             await asyncio.sleep(REGISTER_RETRY)
 
+    async def unregister(self, keyed_log: KeyedLog, writer: str) -> None:
+        """Take the own address back; what a lost process leaves does no harm."""
+        record = KeyedRecord(key=self._own, value=b"")
+        last = Writer(name=f"peer-{writer}", epoch=1, sequence=1)
+        done = await keyed_log.append(PARTITION, [record], writer=last)
+        if isinstance(done, Failure):
+            log.warning("the own registration stays: {}", done.reason)
+
     async def relay(self, call: StoreCall) -> StoreReply | Failure:
         """Make a call to the store through a peer that reaches it."""
         failure = Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="no peer is known")
@@ -98,14 +120,26 @@
         self._links.close()
 
     def _order(self) -> list[str]:
-        """Return whom to ask: who answered last, then any, then the shunned."""
+        """Return whom to ask, the best first.
+
+        Peers of the same data centre go first: what they pass on are turns of
+        all programs, and bytes between data centres are paid for.
+        """
         now = asyncio.get_running_loop().time()
-        known = list({*self._addresses.values(), *self._seeds})
-        self._rng.shuffle(known)
-        known.sort(
-            key=lambda one: (self._shunned.get(one, 0) > now, one != self._liked)
-        )
-        return known[:MOST_PEERS_ASKED]
+        near = {
+            one.address
+            for one in self._known.values()
+            if one.data_centre == self._data_centre
+        }
+        found = list({*(one.address for one in self._known.values()), *self._seeds})
+        self._rng.shuffle(found)
+
+        def rank(address: str) -> tuple[bool, bool, bool]:
+            shunned = self._shunned.get(address, 0) > now
+            return shunned, address not in near, address != self._liked
+
+        found.sort(key=rank)
+        return found[:MOST_PEERS_ASKED]
 
     def _shun(self, address: str) -> None:
         now = asyncio.get_running_loop().time()
@@ -125,6 +159,11 @@
             context=context, address=f"tcp://{address}", handler=self._answer
         )
 
+    @property
+    def address(self) -> str:
+        """Return the address that peers reach."""
+        return self._responder.address
+
     async def run(self) -> None:
         """Answer peers for ever."""
         await self._responder.run()
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -127,6 +127,7 @@
             self.ledger.give_back(),
             self.dispatcher.pool.sweep(),
         ]
+        self._unregister: Callable[[], Coroutine[Any, Any, None]] = _nothing
         if events is not None:
             self._parts.append(events.run())
         if peers is not None:
@@ -137,6 +138,7 @@
                 change=peers.change,
             )
             self._parts += [follower.follow(), peers.register(keyed_log, writer)]
+            self._unregister = lambda: peers.unregister(keyed_log, writer)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -194,10 +196,19 @@
         self.front.stop_accepting()
         left = self._options.stop_timeout - READY_NOTICE - STOP_MARGIN
         drained = await self.front.drained(left)
-        await asyncio.wait_for(self.ledger.flush(), STOP_MARGIN / 2)
+        await self._write_last()
         log.info("stopped, all answered: {}", drained)
         await self.close()
 
+    async def _write_last(self) -> None:
+        """Write what is still queued, as far as the store takes it in time."""
+        try:
+            async with asyncio.timeout(STOP_MARGIN / 2):
+                await self.ledger.flush()
+                await self._unregister()
+        except TimeoutError:
+            log.warning("stopping with records that were not written")
+
     async def close(self) -> None:
         """End all parts at once."""
         for task in self._tasks:
@@ -272,3 +283,7 @@
         except ValueError as error:
             log.error("registration {} can't be read: {}", record.key, error)
             return None
+
+
+async def _nothing() -> None:
+    """Do nothing."""
--- a/sequoiaarch/platform/__main__.py
+++ b/sequoiaarch/platform/__main__.py
@@ -46,6 +46,7 @@
         context=context,
         own=options.host,
         own_address=options.inner,
+        data_centre=options.data_centre,
         seeds=options.seeds,
         rng=random.Random(),
     )
