--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -20,7 +20,11 @@
 
 
 class ServerLimits:
-    """Bound what a client may send; sizes in bytes, times in seconds."""
+    """Bound what a client may send; sizes in bytes, times in seconds.
+
+    `held_bytes` bounds the bodies of all requests that are being read or
+    answered, `links` the connections.
+    """
 
     def __init__(
         self,
@@ -29,7 +33,11 @@
         body_bytes: int = 4 * 1024 * 1024,
         header_timeout: float = 3.0,
         idle_timeout: float = 15.0,
+        held_bytes: int = 64 * 1024 * 1024,
+        links: int = 4096,
     ) -> None:
+        self.held_bytes = held_bytes
+        self.links = links
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
         self.header_timeout = header_timeout
@@ -120,6 +128,7 @@
         self._writable.set()
         self._gone = False
         self._open = False
+        self._held = 0
         self._task: asyncio.Task[None] | None = None
         self._handling: asyncio.Task[None] | None = None
 
@@ -138,6 +147,7 @@
         self._transport = cast(asyncio.Transport, transport)
         watch_peer(transport.get_extra_info("socket"))
         self._server.links.add(self)
+        self._server.make_room()
         self._task = asyncio.create_task(self._run())
 
     def data_received(self, data: bytes) -> None:
@@ -203,6 +213,7 @@
         except Exception:
             log.exception("a connection failed")
         finally:
+            self._release()
             await self._close()
 
     async def _one(self) -> bool:
@@ -221,6 +232,7 @@
         finally:
             self._handling = None
             self._open = False
+            self._release()
         if not reply.ended:
             self.abort()
             return False
@@ -276,8 +288,21 @@
             if not isinstance(event, h11.Data):
                 raise ClientGone
             parts += event.data
+            self._hold(len(event.data))
             if len(parts) > limits.body_bytes:
                 raise _Refused(413, "the request's body is too large")
+            # A process over its memory limit is killed, and every request on
+            # it breaks off; refusing this one costs one retry.
+            if self._server.held_bytes > limits.held_bytes:
+                raise _Refused(503, "too many bodies are held")
+
+    def _hold(self, size: int) -> None:
+        self._held += size
+        self._server.held_bytes += size
+
+    def _release(self) -> None:
+        self._server.held_bytes -= self._held
+        self._held = 0
 
     async def _event(self) -> h11.Event:
         while True:
@@ -356,6 +381,7 @@
         self.limits = limits
         self.links: set[ServerLink] = set()
         self.stopping = False
+        self.held_bytes = 0
         self._listener: asyncio.Server | None = None
 
     @property
@@ -371,6 +397,17 @@
             lambda: ServerLink(server=self), host, port, backlog=1024
         )
 
+    def make_room(self) -> None:
+        """Close idle connections once there are too many.
+
+        Without descriptors left no connection to a target or to the store can
+        be opened, and every request fails.
+        """
+        if len(self.links) <= self.limits.links:
+            return
+        for link in list(self.links):
+            link.close_idle()
+
     def stop_accepting(self) -> None:
         """Close the listening socket and the idle connections."""
         if self._listener is not None:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -20,7 +20,7 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
 from ..routing.follower import TopicFollower
-from ..routing.routes import RouteTable
+from ..routing.routes import ClientLimits, RouteTable
 from ..routing.targets import TargetEntry, Targets
 from ..storage.keyed import KeyedLog, KeyedRecord
 from .calls import CallCodec
@@ -38,6 +38,11 @@
 READY_NOTICE = 2.6
 STOP_MARGIN = 1.0
 WRITER_BYTES = 6
+# Bodies of open requests may take this share of the memory: turns and the
+# interpreter need the rest. Connections of callers may take this share of the
+# descriptors; those to targets, store and peers need the rest.
+HELD_SHARE = 0.15
+LINKS_SHARE = 0.6
 METRICS_PATH = b"/metrics"
 
 
@@ -101,7 +106,9 @@
             metrics=self._metrics,
             events=events,
         )
-        self.front = Server(handle=handler.handle, limits=ServerLimits())
+        self.front = Server(
+            handle=handler.handle, limits=self._server_limits(ClientLimits())
+        )
         self._ready = Server(handle=self._answer_ready, limits=ServerLimits())
         self._routes_follower = TopicFollower(
             log=keyed_log,
@@ -257,14 +264,18 @@
         if current is not None and routes.version <= current.version:
             return
         self.dispatcher.routes = routes
-        limits = routes.limits
-        self.front.limits = ServerLimits(
+        self.front.limits = self._server_limits(routes.limits)
+        log.info("version {}: {} routes", routes.version, routes.route_count)
+
+    def _server_limits(self, limits: ClientLimits) -> ServerLimits:
+        return ServerLimits(
             header_bytes=limits.header_bytes,
             body_bytes=limits.body_bytes,
             header_timeout=limits.header_timeout,
             idle_timeout=limits.idle_timeout,
+            held_bytes=int(self._options.memory_bytes * HELD_SHARE),
+            links=int(self._options.descriptors * LINKS_SHARE),
         )
-        log.info("version {}: {} routes", routes.version, routes.route_count)
 
     def _take_all_targets(self, records: list[KeyedRecord]) -> None:
         decoded = [self._decode_target(record) for record in records if record.value]
--- a/sequoiaarch/ledger/partition.py
+++ b/sequoiaarch/ledger/partition.py
@@ -55,6 +55,7 @@
         self._queue: deque[_Queued] = deque()
         self._urgent = asyncio.Event()
         self._filled = asyncio.Event()
+        self._last: asyncio.Future[Offset] | None = None
         self._stuck_since: float | None = None
         self._appender: asyncio.Task[None] | None = None
 
@@ -109,6 +110,7 @@
         """Queue a record; the future holds its offset once it is durable."""
         done: asyncio.Future[Offset] = asyncio.get_running_loop().create_future()
         self._queue.append(_Queued(record=record, done=done))
+        self._last = done
         self._filled.set()
         if urgent:
             self._urgent.set()
@@ -117,8 +119,8 @@
     async def flush(self) -> None:
         """Wait until all that is queued was written."""
         self._urgent.set()
-        if self._queue:
-            await asyncio.wait([self._queue[-1].done])
+        if self._last is not None:
+            await asyncio.wait([self._last])
 
     async def close(self) -> None:
         """Stop to write; what is still queued is lost."""
--- a/sequoiaarch/tests/http1/exchange_tests.py
+++ b/sequoiaarch/tests/http1/exchange_tests.py
@@ -242,6 +242,36 @@
         self.assertIn(b"413", answer.split(b"\r\n")[0])
         self.assertEqual(self.seen, [])
 
+    async def test_many_bodies(self) -> None:
+        """Refuse a body while others take all the memory, and only then.
+
+        Callers send half of their bodies and wait. Taking more of them would
+        end the process at its memory limit, and all requests with it.
+        """
+        self.server.limits.held_bytes = 100
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\n\r\n"
+        _, first = await self.open()
+        first.write(head + b"x" * 59)
+        await asyncio.sleep(0.1)
+        answer = await self.exchange(head + b"x" * 60)
+        self.assertIn(b"503", answer.split(b"\r\n")[0])
+        first.transport.abort()
+        async with asyncio.timeout(PATIENCE):
+            while self.server.held_bytes:
+                await asyncio.sleep(0.01)
+        close = head.replace(b"Host: h", b"Host: h\r\nConnection: close")
+        answer = await self.exchange(close + b"x" * 60)
+        self.assertIn(b"200", answer.split(b"\r\n")[0])
+
+    async def test_many_connections(self) -> None:
+        """Close idle connections once there are too many of them."""
+        self.server.limits.links = 4
+        opened = [await self.open() for _ in range(8)]
+        async with asyncio.timeout(PATIENCE):
+            while len(self.server.links) > 4:
+                await asyncio.sleep(0.01)
+        self.assertEqual(len(opened), 8)
+
     async def test_half_a_head(self) -> None:
         """Give up on a head that does not come."""
         answer = await self.exchange(b"GET /a HTTP/1.1\r\nHo")
