Split attempts from exchanges; pass over targets that fail more than others

Targets that fail part of their requests are learned from answers and passed over, never all of a service. Tests replay a target that fails at once and would draw most of the load. Not yet measured.

--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -111,6 +111,7 @@
             slots=max(1, entry.slots),
             running=self.load.running(entry.instance),
             wait=self.load.wait(entry.instance),
+            failing=self.load.failing(entry.instance),
             near=entry.data_centre == self._data_centre,
         )
 
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -3,47 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from ..errors import ErrorKind, FailureError, fail
-from ..http1.client import ClientLink
 from ..http1.events import EventSplitter, event_data
 from ..http1.messages import LinkError, LinkFault, RequestMessage, ResponseHead
 from ..http1.server import Reply
-from ..ids import InstanceId, TurnId
+from ..ids import TurnId
 from ..ledger.budgets import Reservation, TurnTerms, Verdict
 from ..ledger.ledger import Ledger, Lookup
 from ..observe.request_metrics import RequestMetrics
 from ..policies.retries import patience
 from ..routing.routes import Route, RouteKind
-from ..routing.targets import TargetEntry
-from .calls import AnswerInfo, CallInfo, Dispatch
+from .attempts import Attempts, Running
+from .calls import CallInfo
 from .dispatcher import Dispatcher
 
-# A request that no target accepted is sent to at most so many: the others of
-# its service are as likely to be full.
-MOST_TRIES = 3
-# Times to come back, in seconds: after a full service, and after a store that
-# neither this process nor a peer reaches. Such an outage takes seconds; callers
-# who come back sooner use up their tries before it ends.
-BUSY_RETRY = 0.25
+# Seconds after which to come back when neither this process nor a peer reaches
+# the store. Such an outage takes seconds; callers who come back sooner use up
+# their tries before it ends.
 STORE_RETRY = 1.0
 # Another process returns what it doesn't use of a budget within a second.
 HELD_RETRY = 0.5
 BODY_LIMIT = 16 * 1024 * 1024
 OK = 200
 REDIRECT = 300
-SERVER_ERROR = 500
-
-
-@dataclass(kw_only=True, eq=False)
-class _Running:
-    """Hold a request that a target answers."""
-
-    target: TargetEntry
-    link: ClientLink
-    head: ResponseHead
-    answer: AnswerInfo
 
 
 class Exchange:
@@ -67,14 +50,20 @@
         self._info = info
         self._route = route
         self._reply = reply
-        self._deadline = deadline
         self._dispatcher = dispatcher
         self._ledger = ledger
-        self._body = message.body
-        self._tried: set[InstanceId] = set()
-        self._sends = 0
-        self._spent = 0.0
-        self.trail: list[str] = []
+        self._attempts = Attempts(
+            message=message,
+            info=info,
+            route=route,
+            deadline=deadline,
+            dispatcher=dispatcher,
+        )
+
+    @property
+    def trail(self) -> list[str]:
+        """Return what was decided, in order."""
+        return self._attempts.trail
 
     async def run(self) -> None:
         """Answer the request; raises FailureError before an answer started."""
@@ -107,7 +96,7 @@
         self.trail.append(f"spent {self._ledger.spent(terms)} of {budget} tokens")
         if isinstance(reserved, Verdict):
             raise _budget_failure(reserved)
-        self._spent = self._ledger.spent(terms) / max(1, budget)
+        self._attempts.spent = self._ledger.spent(terms) / max(1, budget)
         try:
             await self._stream(_TurnStream(reservation=reserved))
         finally:
@@ -133,7 +122,7 @@
             raise fail(ErrorKind.NOT_FOUND, f"no turn {previous}")
         if isinstance(found, Lookup):
             raise fail(ErrorKind.LOG_UNAVAILABLE, found.value, retry_after=STORE_RETRY)
-        self._body = found + self._message.body
+        self._attempts.body = found + self._message.body
         self.trail.append(f"history of {len(found)} bytes")
 
     async def _plain(self) -> None:
@@ -161,22 +150,24 @@
         A target can lose an answer and keep the connection open. Without this
         the caller of an idempotent request waits until its deadline.
         """
-        again = self._route.kind is RouteKind.SAFE
-        if not again or self._sends + 1 >= self._route.max_attempts:
+        if self._route.kind is not RouteKind.SAFE or self._attempts.last:
             return None
         return patience(self._route.latency_target)
 
-    async def _whole_answer(self) -> tuple[_Running, bytes]:
-        running = await self._open()
+    async def _whole_answer(self) -> tuple[Running, bytes]:
+        running = await self._attempts.open()
         whole = False
         try:
             body = await self._whole_body(running)
             whole = True
+        except LinkError:
+            self._attempts.broke(running)
+            raise
         finally:
-            self._close(running, whole=whole)
+            self._attempts.close(running, whole=whole)
         return running, body
 
-    async def _whole_body(self, running: _Running) -> bytes:
+    async def _whole_body(self, running: Running) -> bytes:
         body = bytearray()
         while (part := await running.link.body_part()) is not None:
             body += part
@@ -186,16 +177,12 @@
 
     def _after_break(self, error: LinkError) -> None:
         """Return if the request may be sent again after a broken answer."""
-        self.trail.append(f"broken:{error.fault.name}")
-        again = self._route.kind is RouteKind.SAFE
-        left = self._sends < self._route.max_attempts
-        if again and left and self._dispatcher.retries.take():
-            return
-        raise fail(ErrorKind.INTERRUPTED, str(error)) from error
+        if not self._attempts.may_repeat(error):
+            raise fail(ErrorKind.INTERRUPTED, str(error)) from error
 
     async def _stream(self, turn: _TurnStream | None) -> None:
         """Pass events on as they come."""
-        running = await self._open()
+        running = await self._attempts.open()
         whole = False
         try:
             if not OK <= running.head.status < REDIRECT:
@@ -207,14 +194,15 @@
                 return
             whole = await self._relay(running, turn)
         except LinkError as error:
+            self._attempts.broke(running)
             self.trail.append(f"broken:{error.fault.name}")
             if not self._reply.started:
                 raise fail(ErrorKind.INTERRUPTED, str(error)) from error
             self._reply.abort()
         finally:
-            self._close(running, whole=whole)
+            self._attempts.close(running, whole=whole)
 
-    async def _relay(self, running: _Running, turn: _TurnStream | None) -> bool:
+    async def _relay(self, running: Running, turn: _TurnStream | None) -> bool:
         """Relay a stream; return whether it was whole."""
         splitter = EventSplitter()
         while (part := await running.link.body_part()) is not None:
@@ -233,10 +221,10 @@
         return True
 
     async def _pass_on(
-        self, running: _Running, turn: _TurnStream | None, event: bytes
+        self, running: Running, turn: _TurnStream | None, event: bytes
     ) -> None:
         if not self._reply.started:
-            self._dispatcher.load.got_first(running.target.instance, self)
+            self._attempts.got_first(running)
             now = asyncio.get_running_loop().time()
             self._metrics.first_event(self._route.name, now - self._started)
         if turn is not None:
@@ -268,7 +256,7 @@
         self._metrics.committed(taken)
         self.trail.append(f"committed in {taken * 1000:.1f} ms")
 
-    async def _start(self, running: _Running) -> None:
+    async def _start(self, running: Running) -> None:
         head = running.head
         await self._reply.start(
             ResponseHead(
@@ -276,98 +264,6 @@
             )
         )
 
-    async def _open(self) -> _Running:
-        """Send the request until a target runs it."""
-        refusals = 0
-        while True:
-            target, why = self._dispatcher.choose(self._route, self._info, self._tried)
-            if target is None or refusals >= MOST_TRIES:
-                raise self._unplaced(refusals)
-            self._tried.add(target.instance)
-            self.trail.append(f"{target.instance} chosen: {why}")
-            running = await self._send(target)
-            if running is not None:
-                return running
-            refusals += 1
-
-    def _unplaced(self, refusals: int) -> FailureError:
-        """Return why no target ran the request; no promise if one may have."""
-        if self._sends:
-            return fail(ErrorKind.INTERRUPTED, "an attempt broke, no other was left")
-        if refusals:
-            reason = f"{refusals} targets refused"
-            return fail(ErrorKind.OVERLOADED, reason, retry_after=BUSY_RETRY)
-        return fail(ErrorKind.NO_TARGET, "no target", retry_after=BUSY_RETRY)
-
-    async def _send(self, target: TargetEntry) -> _Running | None:
-        """Send the request; None if it has surely not run there."""
-        self._dispatcher.load.started(target.instance)
-        link: ClientLink | None = None
-        kept = False
-        try:
-            link = await self._dispatcher.pool.take(target)
-            await link.send(self._outgoing(target))
-            self._sends += 1
-            if self._route.sticky:
-                self._dispatcher.sent(target, self._info, self)
-            running = await self._await_head(target, link)
-            kept = running is not None
-            return running
-        except LinkError as error:
-            self.trail.append(f"{target.instance}:{error.fault.name}")
-            if not error.sent:
-                return None
-            again = self._route.repeatable and self._sends < self._route.max_attempts
-            if again and self._dispatcher.retries.take():
-                return None
-            raise fail(ErrorKind.INTERRUPTED, str(error)) from error
-        finally:
-            if not kept:
-                self._dispatcher.load.gave_up(target.instance, self)
-                self._dispatcher.load.ended(target.instance)
-                if link is not None and not link.closed:
-                    link.abort()
-
-    async def _await_head(
-        self, target: TargetEntry, link: ClientLink
-    ) -> _Running | None:
-        while True:
-            head = await link.head()
-            answer = self._dispatcher.codec.answer(head)
-            if answer.attempt is None or answer.attempt == self._info.attempt:
-                break
-            self.trail.append("skipped another's answer")
-            await link.skip_response()
-        if answer.not_run:
-            self._sends -= 1
-            self.trail.append(f"{target.instance}:not run {head.status}")
-            while await link.body_part() is not None:
-                pass
-            self._dispatcher.pool.give_back(target, link, answer.idle_limit)
-            return None
-        self.trail.append(f"{target.instance}:{head.status}")
-        return _Running(target=target, link=link, head=head, answer=answer)
-
-    def _outgoing(self, target: TargetEntry) -> RequestMessage:
-        left = self._deadline - asyncio.get_running_loop().time()
-        dispatch = Dispatch(
-            instance=target.instance,
-            deadline=left,
-            body=self._body,
-            urgency=self._dispatcher.urgency(self._route, self._info, self._spent),
-        )
-        return self._dispatcher.codec.forward(self._message, dispatch)
-
-    def _close(self, running: _Running, *, whole: bool) -> None:
-        self._dispatcher.load.gave_up(running.target.instance, self)
-        self._dispatcher.load.ended(running.target.instance)
-        if whole:
-            self._dispatcher.pool.give_back(
-                running.target, running.link, running.answer.idle_limit
-            )
-        else:
-            running.link.abort()
-
 
 class _TurnStream:
     """Collect what a turn hands out."""
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -14,6 +14,10 @@
 # An estimate that nothing confirms falls to half in this time: other processes
 # move away too, and a target that is never tried is never seen to be free.
 HALF_LIFE = 0.6
+# A target that fails part of its requests is seen after a few; it is tried
+# again when half of what was seen has faded. Seconds.
+FAILURE_SMOOTHING = 0.15
+FAILURE_HALF_LIFE = 3.0
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
@@ -25,6 +29,8 @@
     wait: float = 0.0
     seen: float = 0.0
     waiting: dict[object, float] = field(default_factory=dict)
+    failing: float = 0.0
+    judged: float = 0.0
 
 
 class LoadBoard:
@@ -72,6 +78,24 @@
         """Forget a request that ended without an event."""
         self._instances[instance].waiting.pop(request, None)
 
+    def judged(self, instance: InstanceId, *, ok: bool) -> None:
+        """Learn whether a target answered a request soundly."""
+        found = self._instances[instance]
+        now = asyncio.get_running_loop().time()
+        before = self._failing(found, now)
+        found.failing = before + FAILURE_SMOOTHING * ((0.0 if ok else 1.0) - before)
+        found.judged = now
+
+    def failing(self, instance: InstanceId) -> float:
+        """Return the share of requests that lately failed at a target."""
+        found = self._instances.get(instance)
+        if found is None:
+            return 0.0
+        return self._failing(found, asyncio.get_running_loop().time())
+
+    def _failing(self, found: _Instance, now: float) -> float:
+        return found.failing * 0.5 ** ((now - found.judged) / FAILURE_HALF_LIFE)
+
     def running(self, instance: InstanceId) -> int:
         """Return this process's requests at a target."""
         found = self._instances.get(instance)
--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -24,13 +24,17 @@
 # Up to this share of an instance's slots in use by one process it counts as
 # free; with a few processes to each data centre it is then about half full.
 FREE_SHARE = 0.4
+# Instances that fail this share of requests more than the best one are passed
+# over. All can't be: the best one always stays, so no service is emptied.
+FAILING_MARGIN = 0.25
 
 
 class EngineChoice(msgspec.Struct, frozen=True, kw_only=True):
     """Describe an instance that could run the request.
 
     `running` counts this process's requests there, `wait` is the time in
-    seconds that a request is expected to wait.
+    seconds that a request is expected to wait, `failing` the share of requests
+    that lately failed there.
     """
 
     instance: InstanceId
@@ -38,6 +42,7 @@
     running: int
     near: bool
     wait: float = 0.0
+    failing: float = 0.0
 
 
 class PromptShape(msgspec.Struct, frozen=True, kw_only=True):
@@ -70,8 +75,19 @@
         self, shape: PromptShape, choices: list[EngineChoice]
     ) -> tuple[InstanceId, str]:
         """Return a near and free instance, or the least loaded of all."""
-        near = [one for one in choices if one.near and _free(one)]
-        return LeastRunning(rng=self._rng).choose(shape, near or choices)
+        sound = _sound(choices)
+        near = [one for one in sound if one.near and _free(one)]
+        return LeastRunning(rng=self._rng).choose(shape, near or sound)
+
+
+def _sound(choices: list[EngineChoice]) -> list[EngineChoice]:
+    """Return the instances that don't fail much more than the best one.
+
+    A target can fail part of its requests while its health check is good, for
+    all or for some callers; only the answers show it.
+    """
+    least = min(one.failing for one in choices)
+    return [one for one in choices if one.failing <= least + FAILING_MARGIN]
 
 
 def _free(one: EngineChoice) -> bool:
@@ -145,7 +161,9 @@
         self, shape: PromptShape, choices: list[EngineChoice]
     ) -> tuple[InstanceId, str]:
         """Return the instance with the lowest expected time."""
-        scored = [(self._cost(shape, one), self._rng.random(), one) for one in choices]
+        scored = [
+            (self._cost(shape, one), self._rng.random(), one) for one in _sound(choices)
+        ]
         cost, _, best = min(scored, key=lambda entry: entry[:2])
         reason = f"cost={cost * 1000:.1f}ms wait={best.wait * 1000:.0f}ms"
         return best.instance, reason
--- a/sequoiaarch/tests/policies/worst_load_tests.py
+++ b/sequoiaarch/tests/policies/worst_load_tests.py
@@ -139,6 +139,50 @@
         self.assertEqual(chosen(5), far)
 
 
+class OutlierTests(unittest.TestCase):
+    """Test what is learned from failed answers."""
+
+    def test_failing_instance_is_passed_over(self) -> None:
+        """Avoid an instance that fails while its health check is good.
+
+        Half of its answers are failures. It has the fewest requests running,
+        since it fails at once, and would draw most of the load.
+        """
+        policies: list[EnginePlacement] = [
+            NearestFree(rng=random.Random(1)),
+            PrefixPlacement(memory=PrefixMemory(), rng=random.Random(1)),
+        ]
+        choices = [
+            EngineChoice(
+                instance=InstanceId("failing"),
+                slots=6,
+                running=0,
+                near=True,
+                failing=0.5,
+            ),
+            EngineChoice(instance=InstanceId("sound"), slots=6, running=3, near=False),
+        ]
+        for policy in policies:
+            chosen, _ = policy.choose(PromptShape(parts=()), choices)
+            self.assertEqual(chosen, "sound")
+
+    def test_service_is_never_emptied(self) -> None:
+        """Use the instances of a service all of which fail."""
+        policy = NearestFree(rng=random.Random(1))
+        choices = [
+            EngineChoice(
+                instance=InstanceId(f"i-{one}"),
+                slots=6,
+                running=0,
+                near=True,
+                failing=0.9,
+            )
+            for one in range(3)
+        ]
+        chosen = {policy.choose(PromptShape(parts=()), choices)[0] for _ in range(50)}
+        self.assertEqual(len(chosen), 3)
+
+
 class UrgencyTests(unittest.TestCase):
     """Test the order at a full engine."""
 
