Ask up to four times when the store loses answers; call it away only when it serves nothing

One append in eight lost both of its answers, and its process took the store to be away: calls failed at once for 250 ms, and turns were refused.

--- a/sequoiaarch/storage/hedged.py
+++ b/sequoiaarch/storage/hedged.py
@@ -19,14 +19,17 @@
 MOST_PATIENCE = 0.5
 FIRST_GUESS = 0.02
 SMOOTHING = 0.1
+MOST_CALLS = 4
 
 
 class HedgedCaller:
-    """Send a call again on another connection if its answer is late.
+    """Send a call again on another connection while its answer is late.
 
     With a third of the answers lost, a call that waits for its timeout each
-    time holds the end of a turn for a second. All calls may be repeated:
-    appends carry a sequence, and the others only read.
+    time holds the end of a turn for a second, and one call in eight loses two
+    answers. Each further call waits twice as long, so that a slow store gets a
+    handful at most. All calls may be repeated: appends carry a sequence, and
+    the others only read.
     """
 
     def __init__(self, *, caller: StoreCaller) -> None:
@@ -44,35 +47,39 @@
         if call.waits:
             return await self._caller.call(call)
         started = asyncio.get_running_loop().time()
-        first = asyncio.create_task(self._caller.call(call))
+        tasks: list[asyncio.Task[StoreReply | Failure]] = []
         try:
-            done, _ = await asyncio.wait([first], timeout=self.patience)
-            if done and not isinstance(first.result(), Failure):
-                self._learn(started)
-                return first.result()
-            reply = await self._second(call, first)
+            reply = await self._first_answer(call, tasks)
         finally:
-            first.cancel()
+            for task in tasks:
+                task.cancel()
         if not isinstance(reply, Failure):
             self._learn(started)
         return reply
 
-    async def _second(
-        self, call: StoreCall, first: asyncio.Task[StoreReply | Failure]
+    async def _first_answer(
+        self, call: StoreCall, tasks: list[asyncio.Task[StoreReply | Failure]]
     ) -> StoreReply | Failure:
-        second = asyncio.create_task(self._caller.call(call))
-        open_calls = {first, second}
-        try:
-            while True:
-                done, open_calls = await asyncio.wait(
-                    open_calls, return_when=asyncio.FIRST_COMPLETED
-                )
-                replies = [task.result() for task in done]
-                good = [one for one in replies if not isinstance(one, Failure)]
-                if good or not open_calls:
-                    return good[0] if good else replies[0]
-        finally:
-            second.cancel()
+        wait = self.patience
+        failure: Failure | None = None
+        left: set[asyncio.Task[StoreReply | Failure]] = set()
+        while True:
+            if len(tasks) < MOST_CALLS:
+                tasks.append(asyncio.create_task(self._caller.call(call)))
+                left.add(tasks[-1])
+            timeout = wait if len(tasks) < MOST_CALLS else None
+            wait *= 2
+            done, left = await asyncio.wait(
+                left, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                reply = task.result()
+                if not isinstance(reply, Failure):
+                    return reply
+                failure = reply
+            # Two that failed at once say that the store is away.
+            if failure is not None and not left and len(tasks) > 1:
+                return failure
 
     def _learn(self, started: float) -> None:
         taken = asyncio.get_running_loop().time() - started
--- a/sequoiaarch/storage/relayed.py
+++ b/sequoiaarch/storage/relayed.py
@@ -20,6 +20,8 @@
 # While nobody reaches the store, one call in this time finds out whether it is
 # back; all others fail at once, so that their callers are told at once too.
 AWAY_PROBE_SECONDS = 0.25
+# The store is away for all only if it has served nothing for this time.
+AWAY_AFTER_SECONDS = 0.8
 TURNED_AWAY = frozenset({429, 503})
 
 
@@ -44,6 +46,7 @@
         self._relay = relay
         self._way = Way.DIRECT
         self._probe_at = 0.0
+        self._served_at = float("-inf")
         self._probe: asyncio.Task[StoreReply | Failure] | None = None
 
     @property
@@ -67,12 +70,19 @@
         if _served(reply):
             return reply
         relayed = await self._relay(call)
-        self._note(Way.RELAYED if _served(relayed) else Way.NONE, _reason(reply))
-        return relayed if _served(relayed) else reply
+        if _served(relayed):
+            self._note(Way.RELAYED, _reason(reply))
+            return relayed
+        # A call that lost all its answers says nothing while others are served.
+        now = asyncio.get_running_loop().time()
+        if now > self._served_at + AWAY_AFTER_SECONDS:
+            self._note(Way.NONE, _reason(reply))
+        return reply
 
     async def _try_direct(self, call: StoreCall) -> StoreReply | Failure:
         reply = await self._direct.call(call)
         if _served(reply):
+            self._served_at = asyncio.get_running_loop().time()
             self._note(Way.DIRECT, "")
         return reply
 
--- a/sequoiaarch/tests/storage/ways_tests.py
+++ b/sequoiaarch/tests/storage/ways_tests.py
@@ -49,6 +49,17 @@
         self.assertEqual(reply, GOOD)
         self.assertEqual(caller.calls, 2)
 
+    async def test_two_lost_answers(self) -> None:
+        """Get the answer by a third call when two are lost.
+
+        The store loses a third of its answers. One append in eight loses two,
+        and its process then took the store to be away and refused turns.
+        """
+        caller = _Caller(None, None, GOOD)
+        async with asyncio.timeout(PATIENCE / 2):
+            self.assertEqual(await HedgedCaller(caller=caller).call(CALL), GOOD)
+        self.assertEqual(caller.calls, 3)
+
     async def test_in_time(self) -> None:
         """Call once when the answer comes."""
         caller = _Caller(GOOD)
@@ -83,6 +94,22 @@
                 await caller.call(CALL)
                 await asyncio.sleep(0.05)
 
+    async def test_one_call_fails_among_served_ones(self) -> None:
+        """Go on asking while other calls are served.
+
+        One call loses all its answers, and no peer can carry it either. Others
+        have just been served: the store is not away, and nobody's turn may be
+        refused for it.
+        """
+        direct, relay = _Caller(GOOD), _Caller(FAILED)
+        caller = RelayedCaller(direct=direct, relay=relay.call)
+        await caller.call(CALL)
+        direct.replies = [FAILED]
+        self.assertEqual(await caller.call(CALL), FAILED)
+        self.assertIs(caller.way, Way.DIRECT)
+        direct.replies = [GOOD]
+        self.assertEqual(await caller.call(CALL), GOOD)
+
     async def test_relayed_call_ends_after_the_return(self) -> None:
         """Stay with the direct way when a relayed call ends later.
 
@@ -120,9 +147,10 @@
         """
         direct, relay = _Caller(FAILED), _Caller(FAILED)
         caller = RelayedCaller(direct=direct, relay=relay.call)
+        self.assertIsInstance(await caller.call(CALL), Failure)
+        self.assertIs(caller.way, Way.NONE)
         for _ in range(100):
             self.assertIsInstance(await caller.call(CALL), Failure)
-        self.assertIs(caller.way, Way.NONE)
         self.assertLess(direct.calls, 10)
         direct.replies = [GOOD]
         async with asyncio.timeout(PATIENCE):
