Add no thread to a server that stops; forget targets that have left

One test process joined a cheroot worker that waited for an order to end: the thread that adds workers ran beside the stop, and a new worker took the order. All waits of our own had ended (18 threads, none in our code but the adding one). Also removed: what nothing uses in the new packages; what was learned of a target is forgotten when it leaves.

--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -35,7 +35,6 @@
         self._writable.set()
         self._sent = False
         self.idle_since = 0.0
-        self.exchanges = 0
         self.keep_alive: float | None = None
 
     @property
@@ -50,11 +49,6 @@
             and self._http.our_state is h11.IDLE
         )
 
-    @property
-    def closed(self) -> bool:
-        """Return whether the connection is gone."""
-        return self._transport is None or self._transport.is_closing() or self._ended
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         self._transport = cast(asyncio.Transport, transport)
@@ -107,7 +101,6 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             raise LinkError(LinkFault.RESET, "before the request", sent=False)
-        self.exchanges += 1
         self._sent = True
         transport.write(data)
         await self._writable.wait()
--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -62,7 +62,6 @@
     def __init__(self, *, link: ServerLink, http: h11.Connection) -> None:
         self._link = link
         self._http = http
-        self._whole = False
         self.started = False
         self.ended = False
         self.status = 0
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -85,7 +85,7 @@
         self._options = options
         self._sources = sources
         rng = random.Random()
-        self.targets = Targets()
+        self.targets = Targets(dropped=self._forget)
         writer = secrets.token_hex(WRITER_BYTES)
         self.ledger = Ledger(log=keyed_log, writer=writer)
         memory = PrefixMemory()
@@ -277,6 +277,9 @@
             links=int(self._options.descriptors * LINKS_SHARE),
         )
 
+    def _forget(self, instance: InstanceId) -> None:
+        self.dispatcher.forget(instance)
+
     def _take_all_targets(self, records: list[KeyedRecord]) -> None:
         decoded = [self._decode_target(record) for record in records if record.value]
         self.targets.replace([entry for entry in decoded if entry is not None])
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -79,6 +79,14 @@
         self._memory.note(entry.instance, shape)
         self.load.awaits_first(entry.instance, request, reading)
 
+    def forget(self, instance: InstanceId) -> None:
+        """Forget what was learned of a target that has left.
+
+        Instances come and go for as long as the process runs.
+        """
+        self.load.forget(instance)
+        self._memory.forget(instance)
+
     def targets_age(self) -> float:
         """Return the seconds since the list of targets was read."""
         return asyncio.get_running_loop().time() - self.targets_read()
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -96,6 +96,12 @@
     def _failing(self, found: _Instance, now: float) -> float:
         return found.failing * 0.5 ** ((now - found.judged) / FAILURE_HALF_LIFE)
 
+    def forget(self, instance: InstanceId) -> None:
+        """Forget a target that has left, once nothing runs there."""
+        found = self._instances.get(instance)
+        if found is not None and not found.running:
+            del self._instances[instance]
+
     def running(self, instance: InstanceId) -> int:
         """Return this process's requests at a target."""
         found = self._instances.get(instance)
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -15,8 +15,6 @@
         self._registry = Registry()
         self._answers = self._counter("answers_total", "Answers by route and status.")
         self._failures = self._counter("failures_total", "Own failures by kind.")
-        self._calls = self._counter("store_calls_total", "Store calls by result.")
-        self._ways = self._counter("store_ways_total", "Changes of the store's way.")
         self._gauge = Gauge(
             "sequoiaarch_state", "State by name.", registry=self._registry
         )
@@ -41,14 +39,6 @@
         """Measure the commit of a turn."""
         self._commit.observe({}, seconds)
 
-    def store_call(self, result: str) -> None:
-        """Count a call to the store."""
-        self._calls.inc({"result": result})
-
-    def store_way(self, way: str) -> None:
-        """Count a change of how the store is reached."""
-        self._ways.inc({"way": way})
-
     def state(self, name: str, value: float) -> None:
         """Set a value of the daemon's state."""
         self._gauge.set({"name": name}, value)
--- a/sequoiaarch/platform/calls.py
+++ b/sequoiaarch/platform/calls.py
@@ -21,7 +21,6 @@
 NOT_RUN = b"x-not-executed"
 PRIORITY = b"x-request-priority"
 MISDIRECTED = 421
-READY_PATH = b"/-/readyz"
 
 # Headers by which a request holds engine memory or names a place in it. Only
 # the scheduler may set them: from a caller they would pin another's memory.
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -30,9 +30,7 @@
 
 
 class _Bounds(_Fields, frozen=True):
-    drain_ms: float = 2000
     grace_s: float = 8
-    contact_ms: float = 3000
 
 
 class _Platform(_Fields, frozen=True):
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -43,8 +43,14 @@
     target stays in use until the grace period after the store's return.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        dropped: Callable[[InstanceId], None] = lambda instance: None,
+    ) -> None:
         self._clock = clock
+        self._dropped = dropped
         self._entries: dict[InstanceId, TargetEntry] = {}
         self._lapsed: dict[InstanceId, float] = {}
         self._unstable_until = 0.0
@@ -129,3 +135,4 @@
         entry = self._entries.pop(instance, None)
         if entry is not None:
             log.info("target {} of {} left: {}", instance, entry.service, reason)
+            self._dropped(instance)
--- a/sequoiaarch/standins/keyed_store.py
+++ b/sequoiaarch/standins/keyed_store.py
@@ -64,7 +64,6 @@
         self._topics: dict[Partition, _Topic] = defaultdict(_Topic)
         self._grown = asyncio.Condition()
         self.appends = 0
-        self.reads = 0
 
     def client(self) -> KeyedStoreClient:
         """Return a view of the store."""
@@ -109,7 +108,6 @@
         self, partition: Partition, start: Offset, wait: float
     ) -> KeyedPage | LogGap:
         """Return the records from an offset on."""
-        self.reads += 1
         topic = self._topics[partition]
         if wait > 0 and topic.end <= start:
             try:
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -29,7 +29,8 @@
     def setUp(self) -> None:
         """Register two targets."""
         self.now = 100.0
-        self.targets = Targets(clock=lambda: self.now)
+        self.dropped: list[InstanceId] = []
+        self.targets = Targets(clock=lambda: self.now, dropped=self.dropped.append)
         self.targets.put(entry("i-1"))
         self.targets.put(entry("i-2"))
 
@@ -41,6 +42,7 @@
         """Send nothing more to a target whose registration was removed."""
         self.targets.remove(InstanceId("i-1"))
         self.assertEqual(self.usable(), ["i-2"])
+        self.assertEqual(self.dropped, ["i-1"])
 
     def test_lapsed_with_the_store(self) -> None:
         """Keep targets whose registrations lapsed while the store was away.
--- a/sequoiaarch/webserver.py
+++ b/sequoiaarch/webserver.py
@@ -56,6 +56,7 @@
         max_body: int = 8 * 1024 * 1024,
     ) -> None:
         self._max_threads = max_threads
+        self._spare = SPARE_THREADS
         self._server = wsgi.Server(
             (address, port),
             app,
@@ -70,9 +71,10 @@
         self._server.error_log = _log_server_error  # type: ignore[assignment,method-assign]
         self._server.prepare()
         self._stopped = threading.Event()
+        self._grower = threading.Thread(target=self._grow, daemon=True)
         self._threads = [
             threading.Thread(target=self._server.serve, daemon=True),
-            threading.Thread(target=self._grow, daemon=True),
+            self._grower,
         ]
 
     @property
@@ -86,8 +88,14 @@
             thread.start()
 
     def stop(self) -> None:
-        """Stop to accept connections and close those that are open."""
+        """Stop to accept connections and close those that are open.
+
+        No thread may be added meanwhile: it would take the order to end that
+        is meant for another, which then waits for ever, and the stop for it.
+        """
         self._stopped.set()
+        if self._grower.is_alive():
+            self._grower.join()
         self._server.stop()
 
     def abort(self) -> None:
@@ -103,7 +111,7 @@
         pool: ThreadPool = self._server.requests
         total = SPARE_THREADS
         while not self._stopped.wait(WATCH_INTERVAL):
-            if pool.idle < SPARE_THREADS and total < self._max_threads:
+            if pool.idle < self._spare and total < self._max_threads:
                 more = min(SPARE_THREADS, self._max_threads - total)
                 pool.grow(more)
                 total += more
