Keep one base for the platform's documents, and limits as a plain structure

The base that passes over unknown fields stood in both decoding modules, and the server's limits were written out three times.

--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -9,6 +9,7 @@
 
 import h11
 import logbook
+import msgspec
 
 from .messages import Headers, RequestMessage, ResponseHead
 from .sockets import reset_on_close, watch_peer
@@ -19,29 +20,19 @@
 CLOSE_SECONDS = 1.0
 
 
-class ServerLimits:
+class ServerLimits(msgspec.Struct, kw_only=True):
     """Bound what a client may send; sizes in bytes, times in seconds.
 
     `held_bytes` bounds the bodies of all requests that are being read or
     answered, `links` the connections.
     """
 
-    def __init__(
-        self,
-        *,
-        header_bytes: int = 16384,
-        body_bytes: int = 4 * 1024 * 1024,
-        header_timeout: float = 3.0,
-        idle_timeout: float = 15.0,
-        held_bytes: int = 64 * 1024 * 1024,
-        links: int = 4096,
-    ) -> None:
-        self.held_bytes = held_bytes
-        self.links = links
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
-        self.header_timeout = header_timeout
-        self.idle_timeout = idle_timeout
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+    held_bytes: int = 64 * 1024 * 1024
+    links: int = 4096
 
 
 class _Refused(Exception):
--- a/sequoiaarch/platform/documents.py
+++ b/sequoiaarch/platform/documents.py
@@ -15,7 +15,7 @@
     ServiceShare,
 )
 from ..routing.targets import TargetEntry
-from .settings import split_address
+from .fields import Fields, split_address
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
@@ -23,16 +23,12 @@
 DRAINING = "draining"
 
 
-class _Fields(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
-    """Accept fields that are not known."""
-
-
-class _Split(_Fields, frozen=True):
+class _Split(Fields, frozen=True):
     service: str
     weight: float
 
 
-class _Route(_Fields, frozen=True):
+class _Route(Fields, frozen=True):
     name: str
     host: str
     path_prefix: str
@@ -49,33 +45,33 @@
     resumable: bool = False
 
 
-class _Runtime(_Fields, frozen=True):
+class _Runtime(Fields, frozen=True):
     slots: int = 1
     kv_capacity_tokens: int = 0
     chunk_tokens: int = 1  # tokens in each event of a stream
 
 
-class _Service(_Fields, frozen=True):
+class _Service(Fields, frozen=True):
     name: str
     max_conns: int = 100
     runtime: _Runtime | None = None
 
 
-class _Limits(_Fields, frozen=True):
+class _Limits(Fields, frozen=True):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 * 1024 * 1024
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
 
 
-class _Config(_Fields, frozen=True):
+class _Config(Fields, frozen=True):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
 
 
-class _Registration(_Fields, frozen=True):
+class _Registration(Fields, frozen=True):
     service: str
     address: str
     zone: str = ""
--- /dev/null
+++ b/sequoiaarch/platform/fields.py
@@ -0,0 +1,15 @@
+"""Hold what all decoded documents of the platform share."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Fields(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
+    """Accept fields that are not known."""
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -9,36 +9,33 @@
 
 from ..ids import DataCentre, HostName
 from ..ingress.options import IngressOptions, StoreOptions
+from .fields import Fields, split_address
 
 SETTINGS_VARIABLE = "SEQUOIAARCH_SETTINGS"
 MIB = 1024 * 1024
 
 
-class _Fields(msgspec.Struct, rename="camel", frozen=True, kw_only=True):
-    """Accept fields that are not known."""
-
-
-class _Listen(_Fields, frozen=True):
+class _Listen(Fields, frozen=True):
     front: str = ""  # where callers connect
     ready: str = ""  # where the platform asks whether to send callers
     control: str = ""  # where other daemons of the system connect
 
 
-class _Limits(_Fields, frozen=True):
+class _Limits(Fields, frozen=True):
     memory_mb: int = 256
     max_fds: int = 4096
 
 
-class _Bounds(_Fields, frozen=True):
+class _Bounds(Fields, frozen=True):
     grace_s: float = 8
 
 
-class _Platform(_Fields, frozen=True):
+class _Platform(Fields, frozen=True):
     address: str
     retention_s: float = 300
 
 
-class _Settings(_Fields, frozen=True):
+class _Settings(Fields, frozen=True):
     node_name: str
     ip: str
     zone: str
@@ -70,9 +67,3 @@
         stop_timeout=found.bounds.grace_s,
         store=StoreOptions(address=(store_host, store_port)),
     )
-
-
-def split_address(text: str) -> tuple[str, int]:
-    """Return host and port of an address."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
