Soak the platform's gateways as processes, and give programs a home engine

The soak (tests/platform/soak) runs gateways as processes behind loopback proxies before stand-ins of store, engines, services, operator and callers, and checks nine promises from what callers and targets see.

A start that fails to bind the inner address is now logged as a failed start.

--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -130,4 +130,6 @@
 
 
 def _shape(info: CallInfo) -> PromptShape:
-    return PromptShape(parts=tuple((one.part, one.tokens) for one in info.prefix))
+    parts = tuple((one.part, one.tokens) for one in info.prefix)
+    last = parts[-1][0] if parts else ""
+    return PromptShape(parts=parts, owner=info.program or last)
--- a/sequoiaarch/platform/__main__.py
+++ b/sequoiaarch/platform/__main__.py
@@ -76,7 +76,7 @@
     with events_to(sys.stdout.fileno()) as events:
         try:
             asyncio.run(_run(path, events))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, zmq.ZMQError) as error:
             events.emit(
                 "start", outcome="failed", settings=str(path), reason=str(error)
             )
--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import msgspec
+import xxhash
 
 from ..ids import InstanceId
 
@@ -20,6 +21,9 @@
 # takes halves these bytes and leaves waits as they are; eight times makes full
 # engines wait longer. Seconds.
 DISTANCE_SECONDS = 0.015
+# What an engine has read of a program at home is worth this many times its
+# reading: leaving also makes later turns read again, and evicts what others keep.
+HOME_FACTOR = 2.0
 PARTS_KEPT = 4096
 # Up to this share of an instance's slots in use by one process it counts as
 # free; with a few processes to each data centre it is then about half full.
@@ -46,9 +50,14 @@
 
 
 class PromptShape(msgspec.Struct, frozen=True, kw_only=True):
-    """List the parts of a prompt, in order, with their tokens."""
+    """List the parts of a prompt, in order, with their tokens.
+
+    `owner` names what later prompts will share most with this one, a program
+    as a rule; empty where that is unknown.
+    """
 
     parts: tuple[tuple[str, int], ...]
+    owner: str = ""
 
 
 class EnginePlacement(Protocol):
@@ -151,6 +160,11 @@
     Reading a long history again costs 20 ms and evicts what others have
     cached; standing behind a full batch costs more. Both are weighed in
     seconds.
+
+    Turns of a program come through many processes, none of which knows where
+    the one before ran. So each program has a home by a hash that all of them
+    compute alike, among the instances nearby; a turn goes elsewhere only where
+    the wait at home costs more than reading the prompt again.
     """
 
     def __init__(self, *, memory: PrefixMemory, rng: random.Random) -> None:
@@ -161,14 +175,32 @@
         self, shape: PromptShape, choices: list[EngineChoice]
     ) -> tuple[InstanceId, str]:
         """Return the instance with the lowest expected time."""
+        sound = _sound(choices)
+        home = _home(shape.owner, sound)
         scored = [
-            (self._cost(shape, one), self._rng.random(), one) for one in _sound(choices)
+            (self._cost(shape, one, home), self._rng.random(), one) for one in sound
         ]
         cost, _, best = min(scored, key=lambda entry: entry[:2])
         reason = f"cost={cost * 1000:.1f}ms wait={best.wait * 1000:.0f}ms"
         return best.instance, reason
 
-    def _cost(self, shape: PromptShape, one: EngineChoice) -> float:
+    def _cost(
+        self, shape: PromptShape, one: EngineChoice, home: InstanceId | None
+    ) -> float:
         cost = one.wait + one.running * SHARE_SECONDS
-        cost += self._memory.reading(one.instance, shape)
+        if one.instance != home:
+            factor = 1.0 if home is None else HOME_FACTOR
+            cost += factor * self._memory.reading(one.instance, shape)
         return cost if one.near else cost + DISTANCE_SECONDS
+
+
+def _home(owner: str, choices: list[EngineChoice]) -> InstanceId | None:
+    """Return the instance nearby that ranks first for an owner, by rendezvous."""
+    if not owner:
+        return None
+    near = [one for one in choices if one.near] or choices
+    return max(near, key=lambda one: _rank(owner, one.instance)).instance
+
+
+def _rank(owner: str, instance: InstanceId) -> int:
+    return xxhash.xxh32_intdigest(f"{owner}/{instance}".encode())
--- /dev/null
+++ b/sequoiaarch/tests/platform/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run gateways as processes while faults come from outside them."""
--- /dev/null
+++ b/sequoiaarch/tests/platform/soak/__main__.py
@@ -0,0 +1,45 @@
+"""Run seeds of the soak by hand."""
+
+from __future__ import annotations
+
+import shutil
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from .gateways import MODULE
+from .run import Plan, run_seed
+
+
+@click.command()
+@click.option("--seed", default=1, help="First seed.")
+@click.option("--seeds", default=1, help="How many seeds, one after the other.")
+@click.option("--seconds", default=20.0, help="Seconds of each run.")
+@click.option("--gateways", default=4, help="Gateway processes.")
+@click.option("--module", default=MODULE, help="Module that gateways run.")
+@click.option("--folder", type=Path, default=Path("results/soak"))
+def soak(
+    seed: int, seeds: int, seconds: float, gateways: int, module: str, folder: Path
+) -> None:
+    """Print one line of JSON for each seed; exit with 1 if a promise broke.
+
+    The gateways' lines of a seed that broke something stay in the folder.
+    """
+    failed = 0
+    for number in range(seed, seed + seeds):
+        plan = Plan(seed=number, seconds=seconds, gateways=gateways, module=module)
+        where = folder / f"seed-{number}"
+        shutil.rmtree(where, ignore_errors=True)
+        report = run_seed(plan, where.resolve())
+        click.echo(msgspec.json.encode(report).decode())
+        if report.broken:
+            failed += 1
+        else:
+            shutil.rmtree(where, ignore_errors=True)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    soak()
--- /dev/null
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -0,0 +1,115 @@
+"""Run a gateway with one fault planted, which the soak must catch."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from ....errors import ErrorKind, fail
+from ....http1.messages import LinkError
+from ....ingress.attempts import Attempts
+from ....ingress.daemon import IngressDaemon
+from ....ingress.exchange import Exchange
+from ....ledger.budgets import Budgets, Reservation, Verdict
+from ....ledger.ledger import Ledger
+from ....platform.__main__ import main
+from ....routing.targets import Targets
+
+VARIABLE = "SOAK_PLANTED"
+
+
+def commit_skipped() -> None:
+    """End kept turns without writing them."""
+
+    async def commit(self: Ledger, reservation: Reservation, **_: Any) -> None:
+        reservation.close()
+
+    setattr(Ledger, "commit", commit)  # noqa: B010
+
+
+def budget_counted_late() -> None:
+    """Let every turn begin, whatever others were granted."""
+
+    async def verdict(self: Reservation) -> Verdict:
+        return Verdict.FITS
+
+    def fits(self: Budgets, *_: Any) -> bool:
+        return True
+
+    setattr(Reservation, "verdict", verdict)  # noqa: B010
+    setattr(Budgets, "_fits", fits)  # noqa: B010
+
+
+def repeats_everything() -> None:
+    """Send again what may run only once."""
+
+    def may_repeat(self: Attempts, error: LinkError) -> bool:
+        return True
+
+    setattr(Attempts, "may_repeat", may_repeat)  # noqa: B010
+
+
+def refuses_after_run() -> None:
+    """Promise that a request has not run although its answer broke."""
+
+    def after_break(self: Exchange, error: LinkError) -> None:
+        raise fail(ErrorKind.OVERLOADED, "the answer broke")
+
+    setattr(Exchange, "_after_break", after_break)  # noqa: B010
+
+
+def goes_back() -> None:
+    """Return to the first configuration now and then."""
+    take = IngressDaemon._take_routes
+
+    def take_routes(self: IngressDaemon, record: Any) -> None:
+        first = getattr(self, "first_routes", None)
+        take(self, record)
+        if first is None:
+            setattr(self, "first_routes", self.dispatcher.routes)  # noqa: B010
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(1.0, setattr, self.dispatcher, "routes", first)
+
+    setattr(IngressDaemon, "_take_routes", take_routes)  # noqa: B010
+
+
+def ignores_drains() -> None:
+    """Send work to targets that announced their leaving."""
+    put = Targets.put
+
+    def put_ready(self: Targets, entry: Any) -> None:
+        if not entry.draining:
+            put(self, entry)
+
+    setattr(Targets, "put", put_ready)  # noqa: B010
+
+
+def stops_at_once() -> None:
+    """End on request without finishing what runs."""
+
+    async def stop(self: IngressDaemon) -> None:
+        await self.close()
+
+    setattr(IngressDaemon, "stop", stop)  # noqa: B010
+
+
+PLANTS: dict[str, Callable[[], None]] = {
+    one.__name__: one
+    for one in (
+        commit_skipped,
+        budget_counted_late,
+        repeats_everything,
+        refuses_after_run,
+        goes_back,
+        ignores_drains,
+        stops_at_once,
+    )
+}
+
+if __name__ == "__main__":
+    PLANTS[os.environ[VARIABLE]]()
+    sys.exit(main())
--- a/sequoiaarch/tests/policies/worst_load_tests.py
+++ b/sequoiaarch/tests/policies/worst_load_tests.py
@@ -123,6 +123,64 @@
         self.assertEqual(chosen(0.02), home)
         self.assertEqual(chosen(0.5), other)
 
+    def test_turns_through_many_processes(self) -> None:
+        """Find the engine that has read a program, through any process.
+
+        Each turn of a program comes through another process, which knows
+        nothing of the turns before. By its own memory alone it would choose an
+        engine by lot and have the whole history read again.
+        """
+        shape = PromptShape(parts=(("system", 512), ("s", 3000)), owner="program")
+        choices = [
+            EngineChoice(
+                instance=InstanceId(f"i-{one}"), slots=6, running=0, near=one < 6
+            )
+            for one in range(18)
+        ]
+
+        def turns(owner: str) -> set[InstanceId]:
+            asked = PromptShape(parts=shape.parts, owner=owner)
+            chosen = set()
+            for seed in range(PROCESSES):
+                policy = PrefixPlacement(memory=PrefixMemory(), rng=random.Random(seed))
+                chosen.add(policy.choose(asked, choices)[0])
+            return chosen
+
+        self.assertEqual(len(turns("program")), 1)
+        self.assertGreater(len(turns("")), 2)
+
+    def test_homes_are_spread(self) -> None:
+        """Give each engine about its share of the programs."""
+        policy = PrefixPlacement(memory=PrefixMemory(), rng=random.Random(1))
+        choices = [
+            EngineChoice(instance=InstanceId(f"i-{one}"), slots=6, running=0, near=True)
+            for one in range(6)
+        ]
+        counts = dict.fromkeys((one.instance for one in choices), 0)
+        for number in range(600):
+            shape = PromptShape(parts=(("s", 1000),), owner=f"program-{number}")
+            counts[policy.choose(shape, choices)[0]] += 1
+        self.assertGreater(min(counts.values()), 70)
+
+    def test_home_with_a_queue(self) -> None:
+        """Leave home where waiting there costs more than reading again."""
+        policy = PrefixPlacement(memory=PrefixMemory(), rng=random.Random(1))
+        shape = PromptShape(parts=(("s", 2000),), owner="program")
+        names = [InstanceId("a"), InstanceId("b")]
+
+        def chosen(waits: dict[InstanceId, float]) -> InstanceId:
+            choices = [
+                EngineChoice(
+                    instance=one, slots=6, running=0, near=True, wait=waits.get(one, 0)
+                )
+                for one in names
+            ]
+            return policy.choose(shape, choices)[0]
+
+        home = chosen({})
+        self.assertEqual(chosen({home: 0.01}), home)
+        self.assertNotEqual(chosen({home: 0.2}), home)
+
     def test_near_services_first(self) -> None:
         """Use the service nearby while it is free, and any when it is not."""
         policy = NearestFree(rng=random.Random(1))
