--- /dev/null
+++ b/sequoiaarch/fleet/delegates.py
@@ -0,0 +1,382 @@
+"""Keep the accounts of programs in one process of each data centre."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+import xxhash
+
+from ..errors import ErrorKind, Failure
+from ..ids import HostName, Offset, ProgramId, TurnId
+from ..ledger.ledger import Ledger
+from ..ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnStart
+from ..ledger.turns import LocalTurn, LocalTurns, OpenTurn, TurnRefusal, content_of
+from ..wire.links import Link, Send
+from ..wire.messages import (
+    Accepted,
+    CloseTurnRequest,
+    CommitTurnRequest,
+    ConfirmTurnRequest,
+    Failed,
+    OpenTurnRequest,
+    Reply,
+    Request,
+    TurnOpened,
+    TurnRefused,
+    TurnVerdict,
+)
+from .peers import Peers
+
+log = logbook.Logger("delegates")
+
+# A delegate says at once that it works on a request. One that does not within
+# this time is dead, frozen or overloaded; a turn takes about 0.25 s. Seconds.
+FIRST_WORD = 0.1
+# What follows waits for the store, which may be slow. Seconds.
+LAST_WORD = 1.5
+CLOSE_TIMEOUT = 1.0
+# A delegate that failed is passed over for this time, twice as long each time
+# up to the limit: its host may be gone for good. Seconds.
+PASS_OVER = 2.0
+PASS_OVER_LIMIT = 60.0
+
+
+class Delegates:
+    """Choose the process that keeps a program's account, by rendezvous.
+
+    The turns of a program come through all gateways of a data centre. Each
+    would read the program's records and have tokens granted to itself; on a
+    quiet day of eight gateways that was 3 of 3.1 calls to the store a turn,
+    and while the store is away no other gateway could serve the program. One
+    that keeps the account has the history in memory and tokens granted ahead.
+
+    It has no authority: the log decides what counts, so two delegates at once,
+    or none, cost calls and nothing else.
+    """
+
+    def __init__(self, *, own: HostName, peers: Peers) -> None:
+        self._own = own
+        self._peers = peers
+        self._until: dict[HostName, float] = {}
+        self._pause: dict[HostName, float] = {}
+
+    def of(self, program: ProgramId) -> HostName | None:
+        """Return the delegate of a program; None for this process."""
+        now = asyncio.get_running_loop().time()
+        best, rank = self._own, _rank(program, self._own)
+        for host in self._peers.near():
+            if self._until.get(host, 0.0) <= now and _rank(program, host) > rank:
+                best, rank = host, _rank(program, host)
+        return None if best == self._own else best
+
+    def link(self, host: HostName) -> Link | None:
+        """Return the link to a delegate; None if its address is gone."""
+        return self._peers.link(host)
+
+    def failed(self, host: HostName, reason: str) -> None:
+        """Pass over a delegate for a while."""
+        now = asyncio.get_running_loop().time()
+        if self._until.get(host, 0.0) > now:
+            return
+        pause = min(2 * self._pause.get(host, PASS_OVER / 2), PASS_OVER_LIMIT)
+        self._pause[host] = pause
+        self._until[host] = now + pause
+        log.info("delegate {} is passed over for {} s: {}", host, pause, reason)
+
+    def served(self, host: HostName) -> None:
+        """Note that a delegate answered."""
+        self._pause.pop(host, None)
+
+
+class DelegatedTurns:
+    """Open turns through the delegate of their program, or else here."""
+
+    def __init__(
+        self, *, delegates: Delegates, local: LocalTurns, ledger: Ledger
+    ) -> None:
+        self._delegates = delegates
+        self._local = local
+        self._ledger = ledger
+        self._telling: set[asyncio.Task[None]] = set()
+
+    async def open(self, start: TurnStart) -> OpenTurn | TurnRefusal:
+        """Reserve a turn and find its history, or say why not."""
+        host = self._delegates.of(start.terms.program)
+        if host is not None:
+            opened = await self._open_at(host, start)
+            if opened is not None:
+                return opened
+        return await self._local.open(start)
+
+    async def _open_at(
+        self, host: HostName, start: TurnStart
+    ) -> OpenTurn | TurnRefusal | None:
+        """Ask a delegate; None where this process has to find out itself."""
+        link = self._delegates.link(host)
+        if link is None:
+            return None
+        try:
+            reply = await _ask(link, OpenTurnRequest(start=start))
+        except asyncio.CancelledError:
+            # The caller left: what the delegate reserved must not count.
+            self.tell_end(link, CloseTurnRequest(turn=start.terms.turn, handed=0))
+            raise
+        if isinstance(reply, TurnOpened):
+            self._delegates.served(host)
+            return DelegatedTurn(
+                start=start, opened=reply, host=host, link=link, turns=self
+            )
+        if isinstance(reply, TurnRefused):
+            self._delegates.served(host)
+            # What it can't tell, this process may reach the store for.
+            if reply.lookup is Lookup.ABSENT:
+                return reply.lookup
+            unsure = reply.verdict in (None, BudgetVerdict.UNCERTAIN)
+            return None if unsure else reply.verdict
+        self._delegates.failed(host, _reason(reply))
+        return None
+
+    def tell_end(self, link: Link, request: CloseTurnRequest) -> None:
+        """Tell a delegate the end of a turn, without waiting for its reply."""
+        task = asyncio.create_task(_call(link, request))
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
+
+    async def take_over(self, start: TurnStart) -> LocalTurn | BudgetVerdict:
+        """Reserve a turn here whose delegate was lost; its history is known."""
+        reserved = await self._ledger.reserve(start.terms)
+        if isinstance(reserved, BudgetVerdict):
+            return reserved
+        return LocalTurn(
+            start=start, history=None, reservation=reserved, ledger=self._ledger
+        )
+
+    def lost(self, host: HostName, reply: Reply) -> None:
+        """Note that a delegate was lost with a turn open."""
+        self._delegates.failed(host, _reason(reply))
+
+    @property
+    def ledger(self) -> Ledger:
+        """Return the ledger of this process."""
+        return self._ledger
+
+
+class DelegatedTurn:
+    """Hold a turn whose account another process keeps.
+
+    If that one is lost, the turn goes on here: tokens are reserved once more
+    by this process, and the turn is written by it. The first reservation then
+    counts as handed out, which is safe.
+    """
+
+    def __init__(
+        self,
+        *,
+        start: TurnStart,
+        opened: TurnOpened,
+        host: HostName,
+        link: Link,
+        turns: DelegatedTurns,
+    ) -> None:
+        self._start = start
+        self._opened = opened
+        self._host = host
+        self._link = link
+        self._turns = turns
+        self._handed = 0
+        self._closed = False
+        self._own: LocalTurn | None = None
+        self._announced: asyncio.Future[Offset] | None = None
+
+    @property
+    def history(self) -> History | None:
+        """Return what the turn continues; None at the start of a chain."""
+        return self._opened.history
+
+    @property
+    def spent(self) -> int:
+        """Return the tokens that the program had used before."""
+        return self._opened.spent
+
+    @property
+    def where(self) -> str:
+        """Return which process keeps the account, for the log."""
+        return f"at {self._host}" if self._own is None else "here after all"
+
+    async def verdict(self) -> BudgetVerdict:
+        """Wait until it is known whether the turn is granted."""
+        if self._own is not None:
+            return await self._own.verdict()
+        if self._opened.granted:
+            return BudgetVerdict.FITS
+        request = ConfirmTurnRequest(turn=self._start.terms.turn)
+        reply = await _ask(self._link, request)
+        if (
+            isinstance(reply, TurnVerdict)
+            and reply.verdict is not BudgetVerdict.UNCERTAIN
+        ):
+            return reply.verdict
+        if not isinstance(reply, TurnVerdict):
+            self._turns.lost(self._host, reply)
+        taken = await self._turns.take_over(self._start)
+        if isinstance(taken, BudgetVerdict):
+            return taken
+        self._own = taken
+        return await taken.verdict()
+
+    def announce(self) -> None:
+        """Write the program of the turn beside its run."""
+        self._announced = self._turns.ledger.announce(self._start.terms)
+
+    def hand_out(self, tokens: int) -> None:
+        """Count tokens that go to the caller."""
+        if self._own is not None:
+            self._own.hand_out(tokens)
+        else:
+            self._handed += tokens
+
+    async def commit(self, given: bytes, produced: bytes) -> None:
+        """Make the turn part of the history; return once that is durable."""
+        content = content_of(self._start, self.history, given, produced)
+        if self._own is not None:
+            await self._own.commit_for(content)
+        else:
+            await self._commit_there(content)
+        if self._announced is not None:
+            await self._announced
+
+    def close(self) -> None:
+        """Return what the turn did not use; a second time does nothing."""
+        if self._own is not None:
+            self._own.close()
+        if self._closed:
+            return
+        self._closed = True
+        if self._own is None:
+            turn = self._start.terms.turn
+            self._turns.tell_end(
+                self._link, CloseTurnRequest(turn=turn, handed=self._handed)
+            )
+
+    async def _commit_there(self, content: TurnContent) -> None:
+        self._closed = True
+        terms = self._start.terms
+        request = CommitTurnRequest(terms=terms, handed=self._handed, content=content)
+        reply = await _ask(self._link, request)
+        if isinstance(reply, Accepted):
+            return
+        # It may have been written there too: the same record under the same key.
+        self._turns.lost(self._host, reply)
+        await self._turns.ledger.write(terms, content)
+
+
+class TurnServer:
+    """Keep accounts for the other gateways of the data centre."""
+
+    def __init__(self, *, local: LocalTurns, ledger: Ledger) -> None:
+        self._local = local
+        self._ledger = ledger
+        self._open: dict[TurnId, LocalTurn] = {}
+        self._starts: dict[TurnId, TurnStart] = {}
+        self.stopping = False
+
+    @property
+    def open_turns(self) -> int:
+        """Return how many turns of other gateways are open."""
+        return len(self._open)
+
+    async def answer(self, request: Request, send: Send) -> Reply:
+        """Answer a request about a turn."""
+        if isinstance(request, CloseTurnRequest):
+            self._close(request.turn, request.handed)
+            return Accepted()
+        await send(Accepted())
+        if isinstance(request, OpenTurnRequest):
+            return await self._begin(request.start)
+        if isinstance(request, ConfirmTurnRequest):
+            return await self._confirm(request.turn)
+        if isinstance(request, CommitTurnRequest):
+            await self._commit(request)
+            return Accepted()
+        return Failed(failure=_failure(f"not for this part: {request}"))
+
+    async def _begin(self, start: TurnStart) -> Reply:
+        if self.stopping:
+            return Failed(failure=_failure("stopping"))
+        opened = await self._local.open(start)
+        if isinstance(opened, Lookup):
+            return TurnRefused(lookup=opened)
+        if isinstance(opened, BudgetVerdict):
+            return TurnRefused(verdict=opened)
+        turn = start.terms.turn
+        self._open[turn] = opened
+        self._starts[turn] = start
+        loop = asyncio.get_running_loop()
+        loop.call_later(start.lifetime, self._expire, turn)
+        return TurnOpened(
+            history=opened.history, spent=opened.spent, granted=opened.granted
+        )
+
+    async def _confirm(self, turn: TurnId) -> Reply:
+        opened = self._open.get(turn)
+        if opened is None:
+            return Failed(failure=_failure("the turn is not open here"))
+        return TurnVerdict(verdict=await opened.verdict())
+
+    async def _commit(self, request: CommitTurnRequest) -> None:
+        opened = self._open.pop(request.terms.turn, None)
+        if opened is None:
+            # This process took the place of the one that opened it.
+            await self._ledger.write(request.terms, request.content)
+            return
+        opened.hand_out(request.handed)
+        await opened.commit_for(request.content)
+
+    def _close(self, turn: TurnId, handed: int) -> None:
+        opened = self._open.pop(turn, None)
+        self._starts.pop(turn, None)
+        if opened is not None:
+            opened.hand_out(handed)
+            opened.close()
+
+    def _expire(self, turn: TurnId) -> None:
+        """Count a turn at its most whose gateway never told its end."""
+        start = self._starts.pop(turn, None)
+        if start is not None and turn in self._open:
+            log.info("turn {} was never ended by its gateway", turn)
+            self._close(turn, start.terms.most)
+
+
+async def _call(link: Link, request: CloseTurnRequest) -> None:
+    reply = await link.call(request, timeout=CLOSE_TIMEOUT)
+    if not isinstance(reply, Accepted):
+        log.info("{} was not told the end of {}", link.address, request.turn)
+
+
+async def _ask(
+    link: Link, request: OpenTurnRequest | ConfirmTurnRequest | CommitTurnRequest
+) -> Reply:
+    """Return the last reply, if the first one comes soon enough."""
+    replies = link.stream(request)
+    last: Reply = Failed(failure=_failure("no reply"))
+    try:
+        async with asyncio.timeout(FIRST_WORD) as limit:
+            async for reply in replies:
+                last = reply
+                limit.reschedule(asyncio.get_running_loop().time() + LAST_WORD)
+    except TimeoutError:
+        return Failed(failure=_failure("no reply in time"))
+    return last
+
+
+def _failure(reason: str) -> Failure:
+    return Failure(kind=ErrorKind.INTERRUPTED, reason=reason)
+
+
+def _reason(reply: Reply) -> str:
+    return reply.failure.reason if isinstance(reply, Failed) else str(reply)
+
+
+def _rank(program: ProgramId, host: HostName) -> int:
+    return xxhash.xxh32_intdigest(f"{program}/{host}".encode())
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -14,7 +14,7 @@
 from ..ids import DataCentre, HostName
 from ..storage.calls import StoreCall, StoreCaller, StoreReply
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition, Writer
-from ..wire.links import Links, Responder, Send
+from ..wire.links import Handler, Link, Links, Responder, Send
 from ..wire.messages import Failed, Reply, Request, StoreAnswer, StoreRequest
 
 log = logbook.Logger("peers")
@@ -116,6 +116,19 @@
                 failure = reply.failure
         return failure
 
+    def near(self) -> list[HostName]:
+        """Return the other daemons of the data centre that are known."""
+        return [
+            host
+            for host, one in self._known.items()
+            if one.data_centre == self._data_centre
+        ]
+
+    def link(self, host: HostName) -> Link | None:
+        """Return the link to a daemon; None if it is not known."""
+        record = self._known.get(host)
+        return self._links.to(f"tcp://{record.address}") if record else None
+
     def close(self) -> None:
         """End all links."""
         self._links.close()
@@ -150,12 +163,13 @@
 
 
 class PeerServer:
-    """Make calls to the store for peers that it turns away."""
+    """Answer peers: calls to the store, and what else `others` answers."""
 
     def __init__(
         self, *, context: zmq.asyncio.Context, address: str, caller: StoreCaller
     ) -> None:
         self._caller = caller
+        self.others: Handler = _answer_none
         self._responder = Responder(
             context=context, address=f"tcp://{address}", handler=self._answer
         )
@@ -175,9 +189,13 @@
 
     async def _answer(self, request: Request, send: Send) -> Reply:
         if not isinstance(request, StoreRequest):
-            reason = f"not for this process: {type(request).__name__}"
-            return Failed(failure=Failure(kind=ErrorKind.MALFORMED, reason=reason))
+            return await self.others(request, send)
         reply = await self._caller.call(request.call)
         if isinstance(reply, Failure):
             return Failed(failure=reply)
         return StoreAnswer(reply=reply)
+
+
+async def _answer_none(request: Request, send: Send) -> Reply:
+    reason = f"not for this process: {type(request).__name__}"
+    return Failed(failure=Failure(kind=ErrorKind.MALFORMED, reason=reason))
--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -410,10 +410,12 @@
         for link in list(self.links):
             link.abort()
 
-    async def drained(self, timeout: float) -> bool:
-        """Wait up to `timeout` seconds until no request is under way."""
+    async def drained(
+        self, timeout: float, *, also: Callable[[], bool] = lambda: False
+    ) -> bool:
+        """Wait up to `timeout` seconds until nothing is under way, here or `also`."""
         deadline = asyncio.get_running_loop().time() + timeout
-        while any(link.busy for link in self.links):
+        while any(link.busy for link in self.links) or also():
             if asyncio.get_running_loop().time() > deadline:
                 return False
             await asyncio.sleep(0.02)
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -11,6 +11,7 @@
 
 import logbook
 
+from ..fleet.delegates import DelegatedTurns, Delegates, TurnServer
 from ..fleet.peers import TOPIC as PEERS_TOPIC, Peers
 from ..http1.messages import RequestMessage
 from ..http1.server import Reply, Server, ServerLimits
@@ -18,6 +19,7 @@
 from ..ledger.ledger import Ledger
 from ..ledger.places import Places
 from ..ledger.sweeper import Sweeper
+from ..ledger.turns import LocalTurns, Turns
 from ..observe.events import EventLog
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
@@ -117,9 +119,16 @@
         )
         self._metrics = metrics or RequestMetrics()
         self.dispatcher.store_way = store_way
+        local = LocalTurns(ledger=self.ledger)
+        self.turn_server = TurnServer(local=local, ledger=self.ledger)
+        turns: Turns = local
+        if peers is not None:
+            delegates = Delegates(own=options.host, peers=peers)
+            turns = DelegatedTurns(delegates=delegates, local=local, ledger=self.ledger)
         handler = RequestHandler(
             dispatcher=self.dispatcher,
             ledger=self.ledger,
+            turns=turns,
             metrics=self._metrics,
             events=events,
         )
@@ -215,14 +224,18 @@
         """Take no more callers, finish what runs, and end."""
         log.info("stopping: {} connections", len(self.front.links))
         self.front.stopping = True
+        self.turn_server.stopping = True
         await asyncio.sleep(READY_NOTICE)
         self.front.stop_accepting()
         left = self._options.stop_timeout - READY_NOTICE - STOP_MARGIN
-        drained = await self.front.drained(left)
+        drained = await self.front.drained(left, also=self._others_open)
         await self._write_last()
         log.info("stopped, all answered: {}", drained)
         await self.close()
 
+    def _others_open(self) -> bool:
+        return self.turn_server.open_turns > 0
+
     async def _write_last(self) -> None:
         """Write what is still queued, as far as the store takes it in time."""
         try:
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -8,9 +8,10 @@
 from ..http1.events import EventSplitter, event_data
 from ..http1.messages import LinkError, LinkFault, RequestMessage, ResponseHead
 from ..http1.server import Reply
-from ..ids import Offset, TurnId
-from ..ledger.budgets import Reservation, TurnTerms, Verdict
-from ..ledger.ledger import History, Ledger, Lookup
+from ..ids import TurnId
+from ..ledger.ledger import Ledger
+from ..ledger.terms import BudgetVerdict, Lookup, TurnStart, TurnTerms
+from ..ledger.turns import OpenTurn, TurnRefusal, Turns
 from ..observe.request_metrics import RequestMetrics
 from ..policies.retries import patience
 from ..routing.routes import Route, RouteKind
@@ -24,6 +25,8 @@
 STORE_RETRY = 1.0
 # Another process returns what it doesn't use of a budget within a second.
 HELD_RETRY = 0.5
+# A turn may end so much after its deadline and still tell its end. Seconds.
+TURN_MARGIN = 2.0
 BODY_LIMIT = 16 * 1024 * 1024
 OK = 200
 REDIRECT = 300
@@ -42,6 +45,7 @@
         deadline: float,
         dispatcher: Dispatcher,
         ledger: Ledger,
+        turns: Turns,
         metrics: RequestMetrics,
     ) -> None:
         self._metrics = metrics
@@ -52,6 +56,8 @@
         self._reply = reply
         self._dispatcher = dispatcher
         self._ledger = ledger
+        self._turns = turns
+        self._deadline = deadline
         self._attempts = Attempts(
             message=message,
             info=info,
@@ -77,23 +83,43 @@
     async def _turn(self, budget: int) -> None:
         """Run a turn of a program inside its budget."""
         await self._check_start()
-        history = await self._history() if self._route.retained else None
-        terms = TurnTerms(
-            turn=TurnId(self._info.attempt),
-            program=self._info.program,
-            budget=budget,
-            most=self._info.most_tokens,
-            retention=self._route.retention,
-        )
-        reserved = await self._ledger.reserve(terms)
-        self.trail.append(f"spent {self._ledger.spent(terms)} of {budget} tokens")
-        if isinstance(reserved, Verdict):
-            raise _budget_failure(reserved)
-        self._attempts.spent = self._ledger.spent(terms) / max(1, budget)
+        turn = await self._open_turn(budget)
+        self.trail.append(f"spent {turn.spent} of {budget} tokens, kept {turn.where}")
+        self._attempts.spent = turn.spent / max(1, budget)
+        if turn.history is not None:
+            self._attempts.body = turn.history.prompt + self._message.body
+            self.trail.append(f"history of {len(turn.history.prompt)} bytes")
         try:
-            await self._stream(_TurnStream(reservation=reserved, history=history))
+            await self._stream(_TurnStream(turn=turn))
         finally:
-            reserved.close()
+            turn.close()
+
+    async def _open_turn(self, budget: int) -> OpenTurn:
+        """Reserve the turn and find what it continues, or say why not."""
+        route, info = self._route, self._info
+        if route.retained and not self._dispatcher.store_reached():
+            raise fail(
+                ErrorKind.LOG_UNAVAILABLE,
+                "turns can't be kept at present",
+                retry_after=STORE_RETRY,
+            )
+        left = self._deadline - asyncio.get_running_loop().time()
+        start = TurnStart(
+            terms=TurnTerms(
+                turn=TurnId(info.attempt),
+                program=info.program,
+                budget=budget,
+                most=info.most_tokens,
+                retention=route.retention,
+            ),
+            previous=info.previous,
+            kept=route.retained,
+            lifetime=left + TURN_MARGIN,
+        )
+        opened = await self._turns.open(start)
+        if isinstance(opened, Lookup | BudgetVerdict):
+            raise _turn_failure(opened, info.previous)
+        return opened
 
     async def _check_start(self) -> None:
         """Refuse the first request of a program while engines are full."""
@@ -107,28 +133,6 @@
             ErrorKind.OVERLOADED, "all engines are full", retry_after=retry_after
         )
 
-    async def _history(self) -> History | None:
-        """Return what the turn continues, and put it before its own input."""
-        if not self._dispatcher.store_reached() or self._ledger.stuck(
-            self._info.program
-        ):
-            raise fail(
-                ErrorKind.LOG_UNAVAILABLE,
-                "turns can't be kept at present",
-                retry_after=STORE_RETRY,
-            )
-        previous = self._info.previous
-        if previous is None:
-            return None
-        found = await self._ledger.history(self._info.program, previous)
-        if found is Lookup.ABSENT:
-            raise fail(ErrorKind.NOT_FOUND, f"no turn {previous}")
-        if isinstance(found, Lookup):
-            raise fail(ErrorKind.LOG_UNAVAILABLE, found.value, retry_after=STORE_RETRY)
-        self._attempts.body = found.prompt + self._message.body
-        self.trail.append(f"history of {len(found.prompt)} bytes")
-        return found
-
     async def _plain(self) -> None:
         """Pass on an answer once it is whole."""
         self._dispatcher.retries.began()
@@ -209,7 +213,7 @@
     async def _relay(self, running: Running, turn: _TurnStream | None) -> bool:
         """Relay a stream; return whether it was whole."""
         if turn is not None and self._route.retained:
-            turn.announced = self._ledger.announce(turn.reservation.terms)
+            turn.turn.announce()
         splitter = EventSplitter()
         while (part := await running.link.body_part()) is not None:
             for event in splitter.feed(part):
@@ -237,7 +241,7 @@
             if not self._reply.started:
                 await self._confirm(turn)
             tokens = self._dispatcher.event_tokens(running.target.service)
-            turn.reservation.hand_out(tokens)
+            turn.turn.hand_out(tokens)
             turn.produced.append(event_data(event) + b"\n")
         if not self._reply.started:
             await self._start(running)
@@ -245,24 +249,14 @@
 
     async def _confirm(self, turn: _TurnStream) -> None:
         """Let the first event out only when its tokens are durably reserved."""
-        verdict = await turn.reservation.verdict()
-        if verdict is not Verdict.FITS:
+        verdict = await turn.turn.verdict()
+        if verdict is not BudgetVerdict.FITS:
             self.trail.append(f"budget:{verdict.value}")
             raise fail(ErrorKind.INTERRUPTED, f"the budget is {verdict.value}")
 
     async def _commit(self, turn: _TurnStream) -> None:
         begun = asyncio.get_running_loop().time()
-        history = turn.history
-        own = history is None or history.own
-        assert turn.announced is not None
-        await self._ledger.commit(
-            turn.reservation,
-            announced=turn.announced,
-            parent=self._info.previous if own else None,
-            base=b"" if history is None or own else history.prompt,
-            given=self._message.body,
-            produced=b"".join(turn.produced),
-        )
+        await turn.turn.commit(self._message.body, b"".join(turn.produced))
         taken = asyncio.get_running_loop().time() - begun
         self._metrics.committed(taken)
         self.trail.append(f"committed in {taken * 1000:.1f} ms")
@@ -279,16 +273,18 @@
 class _TurnStream:
     """Collect what a turn hands out."""
 
-    def __init__(self, *, reservation: Reservation, history: History | None) -> None:
-        self.reservation = reservation
-        self.history = history
-        self.announced: asyncio.Future[Offset] | None = None
+    def __init__(self, *, turn: OpenTurn) -> None:
+        self.turn = turn
         self.produced: list[bytes] = []
 
 
-def _budget_failure(verdict: Verdict) -> FailureError:
-    if verdict is Verdict.EXCEEDED:
+def _turn_failure(refusal: TurnRefusal, previous: TurnId | None) -> FailureError:
+    if refusal is BudgetVerdict.EXCEEDED:
         return fail(ErrorKind.BUDGET_EXHAUSTED, "the budget of the program is spent")
-    retry_after = HELD_RETRY if verdict is Verdict.HELD else STORE_RETRY
-    reason = f"the budget is {verdict.value}"
+    if refusal is Lookup.ABSENT:
+        return fail(ErrorKind.NOT_FOUND, f"no turn {previous}")
+    if isinstance(refusal, Lookup):
+        return fail(ErrorKind.LOG_UNAVAILABLE, refusal.value, retry_after=STORE_RETRY)
+    retry_after = HELD_RETRY if refusal is BudgetVerdict.HELD else STORE_RETRY
+    reason = f"the budget is {refusal.value}"
     return fail(ErrorKind.LOG_UNAVAILABLE, reason, retry_after=retry_after)
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -13,6 +13,7 @@
 from ..http1.server import ClientGone, Reply
 from ..ids import AttemptId
 from ..ledger.ledger import Ledger
+from ..ledger.turns import Turns
 from ..observe.events import EventLog
 from ..observe.request_metrics import RequestMetrics
 from ..routing.routes import Route, RouteTable
@@ -50,11 +51,13 @@
         *,
         dispatcher: Dispatcher,
         ledger: Ledger,
+        turns: Turns,
         metrics: RequestMetrics,
         events: EventLog | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._ledger = ledger
+        self._turns = turns
         self._metrics = metrics
         self._events = events
 
@@ -103,6 +106,7 @@
             deadline=deadline,
             dispatcher=self._dispatcher,
             ledger=self._ledger,
+            turns=self._turns,
             metrics=self._metrics,
         )
         try:
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -4,15 +4,14 @@
 
 import asyncio
 from collections import OrderedDict
-from enum import Enum
 
 import logbook
-import msgspec
 
 from ..ids import Offset, ProgramId, TurnId, WriterId
 from ..storage.keyed import KeyedRecord
 from .partition import LedgerPartition
 from .records import GrantRecord, encode_record, grant_key
+from .terms import BudgetVerdict, TurnTerms
 
 log = logbook.Logger("budget")
 
@@ -41,25 +40,6 @@
 AWAY_CHECK = 0.1
 
 
-class Verdict(Enum):
-    """Say whether a turn fits the budget."""
-
-    FITS = "fits"
-    EXCEEDED = "exceeded"
-    HELD = "held by another process for a moment"
-    UNCERTAIN = "not known, as the log can't be read"
-
-
-class TurnTerms(msgspec.Struct, frozen=True, kw_only=True):
-    """Name a turn, the program it belongs to, and the most it may hand out."""
-
-    turn: TurnId
-    program: ProgramId
-    budget: int
-    most: int
-    retention: float
-
-
 class _Account:
     """Hold what this process may hand out, and did, for one program."""
 
@@ -104,7 +84,12 @@
         self._budgets = budgets
         self._account = account
 
-    async def verdict(self) -> Verdict:
+    @property
+    def granted(self) -> bool:
+        """Return whether the grant is known to cover the turn."""
+        return self._account.covers(self.terms.turn)
+
+    async def verdict(self) -> BudgetVerdict:
         """Wait until it is known whether the turn is granted.
 
         While the store is away the answer could come after the caller has
@@ -114,12 +99,12 @@
         while not account.covers(self.terms.turn):
             raising = account.raising
             if raising is None:
-                return Verdict.EXCEEDED
+                return BudgetVerdict.EXCEEDED
             await asyncio.wait([raising], timeout=AWAY_CHECK)
             unknown = raising.done() and not raising.result()
             if unknown or account.partition.stuck:
-                return Verdict.UNCERTAIN
-        return Verdict.FITS
+                return BudgetVerdict.UNCERTAIN
+        return BudgetVerdict.FITS
 
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
@@ -160,7 +145,7 @@
 
     async def admit(
         self, partition: LedgerPartition, terms: TurnTerms
-    ) -> Reservation | Verdict:
+    ) -> Reservation | BudgetVerdict:
         """Reserve the most that a turn may use, or say why not.
 
         Near the limit the answer waits for the log, since a request that was
@@ -168,7 +153,7 @@
         a program here: what others were granted is not known before.
         """
         if not partition.loaded and not await partition.sync():
-            return Verdict.UNCERTAIN
+            return BudgetVerdict.UNCERTAIN
         account = self._account(partition, terms)
         reservation = Reservation(terms=terms, account=account, budgets=self)
         if account.needed + terms.most <= account.granted:
@@ -183,10 +168,10 @@
         if after <= terms.budget * CHECKED_LATER_SHARE:
             return reservation
         verdict = await reservation.verdict()
-        if verdict is Verdict.FITS:
+        if verdict is BudgetVerdict.FITS:
             return reservation
         reservation.close()
-        return self._excess(account) if verdict is Verdict.EXCEEDED else verdict
+        return self._excess(account) if verdict is BudgetVerdict.EXCEEDED else verdict
 
     def ahead(self, program: ProgramId) -> None:
         """Ask for the next block if the present one is nearly used up.
@@ -247,23 +232,25 @@
         account.touched = asyncio.get_running_loop().time()
         return account
 
-    async def _shortage(self, account: _Account, terms: TurnTerms) -> Verdict | None:
+    async def _shortage(
+        self, account: _Account, terms: TurnTerms
+    ) -> BudgetVerdict | None:
         """Return why a turn can't be granted, as the log stands."""
         if account.partition.stuck:
-            return Verdict.UNCERTAIN
+            return BudgetVerdict.UNCERTAIN
         if self._fits(account, terms):
             return None
         if not await account.partition.sync():
-            return Verdict.UNCERTAIN
+            return BudgetVerdict.UNCERTAIN
         if self._fits(account, terms):
             return None
         return self._excess(account)
 
-    def _excess(self, account: _Account) -> Verdict:
+    def _excess(self, account: _Account) -> BudgetVerdict:
         """Return whether the budget is spent, or held for a moment elsewhere."""
         state = account.partition.state
         held = state.returning(account.program, state.now() - RETURN_BOUND)
-        return Verdict.HELD if held else Verdict.EXCEEDED
+        return BudgetVerdict.HELD if held else BudgetVerdict.EXCEEDED
 
     def _fits(self, account: _Account, terms: TurnTerms) -> bool:
         others = account.partition.state.granted_others(terms.program)
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -4,20 +4,19 @@
 
 import asyncio
 from collections import OrderedDict
-from enum import Enum
 
 import logbook
-import msgspec
 
 from ..errors import Failure
 from ..ids import Offset, ProgramId, TurnId, WriterId
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition
-from .budgets import RETURN_INTERVAL, Budgets, Reservation, TurnTerms, Verdict
+from .budgets import RETURN_INTERVAL, Budgets, Reservation
 from .index import TurnIndex
 from .partition import LedgerPartition
 from .places import Places
 from .records import TurnRecord, encode_record
 from .state import LedgerState
+from .terms import BudgetVerdict, History, Lookup, TurnContent, TurnTerms
 
 log = logbook.Logger("ledger")
 
@@ -32,20 +31,6 @@
 FORGET_AFTER = 300.0
 
 
-class Lookup(Enum):
-    """Say why there is no history."""
-
-    ABSENT = "no such turn"
-    UNCERTAIN = "the log can't be read to its end"
-
-
-class History(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold the prompt up to a turn; `own` says that it is the program's own."""
-
-    prompt: bytes
-    own: bool
-
-
 class Ledger:
     """Keep the turns of all programs in the log, with no owner for any.
 
@@ -111,7 +96,7 @@
         found = await self._history_in(other, turn)
         return History(prompt=found, own=False) if isinstance(found, bytes) else found
 
-    async def reserve(self, terms: TurnTerms) -> Reservation | Verdict:
+    async def reserve(self, terms: TurnTerms) -> Reservation | BudgetVerdict:
         """Reserve the most that a turn may use, or say why not."""
         return await self._budgets.admit(self.partition(terms.program), terms)
 
@@ -123,36 +108,28 @@
         """Write the program of a turn beside the turn; await it before its end."""
         return self._index.put(terms.turn, terms.program, terms.retention)
 
-    async def commit(
-        self,
-        reservation: Reservation,
-        *,
-        announced: asyncio.Future[Offset],
-        parent: TurnId | None,
-        given: bytes,
-        produced: bytes,
-        base: bytes = b"",
-    ) -> None:
+    async def commit(self, reservation: Reservation, content: TurnContent) -> None:
         """Make a turn part of the history; return once that is durable.
 
         What the turn leaves of its budget is returned with it, in the same
-        append. `announced` is what `announce` returned for the turn.
+        append.
         """
-        terms = reservation.terms
         reservation.close()
+        self._budgets.ahead(reservation.terms.program)
+        await self.write(reservation.terms, content)
+
+    async def write(self, terms: TurnTerms, content: TurnContent) -> None:
+        """Write a turn; any process may, and any number of times."""
         record = TurnRecord(
             program=terms.program,
             retention=terms.retention,
-            parent=parent,
-            given=given,
-            produced=produced,
-            base=base,
+            parent=content.parent,
+            given=content.given,
+            produced=content.produced,
+            base=content.base,
         )
-        value = encode_record(record)
-        self._budgets.ahead(terms.program)
-        keyed = KeyedRecord(key=terms.turn, value=value)
+        keyed = KeyedRecord(key=terms.turn, value=encode_record(record))
         await self.partition(terms.program).append(keyed, urgent=True)
-        await announced
 
     async def flush(self) -> None:
         """Write all that is queued."""
--- a/sequoiaarch/ledger/sweeper.py
+++ b/sequoiaarch/ledger/sweeper.py
@@ -26,6 +26,10 @@
 # A program may come back at the end of its retention, and takes a moment to
 # write its next record. Seconds.
 MARGIN = 30.0
+# The other processes must be known before the part of this one can be drawn: a
+# process that took itself for the only one visited everything, 19 calls a
+# second in place of one. Nothing can be due that early. Seconds.
+FIRST_DRAW = 30.0
 DROPPED_AT_ONCE = 500
 
 
@@ -66,6 +70,7 @@
 
     async def run(self) -> None:
         """Visit partitions for ever."""
+        await asyncio.sleep(FIRST_DRAW)
         while True:
             part = self.draw()
             for _ in range(2):
--- a/sequoiaarch/platform/__main__.py
+++ b/sequoiaarch/platform/__main__.py
@@ -62,6 +62,7 @@
         events=events,
         store_way=lambda: caller.way,
     )
+    server.others = daemon.turn_server.answer
     serving = asyncio.create_task(server.run())
     await daemon.run()
     serving.cancel()
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -6,9 +6,10 @@
 import unittest
 
 from ...ids import ProgramId, TurnId
-from ...ledger.budgets import Reservation, TurnTerms, Verdict
-from ...ledger.ledger import History, Ledger, Lookup
+from ...ledger.budgets import Reservation
+from ...ledger.ledger import Ledger
 from ...ledger.places import Places
+from ...ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnTerms
 from ...standins.keyed_store import KeyedStore
 
 PROGRAM = ProgramId("program-1")
@@ -75,13 +76,12 @@
         """Run and commit a turn."""
         reservation = await self.reserved(ledger, turn, program=program)
         await reservation.verdict()
-        await ledger.commit(
-            reservation,
-            announced=ledger.announce(reservation.terms),
-            parent=TurnId(parent) if parent else None,
-            given=given,
-            produced=made,
+        announced = ledger.announce(reservation.terms)
+        content = TurnContent(
+            parent=TurnId(parent) if parent else None, given=given, produced=made
         )
+        await ledger.commit(reservation, content)
+        await announced
 
 
 class HistoryTests(LedgerTestCase):
@@ -192,14 +192,9 @@
         reservation = await second.reserve(terms("u1", program=other))
         assert isinstance(reservation, Reservation)
         await reservation.verdict()
-        await second.commit(
-            reservation,
-            announced=second.announce(reservation.terms),
-            parent=None,
-            base=found.prompt,
-            given=b"+",
-            produced=b"!",
-        )
+        content = TurnContent(parent=None, base=found.prompt, given=b"+", produced=b"!")
+        await second.commit(reservation, content)
+        await second.announce(reservation.terms)
         await self.store.add(second.places.of_program(PROGRAM), "t1", b"")
         third = await self.ledger("c")
         last = await third.history(other, TurnId("u1"))
@@ -234,13 +229,13 @@
 class BudgetTests(LedgerTestCase):
     """Test that no more than the budget is ever handed out."""
 
-    async def run_turn(self, ledger: Ledger, turn: str, tokens: int) -> Verdict:
+    async def run_turn(self, ledger: Ledger, turn: str, tokens: int) -> BudgetVerdict:
         """Run a turn that hands out tokens, and return whether it fitted."""
         found = await ledger.reserve(terms(turn))
-        if isinstance(found, Verdict):
+        if isinstance(found, BudgetVerdict):
             return found
         verdict = await found.verdict()
-        if verdict is Verdict.FITS:
+        if verdict is BudgetVerdict.FITS:
             found.hand_out(tokens)
         found.close()
         return verdict
@@ -259,7 +254,7 @@
             found = await ledgers[number % 2].reserve(terms(f"t{number}"))
             if not isinstance(found, Reservation):
                 return False
-            return await found.verdict() is Verdict.FITS
+            return await found.verdict() is BudgetVerdict.FITS
 
         results = await asyncio.gather(*(one(number) for number in range(wanted)))
         self.assertLessEqual(sum(results), BUDGET // MOST)
@@ -272,7 +267,7 @@
             await (await self.reserved(first, f"t{number}")).verdict()
         fresh = await self.ledger("b")
         found = await fresh.reserve(terms("another"))
-        self.assertIn(found, (Verdict.EXCEEDED, Verdict.HELD))
+        self.assertIn(found, (BudgetVerdict.EXCEEDED, BudgetVerdict.HELD))
 
     async def test_never_more_than_the_budget(self) -> None:
         """Hand out no more than the budget through processes that come and go.
@@ -285,7 +280,7 @@
             ledger = await self.ledger(f"life-{life}")
             for number in range(4):
                 verdict = await self.run_turn(ledger, f"t{life}-{number}", 70)
-                handed += 70 * (verdict is Verdict.FITS)
+                handed += 70 * (verdict is BudgetVerdict.FITS)
         self.assertLessEqual(handed, BUDGET)
         self.assertGreater(handed, 0)
 
@@ -296,7 +291,9 @@
         returning = asyncio.create_task(first.give_back())
         self.addCleanup(returning.cancel)
         for number in range(3):
-            self.assertIs(await self.run_turn(first, f"t{number}", 10), Verdict.FITS)
+            self.assertIs(
+                await self.run_turn(first, f"t{number}", 10), BudgetVerdict.FITS
+            )
         async with asyncio.timeout(10):
             while first.partition(PROGRAM).state.granted(PROGRAM, first.writer) > 30:
                 await asyncio.sleep(0.02)
@@ -327,12 +324,10 @@
             ledger = await self.ledger(f"life-{life}")
             found = await ledger.reserve(small_terms(f"t{life}"))
             assert isinstance(found, Reservation), (life, found)
-            self.assertIs(await found.verdict(), Verdict.FITS)
+            self.assertIs(await found.verdict(), BudgetVerdict.FITS)
             found.hand_out(20)
-            announced = ledger.announce(found.terms)
-            await ledger.commit(
-                found, announced=announced, parent=None, given=b"", produced=b""
-            )
+            content = TurnContent(parent=None, given=b"", produced=b"")
+            await ledger.commit(found, content)
             await ledger.close()
 
     async def test_no_call_for_most_turns(self) -> None:
@@ -342,7 +337,9 @@
         """
         ledger = await self.ledger("a")
         for number in range(8):
-            self.assertIs(await self.run_turn(ledger, f"t{number}", 30), Verdict.FITS)
+            self.assertIs(
+                await self.run_turn(ledger, f"t{number}", 30), BudgetVerdict.FITS
+            )
         self.assertLessEqual(self.store.appends, 4)
 
     async def test_store_away(self) -> None:
@@ -352,11 +349,11 @@
         durable, so turns inside it may run; the next one is refused at once.
         """
         ledger = await self.ledger("a")
-        self.assertIs(await self.run_turn(ledger, "t0", 40), Verdict.FITS)
+        self.assertIs(await self.run_turn(ledger, "t0", 40), BudgetVerdict.FITS)
         self.clients["a"].faults.down = True
         ran = 0
         async with asyncio.timeout(10):
-            while await self.run_turn(ledger, f"t{ran + 1}", 40) is Verdict.FITS:
+            while await self.run_turn(ledger, f"t{ran + 1}", 40) is BudgetVerdict.FITS:
                 ran += 1
         self.assertGreaterEqual(ran, 2)
         self.assertLessEqual((ran + 1) * 40, BUDGET)
@@ -369,9 +366,9 @@
         """
         first = await self.ledger("a")
         second = await self.ledger("b")
-        self.assertIs(await self.run_turn(second, "u0", 10), Verdict.FITS)
+        self.assertIs(await self.run_turn(second, "u0", 10), BudgetVerdict.FITS)
         ran = 0
-        while await self.run_turn(first, f"t{ran}", MOST) is Verdict.FITS:
+        while await self.run_turn(first, f"t{ran}", MOST) is BudgetVerdict.FITS:
             ran += 1
         self.assertGreater(ran, 2)
         found = await second.reserve(terms("u1"))
@@ -387,7 +384,7 @@
         """
         ledger = await self.ledger("a")
         ran = 0
-        while await self.run_turn(ledger, f"t{ran}", 70) is Verdict.FITS:
+        while await self.run_turn(ledger, f"t{ran}", 70) is BudgetVerdict.FITS:
             ran += 1
             if ran == 4:
                 await ledger.flush()
@@ -405,5 +402,5 @@
         """
         ledger = await self.ledger("a")
         before = self.clients["a"].reads
-        self.assertIs(await self.run_turn(ledger, "t0", 10), Verdict.FITS)
+        self.assertIs(await self.run_turn(ledger, "t0", 10), BudgetVerdict.FITS)
         self.assertEqual(self.clients["a"].reads - before, 0)
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -13,8 +13,9 @@
 from ....ingress.attempts import Attempts
 from ....ingress.daemon import IngressDaemon
 from ....ingress.exchange import Exchange
-from ....ledger.budgets import Budgets, Reservation, Verdict
+from ....ledger.budgets import Budgets, Reservation
 from ....ledger.ledger import Ledger
+from ....ledger.terms import BudgetVerdict
 from ....platform.__main__ import main
 from ....routing.targets import Targets
 
@@ -24,17 +25,17 @@
 def commit_skipped() -> None:
     """End kept turns without writing them."""
 
-    async def commit(self: Ledger, reservation: Reservation, **_: Any) -> None:
-        reservation.close()
+    async def write(self: Ledger, *_: Any) -> None:
+        pass
 
-    setattr(Ledger, "commit", commit)  # noqa: B010
+    setattr(Ledger, "write", write)  # noqa: B010
 
 
 def budget_counted_late() -> None:
     """Let every turn begin, whatever others were granted."""
 
-    async def verdict(self: Reservation) -> Verdict:
-        return Verdict.FITS
+    async def verdict(self: Reservation) -> BudgetVerdict:
+        return BudgetVerdict.FITS
 
     def fits(self: Budgets, *_: Any) -> bool:
         return True
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -19,8 +19,17 @@
     ProgramId,
     Seq,
     TargetName,
+    TurnId,
     Workspace,
 )
+from ..ledger.terms import (
+    BudgetVerdict,
+    History,
+    Lookup,
+    TurnContent,
+    TurnStart,
+    TurnTerms,
+)
 from ..records.acceptance import Verdict
 from ..records.types import (
     CallAnswer,
@@ -218,6 +227,33 @@
     call: StoreCall
 
 
+class OpenTurnRequest(Message, frozen=True, kw_only=True, tag="open"):
+    """Ask the keeper of a program's account to open a turn."""
+
+    start: TurnStart
+
+
+class ConfirmTurnRequest(Message, frozen=True, kw_only=True, tag="confirm"):
+    """Ask whether the tokens of an open turn are granted."""
+
+    turn: TurnId
+
+
+class CommitTurnRequest(Message, frozen=True, kw_only=True, tag="commit_turn"):
+    """Ask to write a turn that handed out so many tokens."""
+
+    terms: TurnTerms
+    handed: int
+    content: TurnContent
+
+
+class CloseTurnRequest(Message, frozen=True, kw_only=True, tag="close_turn"):
+    """Tell the end of a turn that is not written, and what it handed out."""
+
+    turn: TurnId
+    handed: int
+
+
 class Ping(Message, frozen=True, kw_only=True, tag="ping"):
     """Ask whether the peer's process still answers."""
 
@@ -225,6 +261,10 @@
 Request = (
     CallRequest
     | StoreRequest
+    | OpenTurnRequest
+    | ConfirmTurnRequest
+    | CommitTurnRequest
+    | CloseTurnRequest
     | DispatchRequest
     | SubmitRequest
     | StateRequest
@@ -368,6 +408,30 @@
     reply: StoreReply
 
 
+class TurnOpened(Message, frozen=True, kw_only=True, tag="opened"):
+    """Hold what an open turn continues, and what its program had used.
+
+    `granted` says that its tokens may be handed out without asking again.
+    """
+
+    history: History | None
+    spent: int
+    granted: bool
+
+
+class TurnRefused(Message, frozen=True, kw_only=True, tag="turn_refused"):
+    """Say why a turn was not opened: one of the two is set."""
+
+    lookup: Lookup | None = None
+    verdict: BudgetVerdict | None = None
+
+
+class TurnVerdict(Message, frozen=True, kw_only=True, tag="turn_verdict"):
+    """Say whether the tokens of an open turn are granted."""
+
+    verdict: BudgetVerdict
+
+
 class Accepted(Message, frozen=True, kw_only=True, tag="accepted"):
     """Say that an order was carried out."""
 
@@ -377,6 +441,9 @@
 Reply = (
     Chunk
     | StoreAnswer
+    | TurnOpened
+    | TurnRefused
+    | TurnVerdict
     | Head
     | Done
     | Executed
