Test delegates: lost, frozen, restarted, stopping; callers that leave

A turn whose caller left while its delegate was still opening it counted at its most for good; test_caller_leaves_while_a_turn_opens failed with 100 tokens spent before and passes.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -279,6 +279,8 @@
         self._ledger = ledger
         self._open: dict[TurnId, LocalTurn] = {}
         self._starts: dict[TurnId, TurnStart] = {}
+        # Turns that are being opened; False once their caller has left.
+        self._opening: dict[TurnId, bool] = {}
         self.stopping = False
 
     @property
@@ -304,12 +306,19 @@
     async def _begin(self, start: TurnStart) -> Reply:
         if self.stopping:
             return Failed(failure=_failure("stopping"))
-        opened = await self._local.open(start)
+        turn = start.terms.turn
+        self._opening[turn] = True
+        try:
+            opened = await self._local.open(start)
+        finally:
+            wanted = self._opening.pop(turn)
         if isinstance(opened, Lookup):
             return TurnRefused(lookup=opened)
         if isinstance(opened, BudgetVerdict):
             return TurnRefused(verdict=opened)
-        turn = start.terms.turn
+        if not wanted:
+            opened.close()
+            return Failed(failure=_failure("the caller left"))
         self._open[turn] = opened
         self._starts[turn] = start
         loop = asyncio.get_running_loop()
@@ -334,6 +343,8 @@
         await opened.commit_for(request.content)
 
     def _close(self, turn: TurnId, handed: int) -> None:
+        if turn in self._opening:
+            self._opening[turn] = False
         opened = self._open.pop(turn, None)
         self._starts.pop(turn, None)
         if opened is not None:
--- /dev/null
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -0,0 +1,310 @@
+"""Test accounts that one process keeps for the others of its data centre."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable
+
+import msgspec
+import zmq.asyncio
+
+from ...errors import ErrorKind, Failure
+from ...fleet.delegates import DelegatedTurn, DelegatedTurns, Delegates, TurnServer
+from ...fleet.peers import PeerRecord, Peers, PeerServer
+from ...ids import DataCentre, HostName, ProgramId, TurnId
+from ...ledger.ledger import Ledger
+from ...ledger.places import Places
+from ...ledger.terms import BudgetVerdict, Lookup, TurnStart, TurnTerms
+from ...ledger.turns import LocalTurn, LocalTurns, OpenTurn
+from ...standins.keyed_store import KeyedStore, KeyedStoreClient
+from ...storage.calls import StoreCall, StoreReply
+from ...storage.keyed import KeyedRecord
+from ...wire.links import Send
+from ...wire.messages import CommitTurnRequest, Reply, Request
+
+HERE = DataCentre("here")
+PROGRAM = ProgramId("program")
+BUDGET = 800
+MOST = 100
+LIFETIME = 0.3
+PATIENCE = 10.0
+
+
+def start(turn: str, *, previous: str | None = None, kept: bool = True) -> TurnStart:
+    """Return the start of a turn."""
+    return TurnStart(
+        terms=TurnTerms(
+            turn=TurnId(turn),
+            program=PROGRAM,
+            budget=BUDGET,
+            most=MOST,
+            retention=60.0,
+        ),
+        previous=TurnId(previous) if previous else None,
+        kept=kept,
+        lifetime=LIFETIME,
+    )
+
+
+class _NoStore:
+    """Fail every call: no peer relays in these tests."""
+
+    async def call(self, call: StoreCall) -> StoreReply | Failure:
+        """Return a failure."""
+        return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="not used here")
+
+
+class Process:
+    """Hold what one gateway has for turns."""
+
+    def __init__(
+        self, *, name: str, context: zmq.asyncio.Context, client: KeyedStoreClient
+    ) -> None:
+        self.name = HostName(name)
+        self.client = client
+        self.server = PeerServer(
+            context=context, address="127.0.0.1:*", caller=_NoStore()
+        )
+        self.address = self.server.address.removeprefix("tcp://")
+        self.peers = Peers(
+            context=context,
+            own=self.name,
+            own_address=self.address,
+            data_centre=HERE,
+            seeds=[],
+            rng=random.Random(1),
+        )
+        self.ledger = Ledger(log=client, writer=name, places=Places(per_topic=2))
+        local = LocalTurns(ledger=self.ledger)
+        self.turn_server = TurnServer(local=local, ledger=self.ledger)
+        self.server.others = self.turn_server.answer
+        self.delegates = Delegates(own=self.name, peers=self.peers)
+        self.turns = DelegatedTurns(
+            delegates=self.delegates, local=local, ledger=self.ledger
+        )
+
+
+class DelegatesTests(unittest.IsolatedAsyncioTestCase):
+    """Run two processes of one data centre over real sockets."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the keeper of the program's account, and another process."""
+        self.store = KeyedStore()
+        self.context = zmq.asyncio.Context()
+        self.closing: list[Callable[[], None]] = []
+        self.serving: list[asyncio.Task[None]] = []
+        names = ["one", "two"]
+        processes = {name: self.process(name) for name in names}
+        for process in processes.values():
+            for other in processes.values():
+                record = PeerRecord(address=other.address, data_centre=HERE)
+                value = msgspec.json.encode(record)
+                process.peers.change(KeyedRecord(key=other.name, value=value))
+        keeper = processes["one"].delegates.of(PROGRAM) or HostName("one")
+        self.keeper = processes.pop(keeper)
+        self.other = processes.popitem()[1]
+
+    async def asyncTearDown(self) -> None:
+        """Close everything."""
+        for process in (self.keeper, self.other):
+            process.peers.close()
+            await process.ledger.close()
+        for task in self.serving:
+            task.cancel()
+        for close in self.closing:
+            close()
+        self.context.destroy(linger=0)
+
+    def process(self, name: str) -> Process:
+        """Start a process."""
+        process = Process(name=name, context=self.context, client=self.store.client())
+        self.serving.append(asyncio.create_task(process.server.run()))
+        self.closing.append(process.server.close)
+        return process
+
+    def answer_with(self, answer: Callable[[Request, Send], object]) -> None:
+        """Have the keeper answer requests otherwise."""
+        self.keeper.server.others = answer  # type: ignore[assignment]
+
+    async def opened(self, process: Process, begun: TurnStart) -> OpenTurn:
+        """Open a turn, which must fit."""
+        found = await process.turns.open(begun)
+        assert isinstance(found, LocalTurn | DelegatedTurn), found
+        self.assertIs(await found.verdict(), BudgetVerdict.FITS)
+        return found
+
+    async def run_turn(
+        self, process: Process, begun: TurnStart, given: bytes, made: bytes
+    ) -> OpenTurn:
+        """Run and commit a turn that hands out ten tokens."""
+        turn = await self.opened(process, begun)
+        turn.announce()
+        turn.hand_out(10)
+        await turn.commit(given, made)
+        turn.close()
+        return turn
+
+    async def test_turns_through_both(self) -> None:
+        """Continue at one process what the other relayed, without the store.
+
+        The keeper has the history in memory and tokens granted ahead. The
+        second turn costs the store its own commit and index entry only.
+        """
+        await self.run_turn(self.other, start("t1"), b"in", b"out")
+        calls = self.store.listings
+        turn = await self.run_turn(
+            self.keeper, start("t2", previous="t1"), b"in2", b"out2"
+        )
+        assert turn.history is not None
+        self.assertEqual(turn.history.prompt, b"inout")
+        third = await self.opened(self.other, start("t3", previous="t2"))
+        assert third.history is not None
+        self.assertEqual(third.history.prompt, b"inoutin2out2")
+        self.assertIsInstance(third, DelegatedTurn)
+        self.assertEqual(self.store.listings, calls)
+
+    async def test_unknown_turn(self) -> None:
+        """Pass on that there is no such turn."""
+        found = await self.other.turns.open(start("t2", previous="nothing"))
+        self.assertIs(found, Lookup.ABSENT)
+
+    async def test_keeper_is_dead(self) -> None:
+        """Serve a turn although the keeper of its account says nothing.
+
+        The keeper's machine froze. The process that has the caller waits a
+        tenth of a second, keeps the account itself, and goes on from the same
+        history; for a while it asks the frozen one no more.
+        """
+        await self.run_turn(self.other, start("t1"), b"in", b"out")
+
+        async def frozen(request: Request, send: Send) -> Reply:
+            await asyncio.Event().wait()
+            raise AssertionError
+
+        self.answer_with(frozen)
+        turn = await self.opened(self.other, start("t2", previous="t1"))
+        self.assertIsInstance(turn, LocalTurn)
+        assert turn.history is not None
+        self.assertEqual(turn.history.prompt, b"inout")
+        self.assertIsNone(self.other.delegates.of(PROGRAM))
+
+    async def test_keeper_dies_before_the_commit(self) -> None:
+        """Commit a turn here whose keeper is lost at the turn's end.
+
+        The caller has all events but the end. The keeper may or may not have
+        written the turn; the same record under the same key does no harm.
+        """
+        turn = await self.opened(self.other, start("t1"))
+        turn.announce()
+        before = self.keeper.turn_server.answer
+
+        async def lost(request: Request, send: Send) -> Reply:
+            if isinstance(request, CommitTurnRequest):
+                await asyncio.Event().wait()
+            return await before(request, send)
+
+        self.answer_with(lost)
+        await turn.commit(b"in", b"out")
+        fresh = Ledger(log=self.store.client(), writer="x", places=Places(per_topic=2))
+        found = await fresh.history(PROGRAM, TurnId("t1"))
+        assert not isinstance(found, Lookup)
+        self.assertEqual(found.prompt, b"inout")
+
+    async def test_keeper_restarts_within_a_turn(self) -> None:
+        """Commit through a keeper that has forgotten the turn."""
+        turn = await self.opened(self.other, start("t1"))
+        turn.announce()
+        ledger = self.keeper.ledger
+        restarted = TurnServer(local=LocalTurns(ledger=ledger), ledger=ledger)
+        self.answer_with(restarted.answer)
+        await turn.commit(b"in", b"out")
+        found = await self.keeper.ledger.history(PROGRAM, TurnId("t1"))
+        assert not isinstance(found, Lookup)
+        self.assertEqual(found.prompt, b"inout")
+
+    async def test_budget_over_both(self) -> None:
+        """Hand out no more than the budget through both, the keeper lost midway.
+
+        The first turns run on the keeper's account. Then it stops answering,
+        and the other one keeps an account of its own. What was granted to the
+        keeper counts.
+        """
+        handed = 0
+        for number in range(4):
+            turn = await self.opened(self.other, start(f"t{number}", kept=False))
+            turn.hand_out(MOST)
+            handed += MOST
+            turn.close()
+
+        async def frozen(request: Request, send: Send) -> Reply:
+            await asyncio.Event().wait()
+            raise AssertionError
+
+        self.answer_with(frozen)
+        for number in range(20):
+            found = await self.other.turns.open(start(f"u{number}", kept=False))
+            if isinstance(found, Lookup | BudgetVerdict):
+                break
+            if await found.verdict() is BudgetVerdict.FITS:
+                found.hand_out(MOST)
+                handed += MOST
+            found.close()
+        self.assertLessEqual(handed, BUDGET)
+
+    async def test_gateway_dies_within_a_turn(self) -> None:
+        """Count a turn at its most whose gateway never tells its end.
+
+        How much of it reached the caller nobody knows.
+        """
+        await self.opened(self.other, start("t1", kept=False))
+        async with asyncio.timeout(PATIENCE):
+            while self.keeper.turn_server.open_turns:
+                await asyncio.sleep(0.01)
+        turn = await self.opened(self.keeper, start("t2", kept=False))
+        self.assertEqual(turn.spent, MOST)
+
+    async def test_caller_leaves_while_a_turn_opens(self) -> None:
+        """Count nothing for a caller that left before its turn was opened."""
+        self.keeper.client.faults.delay = 0.05
+        opening = asyncio.create_task(self.other.turns.open(start("t1", kept=False)))
+        await asyncio.sleep(0.03)
+        opening.cancel()
+        await asyncio.wait([opening])
+        self.keeper.client.faults.delay = 0.0
+        await asyncio.sleep(2 * LIFETIME)
+        turn = await self.opened(self.keeper, start("t2", kept=False))
+        self.assertEqual(turn.spent, 0)
+
+    async def test_keeper_stops(self) -> None:
+        """Open nothing at a keeper that stops, and end what is open there."""
+        first = await self.opened(self.other, start("t1"))
+        self.keeper.turn_server.stopping = True
+        second = await self.opened(self.other, start("t2"))
+        self.assertIsInstance(second, LocalTurn)
+        first.announce()
+        await first.commit(b"in", b"out")
+        self.assertEqual(self.keeper.turn_server.open_turns, 0)
+
+    async def test_store_away(self) -> None:
+        """Go on inside what the keeper was granted while the store is away.
+
+        The store goes down between two turns of a program whose turns come
+        through both processes. Neither can have tokens granted any more.
+        """
+        first = await self.opened(self.other, start("t0", kept=False))
+        first.hand_out(10)
+        first.close()
+        for process in (self.keeper, self.other):
+            process.client.faults.down = True
+        ran = 0
+        for number in range(8):
+            process = (self.keeper, self.other)[number % 2]
+            found = await process.turns.open(start(f"t{number + 1}", kept=False))
+            if isinstance(found, Lookup | BudgetVerdict):
+                break
+            ran += 1
+            found.hand_out(10)
+            found.close()
+        self.assertGreaterEqual(ran, 2)
