Share what gateways learn of engines with the replies of delegates; one home for idle links

Each gateway sees a few answers a second of an engine. A delegate now adds what it learned of waits to its replies: no message more, inside a data centre only. Idle connections to targets and to the store are kept by one class; the server side of delegates has a module of its own.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -7,12 +7,11 @@
 import logbook
 import xxhash
 
-from ..errors import ErrorKind, Failure
-from ..ids import HostName, Offset, ProgramId, TurnId
+from ..ids import HostName, Offset, ProgramId
 from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnStart
 from ..ledger.turns import LocalTurn, LocalTurns, OpenTurn, TurnRefusal, content_of
-from ..wire.links import Link, Send
+from ..wire.links import Link
 from ..wire.messages import (
     Accepted,
     CloseTurnRequest,
@@ -21,12 +20,12 @@
     Failed,
     OpenTurnRequest,
     Reply,
-    Request,
     TurnOpened,
     TurnRefused,
     TurnVerdict,
 )
 from .peers import Peers
+from .turn_server import Waits, failure_of
 
 log = logbook.Logger("delegates")
 
@@ -93,8 +92,14 @@
     """Open turns through the delegate of their program, or else here."""
 
     def __init__(
-        self, *, delegates: Delegates, local: LocalTurns, ledger: Ledger
+        self,
+        *,
+        delegates: Delegates,
+        local: LocalTurns,
+        ledger: Ledger,
+        waits: Waits,
     ) -> None:
+        self._waits = waits
         self._delegates = delegates
         self._local = local
         self._ledger = ledger
@@ -124,6 +129,7 @@
             raise
         if isinstance(reply, TurnOpened):
             self._delegates.served(host)
+            self._waits.learn(reply.waits)
             return DelegatedTurn(
                 start=start, opened=reply, host=host, link=link, turns=self
             )
@@ -271,94 +277,6 @@
         await self._turns.ledger.write(terms, content)
 
 
-class TurnServer:
-    """Keep accounts for the other gateways of the data centre."""
-
-    def __init__(self, *, local: LocalTurns, ledger: Ledger) -> None:
-        self._local = local
-        self._ledger = ledger
-        self._open: dict[TurnId, LocalTurn] = {}
-        self._starts: dict[TurnId, TurnStart] = {}
-        # Turns that are being opened; False once their caller has left.
-        self._opening: dict[TurnId, bool] = {}
-        self.stopping = False
-
-    @property
-    def open_turns(self) -> int:
-        """Return how many turns of other gateways are open."""
-        return len(self._open)
-
-    async def answer(self, request: Request, send: Send) -> Reply:
-        """Answer a request about a turn."""
-        if isinstance(request, CloseTurnRequest):
-            self._close(request.turn, request.handed)
-            return Accepted()
-        await send(Accepted())
-        if isinstance(request, OpenTurnRequest):
-            return await self._begin(request.start)
-        if isinstance(request, ConfirmTurnRequest):
-            return await self._confirm(request.turn)
-        if isinstance(request, CommitTurnRequest):
-            await self._commit(request)
-            return Accepted()
-        return Failed(failure=_failure(f"not for this part: {request}"))
-
-    async def _begin(self, start: TurnStart) -> Reply:
-        if self.stopping:
-            return Failed(failure=_failure("stopping"))
-        turn = start.terms.turn
-        self._opening[turn] = True
-        try:
-            opened = await self._local.open(start)
-        finally:
-            wanted = self._opening.pop(turn)
-        if isinstance(opened, Lookup):
-            return TurnRefused(lookup=opened)
-        if isinstance(opened, BudgetVerdict):
-            return TurnRefused(verdict=opened)
-        if not wanted:
-            opened.close()
-            return Failed(failure=_failure("the caller left"))
-        self._open[turn] = opened
-        self._starts[turn] = start
-        loop = asyncio.get_running_loop()
-        loop.call_later(start.lifetime, self._expire, turn)
-        return TurnOpened(
-            history=opened.history, spent=opened.spent, granted=opened.granted
-        )
-
-    async def _confirm(self, turn: TurnId) -> Reply:
-        opened = self._open.get(turn)
-        if opened is None:
-            return Failed(failure=_failure("the turn is not open here"))
-        return TurnVerdict(verdict=await opened.verdict())
-
-    async def _commit(self, request: CommitTurnRequest) -> None:
-        opened = self._open.pop(request.terms.turn, None)
-        if opened is None:
-            # This process took the place of the one that opened it.
-            await self._ledger.write(request.terms, request.content)
-            return
-        opened.hand_out(request.handed)
-        await opened.commit_for(request.content)
-
-    def _close(self, turn: TurnId, handed: int) -> None:
-        if turn in self._opening:
-            self._opening[turn] = False
-        opened = self._open.pop(turn, None)
-        self._starts.pop(turn, None)
-        if opened is not None:
-            opened.hand_out(handed)
-            opened.close()
-
-    def _expire(self, turn: TurnId) -> None:
-        """Count a turn at its most whose gateway never told its end."""
-        start = self._starts.pop(turn, None)
-        if start is not None and turn in self._open:
-            log.info("turn {} was never ended by its gateway", turn)
-            self._close(turn, start.terms.most)
-
-
 async def _call(link: Link, request: CloseTurnRequest) -> None:
     reply = await link.call(request, timeout=CLOSE_TIMEOUT)
     if not isinstance(reply, Accepted):
@@ -370,21 +288,17 @@
 ) -> Reply:
     """Return the last reply, if the first one comes soon enough."""
     replies = link.stream(request)
-    last: Reply = Failed(failure=_failure("no reply"))
+    last: Reply = Failed(failure=failure_of("no reply"))
     try:
         async with asyncio.timeout(FIRST_WORD) as limit:
             async for reply in replies:
                 last = reply
                 limit.reschedule(asyncio.get_running_loop().time() + LAST_WORD)
     except TimeoutError:
-        return Failed(failure=_failure("no reply in time"))
+        return Failed(failure=failure_of("no reply in time"))
     return last
 
 
-def _failure(reason: str) -> Failure:
-    return Failure(kind=ErrorKind.INTERRUPTED, reason=reason)
-
-
 def _reason(reply: Reply) -> str:
     return reply.failure.reason if isinstance(reply, Failed) else str(reply)
 
--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -34,8 +34,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._sent = False
-        self.idle_since = 0.0
-        self.keep_alive: float | None = None
+        # When an idle link has to be let go, on the loop's clock.
+        self.idle_until = 0.0
 
     @property
     def usable(self) -> bool:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -11,8 +11,9 @@
 
 import logbook
 
-from ..fleet.delegates import DelegatedTurns, Delegates, TurnServer
+from ..fleet.delegates import DelegatedTurns, Delegates
 from ..fleet.peers import TOPIC as PEERS_TOPIC, Peers
+from ..fleet.turn_server import TurnServer
 from ..http1.messages import RequestMessage
 from ..http1.server import Reply, Server, ServerLimits
 from ..ids import InstanceId
@@ -120,11 +121,18 @@
         self._metrics = metrics or RequestMetrics()
         self.dispatcher.store_way = store_way
         local = LocalTurns(ledger=self.ledger)
-        self.turn_server = TurnServer(local=local, ledger=self.ledger)
+        self.turn_server = TurnServer(
+            local=local, ledger=self.ledger, waits=self.dispatcher.load
+        )
         turns: Turns = local
         if peers is not None:
             delegates = Delegates(own=options.host, peers=peers)
-            turns = DelegatedTurns(delegates=delegates, local=local, ledger=self.ledger)
+            turns = DelegatedTurns(
+                delegates=delegates,
+                local=local,
+                ledger=self.ledger,
+                waits=self.dispatcher.load,
+            )
         handler = RequestHandler(
             dispatcher=self.dispatcher,
             ledger=self.ledger,
--- a/sequoiaarch/ingress/pool.py
+++ b/sequoiaarch/ingress/pool.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
 
 from ..http1.client import ClientLink, connect
+from ..http1.idle import IdleLinks
 from ..ids import InstanceId
 from ..routing.targets import TargetEntry
 
@@ -20,21 +20,17 @@
 
 
 class TargetPool:
-    """Hold idle links by target; the newest is used first."""
+    """Hold idle links by target."""
 
     def __init__(self) -> None:
-        self._idle: dict[InstanceId, list[ClientLink]] = defaultdict(list)
+        self._idle: IdleLinks[InstanceId] = IdleLinks()
         self.opened = 0
 
     async def take(self, target: TargetEntry) -> ClientLink:
         """Return a usable link; raises LinkError."""
-        now = asyncio.get_running_loop().time()
-        kept = self._idle[target.instance]
-        while kept:
-            link = kept.pop()
-            if link.usable and now < link.idle_since + _limit(link):
-                return link
-            link.abort()
+        link = self._idle.take(target.instance)
+        if link is not None:
+            return link
         self.opened += 1
         return await connect(target.address, timeout=CONNECT_TIMEOUT)
 
@@ -42,41 +38,15 @@
         self, target: TargetEntry, link: ClientLink, idle_limit: float | None
     ) -> None:
         """Keep a link whose exchange was complete, or close it."""
-        if not link.finish():
-            return
-        link.keep_alive = idle_limit
-        if _limit(link) <= 0:
-            link.abort()
-            return
-        link.idle_since = asyncio.get_running_loop().time()
-        self._idle[target.instance].append(link)
+        limit = IDLE_LIMIT if idle_limit is None else idle_limit - IDLE_MARGIN
+        self._idle.give_back(target.instance, link, limit)
 
     def close(self) -> None:
         """Close all idle links."""
-        for links in self._idle.values():
-            for link in links:
-                link.abort()
-        self._idle.clear()
+        self._idle.close()
 
     async def sweep(self) -> None:
         """Close links that were idle for too long, again and again."""
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
-            now = asyncio.get_running_loop().time()
-            for instance, links in list(self._idle.items()):
-                kept = []
-                for link in links:
-                    if link.usable and now < link.idle_since + _limit(link):
-                        kept.append(link)
-                    else:
-                        link.abort()
-                if kept:
-                    self._idle[instance] = kept
-                else:
-                    del self._idle[instance]
-
-
-def _limit(link: ClientLink) -> float:
-    if link.keep_alive is None:
-        return IDLE_LIMIT
-    return link.keep_alive - IDLE_MARGIN
+            self._idle.sweep()
--- a/sequoiaarch/storage/direct.py
+++ b/sequoiaarch/storage/direct.py
@@ -6,6 +6,7 @@
 
 from ..errors import ErrorKind, Failure
 from ..http1.client import ClientLink, connect
+from ..http1.idle import IdleLinks
 from ..http1.messages import LinkError, RequestMessage
 from .calls import StoreCall, StoreReply
 
@@ -20,7 +21,7 @@
 
     def __init__(self, *, address: tuple[str, int]) -> None:
         self._address = address
-        self._idle: list[ClientLink] = []
+        self._idle: IdleLinks[None] = IdleLinks(most=LINKS_KEPT)
 
     async def call(self, call: StoreCall) -> StoreReply | Failure:
         """Make a call and return its answer, or why there is none."""
@@ -35,26 +36,12 @@
             return _unavailable(call, str(error))
         finally:
             if link is not None:
-                self._give_back(link)
+                self._idle.give_back(None, link, IDLE_LIMIT)
         return reply
 
     async def _take(self) -> ClientLink:
-        now = asyncio.get_running_loop().time()
-        while self._idle:
-            link = self._idle.pop()
-            if link.usable and now < link.idle_since + IDLE_LIMIT:
-                return link
-            link.abort()
-        return await connect(self._address, timeout=CONNECT_TIMEOUT)
-
-    def _give_back(self, link: ClientLink) -> None:
-        if not link.finish():
-            return
-        if len(self._idle) >= LINKS_KEPT:
-            link.abort()
-            return
-        link.idle_since = asyncio.get_running_loop().time()
-        self._idle.append(link)
+        link = self._idle.take(None)
+        return link or await connect(self._address, timeout=CONNECT_TIMEOUT)
 
     async def _exchange(self, link: ClientLink, call: StoreCall) -> StoreReply:
         host, port = self._address
