--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: demo test bench soak lint format
+.PHONY: demo test bench soak soak-platform lint format
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m sequoiaarch.bench soak
 
+soak-platform: $(STAMP)
+	$(BIN)/python -m sequoiaarch.tests.platform.soak --seeds 5
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -27,6 +27,8 @@
 HELD_RETRY = 0.5
 # A turn may end so much after its deadline and still tell its end. Seconds.
 TURN_MARGIN = 2.0
+# A turn that names no budget is kept like any other. Tokens, beyond all programs.
+NO_BUDGET = 2**52
 BODY_LIMIT = 16 * 1024 * 1024
 OK = 200
 REDIRECT = 300
@@ -75,10 +77,12 @@
         """Answer the request; raises FailureError before an answer started."""
         if self._route.kind is not RouteKind.STREAM:
             await self._plain()
-        elif self._info.budget is None:
-            await self._stream(None)
-        else:
+        elif self._info.budget is not None:
             await self._turn(self._info.budget)
+        elif self._route.retained:
+            await self._turn(NO_BUDGET)
+        else:
+            await self._stream(None)
 
     async def _turn(self, budget: int) -> None:
         """Run a turn of a program inside its budget."""
@@ -90,7 +94,7 @@
             self._attempts.body = turn.history.prompt + self._message.body
             self.trail.append(f"history of {len(turn.history.prompt)} bytes")
         try:
-            await self._stream(_TurnStream(turn=turn))
+            await self._stream(_TurnOutput(turn=turn))
         finally:
             turn.close()
 
@@ -188,7 +192,7 @@
         if not self._attempts.may_repeat(error):
             raise fail(ErrorKind.INTERRUPTED, str(error)) from error
 
-    async def _stream(self, turn: _TurnStream | None) -> None:
+    async def _stream(self, output: _TurnOutput | None) -> None:
         """Pass events on as they come."""
         running = await self._attempts.open()
         whole = False
@@ -200,7 +204,7 @@
                 headers = running.answer.headers
                 await self._reply.whole(head.status, headers, body, head.reason)
                 return
-            whole = await self._relay(running, turn)
+            whole = await self._relay(running, output)
         except LinkError as error:
             self._attempts.broke(running)
             self.trail.append(f"broken:{error.fault.name}")
@@ -210,53 +214,53 @@
         finally:
             self._attempts.close(running, whole=whole)
 
-    async def _relay(self, running: Running, turn: _TurnStream | None) -> bool:
+    async def _relay(self, running: Running, output: _TurnOutput | None) -> bool:
         """Relay a stream; return whether it was whole."""
-        if turn is not None and self._route.retained:
-            turn.turn.announce()
+        if output is not None and self._route.retained:
+            output.turn.announce()
         splitter = EventSplitter()
         while (part := await running.link.body_part()) is not None:
             for event in splitter.feed(part):
-                await self._pass_on(running, turn, event)
+                await self._pass_on(running, output, event)
         if splitter.pending:
             raise fail(ErrorKind.INTERRUPTED, "the stream ended inside an event")
-        if turn is not None:
-            if not turn.produced:
-                await self._confirm(turn)
+        if output is not None:
+            if not output.produced:
+                await self._confirm(output)
             if self._route.retained:
-                await self._commit(turn)
+                await self._commit(output)
         if not self._reply.started:
             await self._start(running)
         await self._reply.end()
         return True
 
     async def _pass_on(
-        self, running: Running, turn: _TurnStream | None, event: bytes
+        self, running: Running, output: _TurnOutput | None, event: bytes
     ) -> None:
         if not self._reply.started:
             self._attempts.got_first(running)
             now = asyncio.get_running_loop().time()
             self._metrics.first_event(self._route.name, now - self._started)
-        if turn is not None:
+        if output is not None:
             if not self._reply.started:
-                await self._confirm(turn)
+                await self._confirm(output)
             tokens = self._dispatcher.event_tokens(running.target.service)
-            turn.turn.hand_out(tokens)
-            turn.produced.append(event_data(event) + b"\n")
+            output.turn.hand_out(tokens)
+            output.produced.append(event_data(event) + b"\n")
         if not self._reply.started:
             await self._start(running)
         await self._reply.part(event)
 
-    async def _confirm(self, turn: _TurnStream) -> None:
+    async def _confirm(self, output: _TurnOutput) -> None:
         """Let the first event out only when its tokens are durably reserved."""
-        verdict = await turn.turn.verdict()
+        verdict = await output.turn.verdict()
         if verdict is not BudgetVerdict.FITS:
             self.trail.append(f"budget:{verdict.value}")
             raise fail(ErrorKind.INTERRUPTED, f"the budget is {verdict.value}")
 
-    async def _commit(self, turn: _TurnStream) -> None:
+    async def _commit(self, output: _TurnOutput) -> None:
         begun = asyncio.get_running_loop().time()
-        await turn.turn.commit(self._message.body, b"".join(turn.produced))
+        await output.turn.commit(self._message.body, b"".join(output.produced))
         taken = asyncio.get_running_loop().time() - begun
         self._metrics.committed(taken)
         self.trail.append(f"committed in {taken * 1000:.1f} ms")
@@ -270,7 +274,7 @@
         )
 
 
-class _TurnStream:
+class _TurnOutput:
     """Collect what a turn hands out."""
 
     def __init__(self, *, turn: OpenTurn) -> None:
--- a/sequoiaarch/tests/platform/path_tests.py
+++ b/sequoiaarch/tests/platform/path_tests.py
@@ -211,6 +211,17 @@
         prompt = b"one;t1-1\nt1-2\nt1-3\ntwo;t2-1\nt2-2\nt2-3\nthree;"
         self.assertEqual(target.exchanges[2].request.body, prompt)
 
+    async def test_turn_without_a_budget(self) -> None:
+        """Keep a turn whose caller names no budget."""
+        await self.add_target("i-1", ENGINES, stream_answer)
+        daemon = await self.add_daemon("a")
+        answer = await self.call(
+            daemon, "/kept/a", body=b"one;", attempt="t1", X_Program_Id="p"
+        )
+        self.assertEqual(answer.status, 200)
+        answer = await self.turn(daemon, b"two;", program="p", previous="t1")
+        self.assertEqual(answer.status, 200)
+
     async def test_unknown_turn(self) -> None:
         """Refuse to continue a turn that never was."""
         target = await self.add_target("i-1", ENGINES, stream_answer)
