--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -25,7 +25,7 @@
     TurnVerdict,
 )
 from .peers import Peers
-from .turn_server import Waits, failure_of
+from .turn_server import failure_of
 
 log = logbook.Logger("delegates")
 
@@ -97,9 +97,7 @@
         delegates: Delegates,
         local: LocalTurns,
         ledger: Ledger,
-        waits: Waits,
     ) -> None:
-        self._waits = waits
         self._delegates = delegates
         self._local = local
         self._ledger = ledger
@@ -129,7 +127,6 @@
             raise
         if isinstance(reply, TurnOpened):
             self._delegates.served(host)
-            self._waits.learn(reply.waits)
             return DelegatedTurn(
                 start=start, opened=reply, host=host, link=link, turns=self
             )
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
 
 import logbook
 
@@ -25,29 +24,17 @@
     TurnOpened,
     TurnRefused,
     TurnVerdict,
-    WaitSample,
 )
 
 log = logbook.Logger("delegates")
 
 
-class Waits(Protocol):
-    """Know what requests wait at engines, and share it with other processes."""
-
-    def report(self) -> list[WaitSample]:
-        """Return what was lately learned."""
-
-    def learn(self, samples: list[WaitSample]) -> None:
-        """Take over what another process knows better."""
-
-
 class TurnServer:
     """Keep accounts for the other gateways of the data centre."""
 
-    def __init__(self, *, local: LocalTurns, ledger: Ledger, waits: Waits) -> None:
+    def __init__(self, *, local: LocalTurns, ledger: Ledger) -> None:
         self._local = local
         self._ledger = ledger
-        self._waits = waits
         self._open: dict[TurnId, LocalTurn] = {}
         self._starts: dict[TurnId, TurnStart] = {}
         # Turns that are being opened; False once their caller has left.
@@ -98,7 +85,6 @@
             history=opened.history,
             spent=opened.spent,
             granted=opened.granted,
-            waits=self._waits.report(),
         )
 
     async def _confirm(self, turn: TurnId) -> Reply:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -121,9 +121,7 @@
         self._metrics = metrics or RequestMetrics()
         self.dispatcher.store_way = store_way
         local = LocalTurns(ledger=self.ledger)
-        self.turn_server = TurnServer(
-            local=local, ledger=self.ledger, waits=self.dispatcher.load
-        )
+        self.turn_server = TurnServer(local=local, ledger=self.ledger)
         turns: Turns = local
         if peers is not None:
             delegates = Delegates(own=options.host, peers=peers)
@@ -131,7 +129,6 @@
                 delegates=delegates,
                 local=local,
                 ledger=self.ledger,
-                waits=self.dispatcher.load,
             )
         handler = RequestHandler(
             dispatcher=self.dispatcher,
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 
 from ..ids import InstanceId
-from ..wire.messages import WaitSample
 
 # The weight of a new observation. With about five answers a second from each
 # engine the estimate follows the load within half a second.
@@ -22,8 +21,6 @@
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
-# What is older than this has faded to a third and tells nobody much. Seconds.
-SAMPLE_AGE = 1.0
 
 
 @dataclass(kw_only=True)
@@ -77,25 +74,6 @@
         found.wait = before + SMOOTHING * (excess - before)
         found.seen = now
 
-    def report(self) -> list[WaitSample]:
-        """Return what was lately learned of waits, for another process."""
-        now = asyncio.get_running_loop().time()
-        return [
-            WaitSample(instance=instance, wait=found.wait, age=now - found.seen)
-            for instance, found in self._instances.items()
-            if now - found.seen < SAMPLE_AGE
-        ]
-
-    def learn(self, samples: list[WaitSample]) -> None:
-        """Take over what another process knows better, since it is newer."""
-        now = asyncio.get_running_loop().time()
-        for sample in samples:
-            found = self._instances[sample.instance]
-            seen = now - sample.age
-            if seen > found.seen:
-                found.wait = sample.wait
-                found.seen = seen
-
     def gave_up(self, instance: InstanceId, request: object) -> None:
         """Forget a request that ended without an event."""
         self._instances[instance].waiting.pop(request, None)
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -14,8 +14,7 @@
 from ...fleet.delegates import DelegatedTurn, DelegatedTurns, Delegates
 from ...fleet.peers import PeerRecord, Peers, PeerServer
 from ...fleet.turn_server import TurnServer
-from ...ids import DataCentre, HostName, InstanceId, ProgramId, TurnId
-from ...ingress.load import LoadBoard
+from ...ids import DataCentre, HostName, ProgramId, TurnId
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
 from ...ledger.terms import BudgetVerdict, Lookup, TurnStart, TurnTerms
@@ -80,15 +79,13 @@
         )
         self.ledger = Ledger(log=client, writer=name, places=Places(per_topic=2))
         local = LocalTurns(ledger=self.ledger)
-        self.waits = LoadBoard()
-        self.turn_server = TurnServer(local=local, ledger=self.ledger, waits=self.waits)
+        self.turn_server = TurnServer(local=local, ledger=self.ledger)
         self.server.others = self.turn_server.answer
         self.delegates = Delegates(own=self.name, peers=self.peers)
         self.turns = DelegatedTurns(
             delegates=self.delegates,
             local=local,
             ledger=self.ledger,
-            waits=self.waits,
         )
 
 
@@ -171,22 +168,6 @@
         self.assertIsInstance(third, DelegatedTurn)
         self.assertEqual(self.store.listings, calls)
 
-    async def test_waits_travel_with_turns(self) -> None:
-        """Learn of a full engine from the keeper's last answers.
-
-        Each of many gateways sees a small part of an engine's answers. One
-        that has sent nothing there for a while takes it for idle.
-        """
-        engine = InstanceId("engine")
-        board = self.keeper.waits
-        board.awaits_first(engine, "request", reading=-0.5)
-        board.got_first(engine, "request")
-        self.assertGreater(board.wait(engine), 0.05)
-        self.assertEqual(self.other.waits.wait(engine), 0.0)
-        turn = await self.opened(self.other, start("t1", kept=False))
-        turn.close()
-        self.assertGreater(self.other.waits.wait(engine), 0.05)
-
     async def test_unknown_turn(self) -> None:
         """Pass on that there is no such turn."""
         found = await self.other.turns.open(start("t2", previous="nothing"))
@@ -239,9 +220,7 @@
         turn = await self.opened(self.other, start("t1"))
         turn.announce()
         ledger = self.keeper.ledger
-        restarted = TurnServer(
-            local=LocalTurns(ledger=ledger), ledger=ledger, waits=LoadBoard()
-        )
+        restarted = TurnServer(local=LocalTurns(ledger=ledger), ledger=ledger)
         self.answer_with(restarted.answer)
         await turn.commit(b"in", b"out")
         found = await self.keeper.ledger.history(PROGRAM, TurnId("t1"))
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -15,7 +15,6 @@
     AttemptId,
     CallKey,
     Epoch,
-    InstanceId,
     Offset,
     ProgramId,
     Seq,
@@ -409,28 +408,15 @@
     reply: StoreReply
 
 
-class WaitSample(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Tell what requests lately waited at an instance, and how long ago; seconds.
-
-    An age is a duration and no time of day: clocks are never compared.
-    """
-
-    instance: InstanceId
-    wait: float
-    age: float
-
-
 class TurnOpened(Message, frozen=True, kw_only=True, tag="opened"):
     """Hold what an open turn continues, and what its program had used.
 
-    `granted` says that its tokens may be handed out without asking again,
-    `waits` what the answering process knows of engines.
+    `granted` says that its tokens may be handed out without asking again.
     """
 
     history: History | None
     spent: int
     granted: bool
-    waits: list[WaitSample] = []
 
 
 class TurnRefused(Message, frozen=True, kw_only=True, tag="turn_refused"):
