--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -45,10 +45,11 @@
     """Choose the process that keeps a program's account, by rendezvous.
 
     The turns of a program come through all gateways of a data centre. Each
-    would read the program's records and have tokens granted to itself; on a
-    quiet day of eight gateways that was 3 of 3.1 calls to the store a turn,
-    and while the store is away no other gateway could serve the program. One
-    that keeps the account has the history in memory and tokens granted ahead.
+    would read the program's records and have tokens granted to itself, and
+    while the store is away could do neither. One that keeps the account has
+    the history in memory and tokens granted ahead: with 38 gateways the store
+    got less than half of the calls, and 90 % of what callers are owed was
+    earned in place of 87 %, in one run each of the same load and faults.
 
     It has no authority: the log decides what counts, so two delegates at once,
     or none, cost calls and nothing else.
