Ask the next peer when the store turns the first one away too

One asked a peer of its data centre for its calls; that peer was turned away as well and passed the 429 on as an answer. The caller took it as one, preferred that peer from then on, and reached the store not at all for 8.5 s while six others were served: it refused every turn that must be kept. Ruled out: an outage for all (six gateways say directly), the order of peers.

A peer's 429 or 503 now counts as its failure, and the next is asked. test_peer_is_turned_away_too fails before and passes.

--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -108,9 +108,10 @@
             timeout = call.timeout if call.waits else PEER_TIMEOUT
             link = self._links.to(f"tcp://{address}")
             reply = await link.call(StoreRequest(call=call), timeout=timeout)
-            if isinstance(reply, StoreAnswer):
+            if isinstance(reply, StoreAnswer) and not reply.reply.turned_away:
                 self._liked = address
                 return reply.reply
+            # A peer may be turned away like this process; the next one may not.
             self._shun(address)
             if isinstance(reply, Failed):
                 failure = reply.failure
--- a/sequoiaarch/storage/calls.py
+++ b/sequoiaarch/storage/calls.py
@@ -9,6 +9,9 @@
 from ..errors import Failure
 
 
+TURNED_AWAY = frozenset({429, 503})
+
+
 class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
     """Describe one call; `waits` says that the store may hold it open.
 
@@ -28,6 +31,11 @@
     status: int
     body: bytes
 
+    @property
+    def turned_away(self) -> bool:
+        """Return whether the store did not serve the caller at all."""
+        return self.status in TURNED_AWAY
+
 
 class StoreCaller(Protocol):
     """Make calls to the store."""
--- a/sequoiaarch/storage/relayed.py
+++ b/sequoiaarch/storage/relayed.py
@@ -22,7 +22,6 @@
 AWAY_PROBE_SECONDS = 0.25
 # The store is away for all only if it has served nothing for this time.
 AWAY_AFTER_SECONDS = 0.8
-TURNED_AWAY = frozenset({429, 503})
 
 
 class Way(Enum):
@@ -103,7 +102,7 @@
 
 
 def _served(reply: StoreReply | Failure) -> bool:
-    return isinstance(reply, StoreReply) and reply.status not in TURNED_AWAY
+    return isinstance(reply, StoreReply) and not reply.turned_away
 
 
 def _reason(reply: StoreReply | Failure) -> str:
--- a/sequoiaarch/tests/fleet/peers_tests.py
+++ b/sequoiaarch/tests/fleet/peers_tests.py
@@ -29,6 +29,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.denied = False
+        self.busy = False
         self.calls = 0
 
     async def call(self, call: StoreCall) -> StoreReply | Failure:
@@ -36,6 +37,8 @@
         self.calls += 1
         if self.denied:
             return FAILED
+        if self.busy:
+            return StoreReply(status=429, body=b"")
         return StoreReply(status=200, body=self.name.encode())
 
 
@@ -96,6 +99,20 @@
         near.denied = True
         self.assertEqual(await self.answer(), "far")
 
+    async def test_peer_is_turned_away_too(self) -> None:
+        """Go on to the next peer when the store answers the first one with 429.
+
+        The store turns a third of the processes away. One of them asked its
+        neighbour, which was turned away like itself, passed that answer on and
+        asked it again: it kept no turn for eight seconds.
+        """
+        near = await self.add("near", HERE)
+        await self.add("far", AWAY)
+        near.busy = True
+        for _ in range(3):
+            self.assertEqual(await self.answer(), "far")
+        self.assertEqual(near.calls, 1)
+
     async def test_gone_peer(self) -> None:
         """Go on to the next when a registered peer is gone.
 
