--- a/sequoiaarch/storage/calls.py
+++ b/sequoiaarch/storage/calls.py
@@ -8,7 +8,6 @@
 
 from ..errors import Failure
 
-
 TURNED_AWAY = frozenset({429, 503})
 
 
