Count others' grants at least as high as the log does in a view that began late

A process that begins to read a program takes the newest record of each writer from a list. If one of them asked for more than was left, in vain, the list shows it as granted. The next grant of a third process then seemed too large and was ignored, though the log grants it; when the first one put its record right, the reader believed that the third had nothing, and both handed out the same tokens.

A view that began with a list now takes every record of others for valid. It may refuse what would fit; it can't have two processes hand out the same tokens. state_tests fails before (120 counted where 280 are granted) and passes; it folds 300 seeded logs from their beginning and from a list.

--- a/sequoiaarch/ledger/state.py
+++ b/sequoiaarch/ledger/state.py
@@ -28,8 +28,12 @@
 
 @dataclass(kw_only=True)
 class ProgramRecords:
-    """Hold the turns and grants of one program."""
+    """Hold the turns and grants of one program.
 
+    `exact` says that all its records were applied in order since the first.
+    """
+
+    exact: bool
     turns: set[TurnId] = field(default_factory=set)
     grants: dict[WriterId, Grant] = field(default_factory=dict)
 
@@ -41,6 +45,10 @@
     agree which grants fit the budget: one that doesn't fit at its place in the
     log never counts, whoever wrote it and however late. `own_grant` tells what
     this process knows to be granted to itself, which a list can't tell.
+
+    A view that began with a list counts others at least as high as the log
+    does: it takes every record of theirs for valid. It may refuse what would
+    fit; it never has a process hand out what another one was granted.
     """
 
     def __init__(
@@ -80,7 +88,11 @@
         if record is None or isinstance(record, IndexRecord):
             log.warning("record {} can't be read and is passed over", key)
             return
-        program = self._programs.setdefault(record.program, ProgramRecords())
+        program = self._programs.get(record.program)
+        if program is None:
+            program = ProgramRecords(exact=ordered)
+            self._programs[record.program] = program
+        program.exact = program.exact and ordered
         self._program_of[key] = record.program
         if isinstance(record, TurnRecord):
             self._put_turn(program, TurnId(key), record)
@@ -178,12 +190,13 @@
         tokens = record.tokens
         known = program.grants.get(record.writer)
         before = known.tokens if known is not None else 0
-        if record.writer == self._writer and not ordered:
+        own = record.writer == self._writer
+        if own and not ordered:
             # Whether it fitted at its place can't be told from a list; this
             # process remembers what it was granted.
-            own = self._own_grant(record.program)
-            tokens = record.tokens if own is None else own
-        elif ordered and record.tokens > before:
+            remembered = self._own_grant(record.program)
+            tokens = record.tokens if remembered is None else remembered
+        elif ordered and record.tokens > before and (own or program.exact):
             others = sum(one.tokens for one in program.grants.values()) - before
             if others + record.tokens > record.budget:
                 return
