--- a/sequoiaarch/tests/platform/soak/__main__.py
+++ b/sequoiaarch/tests/platform/soak/__main__.py
@@ -13,6 +13,16 @@
 from .run import Plan, run_seed
 
 
+# Seeds that once broke a promise, with the cause. A seed fixes the schedule, not
+# the order in which processes run, so each is a chance and no proof.
+REGRESSIONS = {
+    9: "a gateway's port was taken by another soak",
+    120: "a late view of grants counted others too low: over the budget",
+    144: "the same",
+    145: "the same",
+}
+
+
 @click.command()
 @click.option("--seed", default=1, help="First seed.")
 @click.option("--seeds", default=1, help="How many seeds, one after the other.")
@@ -20,15 +30,23 @@
 @click.option("--gateways", default=4, help="Gateway processes.")
 @click.option("--module", default=MODULE, help="Module that gateways run.")
 @click.option("--folder", type=Path, default=Path("results/soak"))
+@click.option("--regressions", is_flag=True, help="Run the seeds that once failed.")
 def soak(
-    seed: int, seeds: int, seconds: float, gateways: int, module: str, folder: Path
+    seed: int,
+    seeds: int,
+    seconds: float,
+    gateways: int,
+    module: str,
+    folder: Path,
+    regressions: bool,
 ) -> None:
     """Print one line of JSON for each seed; exit with 1 if a promise broke.
 
     The gateways' lines of a seed that broke something stay in the folder.
     """
     failed = 0
-    for number in range(seed, seed + seeds):
+    chosen = list(REGRESSIONS) if regressions else range(seed, seed + seeds)
+    for number in chosen:
         plan = Plan(seed=number, seconds=seconds, gateways=gateways, module=module)
         where = folder / f"seed-{number}"
         shutil.rmtree(where, ignore_errors=True)
