--- a/sequoiaarch/tests/platform/soak/__main__.py
+++ b/sequoiaarch/tests/platform/soak/__main__.py
@@ -12,7 +12,6 @@
 from .gateways import MODULE
 from .run import Plan, run_seed
 
-
 # Seeds that once broke a promise, with the cause. A seed fixes the schedule, not
 # the order in which processes run, so each is a chance and no proof.
 REGRESSIONS = {
