--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -28,7 +28,6 @@
 # A drain reaches every gateway that reads the store within two seconds; one
 # more for a busy machine. Seconds.
 DRAIN_BOUND = 3.0
-LOOP_SECONDS = 30.0
 
 
 class Trouble(Enum):
