Take a target only from an entry that names one, and forget a start that is over

Cause: an entry of another writer with an unknown state, port 99999, slots as text or no zone was used as a ready target; one that could not be read left the older target in use when it came as a change and took it out when it came in a list; a key that is no text, or a cut page, ended the follower's task. A target that started again under its id kept the cache, waits, failures and idle connections that were learned of the start before. What is learned is kept under the id and the time of the start. A target that left while requests ran there no longer stays in the load board for good. Ruled out: keeping the older entry under the same id: what was registered last is what counts, and the target writes again within a heartbeat.

--- a/sequoiaarch/http1/idle.py
+++ b/sequoiaarch/http1/idle.py
@@ -52,6 +52,11 @@
             else:
                 del self._links[key]
 
+    def forget(self, key: Key) -> None:
+        """Close the links of one key."""
+        for link in self._links.pop(key, []):
+            link.abort()
+
     def close(self) -> None:
         """Close all links."""
         for links in self._links.values():
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -71,7 +71,7 @@
             target, why = self._dispatcher.choose(self._route, self._info, self._tried)
             if target is None or refusals >= MOST_TRIES:
                 raise self._unplaced(refusals)
-            self._tried.add(target.instance)
+            self._tried.add(target.incarnation)
             self.trail.append(f"{target.instance} chosen: {why}")
             running = await self._send(target)
             if running is not None:
@@ -81,7 +81,7 @@
     def close(self, running: Running, *, whole: bool) -> None:
         """End an exchange; one that is not whole stops the target's work."""
         load = self._dispatcher.load
-        instance = running.target.instance
+        instance = running.target.incarnation
         load.gave_up(instance, self)
         load.ended(instance)
         if whole:
@@ -100,11 +100,11 @@
 
     def broke(self, running: Running) -> None:
         """Note that a target broke its answer off."""
-        self._dispatcher.load.judged(running.target.instance, ok=False)
+        self._dispatcher.load.judged(running.target.incarnation, ok=False)
 
     def got_first(self, running: Running) -> None:
         """Note the first event of an answer."""
-        self._dispatcher.load.got_first(running.target.instance, self)
+        self._dispatcher.load.got_first(running.target.incarnation, self)
 
     def _unplaced(self, refusals: int) -> FailureError:
         """Return why no target ran the request; no promise if one may have."""
@@ -118,7 +118,7 @@
     async def _send(self, target: TargetEntry) -> Running | None:
         """Send the request; None if it has not run there or may be repeated."""
         load = self._dispatcher.load
-        load.started(target.instance)
+        load.started(target.incarnation)
         running: Running | None = None
         link: ClientLink | None = None
         try:
@@ -129,7 +129,7 @@
                 self._dispatcher.sent(target, self._info, self)
             running = await self._await_head(target, link)
         except LinkError as error:
-            load.judged(target.instance, ok=False)
+            load.judged(target.incarnation, ok=False)
             self._abort(link)
             if error.sent and not self.may_repeat(error):
                 raise fail(ErrorKind.INTERRUPTED, str(error)) from error
@@ -138,8 +138,8 @@
             raise
         finally:
             if running is None:
-                load.gave_up(target.instance, self)
-                load.ended(target.instance)
+                load.gave_up(target.incarnation, self)
+                load.ended(target.incarnation)
         return running
 
     def _abort(self, link: ClientLink | None) -> None:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -25,6 +25,7 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
 from ..routing.follower import TopicFollower
+from ..routing.registrations import Registrations
 from ..routing.routes import ClientLimits, RouteTable
 from ..routing.targets import TargetEntry, Targets
 from ..storage.keyed import KeyedLog, KeyedRecord
@@ -94,6 +95,7 @@
         self._sources = sources
         rng = random.Random()
         self.targets = Targets(dropped=self._forget)
+        self._registrations = Registrations(decode=sources.decode_target)
         writer = secrets.token_hex(WRITER_BYTES)
         places = Places(per_topic=options.store.partitions)
         self.ledger = Ledger(
@@ -315,22 +317,22 @@
         self.dispatcher.forget(instance)
 
     def _take_all_targets(self, records: Sequence[KeyedRecord]) -> None:
-        decoded = [self._decode_target(record) for record in records if record.value]
+        listed = [record for record in records if record.value]
+        decoded = [self._registrations.decode(record) for record in listed]
         self.targets.replace([entry for entry in decoded if entry is not None])
+        for record, entry in zip(listed, decoded, strict=True):
+            if entry is None:
+                self.targets.reject(InstanceId(record.key))
 
     def _take_target(self, record: KeyedRecord) -> None:
-        entry = self._decode_target(record) if record.value else None
+        if not record.value:
+            self.targets.remove(InstanceId(record.key))
+            return
+        entry = self._registrations.decode(record)
         if entry is not None:
             self.targets.put(entry)
-        elif not record.value:
-            self.targets.remove(InstanceId(record.key))
-
-    def _decode_target(self, record: KeyedRecord) -> TargetEntry | None:
-        try:
-            return self._sources.decode_target(record.key, record.value)
-        except ValueError as error:
-            log.error("registration {} can't be read: {}", record.key, error)
-            return None
+        else:
+            self.targets.reject(InstanceId(record.key))
 
 
 async def _nothing() -> None:
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -55,20 +55,22 @@
         """Return the target for a request among those not yet tried, and why."""
         service = self._service(route)
         entries = [
-            entry for entry in self._targets.of(service) if entry.instance not in tried
+            entry
+            for entry in self._targets.of(service)
+            if entry.incarnation not in tried
         ]
         if not entries:
             return None, ""
         choices = [self._choice(entry) for entry in entries]
         policy = self._engines if route.sticky else self._plain
         instance, reason = policy.choose(_shape(info), choices)
-        chosen = next(entry for entry in entries if entry.instance == instance)
+        chosen = next(entry for entry in entries if entry.incarnation == instance)
         return chosen, reason
 
     def refuse_start(self, route: Route) -> float | None:
         """Return when a new program should come back; None to let it start."""
         service = self._service(route)
-        waits = [self.load.wait(one.instance) for one in self._targets.of(service)]
+        waits = [self.load.wait(one.incarnation) for one in self._targets.of(service)]
         if not waits:
             return None
         return self._starts.refuse(Start(wait=min(waits)))
@@ -76,9 +78,9 @@
     def sent(self, entry: TargetEntry, info: CallInfo, request: object) -> None:
         """Note that an engine reads a request's prompt and owes its first event."""
         shape = _shape(info)
-        reading = self._memory.reading(entry.instance, shape)
-        self._memory.note(entry.instance, shape)
-        self.load.awaits_first(entry.instance, request, reading)
+        reading = self._memory.reading(entry.incarnation, shape)
+        self._memory.note(entry.incarnation, shape)
+        self.load.awaits_first(entry.incarnation, request, reading)
 
     def forget(self, instance: InstanceId) -> None:
         """Forget what was learned of a target that has left.
@@ -86,6 +88,7 @@
         Instances come and go for as long as the process runs.
         """
         self.load.forget(instance)
+        self.pool.forget(instance)
         self._memory.forget(instance)
 
     def store_reached(self) -> bool:
@@ -120,11 +123,11 @@
 
     def _choice(self, entry: TargetEntry) -> EngineChoice:
         return EngineChoice(
-            instance=entry.instance,
+            instance=entry.incarnation,
             slots=max(1, entry.slots),
-            running=self.load.running(entry.instance),
-            wait=self.load.wait(entry.instance),
-            failing=self.load.failing(entry.instance),
+            running=self.load.running(entry.incarnation),
+            wait=self.load.wait(entry.incarnation),
+            failing=self.load.failing(entry.incarnation),
             near=entry.data_centre == self._data_centre,
         )
 
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -31,6 +31,7 @@
     waiting: dict[object, float] = field(default_factory=dict)
     failing: float = 0.0
     judged: float = 0.0
+    gone: bool = False
 
 
 class LoadBoard:
@@ -51,7 +52,10 @@
 
     def ended(self, instance: InstanceId) -> None:
         """Count a request no longer."""
-        self._instances[instance].running -= 1
+        found = self._instances[instance]
+        found.running -= 1
+        if found.gone and not found.running:
+            del self._instances[instance]
 
     def awaits_first(
         self, instance: InstanceId, request: object, reading: float
@@ -99,7 +103,10 @@
     def forget(self, instance: InstanceId) -> None:
         """Forget a target that has left, once nothing runs there."""
         found = self._instances.get(instance)
-        if found is not None and not found.running:
+        if found is None:
+            return
+        found.gone = True
+        if not found.running:
             del self._instances[instance]
 
     def running(self, instance: InstanceId) -> int:
--- a/sequoiaarch/platform/documents.py
+++ b/sequoiaarch/platform/documents.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
 
 from ..ids import DataCentre, InstanceId, ServiceName
@@ -21,6 +24,7 @@
 CONFIG_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
 DRAINING = "draining"
+MOST_PORT = 65535
 
 
 class _Split(Fields, frozen=True):
@@ -74,9 +78,13 @@
 class _Registration(Fields, frozen=True):
     service: str
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    version: str  # of the server's software
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: int  # orders accepted since its start
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0  # Unix milliseconds of its start
 
 
 def decode_routes(data: bytes) -> RouteTable:
@@ -97,9 +105,18 @@
 
 
 def decode_target(key: str, data: bytes) -> TargetEntry:
-    """Return the target in a registration; raises msgspec.DecodeError."""
-    found = msgspec.json.decode(data, type=_Registration, strict=False)
+    """Return the target in a registration; raises ValueError.
+
+    An entry may come from another writer. One that lacks a field or has it in
+    another form names no target: sending to it would cost callers a try.
+    """
+    found = msgspec.json.decode(data, type=_Registration)
     host, port = split_address(found.address)
+    ipaddress.IPv4Address(host)
+    if not 0 < port <= MOST_PORT:
+        raise ValueError(f"port {port} is out of range")
+    if not key or not found.service or not found.zone:
+        raise ValueError("key, service or zone is empty")
     return TargetEntry(
         instance=InstanceId(key),
         service=ServiceName(found.service),
@@ -108,6 +125,7 @@
         data_centre=DataCentre(found.zone),
         slots=found.slots,
         draining=found.state == DRAINING,
+        born=found.born,
     )
 
 
--- a/sequoiaarch/platform/fields.py
+++ b/sequoiaarch/platform/fields.py
@@ -10,6 +10,8 @@
 
 
 def split_address(text: str) -> tuple[str, int]:
-    """Return host and port of an address."""
+    """Return host and port of an address; raises ValueError."""
     host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError(f"no port in {text!r}")
     return host, int(port)
--- a/sequoiaarch/platform/store.py
+++ b/sequoiaarch/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 from urllib.parse import urlencode
 
+import logbook
 import msgspec
 
 from ..errors import ErrorKind, Failure
@@ -20,6 +21,8 @@
     Writer,
 )
 
+log = logbook.Logger("store")
+
 LENGTH_BYTES = 4
 HEAD_BYTES = 16
 READ_KIB = 1024
@@ -69,7 +72,10 @@
             return reply
         if reply.status != 200:
             return _refused(call, reply)
-        return Offset(msgspec.json.decode(reply.body, type=_Appended).offset)
+        try:
+            return Offset(msgspec.json.decode(reply.body, type=_Appended).offset)
+        except ValueError as error:
+            return _unreadable(call, error)
 
     async def append_at(
         self, partition: Partition, records: list[KeyedRecord], *, end: Offset
@@ -108,7 +114,10 @@
             return LogGap.TRIMMED
         if reply.status != 200:
             return _refused(call, reply)
-        return _page(start, reply.body)
+        try:
+            return _page(start, reply.body)
+        except ValueError as error:
+            return _unreadable(call, error)
 
     async def newest(self, partition: Partition) -> Newest | Failure:
         """Read the newest record of each key."""
@@ -131,13 +140,13 @@
                 return Newest(records=[], resume=Offset(0))
             if reply.status != 200:
                 return _refused(call, reply)
-            page = msgspec.json.decode(reply.body, type=_Items)
+            try:
+                page = msgspec.json.decode(reply.body, type=_Items)
+            except ValueError as error:
+                return _unreadable(call, error)
             if resume is None:
                 resume = page.end_offset
-            for item in page.items:
-                value = base64.b64decode(item.value)
-                place = Offset(item.offset)
-                records.append(ListedRecord(key=item.key, value=value, offset=place))
+            records += [one for one in map(_listed, page.items) if one is not None]
             if not page.has_more or not page.items:
                 return Newest(records=records, resume=Offset(resume))
             after = page.items[-1].key
@@ -162,24 +171,48 @@
 
 
 def _page(start: Offset, body: bytes) -> KeyedPage:
+    """Return the records of a page; raises ValueError where it is cut."""
+    if len(body) < HEAD_BYTES:
+        raise ValueError(f"a page of {len(body)} bytes has no head")
     end = int.from_bytes(body[:8], "big")
     records: list[KeyedRecord] = []
     place = HEAD_BYTES
     while place + LENGTH_BYTES <= len(body):
         length = int.from_bytes(body[place : place + LENGTH_BYTES], "big")
         place += LENGTH_BYTES
-        content = body[place : place + length]
+        if place + length > len(body):
+            raise ValueError("a record is cut")
+        records.append(_keyed(body[place : place + length]))
         place += length
-        key_length = content[0]
-        records.append(
-            KeyedRecord(
-                key=content[1 : 1 + key_length].decode(),
-                value=content[1 + key_length :],
-            )
-        )
     return KeyedPage(start=start, end=Offset(end), records=records)
 
 
+def _keyed(content: bytes) -> KeyedRecord:
+    """Return a record; one whose key can't be read keeps its place, no more."""
+    key_length = content[0] if content else 0
+    try:
+        key = content[1 : 1 + key_length].decode()
+    except UnicodeDecodeError:
+        log.warning("a record whose key is no text is passed over")
+        return KeyedRecord(key="", value=b"")
+    return KeyedRecord(key=key, value=content[1 + key_length :])
+
+
+def _listed(item: _Item) -> ListedRecord | None:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        log.warning("record {} can't be read and is passed over: {}", item.key, error)
+        return None
+    return ListedRecord(key=item.key, value=value, offset=Offset(item.offset))
+
+
+def _unreadable(call: StoreCall, error: ValueError) -> Failure:
+    path = call.path.partition("?")[0]
+    reason = f"{path}: the answer can't be read: {error}"
+    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=reason)
+
+
 def _refused(call: StoreCall, reply: StoreReply) -> Failure:
     path = call.path.partition("?")[0]
     reason = f"{path} answered {reply.status} {reply.body[:80]!r}"
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -18,7 +18,11 @@
 
 
 class TargetEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe one registered instance of a service."""
+    """Describe one registered instance of a service.
+
+    It may start again under its name; `born` then grows (milliseconds of the
+    instance's own clock, 0 where it says none).
+    """
 
     instance: InstanceId
     service: ServiceName
@@ -27,6 +31,18 @@
     data_centre: DataCentre
     slots: int
     draining: bool = False
+    born: int = 0
+
+    @property
+    def incarnation(self) -> InstanceId:
+        """Return the name of this start of the instance.
+
+        Whatever is learned of a target is kept under this name: one that has
+        started again has no cache, no queue and none of the old connections.
+        """
+        return (
+            InstanceId(f"{self.instance}@{self.born}") if self.born else self.instance
+        )
 
     @property
     def address(self) -> tuple[str, int]:
@@ -78,6 +94,15 @@
     def put(self, entry: TargetEntry) -> None:
         """Add a target or change what is known of it."""
         before = self._entries.get(entry.instance)
+        if before is not None and before.born and not entry.born:
+            self.reject(entry.instance)
+            return
+        if before is not None and entry.born < before.born:
+            # A page that was read late shows the start before.
+            return
+        if before is not None and entry.born > before.born:
+            self._drop(entry.instance, "it has started again")
+            before = None
         self._lapsed.pop(entry.instance, None)
         self._entries[entry.instance] = entry
         if before is None or before.draining != entry.draining:
@@ -100,6 +125,10 @@
             return
         self._drop(instance, "its registration was removed")
 
+    def reject(self, instance: InstanceId) -> None:
+        """Take a target out whose newest registration names none to use."""
+        self._drop(instance, "its registration is not valid")
+
     def replace(self, entries: Iterable[TargetEntry]) -> None:
         """Take over a complete list."""
         listed = {entry.instance: entry for entry in entries}
@@ -135,4 +164,4 @@
         entry = self._entries.pop(instance, None)
         if entry is not None:
             log.info("target {} of {} left: {}", instance, entry.service, reason)
-            self._dropped(instance)
+            self._dropped(entry.incarnation)
--- a/sequoiaarch/tests/platform/site.py
+++ b/sequoiaarch/tests/platform/site.py
@@ -157,8 +157,11 @@
             "service": service,
             "address": f"{LOOPBACK}:{self.targets[name].port}",
             "zone": "here",
+            "version": "v1",
             "slots": 8,
             "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
         }
         await self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
