--- a/sequoiaarch/__main__.py
+++ b/sequoiaarch/__main__.py
@@ -7,6 +7,7 @@
 from .commands.base import Connection
 from .commands.config import config
 from .commands.drain import drain
+from .commands.failures import failures
 from .commands.program import program
 from .commands.run import run
 from .commands.status import status
@@ -36,6 +37,7 @@
 
 cli.add_command(config)
 cli.add_command(drain)
+cli.add_command(failures)
 cli.add_command(program)
 cli.add_command(run)
 cli.add_command(status)
