Give the lent part over only once the log has granted a program something

Cause: a gateway that had read the partition of a program for another one made the lender give its part over before it knew that the store was away. Measured: tests only.

--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -48,6 +48,7 @@
     def __init__(
         self, *, terms: TurnTerms, partition: LedgerPartition, limit: int
     ) -> None:
+        self.terms = terms
         self.program = terms.program
         self.partition = partition
         self.budget = terms.budget
@@ -59,6 +60,7 @@
         self.open: OrderedDict[TurnId, int] = OrderedDict()
         self.raising: asyncio.Task[bool] | None = None
         self.touched = 0.0
+        self.begun = False
 
     @property
     def needed(self) -> int:
@@ -142,8 +144,9 @@
         self._writer = writer
         self._split = split or WholeInLog()
         self._accounts: dict[ProgramId, _Account] = {}
-        # Called with the terms of a program that begins here, before its first
-        # grant is written.
+        # Called with the terms of a program that was granted something here for
+        # the first time. A lender that gave its part over before that would have
+        # none left for a program that begins in an outage.
         self.begins: Callable[[TurnTerms], None] = lambda terms: None
 
     def knows(self, program: ProgramId) -> bool:
@@ -257,7 +260,6 @@
             limit = self._split.in_log(terms)
             account = _Account(terms=terms, partition=partition, limit=limit)
             self._accounts[terms.program] = account
-            self.begins(terms)
             # Forgotten here a while ago: what was handed out then still counts.
             account.handed = partition.state.granted(terms.program, self._writer)
             account.granted = account.handed
@@ -326,6 +328,7 @@
                 granted = partition.state.granted(account.program, self._writer)
                 if granted >= wanted:
                     account.granted = wanted
+                    self._begin(account)
                     return True
             # The newest record names more than is valid: put that right.
             self._write(account, account.granted, urgent=False)
@@ -334,6 +337,11 @@
             if account.raising is own:
                 account.raising = None
 
+    def _begin(self, account: _Account) -> None:
+        if not account.begun:
+            account.begun = True
+            self.begins(account.terms)
+
     def _ahead(self, account: _Account) -> int:
         if account.budget < SMALL_BUDGET * account.most:
             return 0
--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -224,6 +224,20 @@
             process.client.faults.down = False
         await asyncio.wait_for(commit, PATIENCE)
 
+    async def test_program_begins_beside_another_one_that_is_known(self) -> None:
+        """Lend the whole part to a program that begins in an outage.
+
+        The gateway has read the partition of the log for another program, so
+        it learns only from the grant that can't be written that the store is
+        away. The lender must not have given its part over by then.
+        """
+        await self.other.ledger.partition(PROGRAM).sync()
+        self.take_store_away()
+        turn = await self.other.turns.open(start("turn-1", most=300))
+        assert isinstance(turn, LocalTurn)
+        self.assertIs(await turn.verdict(), BudgetVerdict.FITS)
+        self.assertEqual(turn.covered, 300)
+
     async def test_program_that_loops_gets_the_lent_part_at_most(self) -> None:
         """Stop a program that loops in an outage, whoever it asks.
 
