Have another process lend where a lender's machine is gone for good

Cause: the machine stays registered, so nobody claimed its slots: the programs of one slot in eight had no lender in an outage after it. Measured: tests only.

--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import logbook
 import msgspec
@@ -132,7 +133,7 @@
         self._numbers = itertools.count(1)
         self._appends = itertools.count()
         self._where: dict[LoanId, Link | None] = {}
-        self._telling: set[asyncio.Task[Reply]] = set()
+        self._telling: set[asyncio.Task[object]] = set()
 
     async def borrow(self, terms: TurnTerms, *, least: int) -> Loan | None:
         """Return a loan of `least` tokens or more; None where there is none."""
@@ -180,7 +181,7 @@
                 return
             link = self._peers.link(host) if host is not None else None
             if host is not None and link is not None and self._standing.usable(host):
-                self._send(link, ReleaseRequest(terms=terms))
+                self._start(self._tell_begun(host, link, terms))
                 return
 
     def answer(self, request: Request) -> Reply:
@@ -212,7 +213,20 @@
         return self._own if writer == self._writer else self._peers.host_of(writer)
 
     def _live(self, writer: WriterId) -> bool:
-        return self._host(writer) is not None
+        """Return whether a process may still lend, as far as is known here.
+
+        A machine that is gone for good stays registered; the programs of its
+        slots, one in eight with eight machines, had nobody to lend to them.
+        """
+        host = self._host(writer)
+        return host is not None and not self._standing.gone(host)
+
+    async def _tell_begun(self, host: HostName, link: Link, terms: TurnTerms) -> None:
+        reply = await link.call(ReleaseRequest(terms=terms), timeout=SETTLE_TIMEOUT)
+        if isinstance(reply, Accepted):
+            self._standing.served(host)
+        else:
+            self._standing.failed(host, str(reply))
 
     def _next_loan(self) -> LoanId:
         return LoanId(f"{self._writer}/{next(self._numbers)}")
@@ -243,10 +257,11 @@
         return reply.tokens
 
     def _tell(self, link: Link, loan: LoanId, terms: TurnTerms, handed: int) -> None:
-        self._send(link, SettleRequest(loan=loan, program=terms.program, handed=handed))
+        request = SettleRequest(loan=loan, program=terms.program, handed=handed)
+        self._start(link.call(request, timeout=SETTLE_TIMEOUT))
 
-    def _send(self, link: Link, request: SettleRequest | ReleaseRequest) -> None:
-        task = asyncio.create_task(link.call(request, timeout=SETTLE_TIMEOUT))
+    def _start(self, telling: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.create_task(telling)
         self._telling.add(task)
         task.add_done_callback(self._telling.discard)
 
@@ -277,7 +292,9 @@
         """Return the slots that fall to this process, by rendezvous."""
         if not self._peers.registered(self._writer):
             return []
-        hosts = [self._own, *self._peers.hosts()]
+        others = self._peers.hosts()
+        hosts = [host for host in others if not self._standing.gone(host)]
+        hosts.append(self._own)
         return [
             slot
             for slot in self._claims.unclaimed(self._live)
--- a/sequoiaarch/fleet/standing.py
+++ b/sequoiaarch/fleet/standing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import logbook
 
@@ -14,6 +15,9 @@
 # the limit: its host may be gone for good. Seconds.
 PASS_OVER = 2.0
 PASS_OVER_LIMIT = 60.0
+# A peer that failed so often in a row, over 6 s with the pauses between, is taken
+# for gone: its registration stays in the store for good.
+GONE_FAILURES = 3
 
 
 class Standing:
@@ -23,20 +27,27 @@
         self._work = work
         self._until: dict[HostName, float] = {}
         self._pause: dict[HostName, float] = {}
+        self._failures: Counter[HostName] = Counter()
 
     def usable(self, host: HostName) -> bool:
         """Return whether a peer may be asked."""
         return self._until.get(host, 0.0) <= asyncio.get_running_loop().time()
 
+    def gone(self, host: HostName) -> bool:
+        """Return whether a peer has failed for so long that it may be gone."""
+        return self._failures[host] >= GONE_FAILURES
+
     def failed(self, host: HostName, reason: str) -> None:
         """Pass over a peer for a while."""
         if not self.usable(host):
             return
         pause = min(2 * self._pause.get(host, PASS_OVER / 2), PASS_OVER_LIMIT)
         self._pause[host] = pause
+        self._failures[host] += 1
         self._until[host] = asyncio.get_running_loop().time() + pause
         log.info("{} {} is passed over for {} s: {}", self._work, host, pause, reason)
 
     def served(self, host: HostName) -> None:
         """Note that a peer answered."""
         self._pause.pop(host, None)
+        self._failures.pop(host, None)
--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -15,6 +15,7 @@
 from ...fleet.claims import LENDING_LEASE, TOPIC as CLAIMS_TOPIC, Claims, slot_of
 from ...fleet.lenders import Lenders
 from ...fleet.peers import TOPIC as PEERS_TOPIC, Peers, PeerServer
+from ...fleet.standing import GONE_FAILURES
 from ...ids import DataCentre, HostName, ProgramId, TurnId, WriterId
 from ...ledger.ledger import Ledger
 from ...ledger.loans import LoanBook
@@ -339,6 +340,25 @@
         refused = await self.other.turns.open(start("turn-1"))
         self.assertIs(refused, BudgetVerdict.UNCERTAIN)
 
+    async def test_machine_that_is_gone_for_good_is_replaced(self) -> None:
+        """Have another process lend where the lender's machine never returns.
+
+        The machine is removed without a word, so it stays registered. The
+        others learn that from the requests that it doesn't answer, and one of
+        them claims what fell to it before the next outage.
+        """
+        self.end(str(self.lender.name))
+        self.lender.server.close()
+        left = [one for one in self.processes if one is not self.lender]
+        for process in left:
+            for _ in range(GONE_FAILURES):
+                process.lenders._standing._until.clear()
+                process.lenders._standing.failed(self.lender.name, "no reply")
+        await self.until(lambda: any(one.place == 1 for one in left))
+        await self.until(lambda: len(self.other.claims.of(slot_of(PROGRAM))) == 2)
+        self.take_store_away()
+        await self.lent(self.other, "turn-1", most=90)
+
     async def test_process_that_follows_lends_the_next_part(self) -> None:
         """Give a process that was started again a part of its own.
 
