Tell a program at once that its budget is spent where open turns can't return enough

Cause: a program that loops has turns open all the time, so it was told to come back up to 62 times in 3 s for one turn. What was used, not what is reserved, says whether the budget holds one more turn.

--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -288,19 +288,25 @@
 
         Open turns return most of what they hold: a program with four
         sub-agents at once would be told that its budget is spent, which ends
-        it, with a third of it used.
+        it, with a third of it used. One that loops must be told at once: its
+        turns never end, and each would be tried again and again.
         """
-        if any(account.open.values()):
-            return BudgetVerdict.HELD
         state = account.partition.state
+        used = state.used_others(account.program) + account.handed
+        if used + account.most > self._limit(account):
+            return BudgetVerdict.EXCEEDED
         held = state.returning(account.program, state.now() - RETURN_BOUND)
-        return BudgetVerdict.HELD if held else BudgetVerdict.EXCEEDED
+        open_here = any(account.open.values())
+        return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
+
+    def _limit(self, account: _Account) -> int:
+        """Return what all grants in the log may add up to at present."""
+        released = account.partition.state.released(account.program)
+        return min(account.budget, account.limit + released)
 
     def _fits(self, account: _Account, terms: TurnTerms) -> bool:
         others = account.partition.state.granted_others(terms.program)
-        released = account.partition.state.released(terms.program)
-        limit = min(terms.budget, account.limit + released)
-        return others + account.needed + terms.most <= limit
+        return others + account.needed + terms.most <= self._limit(account)
 
     def _raise(self, account: _Account) -> None:
         """Ask for a larger grant, after one that is under way."""
