--- a/sequoiaarch/tests/platform/site.py
+++ b/sequoiaarch/tests/platform/site.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from ...fleet.peers import Peers
 from ...http1.client import ClientLink, connect
 from ...http1.messages import LinkError, RequestMessage
 from ...ids import DataCentre, HostName
@@ -165,7 +166,9 @@
         }
         await self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
-    async def add_daemon(self, name: str) -> IngressDaemon:
+    async def add_daemon(
+        self, name: str, *, peers: Peers | None = None
+    ) -> IngressDaemon:
         """Start an ingress daemon and wait until it is ready."""
         client = self.store.client()
         options = IngressOptions(
@@ -186,6 +189,7 @@
             keyed_log=client,
             codec=PlatformCalls(),
             sources=SOURCES,
+            peers=peers,
         )
         self.clients[name] = client
         self.daemons[name] = daemon
