Take no other object for an empty list of records

A garbled answer could so have made a kept turn one that never was. Change: what an answer must hold has no default any more.

--- a/sequoiaarch/platform/store.py
+++ b/sequoiaarch/platform/store.py
@@ -33,21 +33,22 @@
 WAIT_MARGIN = 0.8
 
 
+# What an answer must hold has no default: an object that lacks it would be taken
+# for an empty list, and a turn that is kept for one that never was.
 class _Appended(msgspec.Struct, rename="camel", kw_only=True):
-    offset: int = 0
-    end_offset: int = 0
+    offset: int
 
 
 class _Item(msgspec.Struct, kw_only=True):
     key: str
-    value: str = ""
-    offset: int = 0
+    value: str
+    offset: int
 
 
 class _Items(msgspec.Struct, rename="camel", kw_only=True):
-    items: list[_Item] = []
+    items: list[_Item]
+    end_offset: int
     has_more: bool = False
-    end_offset: int = 0
 
 
 class PlatformLog:
--- a/sequoiaarch/tests/platform/foreign_tests.py
+++ b/sequoiaarch/tests/platform/foreign_tests.py
@@ -182,6 +182,12 @@
         self.assertIsInstance(page, Failure | msgspec.Struct)
         self.assertIsInstance(run(read(body).newest(PARTITION)), Failure)
 
+    def test_object_without_a_list(self) -> None:
+        """Take no other object for an empty list, or "no such turn" is untrue."""
+        for body in (b'{"":true}', b"{}", b'{"items":[]}', b'{"endOffset":3}'):
+            with self.subTest(body=body):
+                self.assertIsInstance(run(read(body).newest(PARTITION)), Failure)
+
     def test_empty_record(self) -> None:
         """Pass over a record of no bytes at all."""
         body = (1).to_bytes(8, "big") + bytes(8) + frame(b"")
