--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -50,7 +50,7 @@
     )
 
 
-class _NoStore:
+class NoStore:
     """Fail every call: no peer relays in these tests."""
 
     async def call(self, call: StoreCall) -> StoreReply | Failure:
@@ -67,7 +67,7 @@
         self.name = HostName(name)
         self.client = client
         self.server = PeerServer(
-            context=context, address="127.0.0.1:*", caller=_NoStore()
+            context=context, address="127.0.0.1:*", caller=NoStore()
         )
         self.address = self.server.address.removeprefix("tcp://")
         self.peers = Peers(
--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -10,7 +10,6 @@
 
 import zmq.asyncio
 
-from ...errors import ErrorKind, Failure
 from ...fleet import lenders as lenders_module
 from ...fleet.claims import LENDING_LEASE, TOPIC as CLAIMS_TOPIC, Claims, slot_of
 from ...fleet.lenders import Lenders
@@ -25,9 +24,9 @@
 from ...ledger.turns import LocalTurn, LocalTurns
 from ...routing.follower import TopicFollower
 from ...standins.keyed_store import KeyedStore
-from ...storage.calls import StoreCall, StoreReply
 from ...wire.links import Send
 from ...wire.messages import Failed, Reply, Request
+from .delegates_tests import NoStore
 
 PROGRAM = ProgramId("program")
 BUDGET = 2000
@@ -52,12 +51,6 @@
     )
 
 
-class _NoStore:
-    async def call(self, call: StoreCall) -> StoreReply | Failure:
-        """Return a failure: no store calls go through peers here."""
-        return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="not used here")
-
-
 class Process:
     """Hold what one gateway has for turns and loans."""
 
@@ -68,7 +61,7 @@
         self.writer = WriterId(f"writer-{name}")
         self.client = store.client()
         self.server = PeerServer(
-            context=context, address="127.0.0.1:*", caller=_NoStore()
+            context=context, address="127.0.0.1:*", caller=NoStore()
         )
         self.peers = Peers(
             context=context,
