Keep the claim of a lender that is registered, however long it can't be reached

Cause: found in reading. That a machine which doesn't answer counts as gone was added to the one check of who lives, which the removal of claims used as well. A lender cut off from one gateway for three minutes or more lost its claim, though it reached the store and lent to others; the next process took its place, and tokens that were lent could be lent again. Change: removal goes by registrations alone, as the design says; that a machine is gone decides only who claims besides it. Measured: the new test fails before (the claim is due) and passes now.

--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -218,10 +218,11 @@
         return self._host(writer) is not None
 
     def _live(self, writer: WriterId) -> bool:
-        """Return whether a process may still lend, as far as is known here.
+        """Return whether a process lends, as far as is known here.
 
-        A machine that is gone for good stays registered; the programs of its
-        slots, one in eight with eight machines, had nobody to lend to them.
+        This decides who claims besides it, never who loses a place. A machine
+        that is gone for good stays registered; the programs of its slots, one
+        in eight with eight machines, had nobody to lend to them.
         """
         host = self._host(writer)
         return host is not None and not self._standing.gone(host)
@@ -301,7 +302,11 @@
         return max((self._own, *hosts), key=lambda host: rank(slot_name(slot), host))
 
     def _to_retire(self, retention: float) -> list[str]:
-        return self._retirement.due(self._claims.writers(), self._live, retention)
+        """Return the claims that can go, by registrations alone.
+
+        A process that only this one can't reach still lends to others.
+        """
+        return self._retirement.due(self._claims.writers(), self._registered, retention)
 
     async def _append(self, keyed_log: KeyedLog, slots: list[int]) -> bool:
         number = next(self._appends)
--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -11,7 +11,13 @@
 import zmq.asyncio
 
 from ...fleet import lenders as lenders_module
-from ...fleet.claims import LENDING_LEASE, TOPIC as CLAIMS_TOPIC, Claims, slot_of
+from ...fleet.claims import (
+    LENDING_LEASE,
+    TOPIC as CLAIMS_TOPIC,
+    Claims,
+    Retirement,
+    slot_of,
+)
 from ...fleet.lenders import Lenders
 from ...fleet.peers import TOPIC as PEERS_TOPIC, Peers, PeerServer
 from ...fleet.standing import GONE_FAILURES, Standing
@@ -341,6 +347,23 @@
         self.take_store_away()
         await self.lent(self.other, "turn-1", most=90)
 
+    async def test_claim_of_a_registered_process_is_never_removed(self) -> None:
+        """Keep a lender's claim where only this process can't reach it.
+
+        The path between two gateways is cut for hours. The lender reaches the
+        store, sees its claim and registration there, and lends to others. If
+        its claim were removed, the next process would take over its place and
+        lend the same tokens to a program that comes back.
+        """
+        clock = mock.Mock(return_value=0.0)
+        self.other.lenders._retirement = Retirement(clock=clock)
+        for _ in range(GONE_FAILURES):
+            self.other.lenders._standing._until.clear()
+            self.other.lenders._standing.failed(self.lender.name, "no reply")
+        self.assertEqual(self.other.lenders._to_retire(RETENTION), [])
+        clock.return_value = 100 * LENDING_LEASE
+        self.assertEqual(self.other.lenders._to_retire(RETENTION), [])
+
     async def test_process_that_follows_lends_the_next_part(self) -> None:
         """Give a process that was started again a part of its own.
 
