Use one piece where the change had written a second one

Found in reading, no behaviour meant to change: - the host to which a name falls was chosen in delegates and in lenders: first_of; - Delegates passed on to Standing, TurnServer kept starts that its timers can carry, Ledger.stuck had lost its only caller, a line of the log was read for two fields that nobody used, a new account was given a limit that is set right after; - the failure of a store call was put together in three modules: unavailable; - the failures command had an option and a print of its own in place of those that all commands share, so that the flag before the command counts for it too; - tests wrote a target's registration in three places; a field that became required had to be added to each. A stopped lender no longer writes programs of which it had lent nothing.

--- a/sequoiaarch/commands/failures.py
+++ b/sequoiaarch/commands/failures.py
@@ -5,7 +5,6 @@
 from typing import TextIO
 
 import click
-import msgspec
 
 from ..observe.failures import (
     FailureRow,
@@ -13,6 +12,7 @@
     read_requests,
     total_by_cause,
 )
+from .base import Connection, json_option, pass_connection
 
 
 @click.command()
@@ -24,8 +24,9 @@
     show_default=True,
     help="Seconds that a line of the table covers.",
 )
-@click.option("--json", "as_json", is_flag=True, help="Print JSON for machines.")
-def failures(logs: tuple[TextIO, ...], span: float, as_json: bool) -> None:
+@json_option
+@pass_connection
+def failures(connection: Connection, logs: tuple[TextIO, ...], span: float) -> None:
     """Show failed requests by cause and time, from LOGS of gateways.
 
     Lines that are no JSON are passed over. `last` counts the programs whose
@@ -33,12 +34,9 @@
     """
     requests = [one for log in logs for one in read_requests(log)]
     rows = count_failures(requests, span)
-    if as_json:
-        click.echo(msgspec.json.encode(rows))
-        return
-    for line in _table(rows):
-        click.echo(line)
-    click.echo(f"{len(requests)} requests, {sum(row.requests for row in rows)} failed")
+    count = sum(row.requests for row in rows)
+    total = f"{len(requests)} requests, {count} failed"
+    connection.show(rows, [*_table(rows), total])
 
 
 def _table(rows: list[FailureRow]) -> list[str]:
--- a/sequoiaarch/fleet/claims.py
+++ b/sequoiaarch/fleet/claims.py
@@ -36,7 +36,7 @@
 
 
 class CarriedRecord(msgspec.Struct, frozen=True, kw_only=True, tag="carried"):
-    """Say what a process that stopped had lent or given over, by program.
+    """Say what a process that stopped had lent, by program.
 
     It took its claims back with the same append. Whoever lends to one of these
     programs now counts that much as lent, so nothing is lent twice.
--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -26,9 +26,9 @@
     TurnVerdict,
 )
 from .claims import slot_name, slot_of
-from .peers import Peers, rank
+from .peers import Peers, first_of
 from .standing import Standing
-from .turn_server import failure_of
+from .turn_server import failed
 
 log = logbook.Logger("delegates")
 
@@ -57,30 +57,19 @@
     def __init__(self, *, own: HostName, peers: Peers, standing: Standing) -> None:
         self._own = own
         self._peers = peers
-        self._standing = standing
+        self.standing = standing
 
     def of(self, program: ProgramId) -> HostName | None:
         """Return the delegate of a program; None for this process."""
         # By slots like lenders: in one data centre of three the two are the same.
-        name = slot_name(slot_of(program))
-        best, highest = self._own, rank(name, self._own)
-        for host in self._peers.near():
-            if self._standing.usable(host) and rank(name, host) > highest:
-                best, highest = host, rank(name, host)
+        usable = filter(self.standing.usable, self._peers.near())
+        best = first_of(slot_name(slot_of(program)), (self._own, *usable))
         return None if best == self._own else best
 
     def link(self, host: HostName) -> Link | None:
         """Return the link to a delegate; None if its address is gone."""
         return self._peers.link(host)
 
-    def failed(self, host: HostName, reason: str) -> None:
-        """Pass over a delegate for a while."""
-        self._standing.failed(host, reason)
-
-    def served(self, host: HostName) -> None:
-        """Note that a delegate answered."""
-        self._standing.served(host)
-
 
 class DelegatedTurns:
     """Open turns through the delegate of their program, or else here."""
@@ -120,18 +109,18 @@
             self.tell_end(link, CloseTurnRequest(turn=start.terms.turn, handed=0))
             raise
         if isinstance(reply, TurnOpened):
-            self._delegates.served(host)
+            self._delegates.standing.served(host)
             return DelegatedTurn(
                 start=start, opened=reply, host=host, link=link, turns=self
             )
         if isinstance(reply, TurnRefused):
-            self._delegates.served(host)
+            self._delegates.standing.served(host)
             # What it can't tell, this process may reach the store for.
             if reply.lookup is Lookup.ABSENT:
                 return reply.lookup
             unsure = reply.verdict in (None, BudgetVerdict.UNCERTAIN)
             return None if unsure else reply.verdict
-        self._delegates.failed(host, _reason(reply))
+        self._delegates.standing.failed(host, _reason(reply))
         return None
 
     def tell_end(self, link: Link, request: CloseTurnRequest) -> None:
@@ -146,7 +135,7 @@
 
     def lost(self, host: HostName, reply: Reply) -> None:
         """Note that a delegate was lost with a turn open."""
-        self._delegates.failed(host, _reason(reply))
+        self._delegates.standing.failed(host, _reason(reply))
 
     @property
     def ledger(self) -> Ledger:
@@ -297,14 +286,14 @@
 ) -> Reply:
     """Return the last reply, if the first one comes soon enough."""
     replies = link.stream(request)
-    last: Reply = Failed(failure=failure_of("no reply"))
+    last: Reply = failed("no reply")
     try:
         async with asyncio.timeout(FIRST_WORD) as limit:
             async for reply in replies:
                 last = reply
                 limit.reschedule(asyncio.get_running_loop().time() + LAST_WORD)
     except TimeoutError:
-        return Failed(failure=failure_of("no reply in time"))
+        return failed("no reply in time")
     return last
 
 
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -35,7 +35,7 @@
     slot_name,
     slot_of,
 )
-from .peers import Peers, rank
+from .peers import Peers, first_of
 from .standing import Standing
 from .turn_server import failed
 
@@ -299,7 +299,7 @@
         """
         others = self._peers.near() if near else self._peers.hosts()
         hosts = [host for host in others if not self._standing.gone(host)]
-        return max((self._own, *hosts), key=lambda host: rank(slot_name(slot), host))
+        return first_of(slot_name(slot), (self._own, *hosts))
 
     def _to_retire(self, retention: float) -> list[str]:
         """Return the claims that can go, by registrations alone.
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import logbook
 import msgspec
@@ -216,8 +216,12 @@
         return StoreAnswer(reply=reply)
 
 
-def rank(name: str, host: HostName) -> int:
-    """Return the rank of a host for a name; the highest one is chosen."""
+def first_of(name: str, hosts: Iterable[HostName]) -> HostName:
+    """Return the host to which a name falls, by rendezvous."""
+    return max(hosts, key=lambda host: _rank(name, host))
+
+
+def _rank(name: str, host: HostName) -> int:
     return xxhash.xxh32_intdigest(f"{name}/{host}".encode())
 
 
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -42,7 +42,6 @@
         self._local = local
         self._ledger = ledger
         self._open: dict[TurnId, LocalTurn] = {}
-        self._starts: dict[TurnId, TurnStart] = {}
         # Turns that are being opened; False once their caller has left.
         self._opening: dict[TurnId, bool] = {}
         self.stopping = False
@@ -97,9 +96,8 @@
             opened.close()
             return failed("the caller left")
         self._open[turn] = opened
-        self._starts[turn] = start
         loop = asyncio.get_running_loop()
-        loop.call_later(start.lifetime, self._expire, turn)
+        loop.call_later(start.lifetime, self._expire, turn, start.terms.most)
         return TurnOpened(
             history=opened.history,
             spent=opened.spent,
@@ -135,24 +133,17 @@
         if turn in self._opening:
             self._opening[turn] = False
         opened = self._open.pop(turn, None)
-        self._starts.pop(turn, None)
         if opened is not None:
             opened.hand_out(handed)
             opened.close()
 
-    def _expire(self, turn: TurnId) -> None:
+    def _expire(self, turn: TurnId, most: int) -> None:
         """Count a turn at its most whose gateway never told its end."""
-        start = self._starts.pop(turn, None)
-        if start is not None and turn in self._open:
+        if turn in self._open:
             log.info("turn {} was never ended by its gateway", turn)
-            self._close(turn, start.terms.most)
+            self._close(turn, most)
 
 
 def failed(reason: str) -> Failed:
     """Return the reply to a request that was not carried out."""
-    return Failed(failure=failure_of(reason))
-
-
-def failure_of(reason: str) -> Failure:
-    """Return the failure of a request between gateways."""
-    return Failure(kind=ErrorKind.INTERRUPTED, reason=reason)
+    return Failed(failure=Failure(kind=ErrorKind.INTERRUPTED, reason=reason))
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -44,13 +44,11 @@
 class _Account:
     """Hold what this process may hand out, and did, for one program."""
 
-    def __init__(
-        self, *, terms: TurnTerms, partition: LedgerPartition, limit: int
-    ) -> None:
+    def __init__(self, *, terms: TurnTerms, partition: LedgerPartition) -> None:
         self.program = terms.program
         self.partition = partition
         self.budget = terms.budget
-        self.limit = limit
+        self.limit = 0
         self.retention = terms.retention
         self.most = terms.most
         self.granted = 0
@@ -250,8 +248,7 @@
     def _account(self, partition: LedgerPartition, terms: TurnTerms) -> _Account:
         account = self._accounts.get(terms.program)
         if account is None:
-            limit = self._split.in_log(terms)
-            account = _Account(terms=terms, partition=partition, limit=limit)
+            account = _Account(terms=terms, partition=partition)
             self._accounts[terms.program] = account
             # Forgotten here a while ago: what was handed out then still counts.
             account.handed = partition.state.granted(terms.program, self._writer)
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -75,10 +75,6 @@
             return True
         return partition.state.knows_program(program)
 
-    def stuck(self, program: ProgramId) -> bool:
-        """Return whether nothing of a program can be written at present."""
-        return self.partition(program).stuck
-
     async def history(self, program: ProgramId, turn: TurnId) -> History | Lookup:
         """Return the prompt up to a turn.
 
--- a/sequoiaarch/ledger/loans.py
+++ b/sequoiaarch/ledger/loans.py
@@ -77,7 +77,11 @@
 
     def totals(self) -> dict[ProgramId, int]:
         """Return what was lent of each program."""
-        return {program: account.used for program, account in self._accounts.items()}
+        return {
+            program: account.used
+            for program, account in self._accounts.items()
+            if account.used
+        }
 
     def settle(self, loan: LoanId, program: ProgramId, handed: int) -> None:
         """Count what a loan's turn handed out; the rest can be lent again."""
--- a/sequoiaarch/observe/failures.py
+++ b/sequoiaarch/observe/failures.py
@@ -21,10 +21,8 @@
     event: str
     id: str = ""
     program: str = ""
-    status: int | None = None
     outcome: str = ""
     reason: str = ""
-    milliseconds: float = 0.0
 
 
 class FailureRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/sequoiaarch/platform/store.py
+++ b/sequoiaarch/platform/store.py
@@ -10,7 +10,7 @@
 
 from ..errors import ErrorKind, Failure
 from ..ids import Offset
-from ..storage.calls import StoreCall, StoreCaller, StoreReply
+from ..storage.calls import StoreCall, StoreCaller, StoreReply, unavailable
 from ..storage.keyed import (
     KeyedPage,
     KeyedRecord,
@@ -209,9 +209,7 @@
 
 
 def _unreadable(call: StoreCall, error: ValueError) -> Failure:
-    path = call.path.partition("?")[0]
-    reason = f"{path}: the answer can't be read: {error}"
-    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=reason)
+    return unavailable(call, f"the answer can't be read: {error}")
 
 
 def _refused(call: StoreCall, reply: StoreReply) -> Failure:
--- a/sequoiaarch/storage/calls.py
+++ b/sequoiaarch/storage/calls.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..errors import Failure
+from ..errors import ErrorKind, Failure
 
 TURNED_AWAY = frozenset({429, 503})
 
@@ -36,6 +36,12 @@
         return self.status in TURNED_AWAY
 
 
+def unavailable(call: StoreCall, detail: str) -> Failure:
+    """Return the failure of a call that was not answered as it should be."""
+    path = call.path.partition("?")[0]
+    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=f"{path}: {detail}")
+
+
 class StoreCaller(Protocol):
     """Make calls to the store."""
 
--- a/sequoiaarch/storage/direct.py
+++ b/sequoiaarch/storage/direct.py
@@ -4,11 +4,11 @@
 
 import asyncio
 
-from ..errors import ErrorKind, Failure
+from ..errors import Failure
 from ..http1.client import ClientLink, connect
 from ..http1.idle import IdleLinks
 from ..http1.messages import LinkError, RequestMessage
-from .calls import StoreCall, StoreReply
+from .calls import StoreCall, StoreReply, unavailable
 
 # Seconds. A store that is away does not refuse, it stays silent.
 CONNECT_TIMEOUT = 0.5
@@ -31,9 +31,9 @@
                 link = await self._take()
                 reply = await self._exchange(link, call)
         except TimeoutError:
-            return _unavailable(call, f"no answer in {call.timeout:.1f} s")
+            return unavailable(call, f"no answer in {call.timeout:.1f} s")
         except LinkError as error:
-            return _unavailable(call, str(error))
+            return unavailable(call, str(error))
         finally:
             if link is not None:
                 self._idle.give_back(None, link, IDLE_LIMIT)
@@ -59,8 +59,3 @@
         while (part := await link.body_part()) is not None:
             body += part
         return StoreReply(status=head.status, body=bytes(body))
-
-
-def _unavailable(call: StoreCall, detail: str) -> Failure:
-    path = call.path.partition("?")[0]
-    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=f"{path}: {detail}")
--- a/sequoiaarch/storage/relayed.py
+++ b/sequoiaarch/storage/relayed.py
@@ -8,8 +8,8 @@
 
 import logbook
 
-from ..errors import ErrorKind, Failure
-from .calls import StoreCall, StoreCaller, StoreReply
+from ..errors import Failure
+from .calls import StoreCall, StoreCaller, StoreReply, unavailable
 
 log = logbook.Logger("store")
 
@@ -56,7 +56,7 @@
     async def call(self, call: StoreCall) -> StoreReply | Failure:
         """Make a call by the way that works."""
         if self._way is Way.NONE and not self._probe_due(AWAY_PROBE_SECONDS):
-            return _unreached(call)
+            return unavailable(call, "the store is away")
         if self._way is Way.RELAYED:
             if not call.waits and self._probe_due(PROBE_SECONDS):
                 self._probe = asyncio.create_task(self._try_direct(call))
@@ -109,9 +109,3 @@
     if isinstance(reply, Failure):
         return reply.reason
     return f"answered {reply.status}"
-
-
-def _unreached(call: StoreCall) -> Failure:
-    path = call.path.partition("?")[0]
-    reason = f"{path}: the store is away"
-    return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason=reason)
--- a/sequoiaarch/tests/platform/foreign_tests.py
+++ b/sequoiaarch/tests/platform/foreign_tests.py
@@ -21,19 +21,10 @@
 from ...routing.targets import Targets
 from ...storage.calls import StoreCall, StoreReply
 from ...storage.keyed import KeyedRecord, Partition
-from .site import TOOLS, SiteTestCase, tool_answer
+from .site import TOOLS, SiteTestCase, registration, tool_answer
 
 PARTITION = Partition(topic="keyed.servers", number=0)
-GOOD: dict[str, Any] = {
-    "service": "engines",
-    "address": "10.1.2.3:8080",
-    "zone": "here",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "coldRemainingMs": 0,
-    "sequence": 4,
-}
+GOOD = registration("engines", "10.1.2.3:8080")
 BAD: dict[str, Any] = {
     "state": ["on fire", "", None, 1],
     "address": ["10.1.2.3:99999", "10.1.2.3:0", "10.1.2.3:-5", "host:80", "x", 7],
--- a/sequoiaarch/tests/platform/site.py
+++ b/sequoiaarch/tests/platform/site.py
@@ -50,6 +50,21 @@
     }
 
 
+def registration(service: str, address: str, **more: Any) -> dict[str, Any]:
+    """Return a target's registration as it writes it itself."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "here",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        **more,
+    }
+
+
 def config(version: int, routes: list[dict[str, Any]]) -> bytes:
     """Return a configuration as the operator writes it."""
     engine = {"slots": 8, "kvCapacityTokens": 90000, "chunkTokens": EVENT_TOKENS}
@@ -154,16 +169,8 @@
 
     async def register(self, name: str, service: str, state: str = "ready") -> None:
         """Write a target's registration."""
-        entry = {
-            "service": service,
-            "address": f"{LOOPBACK}:{self.targets[name].port}",
-            "zone": "here",
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "coldRemainingMs": 0,
-            "sequence": 1,
-        }
+        address = f"{LOOPBACK}:{self.targets[name].port}"
+        entry = registration(service, address, state=state)
         await self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
     async def add_daemon(
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -16,7 +16,7 @@
     stream_head,
     whole_answer,
 )
-from ..site import EVENT_TOKENS, attempt_of, events_of
+from ..site import EVENT_TOKENS, attempt_of, events_of, registration
 from .proxy import LOOPBACK
 from .tally import Promise, Run, Tally
 
@@ -97,16 +97,8 @@
         self._drained_at = asyncio.get_running_loop().time()
 
     async def _register(self, state: str) -> None:
-        entry = {
-            "service": self._service,
-            "address": f"{LOOPBACK}:{self._stand_in.port}",
-            "zone": self._zone,
-            "version": "v1",
-            "slots": 8,
-            "coldRemainingMs": 0,
-            "sequence": 1,
-            "state": state,
-        }
+        address = f"{LOOPBACK}:{self._stand_in.port}"
+        entry = registration(self._service, address, zone=self._zone, state=state)
         value = json.dumps(entry).encode()
         await self._store.put("keyed.servers", self._instance, value)
 
