Say truly that a call has not run where the log left its claim or reservation in doubt

Cause: a record that the log takes late leaves its own fate in doubt; the caller was told that its request may have run, and a behaving caller gave up. Change: failures before dispatch say not run; what the log says is taken in also when the second record is refused.

--- a/sequoiaarch/errors.py
+++ b/sequoiaarch/errors.py
@@ -117,6 +117,15 @@
             return self.retry_after
         return self.answer.retry_after
 
+    def before_dispatch(self) -> Failure:
+        """Return this failure for a request that was not yet dispatched.
+
+        A record that the log may or may not have taken leaves its own fate in
+        doubt, not the request's: told that it may have run, callers gave up on
+        calls that they could have repeated.
+        """
+        return msgspec.structs.replace(self, not_run=NotRun.YES)
+
 
 class FailureError(Exception):
     """Carry a failure up to the place that answers the request."""
--- a/sequoiaarch/home/homes.py
+++ b/sequoiaarch/home/homes.py
@@ -204,7 +204,7 @@
         timeout = self._limits.submit_timeout
         reply = await self._shards.submit(record, timeout=timeout)
         if isinstance(reply, Failure):
-            raise FailureError(reply)
+            raise FailureError(reply.before_dispatch())
         if reply.verdict.refusal is Refusal.NO_SPAWN:
             raise fail(ErrorKind.NOT_FOUND, f"no parent spawned program {program}")
         if not reply.verdict.valid or reply.state is None:
--- a/sequoiaarch/home/program.py
+++ b/sequoiaarch/home/program.py
@@ -20,6 +20,8 @@
 ANSWERS_KEPT = 2
 REORDER_WAIT = 2.0
 BLOCK_CALLS = 2
+# A second record is needed where the first one only told what stands in the log.
+RESERVE_TRIES = 2
 
 
 @dataclass(kw_only=True, eq=False)
@@ -216,8 +218,9 @@
         ends; the reservation is in the log before any token is used.
         """
         async with self._reserving:
-            if self.remaining < wanted:
-                await self._open_block(wanted, timeout)
+            for _ in range(RESERVE_TRIES):
+                if self.remaining < wanted:
+                    await self._open_block(wanted, timeout)
             given = min(wanted, self.remaining)
             if given < least:
                 budget = self._state.spec.budget
@@ -243,12 +246,13 @@
         )
         reply = await self._shards.submit(record, timeout=timeout)
         if isinstance(reply, Failure):
-            raise FailureError(reply)
-        if reply.verdict.valid:
-            self.take_state(reply.state)
-        elif reply.state is None or reply.state.epoch != self.epoch:
+            raise FailureError(reply.before_dispatch())
+        if reply.state is None or reply.state.epoch != self.epoch:
             self.lose(superseded(self.id))
             raise FailureError(superseded(self.id))
+        # Also where this record is refused: an earlier one that was given up on
+        # may stand in the log under the same number, and its block counts.
+        self.take_state(reply.state)
 
     def give_back(self, given: int) -> None:
         """End a reservation; what was used stands in the commit."""
--- a/sequoiaarch/tests/faults/limits_tests.py
+++ b/sequoiaarch/tests/faults/limits_tests.py
@@ -105,6 +105,41 @@
         self.assertEqual((body["kind"], body["not_run"]), ("overloaded", True))
         self.assertTrue(first.result(60) and second.result(60))
 
+    def test_claim_in_doubt_is_not_run(self) -> None:
+        """Say "not run" of a call whose program could not be claimed in time.
+
+        The log takes the claim of a new program and answers after the home has
+        given up. Whether the claim counts is not known; that nothing was
+        dispatched is. The caller asks again and is answered, and the target
+        runs the call once.
+        """
+        system = self.start(engines=1, limits=self.limits())
+        talk = Conversation(client=system.client(), program="doubtful")
+        system.platform.faults.delay = 1.0
+        body = self.refused(lambda: talk.say("hello", patient=False))
+        self.assertEqual((body["kind"], body["not_run"]), ("log_unavailable", True))
+        system.platform.faults.delay = 0.0
+        self.assertTrue(talk.say("hello"))
+        self.assertEqual(system.engines[0].requests, 1)
+
+    def test_reservation_in_doubt_is_not_run(self) -> None:
+        """Say "not run" of a call whose tokens could not be reserved in time.
+
+        The second call of a program needs more than its block holds. The log
+        takes the reservation and answers after the home has given up; nothing
+        was dispatched. Asked again, the call runs once.
+        """
+        system = self.start(engines=1, limits=self.limits())
+        talk = Conversation(client=system.client(), program="reserving")
+        talk.say("hello")
+        system.platform.faults.delay = 1.0
+        long = "a long text " * 400
+        body = self.refused(lambda: talk.say(long, patient=False))
+        self.assertEqual((body["kind"], body["not_run"]), ("log_unavailable", True))
+        system.platform.faults.delay = 0.0
+        self.assertTrue(talk.say(long))
+        self.assertEqual(system.engines[0].requests, 2)
+
     def test_looping_program_ends(self) -> None:
         """Stop a program that loops."""
         system = self.start(program={"max_calls": 3})
