Keep a gateway alive whose settings change while it is being imported

Cause: until the loop's handler is set, SIGHUP ends the process; the first 0.3 s of each start are imports. Test first: a signal at the first large import ended the program with -1; now it goes on. Its lines were gone with the test's folder, so that this was the cause is likely and not shown; the test now prints what gateways said last, and how the process ended. The soak waits with the signal until the interpreter runs the product (its first 50 ms end by the signal whatever the product does).

--- a/sequoiaarch/tests/platform/settings_tests.py
+++ b/sequoiaarch/tests/platform/settings_tests.py
@@ -5,6 +5,8 @@
 import asyncio
 import os
 import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -65,6 +67,42 @@
                 self.read(text)
 
 
+# Sends the signal when the first large part of the program is imported, and runs
+# the program then, without settings.
+HANG_UP_DURING_START = """
+import os, runpy, signal, sys
+
+class HangUp:
+    def find_spec(self, name, path, target=None):
+        if name == "sequoiaarch.fleet.peers":
+            os.kill(os.getpid(), signal.SIGHUP)
+        return None
+
+sys.meta_path.insert(0, HangUp())
+runpy.run_module("sequoiaarch.platform", run_name="__main__")
+"""
+EXIT_INVALID = 2
+
+
+class StartTests(unittest.TestCase):
+    """Start the program as a process."""
+
+    def test_hang_up_while_starting(self) -> None:
+        """Go on where the settings change while the process is being started.
+
+        The platform sends SIGHUP while the interpreter still imports the
+        program. By default the signal ends the process, so that the gateway is
+        missing until somebody starts it again. Here it lives on and says that
+        it was given no settings.
+        """
+        command = [sys.executable, "-c", HANG_UP_DURING_START]
+        environment = {**os.environ, "SEQUOIAARCH_SETTINGS": "/nowhere"}
+        done = subprocess.run(
+            command, env=environment, capture_output=True, check=False
+        )
+        self.assertEqual(done.returncode, EXIT_INVALID, done.stderr)
+
+
 class SignalTests(SiteTestCase):
     """Send signals to a running daemon."""
 
--- a/sequoiaarch/tests/platform/site.py
+++ b/sequoiaarch/tests/platform/site.py
@@ -15,8 +15,8 @@
 from ...ids import DataCentre, HostName
 from ...ingress.daemon import IngressDaemon
 from ...ingress.options import IngressOptions, StoreOptions
-from ...platform.__main__ import SOURCES
 from ...platform.calls import PlatformCalls
+from ...platform.program import SOURCES
 from ...standins.keyed_store import KeyedStore, KeyedStoreClient
 from ...standins.target import (
     TargetExchange,
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -16,6 +16,7 @@
 MODULE = "sequoiaarch.platform"
 GRACE_SECONDS = 8
 START_SECONDS = 10.0
+HANG_UP_POLL = 0.01
 PARTITIONS = 12
 SETTINGS = """
 nodeName = "{name}"
@@ -141,6 +142,37 @@
             return False
         return b" 200 " in line
 
+    @property
+    def standing(self) -> str:
+        """Return whether the process runs, or how it ended."""
+        if self.running:
+            return "running"
+        code = None if self._process is None else self._process.returncode
+        return f"ended with {code}"
+
+    async def hang_up(self) -> None:
+        """Tell the process that its settings have changed.
+
+        In its first 50 ms the interpreter runs none of the product yet, and the
+        signal ends it whatever the product does.
+        """
+        while self.running and self._dies_of(signal.SIGHUP):
+            await asyncio.sleep(HANG_UP_POLL)
+        self.signal(signal.SIGHUP)
+
+    def _dies_of(self, number: signal.Signals) -> bool:
+        """Return whether the process neither ignores nor handles a signal."""
+        assert self._process is not None
+        try:
+            text = Path(f"/proc/{self._process.pid}/status").read_text()
+        except FileNotFoundError:
+            # It has ended, which `running` tells a moment later.
+            return True
+        lines = text.splitlines()
+        fields = dict(line.split(":\t", 1) for line in lines if ":\t" in line)
+        dealt_with = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+        return not dealt_with >> (number - 1) & 1
+
     def disturb(self) -> None:
         """Note a fault that may cut what is under way."""
         self.quiet_since = asyncio.get_running_loop().time()
