Put the claims of a lender into a part of their own

Claiming now keeps the claims and says which place they give; lenders lend. Tests unchanged but for where they find it.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -14,6 +14,7 @@
 from ..storage.keyed import KeyedLog
 from ..wire.links import Send
 from ..wire.messages import LendRequest, Reply, Request, SettleRequest
+from .claiming import Claiming
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
 from .delegates import DelegatedTurns, Delegates
 from .lenders import Lenders
@@ -46,7 +47,7 @@
         claims = Claims()
         standing = Standing()
         self.loans = LoanBook(split=split, carried=claims.carried)
-        self._lenders = Lenders(
+        self._claiming = Claiming(
             writer=writer,
             own=own,
             peers=peers,
@@ -55,6 +56,15 @@
             standing=standing,
             seen_from=self._seen_from,
         )
+        self._lenders = Lenders(
+            writer=writer,
+            own=own,
+            peers=peers,
+            book=self.loans,
+            claims=claims,
+            claiming=self._claiming,
+            standing=standing,
+        )
         local = LocalTurns(ledger=ledger, lender=self._lenders)
         self._server = TurnServer(local=local, ledger=ledger)
         self.turns = DelegatedTurns(
@@ -88,7 +98,7 @@
         return [
             *(one.follow() for one in self._followers),
             self._peers.register(self._log, self._writer),
-            self._lenders.run(self._log, retention),
+            self._claiming.run(self._log, retention),
         ]
 
     async def answer(self, request: Request, send: Send) -> Reply:
@@ -103,7 +113,7 @@
 
     async def leave(self) -> None:
         """Take back claims and registration."""
-        await self._lenders.stop(self._log)
+        await self._claiming.stop(self._log)
         await self._peers.unregister(self._log, self._writer)
 
     def _seen_from(self) -> float:
--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -10,7 +10,8 @@
 
 import zmq.asyncio
 
-from ...fleet import lenders as lenders_module
+from ...fleet import claiming as claiming_module
+from ...fleet.claiming import Claiming
 from ...fleet.claims import (
     LENDING_LEASE,
     TOPIC as CLAIMS_TOPIC,
@@ -61,10 +62,15 @@
     """Hold what one gateway has for turns and loans."""
 
     def __init__(
-        self, *, name: str, context: zmq.asyncio.Context, store: KeyedStore
+        self,
+        *,
+        name: str,
+        context: zmq.asyncio.Context,
+        store: KeyedStore,
+        writer: str = "",
     ) -> None:
         self.name = HostName(name)
-        self.writer = WriterId(f"writer-{name}")
+        self.writer = WriterId(writer or f"writer-{name}")
         self.client = store.client()
         self.server = PeerServer(
             context=context, address="127.0.0.1:*", caller=NoStore()
@@ -87,16 +93,26 @@
         self.book = LoanBook(split=PartLent(), carried=self.claims.carried)
         self.seen_from = 0.0
         self.now = 0.0
-        self.lenders = Lenders(
+        self.standing = Standing()
+        self.claiming = Claiming(
             writer=self.writer,
             own=self.name,
             peers=self.peers,
             book=self.book,
             claims=self.claims,
-            standing=Standing(),
+            standing=self.standing,
             seen_from=lambda: self.seen_from,
             clock=lambda: self.now,
         )
+        self.lenders = Lenders(
+            writer=self.writer,
+            own=self.name,
+            peers=self.peers,
+            book=self.book,
+            claims=self.claims,
+            claiming=self.claiming,
+            standing=self.standing,
+        )
         self.turns = LocalTurns(ledger=self.ledger, lender=self.lenders)
         self.server.others = self.answer
 
@@ -122,7 +138,7 @@
         ]
         parts = [one.follow() for one in followers]
         parts.append(self.peers.register(self.client, self.writer))
-        parts.append(self.lenders.run(self.client, lambda: RETENTION))
+        parts.append(self.claiming.run(self.client, lambda: RETENTION))
         parts.append(self.server.run())
         return [asyncio.create_task(part) for part in parts]
 
@@ -141,7 +157,7 @@
     async def asyncSetUp(self) -> None:
         """Start three processes, one of which lends to the program."""
         for name, value in (("FIRST_CLAIM", 0.3), ("CLAIM_INTERVAL", 0.1)):
-            patch = mock.patch.object(lenders_module, name, value)
+            patch = mock.patch.object(claiming_module, name, value)
             patch.start()
             self.addCleanup(patch.stop)
         self.store = KeyedStore()
@@ -340,8 +356,8 @@
         left = [one for one in self.processes if one is not self.lender]
         for process in left:
             for _ in range(GONE_FAILURES):
-                process.lenders._standing._until.clear()
-                process.lenders._standing.failed(self.lender.name, "no reply")
+                process.standing._until.clear()
+                process.standing.failed(self.lender.name, "no reply")
         await self.until(lambda: any(one.place == 1 for one in left))
         await self.until(lambda: len(self.other.claims.of(slot_of(PROGRAM))) == 2)
         self.take_store_away()
@@ -356,13 +372,13 @@
         lend the same tokens to a program that comes back.
         """
         clock = mock.Mock(return_value=0.0)
-        self.other.lenders._retirement = Retirement(clock=clock)
+        self.other.claiming.retirement = Retirement(clock=clock)
         for _ in range(GONE_FAILURES):
-            self.other.lenders._standing._until.clear()
-            self.other.lenders._standing.failed(self.lender.name, "no reply")
-        self.assertEqual(self.other.lenders._to_retire(RETENTION), [])
+            self.other.standing._until.clear()
+            self.other.standing.failed(self.lender.name, "no reply")
+        self.assertEqual(self.other.claiming.to_retire(RETENTION), [])
         clock.return_value = 100 * LENDING_LEASE
-        self.assertEqual(self.other.lenders._to_retire(RETENTION), [])
+        self.assertEqual(self.other.claiming.to_retire(RETENTION), [])
 
     async def test_process_that_follows_lends_the_next_part(self) -> None:
         """Give a process that was started again a part of its own.
@@ -381,15 +397,18 @@
         self.end(name)
         for process in self.processes:
             process.client.faults.down = False
-        fresh = Process(name=name, context=self.context, store=self.store)
-        fresh.writer = WriterId(f"second-{name}")
-        fresh.lenders._writer = fresh.writer
+        fresh = Process(
+            name=name,
+            context=self.context,
+            store=self.store,
+            writer=f"second-{name}",
+        )
         self.processes.append(fresh)
         self.tasks[name] = fresh.parts()
         self.closing.append(fresh.server.close)
         await self.until(lambda: fresh.place is not None)
         self.assertEqual(fresh.place, 1)
-        await self.until(lambda: self.other.lenders._host(fresh.writer) is not None)
+        await self.until(lambda: self.other.claiming.host(fresh.writer) is not None)
         self.take_store_away()
         turn = await self.lent(self.other, "turn-last", most=90)
         handed += turn.covered or 0
@@ -409,7 +428,7 @@
         await self.until(lambda: not self._owes())
         for process in self.processes:
             process.client.faults.down = False
-        await self.lender.lenders.stop(self.lender.client)
+        await self.lender.claiming.stop(self.lender.client)
         await self.lender.peers.unregister(self.lender.client, self.lender.writer)
         left = [one for one in self.processes if one is not self.lender]
         await self.until(lambda: any(one.place == 0 for one in left))
--- a/sequoiaarch/tests/platform/outage_tests.py
+++ b/sequoiaarch/tests/platform/outage_tests.py
@@ -8,7 +8,7 @@
 
 import zmq.asyncio
 
-from ...fleet import lenders
+from ...fleet import claiming
 from ...fleet.peers import Peers
 from ...ids import DataCentre, HostName
 from ...ingress.daemon import IngressDaemon
@@ -44,7 +44,7 @@
         """Start the gateway and wait for its claim."""
         await super().asyncSetUp()
         for name in ("FIRST_CLAIM", "CLAIM_INTERVAL"):
-            patch = mock.patch.object(lenders, name, 0.05)
+            patch = mock.patch.object(claiming, name, 0.05)
             patch.start()
             self.addCleanup(patch.stop)
         self.context = zmq.asyncio.Context()
