Answer an unnumbered repeat from the log where its home was lost

Cause: a client without sequence numbers (the stock one) repeats a request whose answer it did not get; its home remembers the request, the next home does not, and refused it as a conflict with the history, which already held that turn, for good. The test brings it about in order and was red first. Change: a home that did not run the last call itself reads its commit and compares the request.

--- a/sequoiaarch/home/finder.py
+++ b/sequoiaarch/home/finder.py
@@ -31,9 +31,10 @@
             if call is not None:
                 return call
         if request.seq is None:
-            if request.kind is CallKind.MODEL:
-                return running.repeat_of(fingerprint)
-            return None
+            if request.kind is not CallKind.MODEL:
+                return None
+            repeated = running.repeat_of(fingerprint)
+            return repeated or await self._repeat_in_log(running, fingerprint)
         call = running.known_call(request.seq)
         if call is None and request.seq <= running.seq:
             call = await self._find_in_log(running, request.seq)
@@ -87,6 +88,24 @@
             )
         return call_of(commit)
 
+    async def _repeat_in_log(
+        self, running: RunningProgram, fingerprint: str
+    ) -> ActiveCall | None:
+        """Return the last call of an earlier home where it had the same request.
+
+        Clients without sequence numbers repeat a request whose answer they did
+        not get. A home that was claimed since can't know it from memory, and
+        its history already holds the turn that the request asks for.
+        """
+        if not running.seq or running.known_call(running.seq) is not None:
+            return None
+        commit = await self._parts.homes.answered(running, running.seq)
+        if isinstance(commit, Failure):
+            raise FailureError(commit)
+        if commit is None or commit.request != fingerprint:
+            return None
+        return call_of(commit)
+
     async def call_of_ended(
         self, request: CallRequest, failure: Failure
     ) -> ActiveCall | None:
--- a/sequoiaarch/tests/faults/recovery_tests.py
+++ b/sequoiaarch/tests/faults/recovery_tests.py
@@ -38,3 +38,24 @@
         router = system.nodes["gateway-1"].gateway
         assert router is not None
         wait_until(lambda: router.held_copies == 0, "the copy is dropped")
+
+    def test_unnumbered_repeat_after_the_home_is_lost(self) -> None:
+        """Answer a repeat without a number from the log, as its home would have.
+
+        A stock client sends no sequence numbers. Its answer is kept, but its
+        connection breaks; its home dies, and the client repeats the request.
+        The next home has never seen it, and refused it as a conflict with the
+        history, which already held this very turn, until the client gave up.
+        """
+        system = SystemUnderTest(engines=2).start()
+        self.addCleanup(system.stop)
+        first = Conversation(client=system.client(), program="unnumbered")
+        answer = first.say("hello")
+        wait_until(lambda: system.state("unnumbered").seq == 1, "the commit")
+        system.kill(system.home_of("unnumbered"))
+        requests = sum(engine.requests for engine in system.engines)
+        again = Conversation(client=system.client(), program="unnumbered")
+        self.assertEqual(again.say("hello"), answer)
+        self.assertEqual(sum(one.requests for one in system.engines), requests)
+        self.assertTrue(again.say("go on"))
+        wait_until(lambda: system.state("unnumbered").seq == 2, "the next commit")
