--- a/sequoiaarch/tests/shards/keeper_tests.py
+++ b/sequoiaarch/tests/shards/keeper_tests.py
@@ -10,7 +10,7 @@
 
 from ...config.settings import LimitOptions
 from ...errors import Failure
-from ...ids import Epoch, Offset, ProgramId, RecordId, TargetName
+from ...ids import Epoch, Offset, ProgramId, RecordId, TargetName, Workspace
 from ...observe.metrics import Metrics
 from ...records.codec import encode_record
 from ...records.types import Claim, ProgramSpec
