--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -142,6 +142,7 @@
             turns = self._fleet.turns
         handler = RequestHandler(
             dispatcher=self.dispatcher,
+            ledger=self.ledger,
             turns=turns,
             metrics=self._metrics,
             events=events,
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -9,6 +9,7 @@
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
 from ..policies.retries import RetryBudget, RetryPolicy
+from ..policies.starts import BoundedWait, Start, StartPolicy
 from ..policies.urgency import ProgramStanding, Urgency, WorthUrgency
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
@@ -45,6 +46,7 @@
         self._memory = memory
         self._plain = plain
         self._urgency: Urgency = WorthUrgency()
+        self._starts: StartPolicy = BoundedWait(rng=rng)
         self._rng = rng
 
     def choose(
@@ -65,6 +67,14 @@
         chosen = next(entry for entry in entries if entry.incarnation == instance)
         return chosen, reason
 
+    def refuse_start(self, route: Route) -> float | None:
+        """Return when a new program should come back; None to let it start."""
+        service = self._service(route)
+        waits = [self.load.wait(one.incarnation) for one in self._targets.of(service)]
+        if not waits:
+            return None
+        return self._starts.refuse(Start(wait=min(waits)))
+
     def sent(self, entry: TargetEntry, info: CallInfo, request: object) -> None:
         """Note that an engine reads a request's prompt and owes its first event."""
         shape = _shape(info)
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -9,6 +9,7 @@
 from ..http1.messages import LinkError, LinkFault, RequestMessage, ResponseHead
 from ..http1.server import Reply
 from ..ids import TurnId
+from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, Lookup, TurnStart, TurnTerms
 from ..ledger.turns import OpenTurn, TurnRefusal, Turns
 from ..observe.request_metrics import RequestMetrics
@@ -45,6 +46,7 @@
         reply: Reply,
         deadline: float,
         dispatcher: Dispatcher,
+        ledger: Ledger,
         turns: Turns,
         metrics: RequestMetrics,
     ) -> None:
@@ -55,6 +57,7 @@
         self._route = route
         self._reply = reply
         self._dispatcher = dispatcher
+        self._ledger = ledger
         self._turns = turns
         self._deadline = deadline
         self._attempts = Attempts(
@@ -83,6 +86,7 @@
 
     async def _turn(self, budget: int) -> None:
         """Run a turn of a program inside its budget."""
+        await self._check_start()
         turn = await self._open_turn(budget)
         self.trail.append(f"spent {turn.spent} of {budget} tokens, kept {turn.where}")
         self._attempts.spent = turn.spent / max(1, budget)
@@ -115,6 +119,18 @@
             raise _turn_failure(opened, info.previous)
         return opened
 
+    async def _check_start(self) -> None:
+        """Refuse the first request of a program while engines are full."""
+        info = self._info
+        if info.previous is not None:
+            return
+        retry_after = self._dispatcher.refuse_start(self._route)
+        if retry_after is None or await self._ledger.knows_program(info.program):
+            return
+        raise fail(
+            ErrorKind.OVERLOADED, "all engines are full", retry_after=retry_after
+        )
+
     async def _plain(self) -> None:
         """Pass on an answer once it is whole."""
         self._dispatcher.retries.began()
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -12,6 +12,7 @@
 from ..http1.messages import RequestMessage
 from ..http1.server import ClientGone, Reply
 from ..ids import AttemptId
+from ..ledger.ledger import Ledger
 from ..ledger.turns import Turns
 from ..observe.events import EventLog
 from ..observe.request_metrics import RequestMetrics
@@ -49,11 +50,13 @@
         self,
         *,
         dispatcher: Dispatcher,
+        ledger: Ledger,
         turns: Turns,
         metrics: RequestMetrics,
         events: EventLog | None = None,
     ) -> None:
         self._dispatcher = dispatcher
+        self._ledger = ledger
         self._turns = turns
         self._metrics = metrics
         self._events = events
@@ -102,6 +105,7 @@
             reply=reply,
             deadline=deadline,
             dispatcher=self._dispatcher,
+            ledger=self._ledger,
             turns=self._turns,
             metrics=self._metrics,
         )
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -140,6 +140,10 @@
         self._split = split or WholeInLog()
         self._accounts: dict[ProgramId, _Account] = {}
 
+    def knows(self, program: ProgramId) -> bool:
+        """Return whether turns of a program were admitted here."""
+        return program in self._accounts
+
     def granted(self, program: ProgramId) -> int | None:
         """Return what this process was granted; None for an unknown program."""
         account = self._accounts.get(program)
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -66,6 +66,15 @@
         """Return how many turns are held in memory."""
         return sum(one.state.turns for one in self._partitions.values())
 
+    async def knows_program(self, program: ProgramId) -> bool:
+        """Return whether a program has begun; True where that can't be told."""
+        if self._budgets.knows(program):
+            return True
+        partition = self.partition(program)
+        if partition.state.knows_program(program) or not await partition.sync():
+            return True
+        return partition.state.knows_program(program)
+
     async def history(self, program: ProgramId, turn: TurnId) -> History | Lookup:
         """Return the prompt up to a turn.
 
--- a/sequoiaarch/ledger/state.py
+++ b/sequoiaarch/ledger/state.py
@@ -143,6 +143,10 @@
             if name != self._writer
         )
 
+    def knows_program(self, program: ProgramId) -> bool:
+        """Return whether a program has any record."""
+        return program in self._programs
+
     def knows(self, turn: TurnId) -> bool:
         """Return whether a turn is known."""
         return turn in self._turns
--- a/sequoiaarch/tests/policies/worst_load_tests.py
+++ b/sequoiaarch/tests/policies/worst_load_tests.py
@@ -16,6 +16,14 @@
     PrefixPlacement,
     PromptShape,
 )
+from ...policies.starts import (
+    RETURN_LATEST,
+    RETURN_SOONEST,
+    WAIT_LIMIT,
+    BoundedWait,
+    OpenStarts,
+    Start,
+)
 from ...policies.urgency import ProgramStanding, RankUrgency, WorthUrgency
 
 PROCESSES = 8
@@ -250,3 +258,21 @@
         ranks = [ProgramStanding(rank=rank, left=1.0) for rank in (0, 1)]
         self.assertEqual(len({WorthUrgency().of(one) for one in ranks}), 1)
         self.assertEqual(len({RankUrgency().of(one) for one in ranks}), 2)
+
+
+class StartTests(unittest.TestCase):
+    """Test which programs may begin."""
+
+    def test_refuses_when_all_wait(self) -> None:
+        """Send new programs back, at different times, while engines are full."""
+        policy = BoundedWait(rng=random.Random(3))
+        returns = {policy.refuse(Start(wait=2 * WAIT_LIMIT)) for _ in range(50)}
+        self.assertGreater(len(returns), 40)
+        for wait in returns:
+            assert wait is not None
+            self.assertTrue(RETURN_SOONEST <= wait <= RETURN_LATEST)
+
+    def test_starts_while_there_is_room(self) -> None:
+        """Refuse nothing while an engine has room."""
+        for policy in (BoundedWait(rng=random.Random(3)), OpenStarts()):
+            self.assertIsNone(policy.refuse(Start(wait=WAIT_LIMIT / 2)))
