--- a/sequoiaarch/fleet/claiming.py
+++ b/sequoiaarch/fleet/claiming.py
@@ -92,7 +92,8 @@
         while True:
             self._book.forget_old()
             slots = self._to_claim()
-            if slots and await self._append(keyed_log, slots):
+            if slots:
+                await self._append(keyed_log, slots)
                 log.info("lends to the programs of {} slots", len(slots))
             for key in self.to_retire(retention()):
                 await self._remove(keyed_log, key)
@@ -157,26 +158,26 @@
         host = self.host(writer)
         return host is not None and not self._standing.gone(host)
 
-    async def _append(self, keyed_log: KeyedLog, slots: list[int]) -> bool:
+    async def _append(self, keyed_log: KeyedLog, slots: list[int]) -> None:
         number = next(self._appends)
         claim = ClaimRecord(writer=self._writer, slots=tuple(slots))
         key = f"{self._writer}/{number}"
         value = msgspec.json.encode(claim)
         record = KeyedRecord(key=key, value=value)
-        return await self._write(keyed_log, number, [record])
+        await self._write(keyed_log, number, [record])
 
     async def _remove(self, keyed_log: KeyedLog, key: str) -> None:
         number = next(self._appends)
-        if await self._write(keyed_log, number, [KeyedRecord(key=key, value=b"")]):
-            log.info("claim {} was removed, its process is long gone", key)
+        await self._write(keyed_log, number, [KeyedRecord(key=key, value=b"")])
+        log.info("claim {} was removed, its process is long gone", key)
 
     async def _write(
         self, keyed_log: KeyedLog, number: int, records: list[KeyedRecord]
-    ) -> bool:
-        """Write records; the same ones are tried again until that is known."""
+    ) -> None:
+        """Write records; the same ones are tried again until the store has them."""
         writer = Writer(name=f"lender-{self._writer}", epoch=1, sequence=number)
         while True:
             done = await keyed_log.append(PARTITION, records, writer=writer)
             if not isinstance(done, Failure):
-                return True
+                return
             await asyncio.sleep(RETRY_SECONDS)
