Let the log of a test forget no faster than keepers look at it

Cause: the test's log keeps 60 records and forgets by their count; a keeper looks at its shards once a second. A platform forgets by time, of which a second is a small part. The test waits after each filler until the program was appended again, and fails if that does not happen: what it demands of keepers is unchanged.

--- a/sequoiaarch/tests/shards/retention_tests.py
+++ b/sequoiaarch/tests/shards/retention_tests.py
@@ -45,6 +45,16 @@
                 client=self.system.client(), program=f"filler-{count}"
             )
             filler.say("filler")
+            # The log forgets by the count here, and by the time on a platform:
+            # a fast machine wrote all that is kept between two rounds of a keeper.
+            wait_until(self.renewed, "the program is appended again in time")
+
+    def renewed(self) -> bool:
+        """Return whether all records of the program are among the newest half."""
+        state = self.system.state(PROGRAM)
+        views = [self.system.view(shard) for shard in range(SHARDS)]
+        view = next(one for one in views if one.state(state.program) is not None)
+        return min([state.base, *state.entries]) > view.next_offset - KEPT // 2
 
     def test_conversation_goes_on_after_a_long_pause(self) -> None:
         """Go on where the log holds no record of the time before the pause.
