Say not run, and read an earlier call's commit, in one way each

The calls of services built by hand the failure that Failure.before_dispatch now gives; two lookups of calls in the log began with the same steps. Behaviour is unchanged; lint, types and the tests of limits, recovery and the gateway's interface pass.

--- a/sequoiaarch/home/finder.py
+++ b/sequoiaarch/home/finder.py
@@ -76,9 +76,7 @@
         return None
 
     async def _find_in_log(self, running: RunningProgram, seq: Seq) -> ActiveCall:
-        commit = await self._parts.homes.answered(running, seq)
-        if isinstance(commit, Failure):
-            raise FailureError(commit)
+        commit = await self._commit_of(running, seq)
         if commit is None:
             raise fail(
                 ErrorKind.OUT_OF_SEQUENCE,
@@ -99,13 +97,18 @@
         """
         if not running.seq or running.known_call(running.seq) is not None:
             return None
-        commit = await self._parts.homes.answered(running, running.seq)
-        if isinstance(commit, Failure):
-            raise FailureError(commit)
+        commit = await self._commit_of(running, running.seq)
         if commit is None or commit.request != fingerprint:
             return None
         return call_of(commit)
 
+    async def _commit_of(self, running: RunningProgram, seq: Seq) -> Commit | None:
+        """Return the commit of an earlier call, if the log still keeps it."""
+        commit = await self._parts.homes.answered(running, seq)
+        if isinstance(commit, Failure):
+            raise FailureError(commit)
+        return commit
+
     async def call_of_ended(
         self, request: CallRequest, failure: Failure
     ) -> ActiveCall | None:
--- a/sequoiaarch/home/service_calls.py
+++ b/sequoiaarch/home/service_calls.py
@@ -124,14 +124,14 @@
         if isinstance(reply, Failure):
             # Whatever becomes of the record, nothing was dispatched.
             running.abandoned.add(request.key)
-            raise fail(reply.kind, reply.reason, not_run=NotRun.YES)
+            raise FailureError(reply.before_dispatch())
         if reply.verdict.refusal is Refusal.KEY_USED:
             running.take_state(reply.state)
             return unknown
         if not reply.verdict.valid:
             failure = superseded(running.id)
             running.lose(failure)
-            raise fail(failure.kind, failure.reason, not_run=NotRun.YES)
+            raise FailureError(failure.before_dispatch())
         running.take_state(reply.state)
         return IntentState(
             epoch=record.epoch,
