Hold a part of a turn where little of its budget is left, and raise it in its stream

Cause: a turn held all that it may generate until its end, four times what turns do on average, and what a lost process held counts as spent.

Ruled out: a grant that names its turn, a reserve for the turn after a kept one, holding the caller's hint (docs/design/budget.md, each with its holes).

Change: in budgets of fewer than four turns, and beyond half of larger ones, a third of a turn's most is granted, and more beside its stream one event before it is needed; a delegate is asked for it in the same way. `wanted` in a grant says what open turns may come to; others leave it free for two seconds, so that no turn begins that would be cut. It bounds nothing that is handed out: the log judges `tokens` alone, as before. While the store is away a lender covers the rest, or the stream waits for as long as callers bear. A delegate that is lost midway is replaced by the gateway, as at a turn's beginning.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import logbook
+import msgspec
 
 from ..ids import HostName, Offset, ProgramId
 from ..ledger.ledger import Ledger
@@ -186,8 +187,8 @@
         """Return which process keeps the account, for the log."""
         if self._own is not None:
             return f"{self._own.where} after all"
-        lent = "" if self._covered is None else f", {self._covered} lent"
-        return f"at {self._host}{lent}"
+        part = "" if self._covered is None else f", {self._covered} held"
+        return f"at {self._host}{part}"
 
     async def verdict(self) -> BudgetVerdict:
         """Wait until it is known whether the turn is granted."""
@@ -215,19 +216,50 @@
         """Write the program of the turn beside its run."""
         self._announced = self._turns.ledger.announce(self._start.terms)
 
+    def covers(self, tokens: int) -> bool:
+        """Return whether so many more tokens may go to the caller unasked."""
+        if self._own is not None:
+            return self._own.covers(tokens)
+        return self._covered is None or self._handed + tokens <= self._covered
+
     async def cover(self, tokens: int) -> bool:
-        """Return whether so many more tokens may go to the caller."""
+        """Ask for so many more tokens; return whether they may go to the caller."""
         if self._own is not None:
             return await self._own.cover(tokens)
-        total = self._handed + tokens
-        if self._covered is None or total <= self._covered:
+        if self.covers(tokens):
             return True
-        request = CoverTurnRequest(turn=self._start.terms.turn, total=total)
+        request = CoverTurnRequest(
+            turn=self._start.terms.turn,
+            total=self._handed + tokens,
+            handed=self._handed,
+        )
         reply = await _ask(self._link, request)
-        if not isinstance(reply, TurnCovered):
+        if isinstance(reply, TurnCovered):
+            self._covered = reply.covered
+            return True
+        if isinstance(reply, TurnRefused):
             return False
-        self._covered = reply.covered
-        return True
+        self._turns.lost(self._host, reply)
+        return await self._go_on_here() and await self._own_covers(tokens)
+
+    async def _go_on_here(self) -> bool:
+        """Reserve the rest of the turn here, as its delegate was lost midway.
+
+        If it only was slow it hears what was handed out under its grant.
+        """
+        terms = self._start.terms
+        rest = msgspec.structs.replace(terms, most=max(1, terms.most - self._handed))
+        start = msgspec.structs.replace(self._start, terms=rest)
+        taken = await self._turns.take_over(start)
+        if isinstance(taken, BudgetVerdict):
+            return False
+        self._own = taken
+        request = CloseTurnRequest(turn=terms.turn, handed=self._handed)
+        self._turns.tell_end(self._link, request)
+        return await taken.verdict() is BudgetVerdict.FITS
+
+    async def _own_covers(self, tokens: int) -> bool:
+        return self._own is not None and await self._own.cover(tokens)
 
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -46,6 +46,11 @@
         self._handed = 0
         self._closed = False
 
+    @property
+    def by_log(self) -> bool:
+        """Return False: a lender covers it."""
+        return False
+
     @property
     def granted(self) -> bool:
         """Return True: a loan needs no further verdict."""
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -116,6 +116,7 @@
         opened = self._open.get(request.turn)
         if opened is None:
             return failed("the turn is not open here")
+        opened.hand_out_total(request.handed)
         if not await opened.cover_total(request.total):
             return TurnRefused(verdict=BudgetVerdict.EXCEEDED)
         return TurnCovered(covered=opened.covered)
@@ -126,7 +127,7 @@
             # This process took the place of the one that opened it.
             await self._ledger.write(request.terms, request.content)
             return
-        opened.hand_out(request.handed)
+        opened.hand_out_total(request.handed)
         await opened.commit_for(request.content)
 
     def _close(self, turn: TurnId, handed: int) -> None:
@@ -134,14 +135,15 @@
             self._opening[turn] = False
         opened = self._open.pop(turn, None)
         if opened is not None:
-            opened.hand_out(handed)
+            opened.hand_out_total(handed)
             opened.close()
 
     def _expire(self, turn: TurnId, most: int) -> None:
-        """Count a turn at its most whose gateway never told its end."""
-        if turn in self._open:
+        """Count all that a turn was covered for whose gateway never told its end."""
+        opened = self._open.get(turn)
+        if opened is not None:
             log.info("turn {} was never ended by its gateway", turn)
-            self._close(turn, most)
+            self._close(turn, most if opened.covered is None else opened.covered)
 
 
 def failed(reason: str) -> Failed:
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -93,10 +93,11 @@
         if turn.history is not None:
             self._attempts.body = turn.history.prompt + self._message.body
             self.trail.append(f"history of {len(turn.history.prompt)} bytes")
+        output = _TurnOutput(turn=turn)
         try:
-            await self._stream(_TurnOutput(turn=turn))
+            await self._stream(output)
         finally:
-            turn.close()
+            output.close()
 
     async def _open_turn(self, budget: int) -> OpenTurn:
         """Reserve the turn and find what it continues, or say why not."""
@@ -239,10 +240,9 @@
             if not self._reply.started:
                 await self._confirm(output)
             tokens = self._dispatcher.event_tokens(running.target.service)
-            if not await output.turn.cover(tokens):
-                self.trail.append("budget: the loan is used up")
+            if not await output.hand_out(tokens):
+                self.trail.append("budget: what the turn holds is used up")
                 raise fail(ErrorKind.INTERRUPTED, "the budget is used up")
-            output.turn.hand_out(tokens)
             output.produced.append(event_data(event) + b"\n")
         if not self._reply.started:
             await self._start(running)
@@ -272,11 +272,33 @@
 
 
 class _TurnOutput:
-    """Collect what a turn hands out."""
+    """Collect what a turn hands out, and have its tokens covered before that."""
 
     def __init__(self, *, turn: OpenTurn) -> None:
         self.turn = turn
         self.produced: list[bytes] = []
+        self._asking: asyncio.Task[bool] | None = None
+
+    async def hand_out(self, tokens: int) -> bool:
+        """Count tokens that go to the caller; False if they are not covered.
+
+        More is asked for beside the stream, one event before it is needed, so
+        that no event waits for the log.
+        """
+        asked, self._asking = self._asking, None
+        covered = await asked if asked is not None else await self.turn.cover(tokens)
+        if not covered:
+            return False
+        self.turn.hand_out(tokens)
+        if not self.turn.covers(tokens):
+            self._asking = asyncio.create_task(self.turn.cover(tokens))
+        return True
+
+    def close(self) -> None:
+        """Return what the turn did not use."""
+        if self._asking is not None:
+            self._asking.cancel()
+        self.turn.close()
 
 
 def _turn_failure(refusal: TurnRefusal, previous: TurnId | None) -> FailureError:
--- /dev/null
+++ b/sequoiaarch/ledger/account.py
@@ -0,0 +1,92 @@
+"""Account for what one process may hand out of one program's budget."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ..ids import TurnId
+from .partition import LedgerPartition
+from .terms import TurnTerms
+
+
+@dataclass(kw_only=True)
+class OpenPart:
+    """Hold what an open turn may still hand out, in tokens.
+
+    `left` is the most that it may come to, `held` the part that the log was
+    asked to grant so far.
+    """
+
+    left: int
+    held: int
+
+    @property
+    def whole(self) -> bool:
+        """Return whether all that the turn may need is held."""
+        return self.held >= self.left
+
+
+class Account:
+    """Hold what this process may hand out, and did, for one program.
+
+    `granted` is what the log granted, `told` what other processes were told
+    that open turns may come to, `room` what others left free where the newest
+    grant stands in the log; None where that is not known.
+    """
+
+    def __init__(self, *, terms: TurnTerms, partition: LedgerPartition) -> None:
+        self.program = terms.program
+        self.partition = partition
+        self.budget = terms.budget
+        self.limit = 0
+        self.retention = terms.retention
+        self.most = terms.most
+        self.granted = 0
+        self.told = 0
+        self.room: int | None = None
+        self.handed = 0
+        self.open: OrderedDict[TurnId, OpenPart] = OrderedDict()
+        self.raising: asyncio.Task[bool] | None = None
+        self.touched = 0.0
+
+    @property
+    def needed(self) -> int:
+        """Return what was handed out and what is held for open turns."""
+        return self.handed + sum(part.held for part in self.open.values())
+
+    @property
+    def wanted(self) -> int:
+        """Return what was handed out and the most that open turns may need."""
+        return self.handed + sum(part.left for part in self.open.values())
+
+    @property
+    def settled(self) -> bool:
+        """Return whether the log grants what is held, and others know the rest."""
+        return self.needed <= self.granted and self.wanted <= max(
+            self.granted, self.told
+        )
+
+    @property
+    def excess(self) -> bool:
+        """Return whether the log grants, or others leave free, more than is needed."""
+        return self.granted > self.needed or self.told > self.wanted
+
+    def covers(self, turn: TurnId) -> bool:
+        """Return whether the grant covers what a turn holds and all before it."""
+        needed = self.handed
+        for name, part in self.open.items():
+            needed += part.held
+            if name == turn:
+                break
+        return needed <= self.granted
+
+    def has_room(self, turn: TurnId) -> bool:
+        """Return whether a turn can come to its most, and all before it too."""
+        wanted = self.handed
+        for name, part in self.open.items():
+            wanted += part.left
+            if name == turn:
+                break
+        return wanted <= self.granted or self.room is None or wanted <= self.room
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
+import math
 
 import logbook
 
-from ..ids import Offset, ProgramId, TurnId, WriterId
+from ..ids import Offset, ProgramId, WriterId
 from ..storage.keyed import KeyedRecord
+from .account import Account, OpenPart
 from .partition import LedgerPartition
 from .records import GrantRecord, encode_record, grant_key
 from .split import BudgetSplit, WholeInLog
@@ -29,6 +30,10 @@
 # above it, before the request is sent, so that a refusal stays true. Above it
 # nothing is held ahead either: another process may need the rest.
 CHECKED_LATER_SHARE = 0.5
+# Of a turn that begins where little is left of a budget so much of its most is
+# held, and again so much each time that this is nearly used up. Turns generate a
+# quarter of their most on average, so that most of them need no second call.
+HELD_PART = 1 / 3
 # A program that has been still for this long here returns what it doesn't use;
 # the pauses between its turns are shorter. Seconds.
 RETURN_AFTER = 0.8
@@ -41,88 +46,79 @@
 AWAY_CHECK = 0.1
 
 
-class _Account:
-    """Hold what this process may hand out, and did, for one program."""
-
-    def __init__(self, *, terms: TurnTerms, partition: LedgerPartition) -> None:
-        self.program = terms.program
-        self.partition = partition
-        self.budget = terms.budget
-        self.limit = 0
-        self.retention = terms.retention
-        self.most = terms.most
-        self.granted = 0
-        self.handed = 0
-        self.open: OrderedDict[TurnId, int] = OrderedDict()
-        self.raising: asyncio.Task[bool] | None = None
-        self.touched = 0.0
-
-    @property
-    def needed(self) -> int:
-        """Return what was handed out and what open turns may still need."""
-        return self.handed + sum(self.open.values())
-
-    def covers(self, turn: TurnId) -> bool:
-        """Return whether the grant covers a turn and all before it."""
-        needed = self.handed
-        for name, left in self.open.items():
-            needed += left
-            if name == turn:
-                break
-        return needed <= self.granted
-
-
 class Reservation:
-    """Hold the part of a budget that one turn may use."""
+    """Hold the part of a budget that one turn may use.
+
+    Where much of the budget is left the whole turn is granted at once. Else a
+    part of it is, and more while the turn runs: turns generate a quarter of
+    their most on average, and what a lost process held counts as spent. After a
+    power loss a program whose budget held two turns was refused for good with
+    less than one of them handed out.
+    """
 
     def __init__(
         self,
         *,
         terms: TurnTerms,
-        account: _Account,
+        account: Account,
         budgets: Budgets,
     ) -> None:
         self.terms = terms
         self._budgets = budgets
         self._account = account
+        self._handed = 0
 
     @property
     def granted(self) -> bool:
-        """Return whether the grant is known to cover the turn."""
+        """Return whether the grant is known to cover what the turn holds."""
         return self._account.covers(self.terms.turn)
 
+    @property
+    def by_log(self) -> bool:
+        """Return True: the log grants it."""
+        return True
+
     async def verdict(self) -> BudgetVerdict:
-        """Wait until it is known whether the turn is granted.
+        """Wait until it is known whether the turn may begin.
 
-        While the store is away the answer could come after the caller has
-        left, so it is given as unknown.
+        Others may have begun turns at the same moment that leave no room for
+        the rest of this one; it would be cut midway.
         """
-        account = self._account
-        while not account.covers(self.terms.turn):
-            raising = account.raising
-            if raising is None:
-                return BudgetVerdict.EXCEEDED
-            await asyncio.wait([raising], timeout=AWAY_CHECK)
-            unknown = raising.done() and not raising.result()
-            if unknown or account.partition.stuck:
-                return BudgetVerdict.UNCERTAIN
-        return BudgetVerdict.FITS
+        verdict = await self._granted_verdict()
+        fits = verdict is BudgetVerdict.FITS
+        if fits and not self._account.has_room(self.terms.turn):
+            return BudgetVerdict.EXCEEDED
+        return verdict
 
     @property
     def covered(self) -> int | None:
-        """Return None: a grant covers the turn as a whole."""
-        return None
+        """Return the tokens that may be handed out unasked; None for all."""
+        part = self._account.open.get(self.terms.turn)
+        if part is None or part.whole:
+            return None
+        return self._handed + part.held
 
     async def cover(self, total: int) -> bool:
-        """Return that the turn may hand out so many tokens in all."""
-        return True
+        """Return whether the turn may hand out so many tokens in all."""
+        part = self._account.open.get(self.terms.turn)
+        if part is None:
+            return False
+        short = total - self._handed - part.held
+        if short > 0 and not part.whole:
+            step = max(short, first_part(self.terms.most))
+            part.held = max(min(part.held + step, part.left), part.held + short)
+            self._budgets.raise_grant(self._account)
+        return await self._granted_verdict() is BudgetVerdict.FITS
 
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
         account = self._account
-        left = account.open.get(self.terms.turn, 0)
+        self._handed += tokens
         account.handed += tokens
-        account.open[self.terms.turn] = max(0, left - tokens)
+        part = account.open.get(self.terms.turn)
+        if part is not None:
+            part.left = max(0, part.left - tokens)
+            part.held = max(0, part.held - tokens)
 
     def close(self) -> None:
         """Return what the turn did not use; a second time does nothing."""
@@ -131,6 +127,28 @@
         self._account.touched = asyncio.get_running_loop().time()
         self._budgets.turn_ended(self._account)
 
+    async def _granted_verdict(self) -> BudgetVerdict:
+        """Wait until it is known whether what the turn holds is granted.
+
+        While the store is away the answer could come after the caller has
+        left, so it is given as unknown.
+        """
+        account = self._account
+        while not account.covers(self.terms.turn):
+            raising = account.raising
+            if raising is None:
+                return BudgetVerdict.EXCEEDED
+            await asyncio.wait([raising], timeout=AWAY_CHECK)
+            unknown = raising.done() and not raising.result()
+            if unknown or account.partition.stuck:
+                return BudgetVerdict.UNCERTAIN
+        return BudgetVerdict.FITS
+
+
+def first_part(most: int) -> int:
+    """Return what is held for a turn that begins where little is left."""
+    return math.ceil(most * HELD_PART)
+
 
 class Budgets:
     """Grant turns their part of a budget, in blocks that the log orders."""
@@ -138,7 +156,7 @@
     def __init__(self, *, writer: WriterId, split: BudgetSplit | None = None) -> None:
         self._writer = writer
         self._split = split or WholeInLog()
-        self._accounts: dict[ProgramId, _Account] = {}
+        self._accounts: dict[ProgramId, Account] = {}
 
     def knows(self, program: ProgramId) -> bool:
         """Return whether turns of a program were admitted here."""
@@ -168,16 +186,19 @@
             return BudgetVerdict.UNCERTAIN
         account = self._account(partition, terms)
         reservation = Reservation(terms=terms, account=account, budgets=self)
-        if account.needed + terms.most <= account.granted:
-            account.open[terms.turn] = terms.most
+        if account.wanted + terms.most <= account.granted:
+            account.open[terms.turn] = OpenPart(left=terms.most, held=terms.most)
             return reservation
         shortage = await self._shortage(account, terms)
         if shortage is not None:
             return shortage
-        account.open[terms.turn] = terms.most
-        self._raise(account)
-        after = partition.state.granted_others(terms.program) + account.needed
-        if after <= terms.budget * CHECKED_LATER_SHARE:
+        after = self._others(account) + account.wanted + terms.most
+        checked_later = after <= terms.budget * CHECKED_LATER_SHARE
+        ample = checked_later and not _small(account)
+        held = terms.most if ample else first_part(terms.most)
+        account.open[terms.turn] = OpenPart(left=terms.most, held=held)
+        self.raise_grant(account)
+        if checked_later:
             return reservation
         verdict = BudgetVerdict.UNCERTAIN
         try:
@@ -197,17 +218,27 @@
         account = self._accounts.get(program)
         if account is None or account.raising is not None:
             return
-        if account.needed + account.most > account.granted and self._ahead(account):
-            self._raise(account)
+        if account.wanted + account.most > account.granted and self._ahead(account):
+            self.raise_grant(account)
 
-    def turn_ended(self, account: _Account) -> None:
+    def raise_grant(self, account: Account) -> None:
+        """Ask for a larger grant, after one that is under way."""
+        account.raising = asyncio.create_task(
+            self._raise_after(account, account.raising)
+        )
+
+    def turn_ended(self, account: Account) -> None:
         """Return at once what an ended turn leaves, where it may be missing.
 
         What a process had not returned when it was lost counts as spent for
         good: a program that came back later was refused although its budget
         held several more turns.
         """
-        if account.raising is None and self._tight(account):
+        if account.raising is not None:
+            return
+        if not account.settled:
+            self.raise_grant(account)
+        elif self._tight(account):
             self._lower(account)
 
     def give_back_all(self) -> None:
@@ -233,22 +264,30 @@
             elif account.touched + account.retention + FORGET_AFTER < now:
                 del self._accounts[program]
 
-    def _lower(self, account: _Account) -> None:
-        if account.granted > account.needed:
-            account.granted = account.needed
+    def _lower(self, account: Account) -> None:
+        if account.excess:
+            account.granted = min(account.granted, account.needed)
             self._write(account, account.granted, urgent=False)
 
-    def _tight(self, account: _Account) -> bool:
+    def _tight(self, account: Account) -> bool:
         """Return whether what is held ahead may be missing elsewhere."""
-        if account.budget < SMALL_BUDGET * account.most:
+        if _small(account):
             return True
-        others = account.partition.state.granted_others(account.program)
-        return others + account.granted > account.budget * CHECKED_LATER_SHARE
+        held = max(account.granted, account.told)
+        return self._others(account) + held > account.budget * CHECKED_LATER_SHARE
+
+    def _others(self, account: Account) -> int:
+        """Return what others were granted, and what their open turns may need.
+
+        A process that was lost a while ago needs nothing more.
+        """
+        state = account.partition.state
+        return state.wanted_others(account.program, state.now() - RETURN_BOUND)
 
-    def _account(self, partition: LedgerPartition, terms: TurnTerms) -> _Account:
+    def _account(self, partition: LedgerPartition, terms: TurnTerms) -> Account:
         account = self._accounts.get(terms.program)
         if account is None:
-            account = _Account(terms=terms, partition=partition)
+            account = Account(terms=terms, partition=partition)
             self._accounts[terms.program] = account
             # Forgotten here a while ago: what was handed out then still counts.
             account.handed = partition.state.granted(terms.program, self._writer)
@@ -260,7 +299,7 @@
         return account
 
     async def _shortage(
-        self, account: _Account, terms: TurnTerms
+        self, account: Account, terms: TurnTerms
     ) -> BudgetVerdict | None:
         """Return why a turn can't be granted, as the log stands."""
         if account.partition.stuck:
@@ -273,7 +312,7 @@
             return None
         return self._excess(account)
 
-    def _excess(self, account: _Account) -> BudgetVerdict:
+    def _excess(self, account: Account) -> BudgetVerdict:
         """Return whether the budget is spent, or held for a moment.
 
         Open turns return most of what they hold: a program with four
@@ -286,57 +325,67 @@
         if used + account.most > account.limit:
             return BudgetVerdict.EXCEEDED
         held = state.returning(account.program, state.now() - RETURN_BOUND)
-        open_here = any(account.open.values())
+        open_here = any(part.left for part in account.open.values())
         return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
 
-    def _fits(self, account: _Account, terms: TurnTerms) -> bool:
-        others = account.partition.state.granted_others(terms.program)
-        return others + account.needed + terms.most <= account.limit
-
-    def _raise(self, account: _Account) -> None:
-        """Ask for a larger grant, after one that is under way."""
-        account.raising = asyncio.create_task(
-            self._raise_after(account, account.raising)
-        )
+    def _fits(self, account: Account, terms: TurnTerms) -> bool:
+        return self._others(account) + account.wanted + terms.most <= account.limit
 
     async def _raise_after(
-        self, account: _Account, before: asyncio.Task[bool] | None
+        self, account: Account, before: asyncio.Task[bool] | None
     ) -> bool:
         """Write a grant and read whether it holds; False if that is unknown."""
         own = asyncio.current_task()
-        partition = account.partition
         try:
             if before is not None:
                 await asyncio.wait([before])
-            for ahead in (self._ahead(account), 0):
-                wanted = account.needed + ahead
-                if wanted <= account.granted:
-                    return True
-                offset = await self._write(account, wanted, urgent=True)
-                while partition.cursor <= offset:
-                    if not await partition.sync():
-                        return False
-                granted = partition.state.granted(account.program, self._writer)
-                if granted >= wanted:
-                    account.granted = wanted
-                    return True
-            # The newest record names more than is valid: put that right.
-            self._write(account, account.granted, urgent=False)
-            return True
+            known = await self._raise_now(account)
         finally:
             if account.raising is own:
                 account.raising = None
+        # Turns that ended meanwhile returned nothing.
+        if account.raising is None and account.settled and self._tight(account):
+            self._lower(account)
+        return known
+
+    async def _raise_now(self, account: Account) -> bool:
+        partition = account.partition
+        for ahead in (self._ahead(account), 0):
+            if account.settled and account.needed + ahead <= account.granted:
+                return True
+            tokens = max(account.granted, account.needed + ahead)
+            offset = await self._write(account, tokens, urgent=True)
+            while partition.cursor <= offset:
+                if not await partition.sync():
+                    return False
+            state = partition.state
+            granted = state.granted(account.program, self._writer)
+            if granted >= tokens:
+                account.granted = tokens
+                self._note_room(account)
+                return True
+        # The newest record names more than is valid: put that right.
+        self._write(account, account.granted, urgent=False)
+        return True
 
-    def _ahead(self, account: _Account) -> int:
-        if account.budget < SMALL_BUDGET * account.most:
+    def _note_room(self, account: Account) -> None:
+        """Keep what others left free where the newest grant stands in the log."""
+        state = account.partition.state
+        since = state.now() - RETURN_BOUND
+        beside = state.wanted_beside(account.program, self._writer, since)
+        account.room = None if beside is None else account.limit - beside
+
+    def _ahead(self, account: Account) -> int:
+        if _small(account):
             return 0
-        others = account.partition.state.granted_others(account.program)
-        left = account.budget * CHECKED_LATER_SHARE - others - account.needed
+        others = self._others(account)
+        left = account.budget * CHECKED_LATER_SHARE - others - account.wanted
         return max(0, min(TURNS_AHEAD * account.most, int(left / AHEAD_PART)))
 
     def _write(
-        self, account: _Account, tokens: int, *, urgent: bool
+        self, account: Account, tokens: int, *, urgent: bool
     ) -> asyncio.Future[Offset]:
+        account.told = account.wanted
         record = GrantRecord(
             program=account.program,
             retention=account.retention,
@@ -345,7 +394,12 @@
             tokens=tokens,
             used=account.handed,
             limit=account.limit,
+            wanted=account.wanted,
         )
         key = grant_key(account.program, self._writer)
         keyed = KeyedRecord(key=key, value=encode_record(record))
         return account.partition.append(keyed, urgent=urgent)
+
+
+def _small(account: Account) -> bool:
+    return account.budget < SMALL_BUDGET * account.most
--- a/sequoiaarch/ledger/holds.py
+++ b/sequoiaarch/ledger/holds.py
@@ -14,6 +14,10 @@
     def terms(self) -> TurnTerms:
         """Return the terms of the turn."""
 
+    @property
+    def by_log(self) -> bool:
+        """Return whether the log grants it; else a lender covers it."""
+
     @property
     def granted(self) -> bool:
         """Return whether the verdict is known to be good without waiting."""
--- a/sequoiaarch/ledger/records.py
+++ b/sequoiaarch/ledger/records.py
@@ -34,6 +34,9 @@
     `tokens` is the most that the writer's turns of the program may hand out in
     all, `used` what they had handed out when it was written, `limit` the most
     that all grants of the program may add up to; the budget where it is unset.
+    `wanted` is what its open turns may still come to in all. Nobody depends on
+    it for what may be handed out: while the record is new others leave so much
+    free, so that no turn is cut that had room when it began.
     """
 
     program: ProgramId
@@ -43,6 +46,7 @@
     tokens: int
     used: int
     limit: int | None = None
+    wanted: int = 0
 
 
 class IndexRecord(
--- a/sequoiaarch/ledger/state.py
+++ b/sequoiaarch/ledger/state.py
@@ -19,11 +19,21 @@
 
 @dataclass(kw_only=True)
 class Grant:
-    """Hold the newest valid grant of a writer; `seen` is a time of the clock."""
+    """Hold the newest valid grant of a writer; `seen` is a time of the clock.
+
+    `beside` are the grants of the others where it stands in the log, kept for
+    this process's own ones.
+    """
 
     tokens: int
     used: int
     seen: float
+    wanted: int = 0
+    beside: tuple[Grant, ...] | None = None
+
+    def wanted_since(self, since: float) -> int:
+        """Return what the writer may come to, if it was heard of lately."""
+        return max(self.tokens, self.wanted) if self.seen >= since else self.tokens
 
 
 @dataclass(kw_only=True)
@@ -121,10 +131,27 @@
         grant = self._grants(program).get(writer)
         return grant.tokens if grant is not None else 0
 
-    def granted_others(self, program: ProgramId) -> int:
-        """Return the tokens that all other writers were granted."""
+    def wanted_others(self, program: ProgramId, since: float) -> int:
+        """Return the tokens that all other writers were granted or may want.
+
+        What their open turns want beyond their grant counts for those that
+        wrote it `since` or later on this process's clock.
+        """
         grants = self._grants(program).items()
-        return sum(grant.tokens for name, grant in grants if name != self._writer)
+        others = (grant for name, grant in grants if name != self._writer)
+        return sum(grant.wanted_since(since) for grant in others)
+
+    def wanted_beside(
+        self, program: ProgramId, writer: WriterId, since: float
+    ) -> int | None:
+        """Return what others wanted where a writer's newest grant stands.
+
+        None where the records before it are not known.
+        """
+        grant = self._grants(program).get(writer)
+        if grant is None or grant.beside is None:
+            return None
+        return sum(one.wanted_since(since) for one in grant.beside)
 
     def used_others(self, program: ProgramId) -> int:
         """Return the tokens that all other writers have used."""
@@ -138,7 +165,7 @@
         this process's clock.
         """
         return any(
-            grant.tokens > grant.used and grant.seen >= since
+            grant.wanted_since(since) > grant.used and grant.seen >= since
             for name, grant in self._grants(program).items()
             if name != self._writer
         )
@@ -201,8 +228,15 @@
             limit = record.budget if record.limit is None else record.limit
             if others + record.tokens > limit:
                 return
+        others_now = (
+            one for name, one in program.grants.items() if name != record.writer
+        )
         program.grants[record.writer] = Grant(
-            tokens=tokens, used=record.used, seen=self._clock()
+            tokens=tokens,
+            used=record.used,
+            seen=self._clock(),
+            wanted=record.wanted,
+            beside=tuple(others_now) if own and ordered else None,
         )
 
 
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import Protocol
 
+import msgspec
+
 from ..ids import Offset
 from .budgets import Reservation
 from .holds import Hold, Lender, NoLender
@@ -21,6 +23,10 @@
 # the turn ends: turns generate a quarter of their most on average, and 44 % at
 # the mean of their length.
 LEAST_PART = 0.4
+# A stream that has to wait for its budget in the middle does so for as long as
+# callers bear without an event, asking again meanwhile. Seconds.
+CALLER_PATIENCE = 2.0
+COVER_RETRY = 0.25
 
 
 class OpenTurn(Protocol):
@@ -44,8 +50,11 @@
     def announce(self) -> None:
         """Write the program of the turn beside its run."""
 
+    def covers(self, tokens: int) -> bool:
+        """Return whether so many more tokens may go to the caller unasked."""
+
     async def cover(self, tokens: int) -> bool:
-        """Return whether so many more tokens may go to the caller."""
+        """Ask for so many more tokens; return whether they may go to the caller."""
 
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
@@ -82,6 +91,9 @@
         self._ledger = ledger
         self._lender = lender
         self._handed = 0
+        # What was handed out under earlier holds.
+        self._before = 0
+        self._ended = False
         self._spent = ledger.spent(start.terms)
         self._announced: asyncio.Future[Offset] | None = None
 
@@ -98,7 +110,7 @@
     @property
     def where(self) -> str:
         """Return which process keeps the account, for the log."""
-        return "here" if self.covered is None else f"here, {self.covered} lent"
+        return "here" if self._hold.by_log else f"here, {self.covered} lent"
 
     @property
     def granted(self) -> bool:
@@ -108,7 +120,8 @@
     @property
     def covered(self) -> int | None:
         """Return the tokens that may be handed out unasked; None for all."""
-        return self._hold.covered
+        covered = self._hold.covered
+        return None if covered is None else self._before + covered
 
     async def verdict(self) -> BudgetVerdict:
         """Wait until it is known whether the turn is granted, or borrow."""
@@ -127,27 +140,57 @@
         self._hold = loan
         return BudgetVerdict.FITS
 
+    def covers(self, tokens: int) -> bool:
+        """Return whether so many more tokens may go to the caller unasked."""
+        return self.covered is None or self._handed + tokens <= self.covered
+
     async def cover(self, tokens: int) -> bool:
-        """Return whether so many more tokens may go to the caller."""
+        """Ask for so many more tokens; return whether they may go to the caller."""
         return await self.cover_total(self._handed + tokens)
 
     async def cover_total(self, total: int) -> bool:
-        """Return whether the turn may hand out so many tokens in all."""
-        if await self._hold.cover(total):
-            return True
-        return await self._granted_after_all()
+        """Return whether the turn may hand out so many tokens in all.
 
-    async def _granted_after_all(self) -> bool:
-        """Have the log cover a turn that needs more than it was lent.
-
-        The store may be back by now; otherwise the turn is broken off here.
+        Where the log doesn't say in time a lender covers the rest, and where a
+        loan is used up the log may be back. If neither helps, the stream waits
+        for as long as its caller does.
         """
-        reserved = await self._ledger.reserve(self._start.terms)
-        if isinstance(reserved, BudgetVerdict):
+        if await self._cover_soon(total) or await self._cover_elsewhere(total):
+            return True
+        deadline = asyncio.get_running_loop().time() + CALLER_PATIENCE
+        while asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(COVER_RETRY)
+            if await self._cover_soon(total):
+                return True
+        return False
+
+    async def _cover_soon(self, total: int) -> bool:
+        try:
+            async with asyncio.timeout(LOG_PATIENCE):
+                return await self._hold.cover(total - self._before)
+        except TimeoutError:
+            return False
+
+    async def _cover_elsewhere(self, total: int) -> bool:
+        """Have a lender cover the rest of the turn in place of the log, or it again."""
+        terms = msgspec.structs.replace(
+            self._start.terms, most=max(total, self._start.terms.most) - self._handed
+        )
+        other: Hold | BudgetVerdict | None
+        if self._hold.by_log:
+            other = await self._lender.borrow(terms, least=total - self._handed)
+        else:
+            other = await self._ledger.reserve(terms)
+        if other is None or isinstance(other, BudgetVerdict):
+            return False
+        if self._ended:
+            # The answer ended while more was asked for.
+            other.close()
             return False
         self._hold.close()
-        self._hold = reserved
-        return await reserved.verdict() is BudgetVerdict.FITS
+        self._hold = other
+        self._before = self._handed
+        return await other.verdict() is BudgetVerdict.FITS
 
     def announce(self) -> None:
         """Write the program of the turn beside its run."""
@@ -161,16 +204,22 @@
     async def commit(self, given: bytes, produced: bytes) -> None:
         """Make the turn part of the history; return once that is durable."""
         content = content_of(self._start, self._history, given, produced)
-        await self._ledger.commit(self._hold, content)
+        await self.commit_for(content)
         if self._announced is not None:
             await self._announced
 
+    def hand_out_total(self, total: int) -> None:
+        """Count what another process has handed out in all."""
+        self.hand_out(max(0, total - self._handed))
+
     async def commit_for(self, content: TurnContent) -> None:
         """Commit what another process relayed and announced."""
+        self._ended = True
         await self._ledger.commit(self._hold, content)
 
     def close(self) -> None:
         """Return what the turn did not use; a second time does nothing."""
+        self._ended = True
         self._hold.close()
 
 
--- a/sequoiaarch/tests/ledger/random_tests.py
+++ b/sequoiaarch/tests/ledger/random_tests.py
@@ -126,6 +126,8 @@
             opened.announce()
             tokens = self.rng.randrange(MOST)
             program = start.terms.program
+            if not await opened.cover(tokens):
+                return
             opened.hand_out(tokens)
             self.handed[program] = self.handed.get(program, 0) + tokens
             given = f"[{start.terms.turn}".encode()
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -256,10 +256,14 @@
 
 
 class CoverTurnRequest(Message, frozen=True, kw_only=True, tag="cover"):
-    """Ask whether an open turn may hand out so many tokens in all."""
+    """Ask whether an open turn may hand out so many tokens in all.
+
+    `handed` is what it has handed out so far.
+    """
 
     turn: TurnId
     total: int
+    handed: int = 0
 
 
 class LendRequest(Message, frozen=True, kw_only=True, tag="lend"):
