Have the log grant what a turn generates beyond its announced most

Such a turn now holds as much again as it came to, by a raise beside its stream, so that a few calls cover any length. Test: ledger_tests.test_turn_that_announced_nothing.

--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -104,9 +104,8 @@
         if part is None:
             return False
         short = total - self._handed - part.held
-        if short > 0 and not part.whole:
-            step = max(short, first_part(self.terms.most))
-            part.held = max(min(part.held + step, part.left), part.held + short)
+        if short > 0:
+            self._hold_more(part, short)
             self._budgets.raise_grant(self._account)
         return await self._granted_verdict() is BudgetVerdict.FITS
 
@@ -127,6 +126,19 @@
         self._account.touched = asyncio.get_running_loop().time()
         self._budgets.turn_ended(self._account)
 
+    def _hold_more(self, part: OpenPart, short: int) -> None:
+        """Hold a further part of the turn, which is `short` tokens at least.
+
+        A turn may come to more than its caller announced, or none was: it then
+        holds as much again as it came to, so that few calls are needed.
+        """
+        step = max(short, first_part(self.terms.most))
+        if part.whole:
+            part.held += max(step, self._handed)
+        else:
+            part.held = max(min(part.held + step, part.left), part.held + short)
+        part.left = max(part.left, part.held)
+
     async def _granted_verdict(self) -> BudgetVerdict:
         """Wait until it is known whether what the turn holds is granted.
 
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -335,6 +335,18 @@
                     handed += MOST
         self.assertEqual(handed, 3 * MOST)
 
+    async def test_turn_that_announced_nothing(self) -> None:
+        """Have the log grant what a turn comes to beyond what was announced."""
+        ledger = await self.ledger("a")
+        hold = await ledger.reserve(msgspec.structs.replace(terms("t1"), most=0))
+        assert isinstance(hold, Reservation)
+        self.assertIs(await hold.verdict(), BudgetVerdict.FITS)
+        for _ in range(10):
+            self.assertTrue(await hold.cover(10 + hold._handed))
+            hold.hand_out(10)
+        state = ledger.partition(PROGRAM).state
+        self.assertGreaterEqual(state.granted(PROGRAM, ledger.writer), 100)
+
     async def test_raise_without_an_answer(self) -> None:
         """Hand out nothing of a raise whose answer was lost, and go on after it.
 
