Tell the hosts of a data centre which targets fail

Sixteen gateways of its data centre found out one by one, with 38 calls of 34 programs lost: what decides is one gateway's own view, and each sees an 84th of the load.

Change: policies/health.py judges targets by own and reported failures. Two hosts must have seen a failure within 1.5 s; the target is then passed over for a second, twice as long each time that it fails again, up to eight. One host after the other tries it again, in an order by rendezvous that changes each time; one answer brings all back. A failure that is news goes to each neighbour of the data centre once, so messages follow failures and hosts, not their product. All targets of a service accused alike are all used, as before.

Tests: policies/health_tests.py replays the load with 10, 30 and 100 hosts: at most two lost requests, three under way and one a new try, whatever the number of hosts; each host by itself loses more the more there are. A host with a bad link convinces nobody. target_reports_tests.py: four hosts over sockets. Lenders, delegates and reports now tell without waiting by one piece of code (fleet/telling.py).

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -29,6 +29,7 @@
 from .claims import slot_name, slot_of
 from .peers import Peers, first_of
 from .standing import Standing
+from .telling import Telling
 from .turn_server import failed
 
 log = logbook.Logger("delegates")
@@ -85,7 +86,7 @@
         self._delegates = delegates
         self._local = local
         self._ledger = ledger
-        self._telling: set[asyncio.Task[None]] = set()
+        self._telling = Telling(timeout=CLOSE_TIMEOUT)
 
     async def open(self, start: TurnStart) -> OpenTurn | TurnRefusal:
         """Reserve a turn and find its history, or say why not."""
@@ -126,9 +127,7 @@
 
     def tell_end(self, link: Link, request: CloseTurnRequest) -> None:
         """Tell a delegate the end of a turn, without waiting for its reply."""
-        task = asyncio.create_task(_call(link, request))
-        self._telling.add(task)
-        task.add_done_callback(self._telling.discard)
+        self._telling.tell(link, request)
 
     async def take_over(self, start: TurnStart) -> LocalTurn | BudgetVerdict:
         """Reserve a turn here whose delegate was lost; its history is known."""
@@ -303,12 +302,6 @@
         await self._turns.ledger.write(terms, content)
 
 
-async def _call(link: Link, request: CloseTurnRequest) -> None:
-    reply = await link.call(request, timeout=CLOSE_TIMEOUT)
-    if not isinstance(reply, Accepted):
-        log.info("{} was not told the end of {}", link.address, request.turn)
-
-
 async def _ask(
     link: Link,
     request: OpenTurnRequest
--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -10,16 +10,18 @@
 from ..ledger.loans import LoanBook
 from ..ledger.split import BudgetSplit
 from ..ledger.turns import LocalTurns
+from ..policies.health import TargetHealth
 from ..routing.follower import TopicFollower
 from ..storage.keyed import KeyedLog
 from ..wire.links import Send
-from ..wire.messages import LendRequest, Reply, Request, SettleRequest
+from ..wire.messages import LendRequest, Reply, Request, SettleRequest, TargetReport
 from .claiming import Claiming
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
 from .delegates import DelegatedTurns, Delegates
 from .lenders import Lenders
 from .peers import TOPIC as PEERS_TOPIC, Peers
 from .standing import Standing
+from .target_reports import TargetReports
 from .turn_server import TurnServer
 
 # Claims change when processes start and stop. A connection that has fallen silent
@@ -40,6 +42,7 @@
         keyed_log: KeyedLog,
         ledger: Ledger,
         split: BudgetSplit,
+        health: TargetHealth,
     ) -> None:
         self._writer = writer
         self._peers = peers
@@ -72,6 +75,7 @@
             local=local,
             ledger=ledger,
         )
+        self.reports = TargetReports(own=own, peers=peers, health=health)
         self._followers = [
             TopicFollower(
                 log=keyed_log,
@@ -105,6 +109,8 @@
         """Answer another gateway."""
         if isinstance(request, LendRequest | SettleRequest):
             return self._lenders.answer(request)
+        if isinstance(request, TargetReport):
+            return self.reports.take(request)
         return await self._server.answer(request, send)
 
     def refuse_new(self) -> None:
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import itertools
-from collections.abc import Coroutine
-from typing import Any
 
 from ..ids import HostName, LoanId, WriterId
 from ..ledger.loans import LoanBook
@@ -23,6 +21,7 @@
 from .claims import Claims, slot_of
 from .peers import Peers
 from .standing import Standing
+from .telling import Telling
 from .turn_server import failed
 
 # A lender answers from memory. One that doesn't within this time is dead,
@@ -110,7 +109,7 @@
         self._standing = standing
         self._numbers = itertools.count(1)
         self._where: dict[LoanId, Link | None] = {}
-        self._telling: set[asyncio.Task[object]] = set()
+        self._telling = Telling(timeout=SETTLE_TIMEOUT)
 
     async def borrow(self, terms: TurnTerms, *, least: int) -> Loan | None:
         """Return a loan of `least` tokens or more; None where there is none."""
@@ -184,12 +183,7 @@
 
     def _tell(self, link: Link, loan: LoanId, terms: TurnTerms, handed: int) -> None:
         request = SettleRequest(loan=loan, program=terms.program, handed=handed)
-        self._start(link.call(request, timeout=SETTLE_TIMEOUT))
-
-    def _start(self, telling: Coroutine[Any, Any, object]) -> None:
-        task = asyncio.create_task(telling)
-        self._telling.add(task)
-        task.add_done_callback(self._telling.discard)
+        self._telling.tell(link, request)
 
     def _lend(self, request: LendRequest) -> int:
         place = self._claiming.place(request.terms.program)
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -221,6 +221,12 @@
     return max(hosts, key=lambda host: _rank(name, host))
 
 
+def place_of(own: HostName, name: str, hosts: Iterable[HostName]) -> int:
+    """Return how many hosts come before the own one for a name, by rendezvous."""
+    rank = _rank(name, own)
+    return sum(_rank(name, host) > rank for host in hosts)
+
+
 def _rank(name: str, host: HostName) -> int:
     return xxhash.xxh32_intdigest(f"{name}/{host}".encode())
 
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -26,6 +26,7 @@
 from ..observe.events import EventLog
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
+from ..policies.health import TargetHealth
 from ..routing.follower import TopicFollower
 from ..routing.registrations import Registrations
 from ..routing.routes import ClientLimits, RouteTable
@@ -117,6 +118,7 @@
             rng=rng,
         )
         memory = PrefixMemory()
+        health = TargetHealth(own=options.host, place=self._place)
         self.dispatcher = Dispatcher(
             codec=codec,
             data_centre=options.data_centre,
@@ -124,6 +126,7 @@
             engines=PrefixPlacement(memory=memory, rng=rng),
             memory=memory,
             plain=NearestFree(rng=rng),
+            health=health,
             rng=rng,
         )
         self._metrics = metrics or RequestMetrics()
@@ -138,8 +141,10 @@
                 keyed_log=keyed_log,
                 ledger=self.ledger,
                 split=split,
+                health=health,
             )
             turns = self._fleet.turns
+            self.dispatcher.load.report = self._fleet.reports.tell
         handler = RequestHandler(
             dispatcher=self.dispatcher,
             ledger=self.ledger,
@@ -282,6 +287,10 @@
             return failed("this process has no peers")
         return await self._fleet.answer(request, send)
 
+    def _place(self, name: str) -> int:
+        """Return this host's place among those of its data centre for a name."""
+        return self._fleet.reports.place(name) if self._fleet is not None else 0
+
     def _longest_retention(self) -> float:
         routes = self.dispatcher.routes
         return routes.longest_retention if routes is not None else math.inf
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -8,6 +8,7 @@
 
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
+from ..policies.health import TargetHealth
 from ..policies.retries import RetryBudget, RetryPolicy
 from ..policies.starts import BoundedWait, Start, StartPolicy
 from ..policies.urgency import ProgramStanding, Urgency, WorthUrgency
@@ -31,11 +32,12 @@
         engines: EnginePlacement,
         memory: PrefixMemory,
         plain: EnginePlacement,
+        health: TargetHealth,
         rng: random.Random,
     ) -> None:
         self.codec = codec
         self.pool = TargetPool()
-        self.load = LoadBoard()
+        self.load = LoadBoard(health=health)
         self.retries: RetryPolicy = RetryBudget()
         self.routes: RouteTable | None = None
         self.targets_read: Callable[[], float] = lambda: 0.0
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..ids import InstanceId
+from ..policies.health import TargetHealth
 
 # The weight of a new observation. With about five answers a second from each
 # engine the estimate follows the load within half a second.
@@ -14,10 +16,6 @@
 # An estimate that nothing confirms falls to half in this time: other processes
 # move away too, and a target that is never tried is never seen to be free.
 HALF_LIFE = 0.6
-# A target that fails part of its requests is seen after a few; it is tried
-# again when half of what was seen has faded. Seconds.
-FAILURE_SMOOTHING = 0.15
-FAILURE_HALF_LIFE = 3.0
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
@@ -29,8 +27,6 @@
     wait: float = 0.0
     seen: float = 0.0
     waiting: dict[object, float] = field(default_factory=dict)
-    failing: float = 0.0
-    judged: float = 0.0
     gone: bool = False
 
 
@@ -42,12 +38,16 @@
     what an idle engine needs tells what the others have queued there.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, health: TargetHealth) -> None:
+        self._health = health
+        # Called with what others should know of a target.
+        self.report: Callable[[InstanceId, bool], None] = lambda instance, ok: None
         self._instances: dict[InstanceId, _Instance] = defaultdict(_Instance)
         self._least = FIRST_GUESS
 
     def started(self, instance: InstanceId) -> None:
         """Count a request that was sent."""
+        self._health.sent(instance, asyncio.get_running_loop().time())
         self._instances[instance].running += 1
 
     def ended(self, instance: InstanceId) -> None:
@@ -84,24 +84,18 @@
 
     def judged(self, instance: InstanceId, *, ok: bool) -> None:
         """Learn whether a target answered a request soundly."""
-        found = self._instances[instance]
         now = asyncio.get_running_loop().time()
-        before = self._failing(found, now)
-        found.failing = before + FAILURE_SMOOTHING * ((0.0 if ok else 1.0) - before)
-        found.judged = now
+        judge = self._health.served if ok else self._health.failed
+        if judge(instance, now):
+            self.report(instance, ok)
 
     def failing(self, instance: InstanceId) -> float:
-        """Return the share of requests that lately failed at a target."""
-        found = self._instances.get(instance)
-        if found is None:
-            return 0.0
-        return self._failing(found, asyncio.get_running_loop().time())
-
-    def _failing(self, found: _Instance, now: float) -> float:
-        return found.failing * 0.5 ** ((now - found.judged) / FAILURE_HALF_LIFE)
+        """Return the share of requests that may fail at a target."""
+        return self._health.failing(instance, asyncio.get_running_loop().time())
 
     def forget(self, instance: InstanceId) -> None:
         """Forget a target that has left, once nothing runs there."""
+        self._health.forget(instance)
         found = self._instances.get(instance)
         if found is None:
             return
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -15,6 +15,8 @@
     AttemptId,
     CallKey,
     Epoch,
+    HostName,
+    InstanceId,
     LoanId,
     Offset,
     ProgramId,
@@ -282,6 +284,14 @@
     handed: int
 
 
+class TargetReport(Message, frozen=True, kw_only=True, tag="target"):
+    """Tell what a host saw of a target: that it failed, or serves again."""
+
+    instance: InstanceId
+    host: HostName
+    ok: bool
+
+
 class Ping(Message, frozen=True, kw_only=True, tag="ping"):
     """Ask whether the peer's process still answers."""
 
@@ -296,6 +306,7 @@
     | CoverTurnRequest
     | LendRequest
     | SettleRequest
+    | TargetReport
     | DispatchRequest
     | SubmitRequest
     | StateRequest
