Take a target that owes an answer for too long for one that fails

Cause: a target that falls silent keeps its connections, and was judged only by requests that broke. Those sent there ended at their callers' deadlines or when these gave up after two seconds; a cancelled wait was judged as nothing, so every gateway went on sending.

Change: a stream owes its first event within four times the route's latency target and what reading takes, each next one within two of the pauses that the route allows, a plain answer within the time after which another target is asked. What is owed for longer counts as a failure, which the neighbours are told. A process that stood still gives all targets that time; what a host heard itself within 0.2 s counts more than what others report.

Test: ingress/load_tests.py.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -9,6 +9,7 @@
 from ..http1.client import ClientLink
 from ..http1.messages import LinkError, LinkFault, RequestMessage, ResponseHead
 from ..ids import InstanceId
+from ..policies.health import next_event_due
 from ..routing.routes import Route
 from ..routing.targets import TargetEntry
 from .calls import AnswerInfo, CallInfo, Dispatch
@@ -24,12 +25,13 @@
 
 @dataclass(kw_only=True, eq=False)
 class Running:
-    """Hold a request that a target answers."""
+    """Hold a request that a target answers; `begun` says that a part has come."""
 
     target: TargetEntry
     link: ClientLink
     head: ResponseHead
     answer: AnswerInfo
+    begun: bool = False
 
 
 class Attempts:
@@ -106,6 +108,20 @@
         """Note the first event of an answer."""
         self._dispatcher.load.got_first(running.target.incarnation, self)
 
+    async def next_part(self, running: Running) -> bytes | None:
+        """Wait for more of a stream, which the target owes in time; None at its end.
+
+        What this process does between two parts is no silence of the target.
+        """
+        load = self._dispatcher.load
+        instance = running.target.incarnation
+        if running.begun and self._route.event_pause:
+            load.expects(instance, self, next_event_due(self._route.event_pause))
+        part = await running.link.body_part()
+        running.begun = True
+        load.heard(instance, self)
+        return part
+
     def _unplaced(self, refusals: int) -> FailureError:
         """Return why no target ran the request; no promise if one may have."""
         if self._sends:
@@ -125,8 +141,7 @@
             link = await self._dispatcher.pool.take(target)
             await link.send(self._outgoing(target))
             self._sends += 1
-            if self._route.sticky:
-                self._dispatcher.sent(target, self._info, self)
+            self._dispatcher.sent(target, self._route, self._info, self)
             running = await self._await_head(target, link)
         except LinkError as error:
             load.judged(target.incarnation, ok=False)
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -182,6 +182,7 @@
             self.ledger.give_back(),
             sweeper.run(),
             self.dispatcher.pool.sweep(),
+            self.dispatcher.load.watch(),
         ]
         if events is not None:
             self._parts.append(events.run())
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -8,8 +8,8 @@
 
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
-from ..policies.health import TargetHealth
-from ..policies.retries import RetryBudget, RetryPolicy
+from ..policies.health import TargetHealth, first_event_due
+from ..policies.retries import RetryBudget, RetryPolicy, patience
 from ..policies.starts import BoundedWait, Start, StartPolicy
 from ..policies.urgency import ProgramStanding, Urgency, WorthUrgency
 from ..routing.routes import Route, RouteTable
@@ -77,12 +77,20 @@
             return None
         return self._starts.refuse(Start(wait=min(waits)))
 
-    def sent(self, entry: TargetEntry, info: CallInfo, request: object) -> None:
-        """Note that an engine reads a request's prompt and owes its first event."""
+    def sent(
+        self, entry: TargetEntry, route: Route, info: CallInfo, request: object
+    ) -> None:
+        """Note that a target owes a request its answer, or the first event of it."""
+        if not route.sticky:
+            within = patience(route.latency_target)
+            self.load.expects(entry.incarnation, request, within)
+            return
         shape = _shape(info)
         reading = self._memory.reading(entry.incarnation, shape)
         self._memory.note(entry.incarnation, shape)
         self.load.awaits_first(entry.incarnation, request, reading)
+        within = reading + first_event_due(route.latency_target)
+        self.load.expects(entry.incarnation, request, within)
 
     def forget(self, instance: InstanceId) -> None:
         """Forget what was learned of a target that has left.
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -214,7 +214,7 @@
         if output is not None and self._route.retained:
             output.turn.announce()
         splitter = EventSplitter()
-        while (part := await running.link.body_part()) is not None:
+        while (part := await self._attempts.next_part(running)) is not None:
             for event in splitter.feed(part):
                 await self._pass_on(running, output, event)
         if splitter.pending:
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -19,6 +19,9 @@
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
+# Targets are judged by what they owe so often: a part of the shortest pause that
+# routes allow. Seconds.
+SILENCE_CHECK = 0.05
 
 
 @dataclass(kw_only=True)
@@ -27,6 +30,7 @@
     wait: float = 0.0
     seen: float = 0.0
     waiting: dict[object, float] = field(default_factory=dict)
+    due: dict[object, float] = field(default_factory=dict)
     gone: bool = False
 
 
@@ -64,6 +68,41 @@
         now = asyncio.get_running_loop().time()
         self._instances[instance].waiting[request] = now + reading
 
+    def expects(self, instance: InstanceId, request: object, within: float) -> None:
+        """Note that a target owes something for a request, within some seconds."""
+        now = asyncio.get_running_loop().time()
+        self._instances[instance].due[request] = now + within
+
+    def heard(self, instance: InstanceId, request: object) -> None:
+        """Note that a target sent what it owed for a request."""
+        self._instances[instance].due.pop(request, None)
+        self._health.heard(instance, asyncio.get_running_loop().time())
+
+    async def watch(self) -> None:
+        """Judge targets that owe something for too long, again and again.
+
+        A target that falls silent keeps its connections. Each host learned that
+        from requests that ended at their callers' deadlines, two seconds later,
+        and sent others there meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            begun = loop.time()
+            await asyncio.sleep(SILENCE_CHECK)
+            # While this process stood still it could not hear anything.
+            self._judge_silent(loop.time() - begun - SILENCE_CHECK)
+
+    def _judge_silent(self, lag: float) -> None:
+        now = asyncio.get_running_loop().time()
+        for instance, found in list(self._instances.items()):
+            if lag > SILENCE_CHECK:
+                found.due = {one: due + lag for one, due in found.due.items()}
+            late = [request for request, due in found.due.items() if due < now]
+            for request in late:
+                del found.due[request]
+            if late:
+                self.judged(instance, ok=False)
+
     def got_first(self, instance: InstanceId, request: object) -> None:
         """Learn from the first event of an answer."""
         found = self._instances[instance]
@@ -79,12 +118,16 @@
         found.seen = now
 
     def gave_up(self, instance: InstanceId, request: object) -> None:
-        """Forget a request that ended without an event."""
-        self._instances[instance].waiting.pop(request, None)
+        """Forget a request that ended, with or without an event."""
+        found = self._instances[instance]
+        found.waiting.pop(request, None)
+        found.due.pop(request, None)
 
     def judged(self, instance: InstanceId, *, ok: bool) -> None:
         """Learn whether a target answered a request soundly."""
         now = asyncio.get_running_loop().time()
+        if ok:
+            self._health.heard(instance, now)
         judge = self._health.served if ok else self._health.failed
         if judge(instance, now):
             self.report(instance, ok)
--- a/sequoiaarch/platform/documents.py
+++ b/sequoiaarch/platform/documents.py
@@ -39,6 +39,7 @@
     type: RouteKind  # what may be repeated
     timeout_ms: float
     target_latency_ms: float = 1000
+    gap_target_ms: float = 0  # longest pause between events
     priority: int = 0
     service: str = ""
     split: list[_Split] = []
@@ -142,6 +143,7 @@
         ),
         timeout=found.timeout_ms / 1000,
         latency_target=found.target_latency_ms / 1000,
+        event_pause=found.gap_target_ms / 1000,
         priority=found.priority,
         max_attempts=found.max_attempts,
         retained=found.retained,
--- a/sequoiaarch/policies/health.py
+++ b/sequoiaarch/policies/health.py
@@ -35,7 +35,17 @@
 TRIAL_SECONDS = 0.5
 # A host repeats a report of the same target no sooner. Seconds.
 REPORT_GAP = 0.2
+# What a host heard of a target itself so lately counts more than what others
+# report: they may be cut off from a target that others reach. Seconds.
+OWN_WORD = 0.2
 PASSED_OVER = 1.0
+# A target that owes the first event of a stream for this many times the route's
+# latency target is taken for silent: queues of full engines are shorter, and
+# callers bear twice as long.
+FIRST_EVENT_FACTOR = 4.0
+# The same for the next event, in pauses that the route allows: engines that
+# admit others in between exceed one pause now and then.
+NEXT_EVENT_FACTOR = 2.0
 
 
 @dataclass(kw_only=True)
@@ -52,6 +62,7 @@
     on_trial: bool = False
     trial_until: float = float("-inf")
     times: int = 0
+    heard: float = float("-inf")
 
 
 class TargetHealth:
@@ -98,10 +109,15 @@
         """Take over what another host saw."""
         record = self._record(instance)
         if not ok:
-            self._accused(instance, record, host, now)
+            if now - record.heard > OWN_WORD:
+                self._accused(instance, record, host, now)
         elif record.on_trial:
             self._recovered(instance, record)
 
+    def heard(self, instance: InstanceId, now: float) -> None:
+        """Note that a target sent something sound to this host."""
+        self._record(instance).heard = now
+
     def sent(self, instance: InstanceId, now: float) -> None:
         """Note that a request goes to a target."""
         record = self._records.get(instance)
@@ -168,5 +184,15 @@
         log.info("target {} is used again", instance)
 
 
+def first_event_due(latency_target: float) -> float:
+    """Return the seconds after which a target without a first event is silent."""
+    return FIRST_EVENT_FACTOR * latency_target
+
+
+def next_event_due(pause: float) -> float:
+    """Return the same for the next event, from the pause that a route allows."""
+    return NEXT_EVENT_FACTOR * pause
+
+
 def _faded(record: _Record, now: float) -> float:
     return record.failing * 0.5 ** ((now - record.judged) / FAILURE_HALF_LIFE)
--- a/sequoiaarch/routing/routes.py
+++ b/sequoiaarch/routing/routes.py
@@ -27,7 +27,11 @@
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe one route; times in seconds, priority 0 is the most urgent."""
+    """Describe one route; times in seconds, priority 0 is the most urgent.
+
+    `event_pause` is the longest time between two events that callers accept, 0
+    where none is named.
+    """
 
     name: str
     host: str
@@ -36,6 +40,7 @@
     services: tuple[ServiceShare, ...]
     timeout: float
     latency_target: float
+    event_pause: float = 0.0
     priority: int = 0
     max_attempts: int = 1
     retained: bool = False
--- /dev/null
+++ b/sequoiaarch/tests/ingress/load_tests.py
@@ -0,0 +1,81 @@
+"""Test what is learned of targets from what they owe."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from ...ids import HostName, InstanceId
+from ...ingress.load import SILENCE_CHECK, LoadBoard
+from ...policies.health import PASSED_OVER, TargetHealth
+
+TARGET = InstanceId("target")
+OTHER = HostName("other")
+
+
+class SilenceTests(unittest.IsolatedAsyncioTestCase):
+    """Judge targets that keep their connections and say nothing."""
+
+    async def asyncSetUp(self) -> None:
+        """Make a board on a clock that the test moves."""
+        self.now = 100.0
+        loop = asyncio.get_running_loop()
+        patched = mock.patch.object(loop, "time", lambda: self.now)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.health = TargetHealth(own=HostName("own"))
+        self.board = LoadBoard(health=self.health)
+        self.told: list[bool] = []
+        self.board.report = lambda instance, ok: self.told.append(ok)
+
+    def passes(self, seconds: float, *, lag: float = 0.0) -> None:
+        """Let time pass, and have the board look at its end."""
+        self.now += seconds
+        self.board._judge_silent(lag)
+
+    async def test_silent_target_is_reported(self) -> None:
+        """Report a target whose stream stopped between two events.
+
+        An engine's machine loses its network in the middle of a stream. The
+        connection stays; the caller would notice after two seconds. Another host
+        sees the same, so that both pass the engine over after 0.3 s.
+        """
+        self.board.started(TARGET)
+        self.board.expects(TARGET, "request", 0.3)
+        self.passes(0.2)
+        self.assertEqual(self.told, [])
+        self.passes(0.15)
+        self.assertEqual(self.told, [False])
+        self.health.told(TARGET, OTHER, ok=False, now=self.now)
+        self.assertEqual(self.board.failing(TARGET), PASSED_OVER)
+        self.passes(5.0)
+        self.assertEqual(self.told, [False], "one silence is told once")
+
+    async def test_answer_in_time_is_no_silence(self) -> None:
+        """Judge nothing that came in time, or whose caller left."""
+        for request in ("answered", "left"):
+            self.board.expects(TARGET, request, 0.3)
+        self.board.heard(TARGET, "answered")
+        self.board.gave_up(TARGET, "left")
+        self.passes(1.0)
+        self.assertEqual(self.told, [])
+
+    async def test_process_that_stood_still_accuses_nobody(self) -> None:
+        """Give targets the time for which this process could not hear them.
+
+        A slow or frozen host wakes with bytes of all its targets unread. It
+        would accuse all of them at once, as other hosts that wake would.
+        """
+        self.board.expects(TARGET, "request", 0.3)
+        self.passes(2.0, lag=2.0 - SILENCE_CHECK)
+        self.assertEqual(self.told, [])
+        self.passes(0.4)
+        self.assertEqual(self.told, [False])
+
+    async def test_own_word_counts_more(self) -> None:
+        """Stay with a target that answers here while others say that it fails."""
+        for host in ("a", "b", "c"):
+            self.board.heard(TARGET, "request")
+            self.health.told(TARGET, HostName(host), ok=False, now=self.now)
+            self.assertEqual(self.board.failing(TARGET), 0.0)
