Show failures by target, gateway, route or cause

`sequoiaarch failures --by` groups the lines of requests; the gateway is what stands before a line's JSON, or the log's name. Test: observe/failures_tests.py.

--- a/sequoiaarch/commands/failures.py
+++ b/sequoiaarch/commands/failures.py
@@ -7,8 +7,12 @@
 import click
 
 from ..observe.failures import (
+    ANSWERED,
     FailureRow,
+    Grouping,
+    GroupRow,
     count_failures,
+    group_failures,
     read_requests,
     total_by_cause,
 )
@@ -24,21 +28,44 @@
     show_default=True,
     help="Seconds that a line of the table covers.",
 )
+@click.option(
+    "--by",
+    type=click.Choice([one.value for one in Grouping]),
+    help="One line for each of these, over all the time of the logs.",
+)
 @json_option
 @pass_connection
-def failures(connection: Connection, logs: tuple[TextIO, ...], span: float) -> None:
+def failures(
+    connection: Connection, logs: tuple[TextIO, ...], span: float, by: str | None
+) -> None:
     """Show failed requests by cause and time, from LOGS of gateways.
 
-    Lines that are no JSON are passed over. `last` counts the programs whose
-    last request failed there: those were given up.
+    Lines that are no JSON are passed over; what stands before the JSON of a line
+    is taken for the gateway's name, or else the name of the log. `last` counts
+    the programs whose last request failed there: those were given up.
     """
-    requests = [one for log in logs for one in read_requests(log)]
+    requests = [one for log in logs for one in read_requests(log, log.name)]
+    failed = sum(one.outcome != ANSWERED for one in requests)
+    total = f"{len(requests)} requests, {failed} failed"
+    if by is not None:
+        groups = group_failures(requests, Grouping(by))
+        connection.show(groups, [*_groups(groups), total])
+        return
     rows = count_failures(requests, span)
-    count = sum(row.requests for row in rows)
-    total = f"{len(requests)} requests, {count} failed"
     connection.show(rows, [*_table(rows), total])
 
 
+def _groups(rows: list[GroupRow]) -> list[str]:
+    heads = ("first", "final", "failed", "gateways", "programs", "last")
+    lines = [" ".join(f"{head:>8}" for head in heads) + "  group (example)"]
+    for row in rows:
+        counts = (row.requests, row.gateways, row.programs, row.last)
+        spans = f"{row.first:8.1f} {row.final:8.1f}"
+        numbers = " ".join(f"{count:8}" for count in counts)
+        lines.append(f"{spans} {numbers}  {row.group} ({row.example})")
+    return lines
+
+
 def _table(rows: list[FailureRow]) -> list[str]:
     lines = [
         f"{'second':>8} {'failed':>6} {'programs':>8} {'last':>4}  cause (example)"
--- a/sequoiaarch/tests/observe/failures_tests.py
+++ b/sequoiaarch/tests/observe/failures_tests.py
@@ -10,10 +10,21 @@
 from click.testing import CliRunner
 
 from ...__main__ import cli
-from ...observe.failures import count_failures, read_requests
+from ...observe.failures import (
+    Grouping,
+    count_failures,
+    group_failures,
+    read_requests,
+)
 
 
-def line(time: float, program: str, outcome: str, reason: str = "") -> str:
+def line(
+    time: float,
+    program: str,
+    outcome: str,
+    reason: str = "",
+    steps: tuple[str, ...] = (),
+) -> str:
     """Return a line as a gateway writes it."""
     found = {
         "time": time,
@@ -23,6 +34,8 @@
         "status": 200,
         "outcome": outcome,
         "reason": reason,
+        "route": "calls",
+        "steps": steps,
     }
     return json.dumps(found)
 
@@ -52,6 +65,25 @@
         self.assertEqual((second.start, second.last), (1.0, 1))
         self.assertEqual(second.reason, "no answer in # s")
 
+    def test_groups(self) -> None:
+        """Tell how many gateways a target failed, and for how long."""
+        tried = ("x-1 chosen: running=0", "x-1:not run 503", "x-2 chosen: running=0")
+        lines = [
+            "host-1 " + line(100.0, "a", "answered", "", ("x-2 chosen: near",)),
+            "host-1 " + line(101.0, "a", "interrupted", "reset", tried),
+            "host-2 " + line(103.5, "b", "interrupted", "reset", tried[2:]),
+            "host-2 " + line(104.0, "b", "log_unavailable", "no log"),
+        ]
+        requests = list(read_requests(lines))
+        first, second = group_failures(requests, Grouping.TARGET)
+        self.assertEqual((first.group, first.requests, first.gateways), ("x-2", 2, 2))
+        self.assertEqual((first.first, first.final, first.last), (1.0, 3.5, 1))
+        self.assertEqual(second.group, "sent to no target")
+        gateways = group_failures(requests, Grouping.GATEWAY)
+        self.assertEqual([row.group for row in gateways], ["host-2", "host-1"])
+        routes = group_failures(requests, Grouping.ROUTE)
+        self.assertEqual([(row.group, row.requests) for row in routes], [("calls", 3)])
+
     def test_no_requests(self) -> None:
         """Return nothing for logs without requests."""
         self.assertEqual(count_failures(read_requests(["x"]), 1.0), [])
@@ -66,5 +98,9 @@
             self.assertIn("5 requests, 3 failed", table.output)
             found = CliRunner().invoke(cli, ["failures", "--json", str(path)])
             self.assertEqual(len(json.loads(found.output)), 2)
+            by = ["failures", str(path), "--by", "gateway"]
+            groups = CliRunner().invoke(cli, by)
+            self.assertIn("host-1", groups.output)
+            self.assertIn(str(path), groups.output)
             missing = CliRunner().invoke(cli, ["failures", str(path) + "-none"])
             self.assertEqual(missing.exit_code, 2)
