Ask a peer for the store while the direct way says nothing

Change: a call that is silent for three times the patience of a hedged one (0.18 s where answers take 10 ms; longer where the store is slow) is made through a peer as well, and the first answer counts. The direct way is given up only if no other call was answered meanwhile. A peer that knows that it does not reach the store itself says so at once.

Tests: ways_tests.py (silent; one slow call among served ones), peers_tests.py.

--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import logbook
 import msgspec
@@ -12,7 +12,7 @@
 
 from ..errors import ErrorKind, Failure
 from ..ids import DataCentre, HostName, WriterId
-from ..storage.calls import StoreCall, StoreCaller, StoreReply
+from ..storage.calls import StoreCall, StoreCaller, StoreReply, unavailable
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition, Writer
 from ..wire.links import Handler, Link, Links, Responder, Send
 from ..wire.messages import Failed, Reply, Request, StoreAnswer, StoreRequest
@@ -193,9 +193,15 @@
     """Answer peers: calls to the store, and what else `others` answers."""
 
     def __init__(
-        self, *, context: zmq.asyncio.Context, address: str, caller: StoreCaller
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        address: str,
+        caller: StoreCaller,
+        reaches_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self._caller = caller
+        self._reaches_store = reaches_store
         self.others: Handler = _answer_none
         self._responder = Responder(
             context=context, address=f"tcp://{address}", handler=self._answer
@@ -217,6 +223,9 @@
     async def _answer(self, request: Request, send: Send) -> Reply:
         if not isinstance(request, StoreRequest):
             return await self.others(request, send)
+        if not self._reaches_store():
+            # The peer asks another one at once, not after a call in vain.
+            return Failed(failure=unavailable(request.call, "not reached here either"))
         reply = await self._caller.call(request.call)
         if isinstance(reply, Failure):
             return Failed(failure=reply)
--- a/sequoiaarch/platform/program.py
+++ b/sequoiaarch/platform/program.py
@@ -15,7 +15,7 @@
 from ..observe.events import EventLog, events_to
 from ..storage.direct import DirectCaller
 from ..storage.hedged import HedgedCaller
-from ..storage.relayed import RelayedCaller
+from ..storage.relayed import RelayedCaller, Way
 from .calls import PlatformCalls
 from .documents import (
     CONFIG_KEY,
@@ -50,8 +50,15 @@
         seeds=options.seeds,
         rng=random.Random(),
     )
-    server = PeerServer(context=context, address=options.inner, caller=direct)
-    caller = RelayedCaller(direct=direct, relay=peers.relay)
+    caller = RelayedCaller(
+        direct=direct, relay=peers.relay, silence=lambda: direct.silence
+    )
+    server = PeerServer(
+        context=context,
+        address=options.inner,
+        caller=direct,
+        reaches_store=lambda: caller.way is Way.DIRECT,
+    )
     daemon = IngressDaemon(
         options=options,
         keyed_log=PlatformLog(caller=caller),
--- a/sequoiaarch/storage/hedged.py
+++ b/sequoiaarch/storage/hedged.py
@@ -20,6 +20,8 @@
 FIRST_GUESS = 0.02
 SMOOTHING = 0.1
 MOST_CALLS = 4
+# Two calls in a row without an answer take three times the patience for one.
+SILENCE_FACTOR = 3.0
 
 
 class HedgedCaller:
@@ -42,6 +44,11 @@
         wanted = USUAL_FACTOR * self._usual
         return min(max(wanted, LEAST_PATIENCE), MOST_PATIENCE)
 
+    @property
+    def silence(self) -> float:
+        """Return the seconds after which two calls were late."""
+        return SILENCE_FACTOR * self.patience
+
     async def call(self, call: StoreCall) -> StoreReply | Failure:
         """Make a call and return the first answer to it."""
         if call.waits:
--- a/sequoiaarch/storage/relayed.py
+++ b/sequoiaarch/storage/relayed.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from enum import Enum
+from typing import Any
 
 import logbook
 
@@ -13,13 +14,16 @@
 
 log = logbook.Logger("store")
 
-RelayCall = Callable[[StoreCall], Awaitable[StoreReply | Failure]]
+RelayCall = Callable[[StoreCall], Coroutine[Any, Any, StoreReply | Failure]]
 
 # While peers carry the calls, one call in this time also tries the direct way.
 PROBE_SECONDS = 0.5
 # While nobody reaches the store, one call in this time finds out whether it is
 # back; all others fail at once, so that their callers are told at once too.
 AWAY_PROBE_SECONDS = 0.25
+# A direct call that is silent for this time is also made through a peer; its
+# answer takes 10 ms as a rule, and its connection may be cut. Seconds.
+SILENCE = 0.18
 # The store is away for all only if it has served nothing for this time.
 AWAY_AFTER_SECONDS = 0.8
 
@@ -40,9 +44,17 @@
     A call may arrive twice, by both ways: appends carry a sequence.
     """
 
-    def __init__(self, *, direct: StoreCaller, relay: RelayCall) -> None:
+    def __init__(
+        self,
+        *,
+        direct: StoreCaller,
+        relay: RelayCall,
+        silence: Callable[[], float] = lambda: SILENCE,
+    ) -> None:
+        """Take both ways; `silence` is the time after which to try the second."""
         self._direct = direct
         self._relay = relay
+        self._silence = silence
         self._way = Way.DIRECT
         self._probe_at = 0.0
         self._served_at = float("-inf")
@@ -65,13 +77,48 @@
             if not _served(reply) and self._way is Way.RELAYED:
                 self._note(Way.NONE, _reason(reply))
             return reply
-        reply = await self._try_direct(call)
-        if _served(reply):
-            return reply
-        relayed = await self._relay(call)
-        if _served(relayed):
-            self._note(Way.RELAYED, _reason(reply))
-            return relayed
+        return await self._both_ways(call)
+
+    async def _both_ways(self, call: StoreCall) -> StoreReply | Failure:
+        """Make a call directly, and through a peer where it fails or is silent.
+
+        A process that is cut off from the store hears nothing. Each of its calls
+        waited for a second until its connection was given up, and so did the
+        ends of its callers' turns.
+        """
+        begun = asyncio.get_running_loop().time()
+        direct = asyncio.create_task(self._try_direct(call))
+        relay: asyncio.Task[StoreReply | Failure] | None = None
+        try:
+            timeout = None if call.waits else self._silence()
+            await asyncio.wait([direct], timeout=timeout)
+            if direct.done() and _served(direct.result()):
+                return direct.result()
+            relay = asyncio.create_task(self._relay(call))
+            return await self._first_served(direct, relay, begun)
+        finally:
+            direct.cancel()
+            if relay is not None:
+                relay.cancel()
+
+    async def _first_served(
+        self,
+        direct: asyncio.Task[StoreReply | Failure],
+        relay: asyncio.Task[StoreReply | Failure],
+        begun: float,
+    ) -> StoreReply | Failure:
+        left = {direct, relay}
+        while left:
+            done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+            if direct in done and _served(direct.result()):
+                return direct.result()
+            if relay in done and _served(relay.result()):
+                # While other calls are answered the direct way is only slow.
+                if self._served_at < begun:
+                    reason = _reason(direct.result()) if direct.done() else "silent"
+                    self._note(Way.RELAYED, reason)
+                return relay.result()
+        reply = direct.result()
         # A call that lost all its answers says nothing while others are served.
         now = asyncio.get_running_loop().time()
         if now > self._served_at + AWAY_AFTER_SECONDS:
--- a/sequoiaarch/tests/fleet/peers_tests.py
+++ b/sequoiaarch/tests/fleet/peers_tests.py
@@ -31,6 +31,7 @@
         self.denied = False
         self.busy = False
         self.calls = 0
+        self.reaches_store = True
 
     async def call(self, call: StoreCall) -> StoreReply | Failure:
         """Answer with the own name."""
@@ -71,7 +72,12 @@
     async def add(self, name: str, data_centre: DataCentre) -> _Caller:
         """Start a peer and tell of it."""
         caller = _Caller(name)
-        server = PeerServer(context=self.context, address="127.0.0.1:*", caller=caller)
+        server = PeerServer(
+            context=self.context,
+            address="127.0.0.1:*",
+            caller=caller,
+            reaches_store=lambda: caller.reaches_store,
+        )
         task = asyncio.create_task(server.run())
         self.closing.append(server.close)
         self.serving.append(task)
@@ -113,6 +119,18 @@
             self.assertEqual(await self.answer(), "far")
         self.assertEqual(near.calls, 1)
 
+    async def test_peer_that_is_cut_off_says_so(self) -> None:
+        """Go on to the next peer without a call in vain at the first one.
+
+        A third of the hosts are cut off from the store at once. One that knows
+        it of itself must not let a neighbour's call hang as its own do.
+        """
+        near = await self.add("near", HERE)
+        await self.add("far", AWAY)
+        near.reaches_store = False
+        self.assertEqual(await self.answer(), "far")
+        self.assertEqual(near.calls, 0)
+
     async def test_gone_peer(self) -> None:
         """Go on to the next when a registered peer is gone.
 
--- a/sequoiaarch/tests/storage/ways_tests.py
+++ b/sequoiaarch/tests/storage/ways_tests.py
@@ -94,6 +94,37 @@
                 await caller.call(CALL)
                 await asyncio.sleep(0.05)
 
+    async def test_silent_direct_way(self) -> None:
+        """Ask a peer while the direct way says nothing, not after its timeout.
+
+        A process is cut off from the store without a reset: its calls hang. The
+        end of a turn waits for its commit, and its program is late by each
+        second that this takes.
+        """
+        direct, relay = _Caller(None), _Caller(GOOD)
+        caller = RelayedCaller(direct=direct, relay=relay.call, silence=lambda: 0.01)
+        async with asyncio.timeout(PATIENCE):
+            self.assertEqual(await caller.call(CALL), GOOD)
+        self.assertIs(caller.way, Way.RELAYED)
+        self.assertEqual(direct.calls, 1)
+
+    async def test_slow_call_among_served_ones(self) -> None:
+        """Stay with the direct way where one call is silent and others are served."""
+        direct, relay = _Caller(None, GOOD), _Caller(GOOD)
+        asked = asyncio.Event()
+
+        async def relayed(call: StoreCall) -> StoreReply | Failure:
+            asked.set()
+            await asyncio.sleep(0.05)
+            return await relay.call(call)
+
+        caller = RelayedCaller(direct=direct, relay=relayed, silence=lambda: 0.01)
+        silent = asyncio.create_task(caller.call(CALL))
+        await asyncio.wait_for(asked.wait(), PATIENCE)
+        self.assertEqual(await caller.call(CALL), GOOD)
+        self.assertEqual(await silent, GOOD)
+        self.assertIs(caller.way, Way.DIRECT)
+
     async def test_one_call_fails_among_served_ones(self) -> None:
         """Go on asking while other calls are served.
 
