Tell full targets from silent ones, and close what is kept open to failing ones

And each host that tried a silent engine again lost the request on a connection that stood from before.

Change: what a target owes for a first event grows with the longest wait that was seen anywhere of late. A target that is passed over loses its idle connections here, so that a request goes on to the next target if it does not even connect.

Tests: load_tests.py (full targets), health_tests.py.

--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -50,6 +50,9 @@
         self._urgency: Urgency = WorthUrgency()
         self._starts: StartPolicy = BoundedWait(rng=rng)
         self._rng = rng
+        # Requests on connections that a target still holds would be lost with it.
+        # On new ones they go on to the next target if it does not answer.
+        health.passed_over = self.pool.forget
 
     def choose(
         self, route: Route, info: CallInfo, tried: set[InstanceId]
@@ -89,7 +92,7 @@
         reading = self._memory.reading(entry.incarnation, shape)
         self._memory.note(entry.incarnation, shape)
         self.load.awaits_first(entry.incarnation, request, reading)
-        within = reading + first_event_due(route.latency_target)
+        within = reading + first_event_due(route.latency_target, self.load.longest)
         self.load.expects(entry.incarnation, request, within)
 
     def forget(self, instance: InstanceId) -> None:
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -19,6 +19,8 @@
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
+# For how long a long wait says that targets have queues. Seconds.
+LONGEST_HALF_LIFE = 3.0
 # Targets are judged by what they owe so often: a part of the shortest pause that
 # routes allow. Seconds.
 SILENCE_CHECK = 0.05
@@ -48,6 +50,8 @@
         self.report: Callable[[InstanceId, bool], None] = lambda instance, ok: None
         self._instances: dict[InstanceId, _Instance] = defaultdict(_Instance)
         self._least = FIRST_GUESS
+        self._longest = 0.0
+        self._longest_seen = 0.0
 
     def started(self, instance: InstanceId) -> None:
         """Count a request that was sent."""
@@ -73,6 +77,13 @@
         now = asyncio.get_running_loop().time()
         self._instances[instance].due[request] = now + within
 
+    @property
+    def longest(self) -> float:
+        """Return the longest wait for a first event of late, at any target, in s."""
+        now = asyncio.get_running_loop().time()
+        faded: float = 0.5 ** ((now - self._longest_seen) / LONGEST_HALF_LIFE)
+        return self._longest * faded
+
     def heard(self, instance: InstanceId, request: object) -> None:
         """Note that a target sent what it owed for a request."""
         self._instances[instance].due.pop(request, None)
@@ -113,6 +124,8 @@
         taken = max(0.0, now - begun)
         self._least = min(self._least, taken)
         excess = taken - self._least
+        self._longest = max(self.longest, excess)
+        self._longest_seen = now
         before = self._faded(found, now)
         found.wait = before + SMOOTHING * (excess - before)
         found.seen = now
--- a/sequoiaarch/policies/health.py
+++ b/sequoiaarch/policies/health.py
@@ -40,9 +40,11 @@
 OWN_WORD = 0.2
 PASSED_OVER = 1.0
 # A target that owes the first event of a stream for this many times the route's
-# latency target is taken for silent: queues of full engines are shorter, and
-# callers bear twice as long.
+# latency target is taken for silent, where queues are short: callers bear twice as
+# long. Where waits are longer, so much of the longest one of late is added, or full
+# targets would be passed over one after the other.
 FIRST_EVENT_FACTOR = 4.0
+LONGEST_WAIT_FACTOR = 4.0
 # The same for the next event, in pauses that the route allows: engines that
 # admit others in between exceed one pause now and then.
 NEXT_EVENT_FACTOR = 2.0
@@ -80,6 +82,8 @@
         """Know nothing; `place` is this host's place among all for a name."""
         self._own = own
         self._place = place
+        # Called when a target is passed over.
+        self.passed_over: Callable[[InstanceId], None] = lambda instance: None
         self._records: dict[InstanceId, _Record] = {}
 
     def failed(self, instance: InstanceId, now: float) -> bool:
@@ -168,6 +172,7 @@
             f"{instance}/{record.times}"
         )
         record.reports.clear()
+        self.passed_over(instance)
         log.info(
             "target {} is passed over for {:.1f} s: {} hosts saw it fail in {} s",
             instance,
@@ -184,9 +189,9 @@
         log.info("target {} is used again", instance)
 
 
-def first_event_due(latency_target: float) -> float:
+def first_event_due(latency_target: float, longest_wait: float) -> float:
     """Return the seconds after which a target without a first event is silent."""
-    return FIRST_EVENT_FACTOR * latency_target
+    return FIRST_EVENT_FACTOR * latency_target + LONGEST_WAIT_FACTOR * longest_wait
 
 
 def next_event_due(pause: float) -> float:
--- a/sequoiaarch/tests/ingress/load_tests.py
+++ b/sequoiaarch/tests/ingress/load_tests.py
@@ -8,7 +8,7 @@
 
 from ...ids import HostName, InstanceId
 from ...ingress.load import SILENCE_CHECK, LoadBoard
-from ...policies.health import PASSED_OVER, TargetHealth
+from ...policies.health import PASSED_OVER, TargetHealth, first_event_due
 
 TARGET = InstanceId("target")
 OTHER = HostName("other")
@@ -73,6 +73,21 @@
         self.passes(0.4)
         self.assertEqual(self.told, [False])
 
+    async def test_full_targets_are_not_silent(self) -> None:
+        """Wait longer for a first event where long queues were seen of late.
+
+        In a burst all engines have queues of a second. Passing over those whose
+        queue is longest would only fill the others.
+        """
+        patient = first_event_due(0.25, self.board.longest)
+        self.assertEqual(patient, 1.0)
+        self.board.awaits_first(TARGET, "request", 0.0)
+        self.now += 1.0
+        self.board.got_first(TARGET, "request")
+        self.assertGreater(first_event_due(0.25, self.board.longest), 4.0)
+        self.now += 30.0
+        self.assertLess(first_event_due(0.25, self.board.longest), 1.1)
+
     async def test_own_word_counts_more(self) -> None:
         """Stay with a target that answers here while others say that it fails."""
         for host in ("a", "b", "c"):
--- a/sequoiaarch/tests/policies/health_tests.py
+++ b/sequoiaarch/tests/policies/health_tests.py
@@ -192,6 +192,15 @@
         chosen, _ = policy.choose(PromptShape(parts=()), choices)
         self.assertEqual(chosen, NEAR)
 
+    def test_idle_connections_go_with_the_target(self) -> None:
+        """Say once that a target is passed over, for what is kept open to it."""
+        closed: list[InstanceId] = []
+        health = TargetHealth(own=HostName("own"))
+        health.passed_over = closed.append
+        for host in ("a", "b", "c"):
+            health.told(NEAR, HostName(host), ok=False, now=0.0)
+        self.assertEqual(closed, [NEAR])
+
     def test_pauses_grow_while_a_target_fails_and_end_with_an_answer(self) -> None:
         """Try again after 1, 2, 4 and 8 seconds at most, and forget at an answer."""
         health = TargetHealth(own=HostName("own"))
