--- a/sequoiaarch/policies/health.py
+++ b/sequoiaarch/policies/health.py
@@ -39,6 +39,9 @@
 # report: they may be cut off from a target that others reach. Seconds.
 OWN_WORD = 0.2
 PASSED_OVER = 1.0
+# Targets come and go for as long as a process runs, and reports of one may arrive
+# after it has left. What was learned first goes first.
+MOST_RECORDS = 4096
 # A target that owes the first event of a stream for this many times the route's
 # latency target is taken for silent, where queues are short: callers bear twice as
 # long. Where waits are longer, so much of the longest one of late is added, or full
@@ -142,7 +145,12 @@
         self._records.pop(instance, None)
 
     def _record(self, instance: InstanceId) -> _Record:
-        return self._records.setdefault(instance, _Record())
+        found = self._records.get(instance)
+        if found is None:
+            found = self._records[instance] = _Record()
+            if len(self._records) > MOST_RECORDS:
+                del self._records[next(iter(self._records))]
+        return found
 
     def _judge(self, record: _Record, now: float, seen: float) -> float:
         before = _faded(record, now)
--- a/sequoiaarch/tests/policies/health_tests.py
+++ b/sequoiaarch/tests/policies/health_tests.py
@@ -14,6 +14,7 @@
 from ...ids import HostName, InstanceId
 from ...policies.engines import EngineChoice, NearestFree, PromptShape
 from ...policies.health import (
+    MOST_RECORDS,
     PASS_OVER,
     PASS_OVER_LIMIT,
     REPORT_WINDOW,
@@ -201,6 +202,13 @@
             health.told(NEAR, HostName(host), ok=False, now=0.0)
         self.assertEqual(closed, [NEAR])
 
+    def test_memory_is_bounded(self) -> None:
+        """Forget old targets where reports of ever new ones arrive."""
+        health = TargetHealth(own=HostName("own"))
+        for number in range(MOST_RECORDS + 10):
+            health.heard(InstanceId(f"i-{number}"), float(number))
+        self.assertEqual(len(health._records), MOST_RECORDS)
+
     def test_pauses_grow_while_a_target_fails_and_end_with_an_answer(self) -> None:
         """Try again after 1, 2, 4 and 8 seconds at most, and forget at an answer."""
         health = TargetHealth(own=HostName("own"))
