--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from ..ids import TurnId
@@ -75,18 +76,17 @@
 
     def covers(self, turn: TurnId) -> bool:
         """Return whether the grant covers what a turn holds and all before it."""
-        needed = self.handed
-        for name, part in self.open.items():
-            needed += part.held
-            if name == turn:
-                break
-        return needed <= self.granted
+        held = sum(part.held for part in self._up_to(turn))
+        return self.handed + held <= self.granted
 
     def has_room(self, turn: TurnId) -> bool:
         """Return whether a turn can come to its most, and all before it too."""
-        wanted = self.handed
+        wanted = self.handed + sum(part.left for part in self._up_to(turn))
+        return wanted <= self.granted or self.room is None or wanted <= self.room
+
+    def _up_to(self, turn: TurnId) -> Iterator[OpenPart]:
+        """Return the parts of a turn and of all that began before it."""
         for name, part in self.open.items():
-            wanted += part.left
+            yield part
             if name == turn:
-                break
-        return wanted <= self.granted or self.room is None or wanted <= self.room
+                return
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -10,12 +10,13 @@
 from ..errors import Failure
 from ..ids import Offset, ProgramId, TurnId, WriterId
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition
-from .budgets import RETURN_INTERVAL, Budgets, Reservation
+from .budgets import RETURN_INTERVAL, Budgets
 from .holds import Hold
 from .index import TurnIndex
 from .partition import LedgerPartition
 from .places import Places
 from .records import TurnRecord, encode_record
+from .reservation import Reservation
 from .split import BudgetSplit
 from .state import LedgerState
 from .terms import BudgetVerdict, History, Lookup, TurnContent, TurnTerms
--- /dev/null
+++ b/sequoiaarch/ledger/reservation.py
@@ -0,0 +1,143 @@
+"""Hold the part of a budget that one turn may use, and raise it while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import Protocol
+
+from .account import Account, OpenPart
+from .terms import BudgetVerdict, TurnTerms
+
+# Of a turn that begins where little is left of a budget so much of its most is
+# held, and again so much each time that this is nearly used up. Turns generate a
+# quarter of their most on average, so that most of them need no second call.
+HELD_PART = 1 / 3
+# A wait for a grant looks so often whether the store is away meanwhile. Seconds.
+AWAY_CHECK = 0.1
+
+
+class GrantRaiser(Protocol):
+    """Ask the log for what an account needs, and return what it does not."""
+
+    def raise_grant(self, account: Account) -> None:
+        """Ask for a larger grant."""
+
+    def turn_ended(self, account: Account) -> None:
+        """Return what an ended turn leaves, where it may be missing."""
+
+
+class Reservation:
+    """Hold the part of a budget that one turn may use.
+
+    Where much of the budget is left the whole turn is granted at once. Else a
+    part of it is, and more while the turn runs: turns generate a quarter of
+    their most on average, and what a lost process held counts as spent. After a
+    power loss a program whose budget held two turns was refused for good with
+    less than one of them handed out.
+    """
+
+    def __init__(
+        self,
+        *,
+        terms: TurnTerms,
+        account: Account,
+        raiser: GrantRaiser,
+    ) -> None:
+        self.terms = terms
+        self._raiser = raiser
+        self._account = account
+        self._handed = 0
+
+    @property
+    def granted(self) -> bool:
+        """Return whether the grant is known to cover what the turn holds."""
+        return self._account.covers(self.terms.turn)
+
+    @property
+    def by_log(self) -> bool:
+        """Return True: the log grants it."""
+        return True
+
+    async def verdict(self) -> BudgetVerdict:
+        """Wait until it is known whether the turn may begin.
+
+        Others may have begun turns at the same moment that leave no room for
+        the rest of this one; it would be cut midway.
+        """
+        verdict = await self._granted_verdict()
+        fits = verdict is BudgetVerdict.FITS
+        if fits and not self._account.has_room(self.terms.turn):
+            return BudgetVerdict.EXCEEDED
+        return verdict
+
+    @property
+    def covered(self) -> int | None:
+        """Return the tokens that may be handed out unasked; None for all."""
+        part = self._account.open.get(self.terms.turn)
+        if part is None or part.whole:
+            return None
+        return self._handed + part.held
+
+    async def cover(self, total: int) -> bool:
+        """Return whether the turn may hand out so many tokens in all."""
+        part = self._account.open.get(self.terms.turn)
+        if part is None:
+            return False
+        short = total - self._handed - part.held
+        if short > 0:
+            self._hold_more(part, short)
+            self._raiser.raise_grant(self._account)
+        return await self._granted_verdict() is BudgetVerdict.FITS
+
+    def hand_out(self, tokens: int) -> None:
+        """Count tokens that go to the caller."""
+        account = self._account
+        self._handed += tokens
+        account.handed += tokens
+        part = account.open.get(self.terms.turn)
+        if part is not None:
+            part.left = max(0, part.left - tokens)
+            part.held = max(0, part.held - tokens)
+
+    def close(self) -> None:
+        """Return what the turn did not use; a second time does nothing."""
+        if self._account.open.pop(self.terms.turn, None) is None:
+            return
+        self._account.touched = asyncio.get_running_loop().time()
+        self._raiser.turn_ended(self._account)
+
+    def _hold_more(self, part: OpenPart, short: int) -> None:
+        """Hold a further part of the turn, which is `short` tokens at least.
+
+        A turn may come to more than its caller announced, or none was: it then
+        holds as much again as it came to, so that few calls are needed.
+        """
+        step = max(short, first_part(self.terms.most))
+        if part.whole:
+            part.held += max(step, self._handed)
+        else:
+            part.held = max(min(part.held + step, part.left), part.held + short)
+        part.left = max(part.left, part.held)
+
+    async def _granted_verdict(self) -> BudgetVerdict:
+        """Wait until it is known whether what the turn holds is granted.
+
+        While the store is away the answer could come after the caller has
+        left, so it is given as unknown.
+        """
+        account = self._account
+        while not account.covers(self.terms.turn):
+            raising = account.raising
+            if raising is None:
+                return BudgetVerdict.EXCEEDED
+            await asyncio.wait([raising], timeout=AWAY_CHECK)
+            unknown = raising.done() and not raising.result()
+            if unknown or account.partition.stuck:
+                return BudgetVerdict.UNCERTAIN
+        return BudgetVerdict.FITS
+
+
+def first_part(most: int) -> int:
+    """Return what is held for a turn that begins where little is left."""
+    return math.ceil(most * HELD_PART)
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from ..ids import Offset
-from .budgets import Reservation
 from .holds import Hold, Lender, NoLender
 from .ledger import Ledger
+from .reservation import Reservation
 from .terms import BudgetVerdict, History, Lookup, TurnContent, TurnStart, TurnTerms
 
 TurnRefusal = Lookup | BudgetVerdict
--- a/sequoiaarch/observe/failures.py
+++ b/sequoiaarch/observe/failures.py
@@ -95,56 +95,64 @@
             yield msgspec.structs.replace(found, gateway=gateway)
 
 
+class _Failures:
+    """Hold the failed requests of logs in the order of time."""
+
+    def __init__(self, requests: Iterable[RequestLine]) -> None:
+        ordered = sorted(requests, key=lambda one: one.time)
+        self.failed = [one for one in ordered if one.outcome != ANSWERED]
+        self._begin = ordered[0].time if ordered else 0.0
+        self._last_of = {one.program: one.id for one in ordered if one.program}
+
+    def second(self, one: RequestLine) -> float:
+        """Return when a request ended, in seconds from the start of the logs."""
+        return one.time - self._begin
+
+    def given_up(self, group: Iterable[RequestLine]) -> int:
+        """Return how many programs had their last request in a group."""
+        return sum(self._last_of.get(one.program) == one.id for one in group)
+
+
 def count_failures(requests: Iterable[RequestLine], span: float) -> list[FailureRow]:
     """Return the failures in spans of `span` seconds, in the order of time."""
-    ordered = sorted(requests, key=lambda one: one.time)
-    if not ordered:
-        return []
-    begin = ordered[0].time
-    last_of = {one.program: one.id for one in ordered if one.program}
+    found = _Failures(requests)
     groups: dict[tuple[int, str, str], list[RequestLine]] = defaultdict(list)
-    for one in ordered:
-        if one.outcome != ANSWERED:
-            cause = (int((one.time - begin) / span), one.outcome, _cause(one.reason))
-            groups[cause].append(one)
+    for one in found.failed:
+        cause = (int(found.second(one) / span), one.outcome, _cause(one.reason))
+        groups[cause].append(one)
     rows = [
         FailureRow(
             start=number * span,
             outcome=outcome,
             reason=reason,
-            requests=len(found),
-            programs=len({one.program for one in found if one.program}),
-            last=sum(last_of.get(one.program) == one.id for one in found),
-            example=found[0].id,
+            requests=len(group),
+            programs=_programs(group),
+            last=found.given_up(group),
+            example=group[0].id,
         )
-        for (number, outcome, reason), found in groups.items()
+        for (number, outcome, reason), group in groups.items()
     ]
     return sorted(rows, key=lambda row: (row.start, -row.requests))
 
 
 def group_failures(requests: Iterable[RequestLine], by: Grouping) -> list[GroupRow]:
     """Return the failures of each group, those with the most first."""
-    ordered = sorted(requests, key=lambda one: one.time)
-    if not ordered:
-        return []
-    begin = ordered[0].time
-    last_of = {one.program: one.id for one in ordered if one.program}
+    found = _Failures(requests)
     groups: dict[str, list[RequestLine]] = defaultdict(list)
-    for one in ordered:
-        if one.outcome != ANSWERED:
-            groups[GROUPS[by](one)].append(one)
+    for one in found.failed:
+        groups[GROUPS[by](one)].append(one)
     rows = [
         GroupRow(
             group=name,
-            first=round(found[0].time - begin, 3),
-            final=round(found[-1].time - begin, 3),
-            requests=len(found),
-            gateways=len({one.gateway for one in found}),
-            programs=len({one.program for one in found if one.program}),
-            last=sum(last_of.get(one.program) == one.id for one in found),
-            example=found[0].id,
+            first=round(found.second(group[0]), 3),
+            final=round(found.second(group[-1]), 3),
+            requests=len(group),
+            gateways=len({one.gateway for one in group}),
+            programs=_programs(group),
+            last=found.given_up(group),
+            example=group[0].id,
         )
-        for name, found in groups.items()
+        for name, group in groups.items()
     ]
     return sorted(rows, key=lambda row: -row.requests)
 
@@ -157,6 +165,10 @@
     return totals
 
 
+def _programs(group: Iterable[RequestLine]) -> int:
+    return len({one.program for one in group if one.program})
+
+
 def _cause(reason: str) -> str:
     return VARIABLE.sub("#", reason) or NO_REASON
 
--- a/sequoiaarch/tests/fleet/target_reports_tests.py
+++ b/sequoiaarch/tests/fleet/target_reports_tests.py
@@ -9,15 +9,14 @@
 import msgspec
 import zmq.asyncio
 
-from ...errors import ErrorKind, Failure
 from ...fleet.peers import PeerRecord, Peers, PeerServer
 from ...fleet.target_reports import TargetReports
 from ...ids import DataCentre, HostName, InstanceId
 from ...policies.health import PASSED_OVER, TargetHealth
-from ...storage.calls import StoreCall, StoreReply
 from ...storage.keyed import KeyedRecord
 from ...wire.links import Send
 from ...wire.messages import Reply, Request, TargetReport
+from .delegates_tests import NoStore
 
 TARGET = InstanceId("target")
 HERE = DataCentre("here")
@@ -25,14 +24,6 @@
 PATIENCE = 10.0
 
 
-class _NoStore:
-    """Fail every call: nothing here reaches a store."""
-
-    async def call(self, call: StoreCall) -> StoreReply | Failure:
-        """Return a failure."""
-        return Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="not used here")
-
-
 class _Host:
     """Hold what one host knows of targets."""
 
@@ -42,7 +33,7 @@
         self.name = HostName(name)
         self.data_centre = data_centre
         self.server = PeerServer(
-            context=context, address="127.0.0.1:*", caller=_NoStore()
+            context=context, address="127.0.0.1:*", caller=NoStore()
         )
         self.address = self.server.address.removeprefix("tcp://")
         self.peers = Peers(
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -10,9 +10,9 @@
 
 from ...ids import ProgramId, TurnId
 from ...ledger import budgets as budgets_module
-from ...ledger.budgets import Reservation
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
+from ...ledger.reservation import Reservation
 from ...ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnTerms
 from ...standins.keyed_store import KeyedStore
 
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -14,9 +14,10 @@
 from ....ingress.attempts import Attempts
 from ....ingress.daemon import IngressDaemon
 from ....ingress.exchange import Exchange
-from ....ledger.budgets import Budgets, Reservation
+from ....ledger.budgets import Budgets
 from ....ledger.ledger import Ledger
 from ....ledger.loans import LoanBook
+from ....ledger.reservation import Reservation
 from ....ledger.terms import BudgetVerdict, TurnTerms
 from ....platform.__main__ import main
 from ....routing.targets import Targets
