Take a target that was not seen lately for as busy as the others

Cause: a process hears of an engine when it answers one of its own requests. With 84 gateways that is once a second for a near one and seldom for a far one, and what was heard fades to nothing in 0.6 s. Prompts went to far engines for the same reason.

Change: the wait met at any engine of a service is kept too, and an engine of which nothing was heard lately is expected to have that wait. In a small fleet all engines are heard of, and nothing changes.

--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..ids import InstanceId
+from ..ids import InstanceId, ServiceName
 from ..policies.health import TargetHealth
 
 # The weight of a new observation. With about five answers a second from each
@@ -29,6 +29,7 @@
 @dataclass(kw_only=True)
 class _Instance:
     running: int = 0
+    service: ServiceName | None = None
     wait: float = 0.0
     seen: float = 0.0
     waiting: dict[object, float] = field(default_factory=dict)
@@ -36,6 +37,14 @@
     gone: bool = False
 
 
+@dataclass(kw_only=True)
+class _Pool:
+    """Hold the wait that requests met at any target of a service."""
+
+    wait: float = 0.0
+    seen: float = 0.0
+
+
 class LoadBoard:
     """Learn the load of each target from the answers of this process.
 
@@ -49,6 +58,7 @@
         # Called with what others should know of a target.
         self.report: Callable[[InstanceId, bool], None] = lambda instance, ok: None
         self._instances: dict[InstanceId, _Instance] = defaultdict(_Instance)
+        self._pools: dict[ServiceName, _Pool] = defaultdict(_Pool)
         self._least = FIRST_GUESS
         self._longest = 0.0
         self._longest_seen = 0.0
@@ -66,11 +76,17 @@
             del self._instances[instance]
 
     def awaits_first(
-        self, instance: InstanceId, request: object, reading: float
+        self,
+        instance: InstanceId,
+        service: ServiceName,
+        request: object,
+        reading: float,
     ) -> None:
         """Note that a request waits; `reading` is the time for its prompt."""
         now = asyncio.get_running_loop().time()
-        self._instances[instance].waiting[request] = now + reading
+        found = self._instances[instance]
+        found.service = service
+        found.waiting[request] = now + reading
 
     def expects(self, instance: InstanceId, request: object, within: float) -> None:
         """Note that a target owes something for a request, within some seconds."""
@@ -129,6 +145,11 @@
         before = self._faded(found, now)
         found.wait = before + SMOOTHING * (excess - before)
         found.seen = now
+        if found.service is not None:
+            pool = self._pools[found.service]
+            usual = _pooled(pool, now)
+            pool.wait = usual + SMOOTHING * (excess - usual)
+            pool.seen = now
 
     def gave_up(self, instance: InstanceId, request: object) -> None:
         """Forget a request that ended, with or without an event."""
@@ -164,15 +185,30 @@
         found = self._instances.get(instance)
         return found.running if found is not None else 0
 
-    def wait(self, instance: InstanceId) -> float:
-        """Return the seconds that a request is expected to wait."""
+    def wait(self, instance: InstanceId, service: ServiceName) -> float:
+        """Return the seconds that a request is expected to wait at a target.
+
+        One that was not seen lately is taken for as busy as the others of its
+        service. With 84 processes each hears of a target once a second or less;
+        taken for free, there was always a free one, new programs were let in
+        however long all waited, and prompts went to far targets for nothing.
+        """
+        now = asyncio.get_running_loop().time()
+        pool = self._pools.get(service)
+        usual = _pooled(pool, now) if pool is not None else 0.0
         found = self._instances.get(instance)
         if found is None:
-            return 0.0
-        now = asyncio.get_running_loop().time()
+            return usual
+        known = 0.5 ** ((now - found.seen) / HALF_LIFE)
         oldest = min(found.waiting.values(), default=now)
         # Requests that have waited for long say so before they are answered.
-        return max(self._faded(found, now), now - oldest - self._least)
+        expected = found.wait * known + usual * (1 - known)
+        return max(expected, now - oldest - self._least)
 
     def _faded(self, found: _Instance, now: float) -> float:
         return found.wait * 0.5 ** ((now - found.seen) / HALF_LIFE)
+
+
+def _pooled(pool: _Pool, now: float) -> float:
+    faded: float = pool.wait * 0.5 ** ((now - pool.seen) / HALF_LIFE)
+    return faded
