Keep the waits of each data centre apart

Late programs are those of two data centres (92 of 117), whose engines have queues to second 18 while the other three have none: the queues nearby were expected at far engines too, so nothing went there.

Change: an engine that was not heard of is expected to be as busy as the others of its data centre; one far away that nothing was heard of is tried. What is known of a data centre fades in 1.5 s, not in 0.6 s.

Test: load_tests.py.

--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..ids import InstanceId, ServiceName
+from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.health import TargetHealth
 
 # The weight of a new observation. With about five answers a second from each
@@ -16,6 +16,9 @@
 # An estimate that nothing confirms falls to half in this time: other processes
 # move away too, and a target that is never tried is never seen to be free.
 HALF_LIFE = 0.6
+# The load of a data centre changes more slowly than that of one target, which gets
+# a queue and loses it within a turn or two. Seconds.
+POOL_HALF_LIFE = 1.5
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
@@ -26,10 +29,14 @@
 SILENCE_CHECK = 0.05
 
 
+# The targets of one service in one data centre, which share its load.
+TargetGroup = tuple[ServiceName, DataCentre]
+
+
 @dataclass(kw_only=True)
 class _Instance:
     running: int = 0
-    service: ServiceName | None = None
+    group: TargetGroup | None = None
     wait: float = 0.0
     seen: float = 0.0
     waiting: dict[object, float] = field(default_factory=dict)
@@ -39,7 +46,7 @@
 
 @dataclass(kw_only=True)
 class _Pool:
-    """Hold the wait that requests met at any target of a service."""
+    """Hold the wait that requests met at any target of a group."""
 
     wait: float = 0.0
     seen: float = 0.0
@@ -58,7 +65,7 @@
         # Called with what others should know of a target.
         self.report: Callable[[InstanceId, bool], None] = lambda instance, ok: None
         self._instances: dict[InstanceId, _Instance] = defaultdict(_Instance)
-        self._pools: dict[ServiceName, _Pool] = defaultdict(_Pool)
+        self._pools: dict[TargetGroup, _Pool] = defaultdict(_Pool)
         self._least = FIRST_GUESS
         self._longest = 0.0
         self._longest_seen = 0.0
@@ -78,14 +85,14 @@
     def awaits_first(
         self,
         instance: InstanceId,
-        service: ServiceName,
+        group: TargetGroup,
         request: object,
         reading: float,
     ) -> None:
         """Note that a request waits; `reading` is the time for its prompt."""
         now = asyncio.get_running_loop().time()
         found = self._instances[instance]
-        found.service = service
+        found.group = group
         found.waiting[request] = now + reading
 
     def expects(self, instance: InstanceId, request: object, within: float) -> None:
@@ -145,8 +152,8 @@
         before = self._faded(found, now)
         found.wait = before + SMOOTHING * (excess - before)
         found.seen = now
-        if found.service is not None:
-            pool = self._pools[found.service]
+        if found.group is not None:
+            pool = self._pools[found.group]
             usual = _pooled(pool, now)
             pool.wait = usual + SMOOTHING * (excess - usual)
             pool.seen = now
@@ -185,16 +192,16 @@
         found = self._instances.get(instance)
         return found.running if found is not None else 0
 
-    def wait(self, instance: InstanceId, service: ServiceName) -> float:
+    def wait(self, instance: InstanceId, group: TargetGroup) -> float:
         """Return the seconds that a request is expected to wait at a target.
 
         One that was not seen lately is taken for as busy as the others of its
-        service. With 84 processes each hears of a target once a second or less;
-        taken for free, there was always a free one, new programs were let in
-        however long all waited, and prompts went to far targets for nothing.
+        service and data centre. With 84 processes each hears of a target once a
+        second or less; taken for free, it got the next request of each of them
+        while targets of other data centres stood idle.
         """
         now = asyncio.get_running_loop().time()
-        pool = self._pools.get(service)
+        pool = self._pools.get(group)
         usual = _pooled(pool, now) if pool is not None else 0.0
         found = self._instances.get(instance)
         if found is None:
@@ -210,5 +217,5 @@
 
 
 def _pooled(pool: _Pool, now: float) -> float:
-    faded: float = pool.wait * 0.5 ** ((now - pool.seen) / HALF_LIFE)
+    faded: float = pool.wait * 0.5 ** ((now - pool.seen) / POOL_HALF_LIFE)
     return faded
