--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -75,8 +75,7 @@
     def refuse_start(self, route: Route) -> float | None:
         """Return when a new program should come back; None to let it start."""
         service = self._service(route)
-        targets = self._targets.of(service)
-        waits = [self.load.wait(one.incarnation, one.group) for one in targets]
+        waits = [self.load.wait(one.incarnation) for one in self._targets.of(service)]
         if not waits:
             return None
         return self._starts.refuse(Start(wait=min(waits)))
@@ -92,7 +91,7 @@
         shape = _shape(info)
         reading = self._memory.reading(entry.incarnation, shape)
         self._memory.note(entry.incarnation, shape)
-        self.load.awaits_first(entry.incarnation, entry.group, request, reading)
+        self.load.awaits_first(entry.incarnation, request, reading)
         within = reading + first_event_due(route.latency_target, self.load.longest)
         self.load.expects(entry.incarnation, request, within)
 
@@ -140,7 +139,7 @@
             instance=entry.incarnation,
             slots=max(1, entry.slots),
             running=self.load.running(entry.incarnation),
-            wait=self.load.wait(entry.incarnation, entry.group),
+            wait=self.load.wait(entry.incarnation),
             failing=self.load.failing(entry.incarnation),
             near=entry.data_centre == self._data_centre,
         )
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..ids import DataCentre, InstanceId, ServiceName
+from ..ids import InstanceId
 from ..policies.health import TargetHealth
 
 # The weight of a new observation. With about five answers a second from each
@@ -16,9 +16,6 @@
 # An estimate that nothing confirms falls to half in this time: other processes
 # move away too, and a target that is never tried is never seen to be free.
 HALF_LIFE = 0.6
-# The load of a data centre changes more slowly than that of one target, which gets
-# a queue and loses it within a turn or two. Seconds.
-POOL_HALF_LIFE = 1.5
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
@@ -29,14 +26,9 @@
 SILENCE_CHECK = 0.05
 
 
-# The targets of one service in one data centre, which share its load.
-TargetGroup = tuple[ServiceName, DataCentre]
-
-
 @dataclass(kw_only=True)
 class _Instance:
     running: int = 0
-    group: TargetGroup | None = None
     wait: float = 0.0
     seen: float = 0.0
     waiting: dict[object, float] = field(default_factory=dict)
@@ -44,14 +36,6 @@
     gone: bool = False
 
 
-@dataclass(kw_only=True)
-class _Pool:
-    """Hold the wait that requests met at any target of a group."""
-
-    wait: float = 0.0
-    seen: float = 0.0
-
-
 class LoadBoard:
     """Learn the load of each target from the answers of this process.
 
@@ -65,7 +49,6 @@
         # Called with what others should know of a target.
         self.report: Callable[[InstanceId, bool], None] = lambda instance, ok: None
         self._instances: dict[InstanceId, _Instance] = defaultdict(_Instance)
-        self._pools: dict[TargetGroup, _Pool] = defaultdict(_Pool)
         self._least = FIRST_GUESS
         self._longest = 0.0
         self._longest_seen = 0.0
@@ -83,17 +66,11 @@
             del self._instances[instance]
 
     def awaits_first(
-        self,
-        instance: InstanceId,
-        group: TargetGroup,
-        request: object,
-        reading: float,
+        self, instance: InstanceId, request: object, reading: float
     ) -> None:
         """Note that a request waits; `reading` is the time for its prompt."""
         now = asyncio.get_running_loop().time()
-        found = self._instances[instance]
-        found.group = group
-        found.waiting[request] = now + reading
+        self._instances[instance].waiting[request] = now + reading
 
     def expects(self, instance: InstanceId, request: object, within: float) -> None:
         """Note that a target owes something for a request, within some seconds."""
@@ -152,11 +129,6 @@
         before = self._faded(found, now)
         found.wait = before + SMOOTHING * (excess - before)
         found.seen = now
-        if found.group is not None:
-            pool = self._pools[found.group]
-            usual = _pooled(pool, now)
-            pool.wait = usual + SMOOTHING * (excess - usual)
-            pool.seen = now
 
     def gave_up(self, instance: InstanceId, request: object) -> None:
         """Forget a request that ended, with or without an event."""
@@ -192,30 +164,15 @@
         found = self._instances.get(instance)
         return found.running if found is not None else 0
 
-    def wait(self, instance: InstanceId, group: TargetGroup) -> float:
-        """Return the seconds that a request is expected to wait at a target.
-
-        One that was not seen lately is taken for as busy as the others of its
-        service and data centre. With 84 processes each hears of a target once a
-        second or less; taken for free, it got the next request of each of them
-        while targets of other data centres stood idle.
-        """
-        now = asyncio.get_running_loop().time()
-        pool = self._pools.get(group)
-        usual = _pooled(pool, now) if pool is not None else 0.0
+    def wait(self, instance: InstanceId) -> float:
+        """Return the seconds that a request is expected to wait."""
         found = self._instances.get(instance)
         if found is None:
-            return usual
-        known = 0.5 ** ((now - found.seen) / HALF_LIFE)
+            return 0.0
+        now = asyncio.get_running_loop().time()
         oldest = min(found.waiting.values(), default=now)
         # Requests that have waited for long say so before they are answered.
-        expected = found.wait * known + usual * (1 - known)
-        return max(expected, now - oldest - self._least)
+        return max(self._faded(found, now), now - oldest - self._least)
 
     def _faded(self, found: _Instance, now: float) -> float:
         return found.wait * 0.5 ** ((now - found.seen) / HALF_LIFE)
-
-
-def _pooled(pool: _Pool, now: float) -> float:
-    faded: float = pool.wait * 0.5 ** ((now - pool.seen) / POOL_HALF_LIFE)
-    return faded
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -44,11 +44,6 @@
             InstanceId(f"{self.instance}@{self.born}") if self.born else self.instance
         )
 
-    @property
-    def group(self) -> tuple[ServiceName, DataCentre]:
-        """Return the service and data centre whose load the instance shares."""
-        return self.service, self.data_centre
-
     @property
     def address(self) -> tuple[str, int]:
         """Return the address for a new connection."""
--- a/sequoiaarch/tests/ingress/load_tests.py
+++ b/sequoiaarch/tests/ingress/load_tests.py
@@ -3,21 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
 from unittest import mock
 
-from ...ids import DataCentre, HostName, InstanceId, ServiceName
-from ...ingress.load import FIRST_GUESS, SILENCE_CHECK, LoadBoard
+from ...ids import HostName, InstanceId
+from ...ingress.load import SILENCE_CHECK, LoadBoard
 from ...policies.health import PASSED_OVER, TargetHealth, first_event_due
-from ...policies.starts import BoundedWait, Start
 
 TARGET = InstanceId("target")
 OTHER = HostName("other")
-OTHER_TARGET = InstanceId("other")
-HERE = (ServiceName("engines"), DataCentre("here"))
-THERE = (ServiceName("engines"), DataCentre("there"))
-ENGINES = [InstanceId(f"i-{number}") for number in range(15)]
 
 
 class SilenceTests(unittest.IsolatedAsyncioTestCase):
@@ -87,7 +81,7 @@
         """
         patient = first_event_due(0.25, self.board.longest)
         self.assertEqual(patient, 1.0)
-        self.board.awaits_first(TARGET, HERE, "request", 0.0)
+        self.board.awaits_first(TARGET, "request", 0.0)
         self.now += 1.0
         self.board.got_first(TARGET, "request")
         self.assertGreater(first_event_due(0.25, self.board.longest), 4.0)
@@ -100,66 +94,3 @@
             self.board.heard(TARGET, "request")
             self.health.told(TARGET, HostName(host), ok=False, now=self.now)
             self.assertEqual(self.board.failing(TARGET), 0.0)
-
-
-class UnseenTargetTests(unittest.IsolatedAsyncioTestCase):
-    """Expect waits at targets of which a process hears seldom."""
-
-    async def asyncSetUp(self) -> None:
-        """Make a board on a clock that the test moves."""
-        self.now = 100.0
-        loop = asyncio.get_running_loop()
-        patched = mock.patch.object(loop, "time", lambda: self.now)
-        patched.start()
-        self.addCleanup(patched.stop)
-        self.board = LoadBoard(health=TargetHealth(own=HostName("own")))
-
-    def answer(self, engine: InstanceId, wait: float) -> None:
-        """Have an engine answer a request after a wait."""
-        request = object()
-        self.board.awaits_first(engine, HERE, request, 0.0)
-        self.now += wait + FIRST_GUESS
-        self.board.got_first(engine, request)
-        self.board.gave_up(engine, request)
-
-    def least(self) -> float:
-        """Return the shortest wait that is expected anywhere."""
-        return min(self.board.wait(engine, HERE) for engine in ENGINES)
-
-    async def test_new_programs_are_held_back_in_a_large_fleet(self) -> None:
-        """See that all engines are full although most were not heard of.
-
-        A burst fills 15 engines. One of 84 processes gets an answer of three of
-        them in a second, each after half a second of waiting. New programs are
-        let in by the least wait that is expected at any engine.
-        """
-        for engine in ENGINES[:3]:
-            self.answer(engine, 0.5)
-        policy = BoundedWait(rng=random.Random(1))
-        self.assertIsNotNone(policy.refuse(Start(wait=self.least())))
-
-    async def test_data_centre_that_was_not_heard_of_is_tried(self) -> None:
-        """Send a turn away where all engines nearby have queues.
-
-        A burst comes through one data centre. Its engines fill, and none of the
-        others was asked lately: they have room, which only a request can tell.
-        """
-        for engine in ENGINES[:3]:
-            self.answer(engine, 0.5)
-        self.assertGreater(self.board.wait(ENGINES[4], HERE), 0.2)
-        self.assertEqual(self.board.wait(OTHER_TARGET, THERE), 0.0)
-
-    async def test_free_engine_that_was_heard_of_takes_new_programs(self) -> None:
-        """Let programs in where an engine is known to be free, as in a small fleet."""
-        for engine in ENGINES:
-            self.answer(engine, 0.0 if engine == ENGINES[-1] else 0.2)
-        policy = BoundedWait(rng=random.Random(1))
-        self.assertIsNone(policy.refuse(Start(wait=self.least())))
-
-    async def test_waits_are_forgotten(self) -> None:
-        """Expect nothing of engines of which nothing was heard for seconds."""
-        for engine in ENGINES[:3]:
-            self.answer(engine, 0.5)
-        self.now += 10.0
-        self.assertLess(self.least(), 0.01)
-        self.assertEqual(self.board.wait(OTHER_TARGET, THERE), 0.0)
