--- a/sequoiaarch/tests/platform/outage_tests.py
+++ b/sequoiaarch/tests/platform/outage_tests.py
@@ -12,29 +12,17 @@
 from ...fleet.peers import Peers
 from ...ids import DataCentre, HostName
 from ...ingress.daemon import IngressDaemon
-from ...standins.target import TargetExchange, chunk, stream_head
 from .site import (
     ENGINES,
     LOOPBACK,
     Answer,
     SiteTestCase,
-    attempt_of,
-    events_of,
+    longest_answer,
     stream_answer,
 )
 
 # Turns name a most of 100 tokens; a lender may lend 3/16 of a budget.
 BUDGET = 1000
-EVENTS_OF_MOST = 10
-
-
-async def longest_answer(exchange: TargetExchange) -> None:
-    """Answer with as many events as a turn may have."""
-    attempt = attempt_of(exchange)
-    exchange.send(stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s"))))
-    for event in events_of(attempt, EVENTS_OF_MOST):
-        exchange.send(chunk(event))
-    exchange.send(chunk(b""))
 
 
 class OutageTests(SiteTestCase):
--- a/sequoiaarch/tests/platform/path_tests.py
+++ b/sequoiaarch/tests/platform/path_tests.py
@@ -16,6 +16,7 @@
     attempt_of,
     config,
     events_of,
+    longest_answer,
     not_run,
     route,
     stream_answer,
@@ -248,6 +249,21 @@
         answer = await self.turn(daemon, b"two", previous="t1")
         self.assertEqual(answer.status, 404)
 
+    async def test_turn_that_outgrows_its_part(self) -> None:
+        """Stream all that a turn may generate on a budget of two such turns.
+
+        A third of the turn's most is granted when it begins, and more beside the
+        stream. The caller gets it whole, the program has its two turns, and the
+        third is refused for its budget without having run.
+        """
+
+        target = await self.add_target("i-1", ENGINES, longest_answer)
+        daemon = await self.add_daemon("a")
+        answers = [await self.turn(daemon, b"x", budget=200) for _ in range(3)]
+        self.assertEqual([one.status for one in answers], [200, 200, 402])
+        self.assertTrue(all(one.whole for one in answers))
+        self.assertEqual(len(target.exchanges), 2)
+
     async def test_budget(self) -> None:
         """Hand out no more than the budget, and run nothing after a refusal."""
         target = await self.add_target("i-1", ENGINES, stream_answer)
--- a/sequoiaarch/tests/platform/site.py
+++ b/sequoiaarch/tests/platform/site.py
@@ -31,6 +31,8 @@
 ENGINES = "engines"
 TOOLS = "tools"
 EVENT_TOKENS = 10
+# Turns name a most of 100 tokens.
+EVENTS_OF_MOST = 10
 LOOPBACK = "127.0.0.1"
 
 
@@ -122,6 +124,15 @@
     exchange.send(chunk(b""))
 
 
+async def longest_answer(exchange: TargetExchange) -> None:
+    """Answer with as many events as a turn may have."""
+    attempt = attempt_of(exchange)
+    exchange.send(stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s"))))
+    for event in events_of(attempt, EVENTS_OF_MOST):
+        exchange.send(chunk(event))
+    exchange.send(chunk(b""))
+
+
 async def tool_answer(exchange: TargetExchange) -> None:
     """Answer with a body."""
     attempt = attempt_of(exchange)
