Cut no stream whose delegate is slow or lost, or whose engine is full

- a delegate that does not answer within 0.1 s counts as lost, and what it claims for the turn left no room for the same rest here: the stream was cut where little was left.
A raise now waits 0.4 s for the delegate's first word; then the delegate is told the end, and the rest is asked for here for as long as callers bear;
- others leave free what open turns want for two seconds.
A turn that waits for longer at a full engine lost its claim to the rest.
It is renewed while the turn is open.

Tests, red before: test_turn_that_waits_keeps_its_claim (ledger_tests.py), test_keeper_is_slow_between_two_raises, test_keeper_is_lost_where_little_is_left (delegates_tests.py).

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -10,7 +10,15 @@
 from ..ids import HostName, Offset, ProgramId
 from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnStart
-from ..ledger.turns import LocalTurn, LocalTurns, OpenTurn, TurnRefusal, content_of
+from ..ledger.turns import (
+    CALLER_PATIENCE,
+    COVER_RETRY,
+    LocalTurn,
+    LocalTurns,
+    OpenTurn,
+    TurnRefusal,
+    content_of,
+)
 from ..wire.links import Link
 from ..wire.messages import (
     Accepted,
@@ -38,6 +46,9 @@
 # A delegate says at once that it works on a request. One that does not within
 # this time is dead, frozen or overloaded; a turn takes about 0.25 s. Seconds.
 FIRST_WORD = 0.1
+# A stream bears a longer pause than its beginning, and what a delegate has granted
+# is lost with it. Seconds.
+COVER_FIRST_WORD = 0.4
 # What follows waits for the store, which may be slow. Seconds.
 LAST_WORD = 1.5
 CLOSE_TIMEOUT = 1.0
@@ -234,38 +245,51 @@
             return await self._own.cover(tokens)
         if self.covers(tokens):
             return True
+        covered = await self._cover_there(tokens)
+        if covered is not None:
+            return covered
+        taken = await self._go_on_here()
+        return taken is not None and await taken.cover(tokens)
+
+    async def _cover_there(self, tokens: int) -> bool | None:
+        """Ask the delegate for more; None where it is lost."""
         request = CoverTurnRequest(
             turn=self._start.terms.turn,
             total=self._handed + tokens,
             handed=self._handed,
         )
-        reply = await _ask(self._link, request)
+        reply = await _ask(self._link, request, first_word=COVER_FIRST_WORD)
         if isinstance(reply, TurnCovered):
             self._covered = reply.covered
             return True
         if isinstance(reply, TurnRefused):
             return False
         self._turns.lost(self._host, reply)
-        return await self._go_on_here() and await self._own_covers(tokens)
+        return None
 
-    async def _go_on_here(self) -> bool:
+    async def _go_on_here(self) -> LocalTurn | None:
         """Reserve the rest of the turn here, as its delegate was lost midway.
 
-        If it only was slow it hears what was handed out under its grant.
+        A delegate that only was slow hears what was handed out under its grant.
+        What it still claims for this turn may leave no room until it has
+        returned that or is known to be lost; the stream waits for it. It was
+        cut at once, where little was left of the budget.
         """
         terms = self._start.terms
+        end = CloseTurnRequest(turn=terms.turn, handed=self._handed)
+        self._turns.tell_end(self._link, end)
         rest = msgspec.structs.replace(terms, most=max(1, terms.most - self._handed))
         start = msgspec.structs.replace(self._start, terms=rest)
-        taken = await self._turns.take_over(start)
-        if isinstance(taken, BudgetVerdict):
-            return False
-        self._own = taken
-        request = CloseTurnRequest(turn=terms.turn, handed=self._handed)
-        self._turns.tell_end(self._link, request)
-        return await taken.verdict() is BudgetVerdict.FITS
-
-    async def _own_covers(self, tokens: int) -> bool:
-        return self._own is not None and await self._own.cover(tokens)
+        deadline = asyncio.get_running_loop().time() + CALLER_PATIENCE
+        while asyncio.get_running_loop().time() < deadline:
+            taken = await self._turns.take_over(start)
+            if isinstance(taken, LocalTurn):
+                if await taken.verdict() is BudgetVerdict.FITS:
+                    self._own = taken
+                    return taken
+                taken.close()
+            await asyncio.sleep(COVER_RETRY)
+        return None
 
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
@@ -315,12 +339,14 @@
     | ConfirmTurnRequest
     | CoverTurnRequest
     | CommitTurnRequest,
+    *,
+    first_word: float = FIRST_WORD,
 ) -> Reply:
     """Return the last reply, if the first one comes soon enough."""
     replies = link.stream(request)
     last: Reply = failed("no reply")
     try:
-        async with asyncio.timeout(FIRST_WORD) as limit:
+        async with asyncio.timeout(first_word) as limit:
             async for reply in replies:
                 last = reply
                 limit.reschedule(asyncio.get_running_loop().time() + LAST_WORD)
--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -33,8 +33,9 @@
     """Hold what this process may hand out, and did, for one program.
 
     `granted` is what the log granted, `told` what other processes were told
-    that open turns may come to, `room` what others left free where the newest
-    grant stands in the log; None where that is not known.
+    that open turns may come to, `told_at` when, on the loop's clock. `room` is
+    what others left free where the newest grant stands in the log; None where
+    that is not known.
     """
 
     def __init__(self, *, terms: TurnTerms, partition: LedgerPartition) -> None:
@@ -46,6 +47,7 @@
         self.most = terms.most
         self.granted = 0
         self.told = 0
+        self.told_at = 0.0
         self.room: int | None = None
         self.handed = 0
         self.open: OrderedDict[TurnId, OpenPart] = OrderedDict()
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -146,15 +146,28 @@
         """Return what still programs don't use, and forget those long ended."""
         now = asyncio.get_running_loop().time()
         for program, account in list(self._accounts.items()):
-            if account.open or account.raising is not None:
+            if account.raising is not None:
                 continue
-            if account.granted > account.handed:
+            if account.open:
+                self._renew(account, now)
+            elif account.granted > account.handed:
                 still = account.touched + RETURN_AFTER < now
                 if (still or self._tight(account)) and not account.partition.stuck:
                     self._lower(account)
             elif account.touched + account.retention + FORGET_AFTER < now:
                 del self._accounts[program]
 
+    def _renew(self, account: Account, now: float) -> None:
+        """Tell the others again what open turns may come to, while they run.
+
+        They leave it free for two seconds. A turn that waits for longer at a full
+        engine would find the rest of its budget taken, and be cut.
+        """
+        partly = account.wanted > account.granted
+        due = account.told_at + RETURN_BOUND / 2 < now
+        if partly and due and account.settled and not account.partition.stuck:
+            self._write(account, account.granted, urgent=False)
+
     def _lower(self, account: Account) -> None:
         if account.excess:
             account.granted = min(account.granted, account.needed)
@@ -277,6 +290,7 @@
         self, account: Account, tokens: int, *, urgent: bool
     ) -> asyncio.Future[Offset]:
         account.told = account.wanted
+        account.told_at = asyncio.get_running_loop().time()
         record = GrantRecord(
             program=account.program,
             retention=account.retention,
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 import msgspec
 import zmq.asyncio
@@ -14,8 +15,9 @@
 from ...fleet.delegates import DelegatedTurn, DelegatedTurns, Delegates
 from ...fleet.peers import PeerRecord, Peers, PeerServer
 from ...fleet.standing import Standing
-from ...fleet.turn_server import TurnServer
+from ...fleet.turn_server import TurnServer, failed
 from ...ids import DataCentre, HostName, ProgramId, TurnId
+from ...ledger import budgets as budgets_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
 from ...ledger.terms import BudgetVerdict, Lookup, TurnStart, TurnTerms
@@ -24,7 +26,7 @@
 from ...storage.calls import StoreCall, StoreReply
 from ...storage.keyed import KeyedRecord
 from ...wire.links import Send
-from ...wire.messages import CommitTurnRequest, Reply, Request
+from ...wire.messages import CommitTurnRequest, CoverTurnRequest, Reply, Request
 
 HERE = DataCentre("here")
 PROGRAM = ProgramId("program")
@@ -273,6 +275,45 @@
         assert not isinstance(found, Lookup)
         self.assertEqual(found.prompt, b"inout")
 
+    async def test_keeper_is_slow_between_two_raises(self) -> None:
+        """Stay with a keeper that takes a moment to say that it works on a raise.
+
+        The keeper's machine is busy. Its grant would be lost with it, so a stream
+        that is under way waits for it longer than one that begins.
+        """
+        turn = await self.opened(self.other, start("t1", budget=3 * MOST))
+        turn.hand_out(30)
+        before = self.keeper.turn_server.answer
+
+        async def slow(request: Request, send: Send) -> Reply:
+            if isinstance(request, CoverTurnRequest):
+                await asyncio.sleep(0.2)
+            return await before(request, send)
+
+        self.answer_with(slow)
+        self.assertTrue(await turn.cover(30))
+        self.assertNotIn("after all", turn.where)
+        turn.close()
+
+    async def test_keeper_is_lost_where_little_is_left(self) -> None:
+        """Wait for what a lost keeper claimed for the turn, and go on.
+
+        A budget holds little more than the turn that is open. Its keeper is lost
+        with a third of the turn granted; what it claimed for the rest still stands
+        for a while, and leaves no room for the same rest here. The stream must
+        not be cut for that.
+        """
+        turn = await self.opened(self.other, start("t1", budget=MOST + 40))
+        turn.hand_out(30)
+
+        async def forgotten(request: Request, send: Send) -> Reply:
+            return failed("not open here")
+
+        self.answer_with(forgotten)
+        with mock.patch.object(budgets_module, "RETURN_BOUND", 0.5):
+            self.assertTrue(await turn.cover(70))
+        turn.close()
+
     async def test_budget_over_both(self) -> None:
         """Hand out no more than the budget through both, the keeper lost midway.
 
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ...ids import ProgramId, TurnId
-from ...ledger import budgets as budgets_module
+from ...ledger import budgets as budgets_module, ledger as ledger_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
 from ...ledger.reservation import Reservation
@@ -347,6 +347,37 @@
         state = ledger.partition(PROGRAM).state
         self.assertGreaterEqual(state.granted(PROGRAM, ledger.writer), 100)
 
+    async def test_turn_that_waits_keeps_its_claim(self) -> None:
+        """Leave free what a turn may need that waits for long at a full engine.
+
+        Its process told the others what the turn may come to, and they leave
+        that free for a while. The turn's first event comes later. Sub-agents
+        that begin through another process meanwhile must not get the rest of the
+        budget: the stream would be cut in the middle.
+        """
+        first, second = await self.ledger("a"), await self.ledger("b")
+        budget = int(2.5 * MOST)
+
+        def of(turn: str) -> TurnTerms:
+            return msgspec.structs.replace(terms(turn), budget=budget)
+
+        with (
+            mock.patch.object(budgets_module, "RETURN_BOUND", 0.6),
+            mock.patch.object(budgets_module, "RETURN_INTERVAL", 0.1),
+            mock.patch.object(ledger_module, "RETURN_INTERVAL", 0.1),
+        ):
+            returning = asyncio.create_task(first.give_back())
+            self.addCleanup(returning.cancel)
+            waiting = await first.reserve(of("t1"))
+            assert isinstance(waiting, Reservation)
+            self.assertIs(await waiting.verdict(), BudgetVerdict.FITS)
+            other = await second.reserve(of("t2"))
+            assert isinstance(other, Reservation)
+            await asyncio.sleep(1.5)
+            self.assertIsInstance(await second.reserve(of("t3")), BudgetVerdict)
+        self.assertTrue(await waiting.cover(MOST))
+        self.assertTrue(await other.cover(MOST))
+
     async def test_raise_without_an_answer(self) -> None:
         """Hand out nothing of a raise whose answer was lost, and go on after it.
 
