Look at the log before a turn asks for a part of what little is left

Each asked the log for a part by a view in which nothing was used, was granted it, found no room for the rest and took it back, again and again; the two turns that ran found the rest of the budget taken each time that they asked for more. When a turn was granted whole, such a grant did not hold at its place.

Change: where little is left (budgets of fewer than four turns, and beyond half of others) the log is read before a turn asks. What remains are turns that begin within the same few milliseconds.

Test, red before: ledger_tests.test_refused_turns_take_no_part.

--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -83,9 +83,8 @@
         shortage = await self._shortage(account, terms)
         if shortage is not None:
             return shortage
-        after = self._others(account) + account.wanted + terms.most
-        checked_later = after <= terms.budget * CHECKED_LATER_SHARE
-        ample = checked_later and not _small(account)
+        checked_later = self._checked_later(account, terms)
+        ample = self._ample(account, terms)
         held = terms.most if ample else first_part(terms.most)
         account.open[terms.turn] = OpenPart(left=terms.most, held=held)
         self.raise_grant(account)
@@ -205,10 +204,16 @@
     async def _shortage(
         self, account: Account, terms: TurnTerms
     ) -> BudgetVerdict | None:
-        """Return why a turn can't be granted, as the log stands."""
+        """Return why a turn can't be granted, as the log stands.
+
+        Where little is left the log is read first. What a process asks for by an
+        old view is granted as a part, found to be too much, and taken back; a
+        program that loops through several processes did so all the time, and the
+        parts that its running turns needed were taken by turns that never began.
+        """
         if account.partition.stuck:
             return BudgetVerdict.UNCERTAIN
-        if self._fits(account, terms):
+        if self._fits(account, terms) and self._ample(account, terms):
             return None
         if not await account.partition.sync():
             return BudgetVerdict.UNCERTAIN
@@ -232,6 +237,15 @@
         open_here = any(part.left for part in account.open.values())
         return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
 
+    def _checked_later(self, account: Account, terms: TurnTerms) -> bool:
+        """Return whether a turn may begin before its grant is known."""
+        after = self._others(account) + account.wanted + terms.most
+        return after <= terms.budget * CHECKED_LATER_SHARE
+
+    def _ample(self, account: Account, terms: TurnTerms) -> bool:
+        """Return whether a turn may hold its most from its beginning."""
+        return self._checked_later(account, terms) and not _small(account)
+
     def _fits(self, account: Account, terms: TurnTerms) -> bool:
         return self._others(account) + account.wanted + terms.most <= account.limit
 
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -8,13 +8,15 @@
 
 import msgspec
 
-from ...ids import ProgramId, TurnId
+from ...errors import Failure
+from ...ids import Offset, ProgramId, TurnId
 from ...ledger import budgets as budgets_module, ledger as ledger_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
 from ...ledger.reservation import Reservation
 from ...ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnTerms
 from ...standins.keyed_store import KeyedStore
+from ...storage.keyed import KeyedRecord, LogGap, Partition
 
 PROGRAM = ProgramId("program-1")
 BUDGET = 800
@@ -59,6 +61,12 @@
         self._ledgers.append(ledger)
         return ledger
 
+    async def store_records(self, place: Partition) -> list[KeyedRecord]:
+        """Return all records that stand in a partition."""
+        page = await self.store.client().read(place, Offset(0), wait=0)
+        assert not isinstance(page, Failure | LogGap)
+        return page.records
+
     async def reserved(
         self, ledger: Ledger, turn: str, *, program: ProgramId = PROGRAM
     ) -> Reservation:
@@ -378,6 +386,36 @@
         self.assertTrue(await waiting.cover(MOST))
         self.assertTrue(await other.cover(MOST))
 
+    async def test_refused_turns_take_no_part(self) -> None:
+        """Raise what a running turn holds beside turns that are refused.
+
+        A program that loops starts sub-agents through several processes. Two of
+        its turns run and leave no room for a third. Another process, which has
+        not read of them, is asked for one again and again. Its view is old: it
+        must look before it asks the log for a part, or the running turns find
+        their rest taken, and their streams are cut.
+        """
+        first, second = await self.ledger("a"), await self.ledger("b")
+
+        def of(turn: str) -> TurnTerms:
+            return msgspec.structs.replace(terms(turn), budget=2 * MOST + 60)
+
+        early = await second.reserve(of("t0"))
+        assert isinstance(early, Reservation)
+        early.close()
+        await second.flush()
+        running = [await first.reserve(of(name)) for name in ("t1", "t2")]
+        await first.flush()
+        place = second.places.of_program(PROGRAM)
+        before = len(await self.store_records(place))
+        for number in range(5):
+            self.assertIs(await second.reserve(of(f"u{number}")), BudgetVerdict.HELD)
+        self.assertEqual(len(await self.store_records(place)), before)
+        for turn in running:
+            assert isinstance(turn, Reservation)
+            self.assertIs(await turn.verdict(), BudgetVerdict.FITS)
+            self.assertTrue(await turn.cover(MOST))
+
     async def test_raise_without_an_answer(self) -> None:
         """Hand out nothing of a raise whose answer was lost, and go on after it.
 
