Ask again for a raise that did not hold

It waited for two seconds and was cut with the budget free.

Change: whatever a turn holds beyond its grant is asked for again at each try.

Test, red before: ledger_tests.test_raise_that_did_not_hold_is_asked_for_again.

--- a/sequoiaarch/ledger/reservation.py
+++ b/sequoiaarch/ledger/reservation.py
@@ -87,6 +87,9 @@
         short = total - self._handed - part.held
         if short > 0:
             self._hold_more(part, short)
+        # A raise that did not hold is asked for again: what was in its way may have
+        # been returned since.
+        if not self.granted and self._account.raising is None:
             self._raiser.raise_grant(self._account)
         return await self._granted_verdict() is BudgetVerdict.FITS
 
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -9,10 +9,11 @@
 import msgspec
 
 from ...errors import Failure
-from ...ids import Offset, ProgramId, TurnId
+from ...ids import Offset, ProgramId, TurnId, WriterId
 from ...ledger import budgets as budgets_module, ledger as ledger_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
+from ...ledger.records import GrantRecord, encode_record, grant_key
 from ...ledger.reservation import Reservation
 from ...ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnTerms
 from ...standins.keyed_store import KeyedStore
@@ -416,6 +417,33 @@
             self.assertIs(await turn.verdict(), BudgetVerdict.FITS)
             self.assertTrue(await turn.cover(MOST))
 
+    async def test_raise_that_did_not_hold_is_asked_for_again(self) -> None:
+        """Go on with a turn once what was in its way has been returned.
+
+        While a turn runs, another process begins one that finds no room and takes
+        its part back some milliseconds later. A raise that fell between the two did
+        not hold. The stream waits, and asks again.
+        """
+        ledger = await self.ledger("a")
+        place = ledger.places.of_program(PROGRAM)
+        running = await ledger.reserve(
+            msgspec.structs.replace(terms("t1"), budget=MOST + 20)
+        )
+        assert isinstance(running, Reservation)
+        self.assertIs(await running.verdict(), BudgetVerdict.FITS)
+        key = grant_key(PROGRAM, WriterId("b"))
+        for tokens, fits in ((60, False), (0, True)):
+            record = GrantRecord(
+                program=PROGRAM,
+                retention=RETENTION,
+                writer=WriterId("b"),
+                budget=MOST + 20,
+                tokens=tokens,
+                used=0,
+            )
+            await self.store.add(place, key, encode_record(record))
+            self.assertIs(await running.cover(MOST), fits)
+
     async def test_raise_without_an_answer(self) -> None:
         """Hand out nothing of a raise whose answer was lost, and go on after it.
 
