Replace what covers a turn in one way, and build the choices of a test once

The closing of one hold and the start of the next stood twice in a turn; two tests of target health built the same choices.

--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -136,8 +136,7 @@
         if loan is None:
             # Nobody lends: only the log can tell, however long it takes.
             return await self._hold.verdict()
-        self._hold.close()
-        self._hold = loan
+        self._go_on_with(loan)
         return BudgetVerdict.FITS
 
     def covers(self, tokens: int) -> bool:
@@ -187,10 +186,14 @@
             # The answer ended while more was asked for.
             other.close()
             return False
+        self._go_on_with(other)
+        return await other.verdict() is BudgetVerdict.FITS
+
+    def _go_on_with(self, hold: Hold) -> None:
+        """Have another hold cover what is still to be handed out."""
         self._hold.close()
-        self._hold = other
+        self._hold = hold
         self._before = self._handed
-        return await other.verdict() is BudgetVerdict.FITS
 
     def announce(self) -> None:
         """Write the program of the turn beside its run."""
--- a/sequoiaarch/tests/policies/health_tests.py
+++ b/sequoiaarch/tests/policies/health_tests.py
@@ -38,6 +38,20 @@
 _Event = tuple[float, int, int, bool, bool]
 
 
+def _choices(health: TargetHealth, now: float) -> list[EngineChoice]:
+    """Return both targets, idle, as a host knows them."""
+    return [
+        EngineChoice(
+            instance=name,
+            slots=SLOTS,
+            running=0,
+            near=name == NEAR,
+            failing=health.failing(name, now),
+        )
+        for name in (NEAR, FAR)
+    ]
+
+
 @dataclass
 class _Fleet:
     """Hold hosts that share a near target, and tell each other what they see."""
@@ -71,17 +85,7 @@
                 self._happens(events, order)
             number = rng.randrange(self.hosts)
             health = self.healths[number]
-            choices = [
-                EngineChoice(
-                    instance=name,
-                    slots=SLOTS,
-                    running=0,
-                    near=name == NEAR,
-                    failing=health.failing(name, now),
-                )
-                for name in (NEAR, FAR)
-            ]
-            chosen, _ = policy.choose(PromptShape(parts=()), choices)
+            chosen, _ = policy.choose(PromptShape(parts=()), _choices(health, now))
             health.sent(chosen, now)
             if chosen is not NEAR:
                 continue
@@ -179,18 +183,8 @@
         health = TargetHealth(own=HostName("own"))
         for name, host in itertools.product((NEAR, FAR), ("a", "b", "c")):
             health.told(name, HostName(host), ok=False, now=0.0)
-        choices = [
-            EngineChoice(
-                instance=name,
-                slots=SLOTS,
-                running=0,
-                near=name == NEAR,
-                failing=health.failing(name, 0.1),
-            )
-            for name in (NEAR, FAR)
-        ]
         policy = NearestFree(rng=random.Random(1))
-        chosen, _ = policy.choose(PromptShape(parts=()), choices)
+        chosen, _ = policy.choose(PromptShape(parts=()), _choices(health, 0.1))
         self.assertEqual(chosen, NEAR)
 
     def test_idle_connections_go_with_the_target(self) -> None:
