Say in the log what a refused budget counts, and whose turns are never ended

A caller was told for seconds that its budget is held and then that it is spent. No line said who held it: a refusal named no other process, a turn that its gateway never ended named neither its program nor its tokens, and a gateway that gave a delegate up said so once for all its turns. So a part held for a turn that runs elsewhere, a part of a lost process and a part lost with a try looked alike. Each is one line now; a gateway's start names its writer.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -7,7 +7,7 @@
 import logbook
 import msgspec
 
-from ..ids import HostName, Offset, ProgramId
+from ..ids import HostName, Offset, ProgramId, TurnId
 from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnStart
 from ..ledger.turns import (
@@ -141,6 +141,13 @@
             unsure = reply.verdict in (None, BudgetVerdict.UNCERTAIN)
             return None if unsure else reply.verdict
         self._delegates.standing.failed(host, _reason(reply))
+        log.info(
+            "turn {} of {} goes on here, as {} did not open it: {}",
+            start.terms.turn,
+            start.terms.program,
+            host,
+            _reason(reply),
+        )
         return None
 
     def tell_end(self, link: Link, request: CloseTurnRequest) -> None:
@@ -151,8 +158,9 @@
         """Reserve a turn here whose delegate was lost; its history is known."""
         return await self._local.take(start, None)
 
-    def lost(self, host: HostName, reply: Reply) -> None:
+    def lost(self, host: HostName, turn: TurnId, reply: Reply) -> None:
         """Note that a delegate was lost with a turn open."""
+        log.info("turn {} is lost at {}: {}", turn, host, _reason(reply))
         self._delegates.standing.failed(host, _reason(reply))
 
     @property
@@ -222,7 +230,7 @@
             self._covered = reply.covered
             return reply.verdict
         if not isinstance(reply, TurnVerdict):
-            self._turns.lost(self._host, reply)
+            self._turns.lost(self._host, self._start.terms.turn, reply)
         taken = await self._turns.take_over(self._start)
         if isinstance(taken, BudgetVerdict):
             return taken
@@ -264,7 +272,7 @@
             return True
         if isinstance(reply, TurnRefused):
             return False
-        self._turns.lost(self._host, reply)
+        self._turns.lost(self._host, self._start.terms.turn, reply)
         return None
 
     async def _go_on_here(self) -> LocalTurn | None:
@@ -329,7 +337,7 @@
         if isinstance(reply, Accepted):
             return
         # It may have been written there too: the same record under the same key.
-        self._turns.lost(self._host, reply)
+        self._turns.lost(self._host, self._start.terms.turn, reply)
         await self._turns.ledger.write(terms, content)
 
 
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -141,9 +141,16 @@
     def _expire(self, turn: TurnId, most: int) -> None:
         """Count all that a turn was covered for whose gateway never told its end."""
         opened = self._open.get(turn)
-        if opened is not None:
-            log.info("turn {} was never ended by its gateway", turn)
-            self._close(turn, most if opened.covered is None else opened.covered)
+        if opened is None:
+            return
+        tokens = most if opened.covered is None else opened.covered
+        log.info(
+            "turn {} of {} was never ended by its gateway, {} tokens count as used",
+            turn,
+            opened.program,
+            tokens,
+        )
+        self._close(turn, tokens)
 
 
 def failed(reason: str) -> Failed:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -234,7 +234,7 @@
         await self._ready.start(*self._options.ready)
         await self.front.start(*self._options.front)
         self._tasks = [asyncio.create_task(part) for part in self._parts]
-        log.info("started as {}", self._options.host)
+        log.info("started as {}, writer {}", self._options.host, self.ledger.writer)
 
     async def stop(self) -> None:
         """Take no more callers, finish what runs, and end."""
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -82,7 +82,7 @@
             return reservation
         shortage = await self._shortage(account, terms)
         if shortage is not None:
-            return shortage
+            return self._refused(account, shortage)
         checked_later = self._checked_later(account, terms)
         ample = self._ample(account, terms)
         held = terms.most if ample else first_part(terms.most)
@@ -98,7 +98,9 @@
                 reservation.close()
         if verdict is BudgetVerdict.FITS:
             return reservation
-        return self._excess(account) if verdict is BudgetVerdict.EXCEEDED else verdict
+        if verdict is BudgetVerdict.EXCEEDED:
+            verdict = self._excess(account)
+        return self._refused(account, verdict)
 
     def ahead(self, program: ProgramId) -> None:
         """Ask for the next block if the present one is nearly used up.
@@ -237,6 +239,20 @@
         open_here = any(part.left for part in account.open.values())
         return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
 
+    def _refused(self, account: Account, verdict: BudgetVerdict) -> BudgetVerdict:
+        """Log what was counted against a turn that is refused."""
+        log.info(
+            "a turn of {} is refused, its budget of {} is {}: {} handed out and {} "
+            "wanted here, granted to others: {}",
+            account.program,
+            account.budget,
+            verdict.value,
+            account.handed,
+            account.wanted,
+            account.partition.state.describe_others(account.program) or "nothing",
+        )
+        return verdict
+
     def _checked_later(self, account: Account, terms: TurnTerms) -> bool:
         """Return whether a turn may begin before its grant is known."""
         after = self._others(account) + account.wanted + terms.most
--- a/sequoiaarch/ledger/state.py
+++ b/sequoiaarch/ledger/state.py
@@ -170,6 +170,16 @@
             if name != self._writer
         )
 
+    def describe_others(self, program: ProgramId) -> str:
+        """Return what each other writer was granted, as text for the log."""
+        now = self._clock()
+        return ", ".join(
+            f"{name} {grant.tokens} of which {grant.used} used, {grant.wanted} wanted "
+            f"{now - grant.seen:.1f} s ago"
+            for name, grant in self._grants(program).items()
+            if name != self._writer
+        )
+
     def knows_program(self, program: ProgramId) -> bool:
         """Return whether a program has any record."""
         return program in self._programs
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from unittest import mock
 
+import logbook
 import msgspec
 import zmq.asyncio
 
@@ -349,11 +350,16 @@
         How much of it reached the caller nobody knows.
         """
         await self.opened(self.other, start("t1", kept=False))
-        async with asyncio.timeout(PATIENCE):
-            while self.keeper.turn_server.open_turns:
-                await asyncio.sleep(0.01)
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            async with asyncio.timeout(PATIENCE):
+                while self.keeper.turn_server.open_turns:
+                    await asyncio.sleep(0.01)
         turn = await self.opened(self.keeper, start("t2", kept=False))
         self.assertEqual(turn.spent, MOST)
+        lines = "\n".join(handler.formatted_records)
+        self.assertIn("turn t1 of program was never ended by its gateway", lines)
+        self.assertIn("100 tokens count as used", lines)
 
     async def test_caller_leaves_while_a_turn_opens(self) -> None:
         """Count nothing for a caller that left before its turn was opened."""
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+import logbook
 import msgspec
 
 from ...errors import Failure
@@ -578,6 +579,22 @@
         fits = isinstance(found, Reservation)
         self.assertLessEqual(10 + ran * MOST + fits * MOST, BUDGET)
 
+    async def test_refusal_names_what_was_counted(self) -> None:
+        """Log who was granted what where a turn is refused.
+
+        A caller is told that its budget is spent. Who keeps how much of it must be
+        found in the lines of the process that refused it.
+        """
+        first, second = await self.ledger("a"), await self.ledger("b")
+        tight = msgspec.structs.replace(terms("t1"), budget=int(1.5 * MOST))
+        self.assertIsInstance(await first.reserve(tight), Reservation)
+        with logbook.TestHandler() as handler:
+            verdict = await second.reserve(msgspec.structs.replace(tight, turn="t2"))
+        self.assertIs(verdict, BudgetVerdict.HELD)
+        text = handler.formatted_records[-1]
+        self.assertIn(f"{PROGRAM} is refused, its budget of 150 is held", text)
+        self.assertIn("granted to others: a 34 of which 0 used, 100 wanted", text)
+
     async def test_forgotten_partition(self) -> None:
         """Count what was handed out here before the memory of it was freed.
 
