Test that no turn is held for a gateway that has gone elsewhere

After a power loss of all machines a caller that goes on from a kept turn was told for six seconds that its budget is held and then, for the rest of fifteen, that it is spent; nothing of it had been handed out. Its gateway had asked a delegate that was late, and went on by itself; the delegate opened the turn all the same and nobody told it that the turn had no user. An end that is lost, that is not told after a commit that nobody answered, or that overtakes the beginning leaves the turn open too.

--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -27,7 +27,16 @@
 from ...storage.calls import StoreCall, StoreReply
 from ...storage.keyed import KeyedRecord
 from ...wire.links import Send
-from ...wire.messages import CommitTurnRequest, CoverTurnRequest, Reply, Request
+from ...wire.messages import (
+    CloseTurnRequest,
+    CommitTurnRequest,
+    ConfirmTurnRequest,
+    CoverTurnRequest,
+    Failed,
+    OpenTurnRequest,
+    Reply,
+    Request,
+)
 
 HERE = DataCentre("here")
 PROGRAM = ProgramId("program")
@@ -35,6 +44,13 @@
 MOST = 100
 LIFETIME = 0.3
 PATIENCE = 10.0
+# Later than a gateway waits for the first word of a delegate. Seconds.
+LATE = 0.25
+# A caller whose budget is held comes back after this time, so often.
+HELD_RETRY = 0.5
+TRIES = 4
+# An end that was not heard is told again within this time. Seconds.
+SETTLE_TIME = 3.0
 
 
 def start(
@@ -43,6 +59,7 @@
     previous: str | None = None,
     kept: bool = True,
     budget: int = BUDGET,
+    lifetime: float = LIFETIME,
 ) -> TurnStart:
     """Return the start of a turn."""
     return TurnStart(
@@ -55,7 +72,7 @@
         ),
         previous=TurnId(previous) if previous else None,
         kept=kept,
-        lifetime=LIFETIME,
+        lifetime=lifetime,
     )
 
 
@@ -99,8 +116,8 @@
         )
 
 
-class DelegatesTests(unittest.IsolatedAsyncioTestCase):
-    """Run two processes of one data centre over real sockets."""
+class DelegatesTestCase(unittest.IsolatedAsyncioTestCase):
+    """Hold two processes of one data centre over real sockets."""
 
     async def asyncSetUp(self) -> None:
         """Start the keeper of the program's account, and another process."""
@@ -159,6 +176,10 @@
         turn.close()
         return turn
 
+
+class DelegatesTests(DelegatesTestCase):
+    """Run turns through a gateway and the keeper of their program's account."""
+
     async def test_turns_through_both(self) -> None:
         """Continue at one process what the other relayed, without the store.
 
@@ -404,3 +425,162 @@
             found.hand_out(10)
             found.close()
         self.assertGreaterEqual(ran, 2)
+
+
+class LateKeeperTests(DelegatesTestCase):
+    """Return what a keeper holds for a turn whose gateway has gone elsewhere."""
+
+    def late(self, kind: type[Request]) -> None:
+        """Have the keeper do what it is asked at once and say so too late."""
+        before = self.keeper.turn_server.answer
+
+        async def answer(request: Request, send: Send) -> Reply:
+            if not isinstance(request, kind):
+                return await before(request, send)
+            work = asyncio.create_task(before(request, _unheard))
+            await asyncio.sleep(LATE)
+            return await work
+
+        self.answer_with(answer)
+
+    def deaf(self, kind: type[Request]) -> None:
+        """Have the keeper neither do nor answer what it is first asked."""
+        before = self.keeper.turn_server.answer
+        missed: list[Request] = []
+
+        async def answer(request: Request, send: Send) -> Reply:
+            if isinstance(request, kind) and not missed:
+                missed.append(request)
+                await asyncio.Event().wait()
+            return await before(request, send)
+
+        self.answer_with(answer)
+
+    async def spent(self) -> int:
+        """Return what a process counts as spent that reads the log anew."""
+        fresh = Ledger(
+            log=self.store.client(), writer="fresh", places=Places(per_topic=2)
+        )
+        self.assertTrue(await fresh.partition(PROGRAM).sync())
+        return sum(
+            fresh.partition(PROGRAM).state.granted(PROGRAM, one.ledger.writer)
+            for one in (self.keeper, self.other)
+        )
+
+    async def settled(self, tokens: int) -> None:
+        """Wait until the log counts so many tokens as spent, for a while."""
+        deadline = asyncio.get_running_loop().time() + SETTLE_TIME
+        while await self.spent() != tokens:
+            if asyncio.get_running_loop().time() > deadline:
+                self.assertEqual(await self.spent(), tokens)
+            await asyncio.sleep(0.05)
+
+    async def test_turn_opened_too_late_is_returned(self) -> None:
+        """Serve a caller that comes back after its turn was opened too late.
+
+        All machines have just started again, and a program whose budget holds
+        little more than a turn goes on from a kept one. The keeper of its account
+        is busy and says its first word too late; the gateway keeps the account
+        itself. The keeper opens the turn all the same and holds the budget for it,
+        so the caller is told to come back for as long as the turn might have run.
+        """
+        self.late(OpenTurnRequest)
+        budget = int(1.6 * MOST)
+        found: OpenTurn | Lookup | BudgetVerdict = BudgetVerdict.HELD
+        for number in range(TRIES):
+            begun = start(f"t{number}", budget=budget, lifetime=PATIENCE)
+            found = await self.other.turns.open(begun)
+            if isinstance(found, LocalTurn | DelegatedTurn):
+                break
+            await asyncio.sleep(HELD_RETRY)
+        self.assertIsInstance(found, LocalTurn | DelegatedTurn)
+
+    async def test_turns_opened_too_late_are_not_spent(self) -> None:
+        """Refuse no program for turns that were opened too late.
+
+        The keeper is late for two tries in a row. When their time was over it
+        counted what it had held for them as handed out. Nothing had reached the
+        caller, and each further try was told that the budget is spent: 402 for
+        the rest of fifteen seconds, in 37 tries.
+        """
+        self.late(OpenTurnRequest)
+        budget = int(1.6 * MOST)
+        for number in range(2):
+            found = await self.other.turns.open(start(f"t{number}", budget=budget))
+            if isinstance(found, LocalTurn | DelegatedTurn):
+                found.close()
+            await asyncio.sleep(3 * LIFETIME)
+            self.other.delegates.standing = Standing()
+        await self.settled(0)
+        found = await self.other.turns.open(start("t2", budget=budget))
+        self.assertIsInstance(found, LocalTurn | DelegatedTurn)
+
+    async def test_turn_confirmed_too_late_is_returned(self) -> None:
+        """Count a turn once whose keeper was late to say that it is granted.
+
+        The engine works on the turn already when its gateway asks the keeper
+        whether the grant stands. No answer comes in time, so the gateway has the
+        turn granted to itself. The keeper counted its own grant as handed out
+        besides: two turns opened so were found in half a minute after a restart of
+        all, `kept at` their keeper, answered, and `never ended by its gateway`.
+        """
+        self.late(ConfirmTurnRequest)
+        turn = await self.opened(self.other, start("t1", kept=False))
+        self.assertIn("after all", turn.where)
+        turn.hand_out(10)
+        turn.close()
+        await asyncio.sleep(2 * LIFETIME)
+        self.other.ledger._budgets.give_back_all()
+        self.keeper.ledger._budgets.give_back_all()
+        await self.settled(10)
+
+    async def test_end_is_told_where_the_commit_was_not(self) -> None:
+        """Count what a turn handed out whose keeper did not hear of its end.
+
+        The keeper is frozen when it is to commit the turn. The gateway writes the
+        turn itself. The keeper wakes with the turn open and counted it at its most.
+        """
+        turn = await self.opened(self.other, start("t1", lifetime=PATIENCE))
+        self.deaf(CommitTurnRequest)
+        turn.announce()
+        turn.hand_out(10)
+        await turn.commit(b"in", b"out")
+        turn.close()
+        async with asyncio.timeout(SETTLE_TIME):
+            while self.keeper.turn_server.open_turns:
+                await asyncio.sleep(0.01)
+        self.keeper.ledger._budgets.give_back_all()
+        await self.settled(10)
+
+    async def test_end_that_is_lost_is_told_again(self) -> None:
+        """Tell the end of a turn again whose first message was lost.
+
+        The connection to the keeper breaks just as a turn ends. It was told once
+        only, and the keeper counted the turn at its most.
+        """
+        turn = await self.opened(self.other, start("t1", kept=False, lifetime=PATIENCE))
+        self.deaf(CloseTurnRequest)
+        turn.hand_out(10)
+        turn.close()
+        async with asyncio.timeout(SETTLE_TIME):
+            while self.keeper.turn_server.open_turns:
+                await asyncio.sleep(0.01)
+        self.keeper.ledger._budgets.give_back_all()
+        await self.settled(10)
+
+    async def test_end_that_overtakes_the_beginning(self) -> None:
+        """Open no turn whose end has come already.
+
+        A link that was silent is made anew, and what waits in the old one can be
+        read after what came through the new one. The keeper would hold a turn that
+        nobody ends.
+        """
+        server = self.keeper.turn_server
+        await server.answer(CloseTurnRequest(turn=TurnId("t1"), handed=0), _unheard)
+        reply = await server.answer(OpenTurnRequest(start=start("t1")), _unheard)
+        self.assertIsInstance(reply, Failed)
+        self.assertEqual(server.open_turns, 0)
+
+
+async def _unheard(reply: Reply) -> None:
+    """Take a reply that reaches nobody."""
