Tell a delegate that a turn goes on elsewhere

After a power loss of all machines a caller that goes on from a kept turn was told for six seconds that its budget is held and then, for the rest of fifteen, that it is spent, though nothing of it had been handed out. So were programs of small budgets whenever a delegate was late, with no loss at all.

A gateway that asks a delegate to open a turn goes on by itself after a tenth of a second, and so it does where a confirmation or a commit is not answered. The delegate was lost to it, but often only late: it opened the turn, held a part of the budget, told the others every second what the turn may come to, and counted what it held as handed out when the turn's time was over. With a budget of 900 and turns of up to 567 two such parts end a program; when a turn held its most from its beginning, one did.

Now the gateway tells it what went out under its grant, nothing as a rule, wherever it gives it up. That is safe: the gateway never looks at a late answer, so nothing is handed out under it later, and messages of a link keep their order. A delegate that finds a beginning and its end together opens nothing.

Counted as spent for a turn that was confirmed too late and handed out 10 tokens: 110 before, 10 now. Tries until a caller is served whose turn was opened too late: none of four before, the second at the latest now. On the code that held whole turns the same test shows four times held, then spent for good.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -140,6 +140,10 @@
                 return reply.lookup
             unsure = reply.verdict in (None, BudgetVerdict.UNCERTAIN)
             return None if unsure else reply.verdict
+        # It may open the turn yet. What it then holds has no user: it would stand
+        # in the way of this program until the turn's time is over, and count as
+        # handed out from then on.
+        self.tell_end(link, CloseTurnRequest(turn=start.terms.turn, handed=0))
         self._delegates.standing.failed(host, _reason(reply))
         log.info(
             "turn {} of {} goes on here, as {} did not open it: {}",
@@ -173,8 +177,9 @@
     """Hold a turn whose account another process keeps.
 
     If that one is lost, the turn goes on here: tokens are reserved once more
-    by this process, and the turn is written by it. The first reservation then
-    counts as handed out, which is safe.
+    by this process, and the turn is written by it. The other one is told how much
+    went out under its grant, in case it was only late. If that never reaches it,
+    the first reservation counts as handed out, which is safe.
     """
 
     def __init__(
@@ -193,7 +198,7 @@
         self._turns = turns
         self._handed = 0
         self._covered = opened.covered
-        self._closed = False
+        self._ended_there = False
         self._own: LocalTurn | None = None
         self._announced: asyncio.Future[Offset] | None = None
 
@@ -231,6 +236,7 @@
             return reply.verdict
         if not isinstance(reply, TurnVerdict):
             self._turns.lost(self._host, self._start.terms.turn, reply)
+        self._end_there()
         taken = await self._turns.take_over(self._start)
         if isinstance(taken, BudgetVerdict):
             return taken
@@ -283,9 +289,8 @@
         returned that or is known to be lost; the stream waits for it. It was
         cut at once, where little was left of the budget.
         """
+        self._end_there()
         terms = self._start.terms
-        end = CloseTurnRequest(turn=terms.turn, handed=self._handed)
-        self._turns.tell_end(self._link, end)
         rest = msgspec.structs.replace(terms, most=max(1, terms.most - self._handed))
         start = msgspec.structs.replace(self._start, terms=rest)
         deadline = asyncio.get_running_loop().time() + CALLER_PATIENCE
@@ -320,22 +325,24 @@
         """Return what the turn did not use; a second time does nothing."""
         if self._own is not None:
             self._own.close()
-        if self._closed:
+        self._end_there()
+
+    def _end_there(self) -> None:
+        """Tell the delegate what was handed out under its grant, once."""
+        if self._ended_there:
             return
-        self._closed = True
-        if self._own is None:
-            turn = self._start.terms.turn
-            self._turns.tell_end(
-                self._link, CloseTurnRequest(turn=turn, handed=self._handed)
-            )
+        self._ended_there = True
+        end = CloseTurnRequest(turn=self._start.terms.turn, handed=self._handed)
+        self._turns.tell_end(self._link, end)
 
     async def _commit_there(self, content: TurnContent) -> None:
-        self._closed = True
         terms = self._start.terms
         request = CommitTurnRequest(terms=terms, handed=self._handed, content=content)
         reply = await _ask(self._link, request)
         if isinstance(reply, Accepted):
+            self._ended_there = True
             return
+        self._end_there()
         # It may have been written there too: the same record under the same key.
         self._turns.lost(self._host, self._start.terms.turn, reply)
         await self._turns.ledger.write(terms, content)
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -33,6 +33,7 @@
 # A gateway that hears nothing for 1.5 s takes its delegate for lost. While the
 # store is away the end of a turn waits for longer than that. Seconds.
 WORD_INTERVAL = 0.5
+CALLER_LEFT = "the caller left"
 
 
 class TurnServer:
@@ -85,6 +86,9 @@
         try:
             if self.stopping:
                 return failed("stopping")
+            # A process that stood still finds a beginning and its end together.
+            if not self._opening[turn]:
+                return failed(CALLER_LEFT)
             opened = await self._local.open(start)
         finally:
             wanted = self._opening.pop(turn, False)
@@ -94,7 +98,7 @@
             return TurnRefused(verdict=opened)
         if not wanted:
             opened.close()
-            return failed("the caller left")
+            return failed(CALLER_LEFT)
         self._open[turn] = opened
         loop = asyncio.get_running_loop()
         loop.call_later(start.lifetime, self._expire, turn, start.terms.most)
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -483,6 +483,9 @@
         is busy and says its first word too late; the gateway keeps the account
         itself. The keeper opens the turn all the same and holds the budget for it,
         so the caller is told to come back for as long as the turn might have run.
+        Of five such turns in half a minute three were `kept here` and committed at
+        their gateway, while their keeper wrote six seconds later that the turn `was
+        never ended by its gateway`.
         """
         self.late(OpenTurnRequest)
         budget = int(1.6 * MOST)
