Wait a moment for what a late delegate returns, and have it returned at once

A caller whose turn was opened too late by a delegate was told that its budget is held, for a part that its own try held at the delegate. Coming back half a second later it met another gateway, the same delegate and the same refusal. A program with room for one turn and a slow delegate is refused for as long as that stays slow.

The gateway that keeps the turn itself now asks its own account again for 0.4 s while the budget is held, and a turn that ends with nothing handed out returns its part with an append of its own, in place of with the next one within 0.4 s.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -52,6 +52,10 @@
 # What follows waits for the store, which may be slow. Seconds.
 LAST_WORD = 1.5
 CLOSE_TIMEOUT = 1.0
+# A delegate that hears that a turn goes on elsewhere returns what it holds for it
+# with one append. Seconds.
+RETURN_WAIT = 0.4
+RETURN_CHECK = 0.1
 
 
 class Delegates:
@@ -111,10 +115,24 @@
         host = self._delegates.of(start.terms.program)
         if host is not None:
             opened = await self._open_at(host, start)
-            if opened is not None:
-                return opened
+            return await self._open_here(start) if opened is None else opened
         return await self._local.open(start)
 
+    async def _open_here(self, start: TurnStart) -> LocalTurn | TurnRefusal:
+        """Open a turn here that its delegate did not.
+
+        If the delegate was only late it holds the budget for the same turn until it
+        hears of the end. Through a delegate that stays slow each try of a caller
+        would be refused for what its own try holds.
+        """
+        deadline = asyncio.get_running_loop().time() + RETURN_WAIT
+        while True:
+            opened = await self._local.open(start)
+            late = asyncio.get_running_loop().time() >= deadline
+            if opened is not BudgetVerdict.HELD or late:
+                return opened
+            await asyncio.sleep(RETURN_CHECK)
+
     async def _open_at(
         self, host: HostName, start: TurnStart
     ) -> OpenTurn | TurnRefusal | None:
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -119,19 +119,20 @@
             self._raise_after(account, account.raising)
         )
 
-    def turn_ended(self, account: Account) -> None:
+    def turn_ended(self, account: Account, *, unused: bool) -> None:
         """Return at once what an ended turn leaves, where it may be missing.
 
         What a process had not returned when it was lost counts as spent for
         good: a program that came back later was refused although its budget
-        held several more turns.
+        held several more turns. An unused turn most likely runs elsewhere and
+        waits there for what it held here.
         """
         if account.raising is not None:
             return
         if not account.settled:
             self.raise_grant(account)
         elif self._tight(account):
-            self._lower(account)
+            self._lower(account, urgent=unused)
 
     def give_back_all(self) -> None:
         """Return all that no open turn needs, as the process is to end.
@@ -169,10 +170,10 @@
         if partly and due and account.settled and not account.partition.stuck:
             self._write(account, account.granted, urgent=False)
 
-    def _lower(self, account: Account) -> None:
+    def _lower(self, account: Account, *, urgent: bool = False) -> None:
         if account.excess:
             account.granted = min(account.granted, account.needed)
-            self._write(account, account.granted, urgent=False)
+            self._write(account, account.granted, urgent=urgent)
 
     def _tight(self, account: Account) -> bool:
         """Return whether what is held ahead may be missing elsewhere."""
@@ -279,7 +280,7 @@
                 account.raising = None
         # Turns that ended meanwhile returned nothing.
         if account.raising is None and account.settled and self._tight(account):
-            self._lower(account)
+            self._lower(account, urgent=not account.open)
         return known
 
     async def _raise_now(self, account: Account) -> bool:
--- a/sequoiaarch/ledger/reservation.py
+++ b/sequoiaarch/ledger/reservation.py
@@ -23,7 +23,7 @@
     def raise_grant(self, account: Account) -> None:
         """Ask for a larger grant."""
 
-    def turn_ended(self, account: Account) -> None:
+    def turn_ended(self, account: Account, *, unused: bool) -> None:
         """Return what an ended turn leaves, where it may be missing."""
 
 
@@ -108,7 +108,7 @@
         if self._account.open.pop(self.terms.turn, None) is None:
             return
         self._account.touched = asyncio.get_running_loop().time()
-        self._raiser.turn_ended(self._account)
+        self._raiser.turn_ended(self._account, unused=not self._handed)
 
     def _hold_more(self, part: OpenPart, short: int) -> None:
         """Hold a further part of the turn, which is `short` tokens at least.
