List requests for more that outlive their turn as known red

Five tests, red on the code as it is: a keeper that is well is passed over for a request that a turn's end overtook (kept and closed turns), a rest that is reserved here stays open once its caller has left or its turn has ended, and a stream's end does not end what asks for more beside it.

--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -16,7 +16,7 @@
 from ...fleet.peers import PeerRecord, Peers, PeerServer
 from ...fleet.standing import Standing
 from ...fleet.turn_server import TurnServer, failed
-from ...ids import DataCentre, HostName, ProgramId, TurnId
+from ...ids import DataCentre, HostName, ProgramId, TurnId, WriterId
 from ...ledger import budgets as budgets_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
@@ -147,6 +147,61 @@
         self.assertIs(await found.verdict(), BudgetVerdict.FITS)
         return found
 
+    async def granted(self, process: Process) -> int:
+        """Return what the log grants a process, as one that starts now reads it."""
+        fresh = Ledger(log=self.store.client(), writer="x", places=Places(per_topic=2))
+        partition = fresh.partition(PROGRAM)
+        self.assertTrue(await partition.sync())
+        return partition.state.granted(PROGRAM, WriterId(process.name))
+
+    def covers_arrive_after(self, end: asyncio.Event) -> None:
+        """Have the keeper take up raises only after a turn's end."""
+        before = self.keeper.turn_server.answer
+
+        async def overtaken(request: Request, send: Send) -> Reply:
+            if isinstance(request, CoverTurnRequest):
+                await end.wait()
+            return await before(request, send)
+
+        self.answer_with(overtaken)
+
+    async def rest_being_reserved(self) -> tuple[OpenTurn, asyncio.Task[bool]]:
+        """Lose the keeper midway; return the turn whose rest is asked for here.
+
+        The store is slow, so the gateway waits for the verdict on that rest.
+        """
+        turn = await self.opened(self.other, start("t1", budget=4 * MOST - 10))
+        self.assertFalse(turn.covers(40))
+        turn.hand_out(30)
+        ledger = self.keeper.ledger
+        restarted = TurnServer(local=LocalTurns(ledger=ledger), ledger=ledger)
+        self.answer_with(restarted.answer)
+        self.assertTrue(await self.other.ledger.partition(PROGRAM).sync())
+        self.other.client.faults.delay = 0.2
+        waiting = asyncio.Event()
+        verdict = LocalTurn.verdict
+
+        async def noted(taken: LocalTurn) -> BudgetVerdict:
+            waiting.set()
+            return await verdict(taken)
+
+        with mock.patch.object(LocalTurn, "verdict", noted):
+            asking = asyncio.create_task(turn.cover(10))
+            async with asyncio.timeout(PATIENCE):
+                await waiting.wait()
+        return turn, asking
+
+    async def assert_returned(self) -> None:
+        """Check that the gateway returns what it has granted to itself."""
+        async with asyncio.timeout(PATIENCE):
+            while not await self.granted(self.other):
+                await asyncio.sleep(0.01)
+        self.other.client.faults.delay = 0.0
+        async with asyncio.timeout(PATIENCE):
+            while await self.granted(self.other):
+                await self.other.ledger.flush()
+                await asyncio.sleep(0.01)
+
     async def run_turn(
         self, process: Process, begun: TurnStart, given: bytes, made: bytes
     ) -> OpenTurn:
@@ -275,6 +330,74 @@
         assert not isinstance(found, Lookup)
         self.assertEqual(found.prompt, b"inout")
 
+    async def test_turn_is_kept_while_more_is_asked_for(self) -> None:
+        """Trust a keeper that says that a turn is not open which has just ended.
+
+        A caller's stream ends at the event before more would be needed. The request
+        for more is on its way when the keeper writes the turn, and finds the turn no
+        longer open. The keeper is well: the program's next turns must go to it, and
+        nothing may be granted here for a turn that has ended.
+        """
+        turn = await self.opened(self.other, start("t1", budget=3 * MOST))
+        turn.hand_out(30)
+        turn.announce()
+        ended = asyncio.Event()
+        self.covers_arrive_after(ended)
+        asking = asyncio.create_task(turn.cover(10))
+        await asyncio.sleep(0)
+        await turn.commit(b"in", b"out")
+        ended.set()
+        covered = await asking
+        self.assertEqual(self.other.delegates.of(PROGRAM), self.keeper.name)
+        self.assertFalse(covered)
+        self.assertEqual(await self.granted(self.other), 0)
+
+    async def test_turn_is_closed_while_more_is_asked_for(self) -> None:
+        """Trust a keeper that was told the end of a turn before a request for more.
+
+        The answer of a turn that is not kept ends, and its end reaches the keeper
+        first. The keeper is well, and nothing is left to be granted here.
+        """
+        turn = await self.opened(self.other, start("t1", budget=3 * MOST, kept=False))
+        turn.hand_out(30)
+        ended = asyncio.Event()
+        self.covers_arrive_after(ended)
+        asking = asyncio.create_task(turn.cover(10))
+        await asyncio.sleep(0)
+        turn.close()
+        async with asyncio.timeout(PATIENCE):
+            while self.keeper.turn_server.open_turns:
+                await asyncio.sleep(0.01)
+        ended.set()
+        covered = await asking
+        self.assertEqual(self.other.delegates.of(PROGRAM), self.keeper.name)
+        self.assertFalse(covered)
+        self.assertEqual(await self.granted(self.other), 0)
+
+    async def test_caller_leaves_while_the_rest_is_reserved(self) -> None:
+        """Return the rest of a turn whose caller left before it was granted.
+
+        The keeper is lost midway, and the gateway has the rest granted to itself. The
+        caller leaves while the log is waited for. Nobody else knows of that rest: left
+        open, it would be missing from the program's budget for good.
+        """
+        turn, asking = await self.rest_being_reserved()
+        asking.cancel()
+        await asyncio.wait([asking])
+        turn.close()
+        await self.assert_returned()
+
+    async def test_turn_ends_while_the_rest_is_reserved(self) -> None:
+        """Return the rest of a turn that ended before it was granted.
+
+        The keeper is lost midway, and the answer ends with what it had granted while
+        the rest is being granted to the gateway. That rest must not stay open.
+        """
+        turn, asking = await self.rest_being_reserved()
+        turn.close()
+        self.assertFalse(await asking)
+        await self.assert_returned()
+
     async def test_keeper_is_slow_between_two_raises(self) -> None:
         """Stay with a keeper that takes a moment to say that it works on a raise.
 
--- a/sequoiaarch/tests/platform/path_tests.py
+++ b/sequoiaarch/tests/platform/path_tests.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from ...ids import ServiceName
+from ...ledger.terms import TurnContent
+from ...ledger.turns import LocalTurn
 from ...policies.retries import RETRY_BURST, RETRY_SHARE
 from ...standins.target import TargetExchange, chunk, stream_head, whole_answer
 from .site import (
@@ -264,6 +267,50 @@
         self.assertTrue(all(one.whole for one in answers))
         self.assertEqual(len(target.exchanges), 2)
 
+    async def test_stream_ends_while_more_is_asked_for(self) -> None:
+        """End what asks for more of a turn before the turn is written.
+
+        More is asked for after the third event, one event before it is needed, and
+        the stream ends there. A request for more that goes on would meet a turn that
+        has ended: whoever keeps it would be taken for lost. The caller gets all.
+        """
+        steps: list[str] = []
+        asked = asyncio.Event()
+        commit_for = LocalTurn.commit_for
+
+        async def never_covers(turn: LocalTurn, tokens: int) -> bool:
+            if turn.covers(tokens):
+                return True
+            steps.append("asked")
+            asked.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                steps.append("asks no more")
+            return False
+
+        async def noted_commit(turn: LocalTurn, content: TurnContent) -> None:
+            steps.append("written")
+            await commit_for(turn, content)
+
+        async def ends_then(exchange: TargetExchange) -> None:
+            attempt = attempt_of(exchange)
+            exchange.send(stream_head((("X-Attempt-Id", attempt),)))
+            for event in events_of(attempt):
+                exchange.send(chunk(event))
+            await asked.wait()
+            exchange.send(chunk(b""))
+
+        await self.add_target("i-1", ENGINES, ends_then)
+        daemon = await self.add_daemon("a")
+        with (
+            mock.patch.object(LocalTurn, "cover", never_covers),
+            mock.patch.object(LocalTurn, "commit_for", noted_commit),
+        ):
+            answer = await self.turn(daemon, b"one", attempt="t1", budget=200)
+        self.assertEqual(answer.body, b"".join(events_of("t1")))
+        self.assertEqual(steps, ["asked", "asks no more", "written"])
+
     async def test_budget(self) -> None:
         """Hand out no more than the budget, and run nothing after a refusal."""
         target = await self.add_target("i-1", ENGINES, stream_answer)
