Ask for no more of a turn that has ended

Seen: a gateway passed over a delegate that was well for two seconds ("the turn is not open here"), 37 times in half a minute, each time for a turn that was just being committed. Programs of that delegate were opened by the gateway itself meanwhile, with grants of their own in the log, and the rest of the ended turn was reserved there too.

Cause: more is asked for beside the stream, one event before it is needed. Where the stream ends there, the turn's end overtakes the request, and the delegate no longer has the turn. The gateway took that for a delegate that had lost it. Besides, a rest that is reserved here becomes the turn's own only with its verdict: a caller that left before, or a turn that ended, left it open: its tokens were still granted here ten seconds later.

Change: the stream's end ends what asks beside it before the turn is written, so nothing asks for a turn that is being written. A reply to a request that the turn's end overtook all the same says nothing of the delegate, and no rest is reserved for it. A rest is closed whenever it doesn't become the turn's own, also by a cancellation. A delegate that forgot an open turn counts as lost, as before.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -262,7 +262,9 @@
         if isinstance(reply, TurnCovered):
             self._covered = reply.covered
             return True
-        if isinstance(reply, TurnRefused):
+        # The turn's end can overtake this request, which then finds it not open there:
+        # a delegate that was well was passed over, and a rest was reserved for nobody.
+        if self._closed or isinstance(reply, TurnRefused):
             return False
         self._turns.lost(self._host, reply)
         return None
@@ -281,16 +283,27 @@
         rest = msgspec.structs.replace(terms, most=max(1, terms.most - self._handed))
         start = msgspec.structs.replace(self._start, terms=rest)
         deadline = asyncio.get_running_loop().time() + CALLER_PATIENCE
-        while asyncio.get_running_loop().time() < deadline:
+        while not self._closed and asyncio.get_running_loop().time() < deadline:
             taken = await self._turns.take_over(start)
-            if isinstance(taken, LocalTurn):
-                if await taken.verdict() is BudgetVerdict.FITS:
-                    self._own = taken
-                    return taken
-                taken.close()
+            if isinstance(taken, LocalTurn) and await self._holds(taken):
+                self._own = taken
+                return taken
             await asyncio.sleep(COVER_RETRY)
         return None
 
+    async def _holds(self, taken: LocalTurn) -> bool:
+        """Return whether the turn can go on with what was taken, or give it back."""
+        holds = False
+        try:
+            fits = await taken.verdict() is BudgetVerdict.FITS
+            holds = fits and not self._closed
+        finally:
+            # The end of the turn closes only what is in use. Left open by a caller that
+            # leaves, this would be missing from the budget for good.
+            if not holds:
+                taken.close()
+        return holds
+
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
         if self._own is not None:
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -257,7 +257,7 @@
 
     async def _commit(self, output: _TurnOutput) -> None:
         begun = asyncio.get_running_loop().time()
-        await output.turn.commit(self._message.body, b"".join(output.produced))
+        await output.commit(self._message.body)
         taken = asyncio.get_running_loop().time() - begun
         self._metrics.committed(taken)
         self.trail.append(f"committed in {taken * 1000:.1f} ms")
@@ -294,6 +294,16 @@
             self._asking = asyncio.create_task(self.turn.cover(tokens))
         return True
 
+    async def commit(self, given: bytes) -> None:
+        """Make the turn part of the history; return once that is durable."""
+        # A request for more that outlives the turn finds it ended: whoever keeps the
+        # turn was taken for lost. The stream has ended, so nothing asks anew.
+        asking, self._asking = self._asking, None
+        if asking is not None:
+            asking.cancel()
+            await asyncio.wait([asking])
+        await self.turn.commit(given, b"".join(self.produced))
+
     def close(self) -> None:
         """Return what the turn did not use."""
         if self._asking is not None:
