--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -216,6 +216,8 @@
         self._turns = turns
         self._handed = 0
         self._covered = opened.covered
+        self._ended = False
+        # Whether the delegate knows the end, or is being told.
         self._ended_there = False
         self._own: LocalTurn | None = None
         self._announced: asyncio.Future[Offset] | None = None
@@ -296,7 +298,7 @@
             return True
         # The turn's end can overtake this request, which then finds it not open there:
         # a delegate that was well was passed over, and a rest was reserved for nobody.
-        if self._closed or isinstance(reply, TurnRefused):
+        if self._ended or isinstance(reply, TurnRefused):
             return False
         self._turns.lost(self._host, self._start.terms.turn, reply)
         return None
@@ -314,7 +316,7 @@
         rest = msgspec.structs.replace(terms, most=max(1, terms.most - self._handed))
         start = msgspec.structs.replace(self._start, terms=rest)
         deadline = asyncio.get_running_loop().time() + CALLER_PATIENCE
-        while not self._closed and asyncio.get_running_loop().time() < deadline:
+        while not self._ended and asyncio.get_running_loop().time() < deadline:
             taken = await self._turns.take_over(start)
             if isinstance(taken, LocalTurn) and await self._holds(taken):
                 self._own = taken
@@ -327,7 +329,7 @@
         holds = False
         try:
             fits = await taken.verdict() is BudgetVerdict.FITS
-            holds = fits and not self._closed
+            holds = fits and not self._ended
         finally:
             # The end of the turn closes only what is in use. Left open by a caller that
             # leaves, this would be missing from the budget for good.
@@ -344,6 +346,7 @@
 
     async def commit(self, given: bytes, produced: bytes) -> None:
         """Make the turn part of the history; return once that is durable."""
+        self._ended = True
         content = content_of(self._start, self.history, given, produced)
         if self._own is not None:
             await self._own.commit_for(content)
@@ -354,6 +357,7 @@
 
     def close(self) -> None:
         """Return what the turn did not use; a second time does nothing."""
+        self._ended = True
         if self._own is not None:
             self._own.close()
         self._end_there()
