Tell the end of a turn again until its delegate has heard it

A program was told that its budget is held, and later that it is spent, for a turn that had ended whole: its end was told to the delegate once, and that message was lost with its connection. The delegate can't tell such a turn from one that goes on, so it holds it for its lifetime and then counts all that it covered. The end is now told until it is answered, for as long as the delegate would hold the turn; told twice it does nothing.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -144,7 +144,7 @@
             reply = await _ask(link, OpenTurnRequest(start=start))
         except asyncio.CancelledError:
             # The caller left: what the delegate reserved must not count.
-            self.tell_end(link, CloseTurnRequest(turn=start.terms.turn, handed=0))
+            self.tell_end(link, start, 0)
             raise
         if isinstance(reply, TurnOpened):
             self._delegates.standing.served(host)
@@ -161,7 +161,7 @@
         # It may open the turn yet. What it then holds has no user: it would stand
         # in the way of this program until the turn's time is over, and count as
         # handed out from then on.
-        self.tell_end(link, CloseTurnRequest(turn=start.terms.turn, handed=0))
+        self.tell_end(link, start, 0)
         self._delegates.standing.failed(host, _reason(reply))
         log.info(
             "turn {} of {} goes on here, as {} did not open it: {}",
@@ -172,9 +172,14 @@
         )
         return None
 
-    def tell_end(self, link: Link, request: CloseTurnRequest) -> None:
-        """Tell a delegate the end of a turn, without waiting for its reply."""
-        self._telling.tell(link, request)
+    def tell_end(self, link: Link, start: TurnStart, handed: int) -> None:
+        """Tell a delegate the end of a turn, without waiting for its reply.
+
+        It holds the turn for its lifetime unless it is told, so that long this is
+        worth a retry.
+        """
+        request = CloseTurnRequest(turn=start.terms.turn, handed=handed)
+        self._telling.tell(link, request, patience=start.lifetime)
 
     async def take_over(self, start: TurnStart) -> LocalTurn | BudgetVerdict:
         """Reserve a turn here whose delegate was lost; its history is known."""
@@ -367,8 +372,7 @@
         if self._ended_there:
             return
         self._ended_there = True
-        end = CloseTurnRequest(turn=self._start.terms.turn, handed=self._handed)
-        self._turns.tell_end(self._link, end)
+        self._turns.tell_end(self._link, self._start, self._handed)
 
     async def _commit_there(self, content: TurnContent) -> None:
         terms = self._start.terms
--- a/sequoiaarch/fleet/telling.py
+++ b/sequoiaarch/fleet/telling.py
@@ -11,6 +11,8 @@
 
 log = logbook.Logger("peers")
 
+RETRY_PAUSE = 0.1
+
 
 class Telling:
     """Send requests beside the caller's work, and hold them until they ended."""
@@ -19,13 +21,24 @@
         self._timeout = timeout
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def tell(self, link: Link, request: Request) -> None:
-        """Send a request; that it did not arrive is only logged."""
-        task = asyncio.create_task(self._tell(link, request))
+    def tell(self, link: Link, request: Request, *, patience: float = 0.0) -> None:
+        """Send a request, again for `patience` seconds until it was answered.
+
+        What must arrive is worth a retry: a message is lost with its connection.
+        That it did not arrive is only logged.
+        """
+        task = asyncio.create_task(self._tell(link, request, patience))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _tell(self, link: Link, request: Request) -> None:
-        reply = await link.call(request, timeout=self._timeout)
-        if not isinstance(reply, Accepted):
-            log.info("{} was not told: {}", link.address, request)
+    async def _tell(self, link: Link, request: Request, patience: float) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + patience
+        while True:
+            reply = await link.call(request, timeout=self._timeout)
+            if isinstance(reply, Accepted):
+                return
+            if loop.time() >= deadline:
+                break
+            await asyncio.sleep(RETRY_PAUSE)
+        log.info("{} was not told: {}", link.address, request)
