Open no turn at a delegate whose end came first

A delegate forgot the end of a turn that it did not know yet. A link that was silent is made anew, and the beginning that still waits in the old connection is read after the end that came through the new one: the turn was then held for its lifetime and counted as handed out. The last thousand such ends are kept in mind, which is some seconds' worth at the peak.

--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 
 import logbook
 
@@ -34,6 +35,8 @@
 # store is away the end of a turn waits for longer than that. Seconds.
 WORD_INTERVAL = 0.5
 CALLER_LEFT = "the caller left"
+# Ends that came before their beginning; those of some seconds at the peak.
+ENDS_REMEMBERED = 1000
 
 
 class TurnServer:
@@ -45,6 +48,8 @@
         self._open: dict[TurnId, LocalTurn] = {}
         # Turns that are being opened; False once their caller has left.
         self._opening: dict[TurnId, bool] = {}
+        # Turns that ended before they began, the newest last.
+        self._ended_early: OrderedDict[TurnId, None] = OrderedDict()
         self.stopping = False
 
     @property
@@ -58,7 +63,8 @@
             self._close(request.turn, request.handed)
             return Accepted()
         if isinstance(request, OpenTurnRequest):
-            self._opening[request.start.terms.turn] = True
+            turn = request.start.terms.turn
+            self._opening[turn] = turn not in self._ended_early
         work = asyncio.create_task(self._work(request))
         try:
             # The first word comes at once, and others while the store is awaited.
@@ -86,7 +92,8 @@
         try:
             if self.stopping:
                 return failed("stopping")
-            # A process that stood still finds a beginning and its end together.
+            # A process that stood still finds a beginning and its end together, in
+            # either order.
             if not self._opening[turn]:
                 return failed(CALLER_LEFT)
             opened = await self._local.open(start)
@@ -138,9 +145,21 @@
         if turn in self._opening:
             self._opening[turn] = False
         opened = self._open.pop(turn, None)
-        if opened is not None:
-            opened.hand_out_total(handed)
-            opened.close()
+        if opened is None:
+            self._remember_end(turn)
+            return
+        opened.hand_out_total(handed)
+        opened.close()
+
+    def _remember_end(self, turn: TurnId) -> None:
+        """Keep in mind that a turn has ended, should its beginning come later.
+
+        A link that fell silent is made anew, and what waits in the old one may be
+        read after what came through the new one. Nobody would end such a turn.
+        """
+        self._ended_early[turn] = None
+        if len(self._ended_early) > ENDS_REMEMBERED:
+            self._ended_early.popitem(last=False)
 
     def _expire(self, turn: TurnId, most: int) -> None:
         """Count all that a turn was covered for whose gateway never told its end."""
