Return a reservation whose caller leaves as it is granted

A program whose budget holds one more turn was refused through every process: a caller had left in the very loop iteration in which its grant arrived. The wait for the grant stood outside the block that abandons it, so the reservation was dropped and stayed open. Now every way out of the wait but its return abandons the grant, whether it has come already or comes later. The test failed before (1 of 1) and passes; with the ledger's, raises', random and loans' tests 48 passed, 0 failed.

--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -271,11 +271,13 @@
                 return asking.result()
             verdict = asking.result() if asking.done() else BudgetVerdict.UNCERTAIN
             loan = await _borrow(self._lender, terms, verdict)
+            if loan is None:
+                return await asking
         except BaseException:
+            # Also a caller that leaves just as the grant arrives: the grant would
+            # stay held for nobody, and later turns be refused for it.
             _abandon(asking)
             raise
-        if loan is None:
-            return await asking
         _abandon(asking)
         return loan
 
