Settle a loan that comes after the end of its turn

Later turns of a program were refused for tokens that nobody used: a turn whose grant was late borrowed and was closed meanwhile, and its loan, never settled, counted as handed out at its most. Only one of the two places that go on with another hold looked whether the turn had ended. The step that both take does now.

--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -136,8 +136,7 @@
         if loan is None:
             # Nobody lends: only the log can tell, however long it takes.
             return await self._hold.verdict()
-        self._go_on_with(loan)
-        return BudgetVerdict.FITS
+        return BudgetVerdict.FITS if self._go_on_with(loan) else verdict
 
     def covers(self, tokens: int) -> bool:
         """Return whether so many more tokens may go to the caller unasked."""
@@ -182,18 +181,21 @@
             other = await self._ledger.reserve(terms)
         if other is None or isinstance(other, BudgetVerdict):
             return False
-        if self._ended:
-            # The answer ended while more was asked for.
-            other.close()
+        if not self._go_on_with(other):
             return False
-        self._go_on_with(other)
         return await other.verdict() is BudgetVerdict.FITS
 
-    def _go_on_with(self, hold: Hold) -> None:
-        """Have another hold cover what is still to be handed out."""
+    def _go_on_with(self, hold: Hold) -> bool:
+        """Have another hold cover what is still to come; False if the turn ended."""
+        if self._ended:
+            # Nobody else would close it, and it would count as handed out; the
+            # turn may have ended during any wait for it.
+            hold.close()
+            return False
         self._hold.close()
         self._hold = hold
         self._before = self._handed
+        return True
 
     def announce(self) -> None:
         """Write the program of the turn beside its run."""
