List what two openings of one turn hand out as known red

A turn was opened a second time in one process while its first opening was held. The end of the first returned what the second held, and the second took itself for covered in full: 300 tokens of a budget of 220 were handed out.

--- a/sequoiaarch/tests/ledger/turns_tests.py
+++ b/sequoiaarch/tests/ledger/turns_tests.py
@@ -164,3 +164,35 @@
             await asking
         self.assertTrue(lender.loans)
         self.assertTrue(all(loan.closed for loan in lender.loans))
+
+
+class ReservationTests(TurnsTestCase):
+    """Hold a part of the budget for each opening of a turn."""
+
+    async def test_one_turn_is_opened_twice(self) -> None:
+        """Hold the budget for each opening of a turn until just that one ends.
+
+        A turn is asked for a second time while its first opening is still held.
+        The first one is closed. What the second one may hand out must stay held: it
+        goes on, and other processes grant what seems to be free to other turns.
+        Together they hand out more than the budget.
+        """
+        budget = 2 * MOST + 20
+        ledger, _ = self.process("a")
+        other, _ = self.process("b")
+        first = await ledger.reserve(terms("t1", budget))
+        again = await ledger.reserve(terms("t1", budget))
+        assert isinstance(first, Reservation) and isinstance(again, Reservation)
+        first.close()
+        await ledger.flush()
+        running = [again]
+        for name in ("u1", "u2"):
+            found = await other.reserve(terms(name, budget))
+            if isinstance(found, Reservation):
+                running.append(found)
+        handed = 0
+        for hold in running:
+            if hold.covered is None or await hold.cover(MOST):
+                hold.hand_out(MOST)
+                handed += MOST
+        self.assertEqual(handed, 2 * MOST)
