Hold the budget for each opening of a turn, not by its name

A program was handed 300 tokens of a budget of 220. What open turns hold was kept by the name of the turn: of two openings of one turn in one process the end of either returned what the other held, and the other took itself for covered in full. Each opening now owns its part, which ends with it alone, and one that was closed covers no more than it handed out.

--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ..ids import TurnId
 from .partition import LedgerPartition
 from .terms import TurnTerms
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, eq=False)
 class OpenPart:
     """Hold what an open turn may still hand out, in tokens.
 
@@ -50,19 +48,21 @@
         self.told_at = 0.0
         self.room: int | None = None
         self.handed = 0
-        self.open: OrderedDict[TurnId, OpenPart] = OrderedDict()
+        # In the order in which they began. Not by the name of their turn: of two
+        # openings of one turn the end of either would return what the other holds.
+        self.open: list[OpenPart] = []
         self.raising: asyncio.Task[bool] | None = None
         self.touched = 0.0
 
     @property
     def needed(self) -> int:
         """Return what was handed out and what is held for open turns."""
-        return self.handed + sum(part.held for part in self.open.values())
+        return self.handed + sum(part.held for part in self.open)
 
     @property
     def wanted(self) -> int:
         """Return what was handed out and the most that open turns may need."""
-        return self.handed + sum(part.left for part in self.open.values())
+        return self.handed + sum(part.left for part in self.open)
 
     @property
     def settled(self) -> bool:
@@ -76,19 +76,19 @@
         """Return whether the log grants, or others leave free, more than is needed."""
         return self.granted > self.needed or self.told > self.wanted
 
-    def covers(self, turn: TurnId) -> bool:
+    def covers(self, part: OpenPart) -> bool:
         """Return whether the grant covers what a turn holds and all before it."""
-        held = sum(part.held for part in self._up_to(turn))
+        held = sum(one.held for one in self._up_to(part))
         return self.handed + held <= self.granted
 
-    def has_room(self, turn: TurnId) -> bool:
+    def has_room(self, part: OpenPart) -> bool:
         """Return whether a turn can come to its most, and all before it too."""
-        wanted = self.handed + sum(part.left for part in self._up_to(turn))
+        wanted = self.handed + sum(one.left for one in self._up_to(part))
         return wanted <= self.granted or self.room is None or wanted <= self.room
 
-    def _up_to(self, turn: TurnId) -> Iterator[OpenPart]:
+    def _up_to(self, part: OpenPart) -> Iterator[OpenPart]:
         """Return the parts of a turn and of all that began before it."""
-        for name, part in self.open.items():
-            yield part
-            if name == turn:
+        for one in self.open:
+            yield one
+            if one is part:
                 return
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -76,17 +76,15 @@
         if not partition.loaded and not await partition.sync():
             return BudgetVerdict.UNCERTAIN
         account = self._account(partition, terms)
-        reservation = Reservation(terms=terms, account=account, raiser=self)
         if account.wanted + terms.most <= account.granted:
-            account.open[terms.turn] = OpenPart(left=terms.most, held=terms.most)
-            return reservation
+            return self._reserved(account, terms, held=terms.most)
         shortage = await self._shortage(account, terms)
         if shortage is not None:
             return shortage
         checked_later = self._checked_later(account, terms)
         ample = self._ample(account, terms)
         held = terms.most if ample else first_part(terms.most)
-        account.open[terms.turn] = OpenPart(left=terms.most, held=held)
+        reservation = self._reserved(account, terms, held=held)
         self.raise_grant(account)
         if checked_later:
             return reservation
@@ -201,6 +199,12 @@
         account.touched = asyncio.get_running_loop().time()
         return account
 
+    def _reserved(
+        self, account: Account, terms: TurnTerms, *, held: int
+    ) -> Reservation:
+        part = OpenPart(left=terms.most, held=held)
+        return Reservation(terms=terms, account=account, part=part, raiser=self)
+
     async def _shortage(
         self, account: Account, terms: TurnTerms
     ) -> BudgetVerdict | None:
@@ -234,7 +238,7 @@
         if used + account.most > account.limit:
             return BudgetVerdict.EXCEEDED
         held = state.returning(account.program, state.now() - RETURN_BOUND)
-        open_here = any(part.left for part in account.open.values())
+        open_here = any(part.left for part in account.open)
         return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
 
     def _checked_later(self, account: Account, terms: TurnTerms) -> bool:
--- a/sequoiaarch/ledger/reservation.py
+++ b/sequoiaarch/ledger/reservation.py
@@ -42,17 +42,21 @@
         *,
         terms: TurnTerms,
         account: Account,
+        part: OpenPart,
         raiser: GrantRaiser,
     ) -> None:
         self.terms = terms
         self._raiser = raiser
         self._account = account
+        self._part = part
+        self._closed = False
         self._handed = 0
+        account.open.append(part)
 
     @property
     def granted(self) -> bool:
         """Return whether the grant is known to cover what the turn holds."""
-        return self._account.covers(self.terms.turn)
+        return self._account.covers(self._part)
 
     @property
     def by_log(self) -> bool:
@@ -67,26 +71,25 @@
         """
         verdict = await self._granted_verdict()
         fits = verdict is BudgetVerdict.FITS
-        if fits and not self._account.has_room(self.terms.turn):
+        if fits and not self._account.has_room(self._part):
             return BudgetVerdict.EXCEEDED
         return verdict
 
     @property
     def covered(self) -> int | None:
         """Return the tokens that may be handed out unasked; None for all."""
-        part = self._account.open.get(self.terms.turn)
-        if part is None or part.whole:
-            return None
-        return self._handed + part.held
+        # One that was closed may hand out no more: what it held is granted to others.
+        if self._closed:
+            return self._handed
+        return None if self._part.whole else self._handed + self._part.held
 
     async def cover(self, total: int) -> bool:
         """Return whether the turn may hand out so many tokens in all."""
-        part = self._account.open.get(self.terms.turn)
-        if part is None:
+        if self._closed:
             return False
-        short = total - self._handed - part.held
+        short = total - self._handed - self._part.held
         if short > 0:
-            self._hold_more(part, short)
+            self._hold_more(self._part, short)
         # A raise that did not hold is asked for again: what was in its way may have
         # been returned since.
         if not self.granted and self._account.raising is None:
@@ -98,15 +101,15 @@
         account = self._account
         self._handed += tokens
         account.handed += tokens
-        part = account.open.get(self.terms.turn)
-        if part is not None:
-            part.left = max(0, part.left - tokens)
-            part.held = max(0, part.held - tokens)
+        self._part.left = max(0, self._part.left - tokens)
+        self._part.held = max(0, self._part.held - tokens)
 
     def close(self) -> None:
         """Return what the turn did not use; a second time does nothing."""
-        if self._account.open.pop(self.terms.turn, None) is None:
+        if self._closed:
             return
+        self._closed = True
+        self._account.open.remove(self._part)
         self._account.touched = asyncio.get_running_loop().time()
         self._raiser.turn_ended(self._account)
 
@@ -130,7 +133,7 @@
         left, so it is given as unknown.
         """
         account = self._account
-        while not account.covers(self.terms.turn):
+        while not account.covers(self._part):
             raising = account.raising
             if raising is None:
                 return BudgetVerdict.EXCEEDED
