Return with its commit what a turn leaves that was being raised

A program with a budget of two turns was refused for good with 40 tokens handed out: a turn ended while it had asked for more, its caller was told the end, and its process was lost before the answer. What was asked for was returned only after the answer, in an append after the one that told the end. Now less is asked for at once, in the append that tells the end. The order of the log decides as before: the later record names less, and what may be handed out is the least that was asked for since.

--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -30,7 +30,8 @@
 class Account:
     """Hold what this process may hand out, and did, for one program.
 
-    `granted` is what the log granted, `told` what other processes were told
+    `granted` is what the log granted, `asked` what the newest record asks for,
+    which may be less while an answer is awaited, `told` what other processes were told
     that open turns may come to, `told_at` when, on the loop's clock. `room` is
     what others left free where the newest grant stands in the log; None where
     that is not known.
@@ -44,6 +45,7 @@
         self.retention = terms.retention
         self.most = terms.most
         self.granted = 0
+        self.asked = 0
         self.told = 0
         self.told_at = 0.0
         self.room: int | None = None
@@ -74,7 +76,8 @@
     @property
     def excess(self) -> bool:
         """Return whether the log grants, or others leave free, more than is needed."""
-        return self.granted > self.needed or self.told > self.wanted
+        most = max(self.granted, self.asked)
+        return most > self.needed or self.told > self.wanted
 
     def covers(self, part: OpenPart) -> bool:
         """Return whether the grant covers what a turn holds and all before it."""
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -123,8 +123,11 @@
         held several more turns.
         """
         if account.raising is not None:
-            return
-        if not account.settled:
+            # The answer to what was asked for may come too late to return it: a
+            # process lost with the turn's end told had it all counted as spent.
+            if self._tight(account):
+                self._lower(account)
+        elif not account.settled:
             self.raise_grant(account)
         elif self._tight(account):
             self._lower(account)
@@ -166,9 +169,11 @@
             self._write(account, account.granted, urgent=False)
 
     def _lower(self, account: Account) -> None:
+        """Ask for no more than is needed, also while an answer is awaited."""
         if account.excess:
-            account.granted = min(account.granted, account.needed)
-            self._write(account, account.granted, urgent=False)
+            asked = min(max(account.granted, account.asked), account.needed)
+            account.granted = min(account.granted, asked)
+            self._write(account, asked, urgent=False)
 
     def _tight(self, account: Account) -> bool:
         """Return whether what is held ahead may be missing elsewhere."""
@@ -192,7 +197,7 @@
             self._accounts[terms.program] = account
             # Forgotten here a while ago: what was handed out then still counts.
             account.handed = partition.state.granted(terms.program, self._writer)
-            account.granted = account.handed
+            account.granted = account.asked = account.handed
         account.budget = terms.budget
         account.most = max(account.most, terms.most)
         account.limit = max(account.limit, self._split.in_log(terms))
@@ -281,8 +286,9 @@
                 if not await partition.sync():
                     return False
             state = partition.state
-            granted = state.granted(account.program, self._writer)
-            if granted >= tokens:
+            # Less may have been asked for meanwhile, which counts at its place.
+            tokens = min(tokens, account.asked)
+            if state.granted(account.program, self._writer) >= tokens:
                 account.granted = tokens
                 self._note_room(account)
                 return True
@@ -307,6 +313,7 @@
     def _write(
         self, account: Account, tokens: int, *, urgent: bool
     ) -> asyncio.Future[Offset]:
+        account.asked = tokens
         account.told = account.wanted
         account.told_at = asyncio.get_running_loop().time()
         record = GrantRecord(
