--- a/sequoiaarch/tests/ledger/losses_tests.py
+++ b/sequoiaarch/tests/ledger/losses_tests.py
@@ -7,8 +7,9 @@
 import unittest
 from unittest import mock
 
+from ...errors import ErrorKind, Failure
 from ...ids import ProgramId, TurnId
-from ...ledger import budgets as budgets_module
+from ...ledger import budgets as budgets_module, ledger as ledger_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
 from ...ledger.reservation import Reservation
@@ -295,3 +296,65 @@
             while program.must_fit:
                 await self.cut_turn(program, MOST)
             await program.close()
+
+
+class ReturnTests(LossesTestCase):
+    """Return what was asked for and is needed by nobody any more."""
+
+    async def held(self, program: Program, process: Process) -> int:
+        """Return what a process was granted, as another one reads it."""
+        ledger = program.process().ledger
+        await ledger.partition(PROGRAM).sync()
+        return ledger.partition(PROGRAM).state.granted(PROGRAM, process.ledger.writer)
+
+    async def test_grant_whose_answer_was_never_read(self) -> None:
+        """Return a grant that stands in the log, though its process never read so.
+
+        Another process has written before it, so the log must be read for the
+        answer, and the store fails just then. The caller leaves. The store is back
+        and the process lives on; what it was granted stays held for nobody, and
+        other processes refuse turns for it.
+        """
+        program = Program(budget=10 * MOST)
+        first, other = program.process(), program.process()
+        await first.ledger.partition(PROGRAM).sync()
+        turn = await program.begin(other)
+        assert isinstance(turn, Reservation)
+        await program.end(turn)
+        found = await first.ledger.reserve(program.terms("asked"))
+        assert isinstance(found, Reservation)
+        failure = Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="down")
+        read = mock.AsyncMock(return_value=failure)
+        with mock.patch.object(first.client, "read", read):
+            self.assertIs(await found.verdict(), BudgetVerdict.UNCERTAIN)
+        found.close()
+        self.assertGreater(await self.held(program, first), 0)
+        returning = (
+            mock.patch.object(budgets_module, "RETURN_AFTER", 0.0),
+            mock.patch.object(ledger_module, "RETURN_INTERVAL", 0.01),
+        )
+        with returning[0], returning[1]:
+            task = asyncio.create_task(first.ledger.give_back())
+            await asyncio.sleep(1.0)
+            task.cancel()
+        self.assertEqual(await self.held(program, first), 0)
+        await program.close()
+
+    async def test_process_stops_while_it_asks(self) -> None:
+        """Return what a process had just asked for when it is told to stop.
+
+        A turn ends while the answer about its grant is awaited, and its process
+        stops in order. Whoever follows counts what it had asked for as spent.
+        """
+        program = Program(budget=10 * MOST)
+        process = program.process()
+        await process.ledger.partition(PROGRAM).sync()
+        process.client.faults.delay = 0.02
+        found = await process.ledger.reserve(program.terms("asked"))
+        assert isinstance(found, Reservation)
+        await asyncio.sleep(0.01)
+        found.close()
+        await process.ledger.flush()
+        await program.lose(process)
+        self.assertEqual(await self.held(program, process), 0)
+        await program.close()
