Return also what was asked for and never read, and what is being asked for

Turns of a program were refused for 1,701 tokens that nobody held any more. What still programs don't use was returned only as far as the process knew it to be granted: where the answer could not be read the log had granted more. A process that stopped in order passed over programs for which it awaited an answer. Both now go by what the newest record asks for.

--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -139,8 +139,7 @@
         planned restart programs were refused that had used a tenth.
         """
         for account in self._accounts.values():
-            if account.raising is None:
-                self._lower(account)
+            self._lower(account)
 
     def give_back_rests(self) -> None:
         """Return what still programs don't use, and forget those long ended."""
@@ -150,7 +149,9 @@
                 continue
             if account.open:
                 self._renew(account, now)
-            elif account.granted > account.handed:
+            elif account.excess:
+                # Also what was asked for and never read: the log may have granted
+                # it, and others would refuse turns for it.
                 still = account.touched + RETURN_AFTER < now
                 if (still or self._tight(account)) and not account.partition.stuck:
                     self._lower(account)
