--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -76,17 +76,15 @@
         if not partition.loaded and not await partition.sync():
             return BudgetVerdict.UNCERTAIN
         account = self._account(partition, terms)
-        reservation = Reservation(terms=terms, account=account, raiser=self)
         if account.wanted + terms.most <= account.granted:
-            account.open[terms.turn] = OpenPart(left=terms.most, held=terms.most)
-            return reservation
+            return self._reserved(account, terms, held=terms.most)
         shortage = await self._shortage(account, terms)
         if shortage is not None:
             return self._refused(account, shortage)
         checked_later = self._checked_later(account, terms)
         ample = self._ample(account, terms)
         held = terms.most if ample else first_part(terms.most)
-        account.open[terms.turn] = OpenPart(left=terms.most, held=held)
+        reservation = self._reserved(account, terms, held=held)
         self.raise_grant(account)
         if checked_later:
             return reservation
@@ -127,11 +125,12 @@
         held several more turns. An unused turn most likely runs elsewhere and
         waits there for what it held here.
         """
-        if account.raising is not None:
-            return
-        if not account.settled:
+        if account.raising is None and not account.settled:
             self.raise_grant(account)
         elif self._tight(account):
+            # Also while an answer is awaited, which may come too late to return what
+            # was asked for: a process lost with the turn's end told had it all
+            # counted as spent.
             self._lower(account, urgent=unused)
 
     def give_back_all(self) -> None:
@@ -141,8 +140,7 @@
         planned restart programs were refused that had used a tenth.
         """
         for account in self._accounts.values():
-            if account.raising is None:
-                self._lower(account)
+            self._lower(account)
 
     def give_back_rests(self) -> None:
         """Return what still programs don't use, and forget those long ended."""
@@ -152,7 +150,9 @@
                 continue
             if account.open:
                 self._renew(account, now)
-            elif account.granted > account.handed:
+            elif account.excess:
+                # Also what was asked for and never read: the log may have granted
+                # it, and others would refuse turns for it.
                 still = account.touched + RETURN_AFTER < now
                 if (still or self._tight(account)) and not account.partition.stuck:
                     self._lower(account)
@@ -171,9 +171,11 @@
             self._write(account, account.granted, urgent=False)
 
     def _lower(self, account: Account, *, urgent: bool = False) -> None:
+        """Ask for no more than is needed, also while an answer is awaited."""
         if account.excess:
-            account.granted = min(account.granted, account.needed)
-            self._write(account, account.granted, urgent=urgent)
+            asked = min(max(account.granted, account.asked), account.needed)
+            account.granted = min(account.granted, asked)
+            self._write(account, asked, urgent=urgent)
 
     def _tight(self, account: Account) -> bool:
         """Return whether what is held ahead may be missing elsewhere."""
@@ -197,13 +199,19 @@
             self._accounts[terms.program] = account
             # Forgotten here a while ago: what was handed out then still counts.
             account.handed = partition.state.granted(terms.program, self._writer)
-            account.granted = account.handed
+            account.granted = account.asked = account.handed
         account.budget = terms.budget
         account.most = max(account.most, terms.most)
         account.limit = max(account.limit, self._split.in_log(terms))
         account.touched = asyncio.get_running_loop().time()
         return account
 
+    def _reserved(
+        self, account: Account, terms: TurnTerms, *, held: int
+    ) -> Reservation:
+        part = OpenPart(left=terms.most, held=held)
+        return Reservation(terms=terms, account=account, part=part, raiser=self)
+
     async def _shortage(
         self, account: Account, terms: TurnTerms
     ) -> BudgetVerdict | None:
@@ -237,7 +245,7 @@
         if used + account.most > account.limit:
             return BudgetVerdict.EXCEEDED
         held = state.returning(account.program, state.now() - RETURN_BOUND)
-        open_here = any(part.left for part in account.open.values())
+        open_here = any(part.left for part in account.open)
         return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
 
     def _refused(self, account: Account, verdict: BudgetVerdict) -> BudgetVerdict:
@@ -294,8 +302,9 @@
                 if not await partition.sync():
                     return False
             state = partition.state
-            granted = state.granted(account.program, self._writer)
-            if granted >= tokens:
+            # Less may have been asked for meanwhile, which counts at its place.
+            tokens = min(tokens, account.asked)
+            if state.granted(account.program, self._writer) >= tokens:
                 account.granted = tokens
                 self._note_room(account)
                 return True
@@ -320,6 +329,7 @@
     def _write(
         self, account: Account, tokens: int, *, urgent: bool
     ) -> asyncio.Future[Offset]:
+        account.asked = tokens
         account.told = account.wanted
         account.told_at = asyncio.get_running_loop().time()
         record = GrantRecord(
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -141,8 +141,7 @@
         if loan is None:
             # Nobody lends: only the log can tell, however long it takes.
             return await self._hold.verdict()
-        self._go_on_with(loan)
-        return BudgetVerdict.FITS
+        return BudgetVerdict.FITS if self._go_on_with(loan) else verdict
 
     def covers(self, tokens: int) -> bool:
         """Return whether so many more tokens may go to the caller unasked."""
@@ -187,18 +186,21 @@
             other = await self._ledger.reserve(terms)
         if other is None or isinstance(other, BudgetVerdict):
             return False
-        if self._ended:
-            # The answer ended while more was asked for.
-            other.close()
+        if not self._go_on_with(other):
             return False
-        self._go_on_with(other)
         return await other.verdict() is BudgetVerdict.FITS
 
-    def _go_on_with(self, hold: Hold) -> None:
-        """Have another hold cover what is still to be handed out."""
+    def _go_on_with(self, hold: Hold) -> bool:
+        """Have another hold cover what is still to come; False if the turn ended."""
+        if self._ended:
+            # Nobody else would close it, and it would count as handed out; the
+            # turn may have ended during any wait for it.
+            hold.close()
+            return False
         self._hold.close()
         self._hold = hold
         self._before = self._handed
+        return True
 
     def announce(self) -> None:
         """Write the program of the turn beside its run."""
@@ -276,11 +278,13 @@
                 return asking.result()
             verdict = asking.result() if asking.done() else BudgetVerdict.UNCERTAIN
             loan = await _borrow(self._lender, terms, verdict)
+            if loan is None:
+                return await asking
         except BaseException:
+            # Also a caller that leaves just as the grant arrives: the grant would
+            # stay held for nobody, and later turns be refused for it.
             _abandon(asking)
             raise
-        if loan is None:
-            return await asking
         _abandon(asking)
         return loan
 
