Show loans and reservations that nobody returns

Lenders, borrowers and callers that are late or lost leave tokens behind that count as handed out for as long as their program is remembered. One measures what a program that begins after two losses of all processes may borrow: 23 of a budget of 2,000 in place of 375, until the lost claims are removed.

--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 from collections.abc import Callable
 from unittest import mock
@@ -14,25 +15,28 @@
 from ...fleet.claiming import Claiming
 from ...fleet.claims import (
     LENDING_LEASE,
+    RETIRE_MARGIN,
     TOPIC as CLAIMS_TOPIC,
     Claims,
     Retirement,
     slot_of,
 )
-from ...fleet.lenders import Lenders
+from ...fleet.lenders import ASK_TIMEOUT, SETTLE_TIMEOUT, Lenders
 from ...fleet.peers import TOPIC as PEERS_TOPIC, Peers, PeerServer
 from ...fleet.standing import GONE_FAILURES, Standing
 from ...ids import DataCentre, HostName, ProgramId, TurnId, WriterId
+from ...ledger.holds import NoLender
 from ...ledger.ledger import Ledger
-from ...ledger.loans import LoanBook
+from ...ledger.loans import FORGET_AFTER, LoanBook
 from ...ledger.places import Places
+from ...ledger.reservation import Reservation
 from ...ledger.split import PartLent
 from ...ledger.terms import BudgetVerdict, TurnStart, TurnTerms
-from ...ledger.turns import LocalTurn, LocalTurns
+from ...ledger.turns import LOG_PATIENCE, LocalTurn, LocalTurns
 from ...routing.follower import TopicFollower
 from ...standins.keyed_store import KeyedStore
 from ...wire.links import Send
-from ...wire.messages import Failed, Reply, Request
+from ...wire.messages import Failed, LendRequest, Reply, Request, SettleRequest
 from .delegates_tests import NoStore
 
 PROGRAM = ProgramId("program")
@@ -151,6 +155,33 @@
         return None
 
 
+class SlowAnswers:
+    """Answer for a lender whose messages come late or are lost."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+        # Requests to lend are handled so much later. Seconds.
+        self.lend_delay = 0.0
+        # Answers to requests to lend come so much later. Seconds.
+        self.answer_delay = 0.0
+        # So many of the next settlements never arrive.
+        self.settlements_lost = 0
+        self.settlements = 0
+        process.server.others = self._answer
+
+    async def _answer(self, request: Request, send: Send) -> Reply:
+        if isinstance(request, LendRequest):
+            await asyncio.sleep(self.lend_delay)
+            reply = self._process.lenders.answer(request)
+            await asyncio.sleep(self.answer_delay)
+            return reply
+        if isinstance(request, SettleRequest):
+            self.settlements += 1
+            if self.settlements <= self.settlements_lost:
+                await asyncio.Event().wait()
+        return self._process.lenders.answer(request)
+
+
 class LendersTests(unittest.IsolatedAsyncioTestCase):
     """Run processes of three data centres over real sockets."""
 
@@ -478,6 +509,224 @@
         assert isinstance(refused, LocalTurn)
         self.assertIsNone(refused.covered)
 
+    async def test_late_loan_whose_settlement_is_lost(self) -> None:
+        """Have a lender know that nobody uses what it lent too late.
+
+        The lender answers too late, so the borrower goes elsewhere and tells
+        it that nothing is used. That word is lost. The program must find the
+        whole part again, or a loan that nobody has counts as handed out.
+        """
+        self.take_store_away()
+        slow = SlowAnswers(self.lender)
+        slow.answer_delay = 2 * ASK_TIMEOUT
+        slow.settlements_lost = 1
+        refused = await self.other.turns.open(start("turn-1", most=300))
+        self.assertIs(refused, BudgetVerdict.UNCERTAIN)
+        await self.until(lambda: slow.settlements > 0)
+        await self.until(lambda: not self._owes())
+        self.assertEqual(self.lender.book.totals(), {})
+
+    async def test_settlement_that_is_lost(self) -> None:
+        """Have a lender know what a turn used although it was deaf at its end.
+
+        A turn borrows 300 tokens and uses 40. The lender is frozen when it
+        ends and hears nothing of that. Once it is well again, all but 40 can
+        be lent to the program's next turn.
+        """
+        self.take_store_away()
+        slow = SlowAnswers(self.lender)
+        slow.settlements_lost = 1
+        turn = await self.lent(self.other, "turn-1", most=300)
+        turn.hand_out(40)
+        turn.close()
+        await asyncio.sleep(SETTLE_TIMEOUT)
+        await self.until(lambda: not self._owes())
+        self.assertEqual(self.lender.book.totals(), {PROGRAM: 40})
+
+    async def test_loan_that_is_handled_after_its_settlement(self) -> None:
+        """Hold nothing for a borrower that left before the lender came to lend.
+
+        The lender comes to the request only after it was told that nothing is
+        used. Nobody tells it again, so it must not lend then.
+        """
+        self.take_store_away()
+        slow = SlowAnswers(self.lender)
+        slow.lend_delay = 3 * ASK_TIMEOUT
+        refused = await self.other.turns.open(start("turn-1", most=300))
+        self.assertIs(refused, BudgetVerdict.UNCERTAIN)
+        await self.until(lambda: slow.settlements > 0)
+        await asyncio.sleep(3 * ASK_TIMEOUT)
+        self.assertEqual(self.lender.book.totals(), {})
+
+    async def test_turn_that_ends_while_it_borrows(self) -> None:
+        """Return a loan that comes after the end of its turn.
+
+        The store goes away before a turn is granted, so a lender is asked. The
+        caller leaves at that moment and the turn is closed, once. The loan
+        comes after that; nobody closes the turn again.
+        """
+        await self.other.ledger.partition(PROGRAM).sync()
+        self.take_store_away()
+        # It waits for the log in its verdict, and borrows there.
+        begun = LocalTurns(ledger=self.other.ledger, lender=NoLender())
+        turn = await begun.open(start("turn-1", most=300))
+        assert isinstance(turn, LocalTurn)
+        turn._lender = self.other.lenders
+        slow = SlowAnswers(self.lender)
+        slow.answer_delay = ASK_TIMEOUT / 2
+        verdict = asyncio.create_task(turn.verdict())
+        await self.until(self._owes)
+        turn.close()
+        found = await verdict
+        await asyncio.sleep(2 * ASK_TIMEOUT)
+        self.assertEqual(self.lender.book.totals(), {})
+        self.assertIsNot(found, BudgetVerdict.FITS)
+
+    async def test_raise_whose_answer_is_lost(self) -> None:
+        """Keep what a turn was lent where the answer to a raise is lost.
+
+        A turn was lent 175 tokens, has used 170 and asks for more. The lender
+        raises the loan, but its answer comes too late. The turn still has its
+        175 and may hand out 5 unasked; at its end all else is returned.
+        """
+        self.take_store_away()
+        first = await self.lent(self.other, "turn-1", most=200)
+        second = await self.lent(self.other, "turn-2", most=300)
+        second.hand_out(170)
+        first.close()
+        await self.until(lambda: self.lender.book.lend_left(PROGRAM, BUDGET, 0) > 150)
+        slow = SlowAnswers(self.lender)
+        slow.answer_delay = 2 * LOG_PATIENCE
+        self.assertFalse(await second._cover_soon(180))
+        self.assertEqual(self.lender.book.totals(), {PROGRAM: 300})
+        self.assertEqual(second.covered, 175)
+        self.assertTrue(second.covers(5))
+        second.close()
+        await self.until(lambda: not self._owes())
+        self.assertEqual(self.lender.book.totals(), {PROGRAM: 170})
+
+    async def test_turn_that_ends_while_it_waits_to_be_covered(self) -> None:
+        """Say that nothing is covered any more where a turn ended meanwhile.
+
+        A stream waits since its loan is used up and nobody covers the rest.
+        Its caller leaves, which closes the turn. The wait must end with a
+        refusal, not with an error.
+        """
+        self.take_store_away()
+        await self.lent(self.other, "turn-1", most=200)
+        turn = await self.lent(self.other, "turn-2", most=300)
+        turn.hand_out(175)
+        covering = asyncio.create_task(turn.cover(10))
+        await asyncio.sleep(0.5)
+        self.assertFalse(covering.done())
+        turn.close()
+        self.assertFalse(await asyncio.wait_for(covering, PATIENCE))
+
+    async def test_caller_leaves_while_its_turn_borrows(self) -> None:
+        """Return what is lent to a caller that has left.
+
+        A caller leaves while its gateway waits for a lender's answer, at any
+        moment of that wait. The lender is told that nothing is used.
+        """
+        self.take_store_away()
+        slow = SlowAnswers(self.lender)
+        slow.answer_delay = ASK_TIMEOUT / 2
+        for number in range(6):
+            opening = asyncio.create_task(
+                self.other.turns.open(start(f"turn-{number}", most=300))
+            )
+            await self.until(lambda: self._owes())
+            await asyncio.sleep(number * ASK_TIMEOUT / 10)
+            opening.cancel()
+            try:
+                opened = await opening
+            except asyncio.CancelledError:
+                pass
+            else:
+                assert isinstance(opened, LocalTurn)
+                opened.close()
+            await self.until(lambda: not self._owes())
+        self.assertEqual(self.lender.book.totals(), {})
+
+    async def test_borrower_is_lost_with_a_loan(self) -> None:
+        """Count what a lost borrower may have handed out, and hold no more.
+
+        A borrower dies with a loan of 300. The lender can't know how much of
+        it reached the caller, so all of it counts; the rest of its part is
+        lent to the program's next turn, and once the program can't come back
+        all is forgotten.
+        """
+        self.take_store_away()
+        await self.lent(self.other, "turn-1", most=300)
+        self.end(str(self.other.name))
+        self.other.server.close()
+        third = next(
+            one for one in self.processes if one not in (self.lender, self.other)
+        )
+        turn = await self.lent(third, "turn-2", most=75)
+        turn.hand_out(75)
+        turn.close()
+        await self.until(lambda: self.lender.book.totals() == {PROGRAM: 375})
+        clock = mock.Mock(return_value=time.monotonic() + RETENTION + FORGET_AFTER + 1)
+        self.lender.book._clock = clock
+        self.lender.book.forget_old()
+        self.assertEqual(self.lender.book.totals(), {})
+
+    async def test_all_processes_are_lost_twice(self) -> None:
+        """Lend what is left of a budget's lent part after losses of all.
+
+        All processes lose power, start again and claim, twice. Then the store
+        goes away and a program begins that none of them has ever seen. The
+        claims of the lost keep their places, so its lender has the third one:
+        3/256 of the budget, in place of 3/16, until these claims are removed.
+        """
+        for loss in ("second", "third"):
+            await self._lose_all(loss)
+        clock = mock.Mock(return_value=0.0)
+        for process in self.processes:
+            process.claiming.retirement = Retirement(clock=clock)
+        lender = next(one for one in self.processes if one.place is not None)
+        other = next(one for one in self.processes if one.place is None)
+        self.assertEqual(lender.place, 2)
+        self.assertEqual(lender.book.lend_left(PROGRAM, BUDGET, 2), 23)
+        await asyncio.sleep(0.3)
+        clock.return_value = LENDING_LEASE + RETENTION + RETIRE_MARGIN
+        await asyncio.sleep(0.3)
+        self.take_store_away()
+        refused = await other.turns.open(start("turn-1", most=100))
+        self.assertIs(refused, BudgetVerdict.UNCERTAIN)
+        for process in self.processes:
+            process.client.faults.down = False
+        clock.return_value += 1
+        await self.until(lambda: lender.place == 0)
+        await self.until(lambda: len(other.claims.of(slot_of(PROGRAM))) == 1)
+        self.take_store_away()
+        turn = await self.lent(other, "turn-2", most=375)
+        self.assertEqual(turn.covered, 375)
+
+    async def _lose_all(self, name: str) -> None:
+        lost, self.processes = self.processes, []
+        for process in lost:
+            self.end(str(process.name))
+            process.server.close()
+            process.peers.close()
+            await process.ledger.close()
+        for process in lost:
+            fresh = Process(
+                name=process.name,
+                context=self.context,
+                store=self.store,
+                writer=f"{name}-{process.name}",
+            )
+            self.processes.append(fresh)
+            self.tasks[str(fresh.name)] = fresh.parts()
+            self.closing.append(fresh.server.close)
+        await self.until(lambda: all(map(self._knows_a_living_lender, self.processes)))
+
+    def _knows_a_living_lender(self, process: Process) -> bool:
+        lenders = process.claims.of(slot_of(PROGRAM))
+        return any(process.claiming.host(one.writer) is not None for one in lenders)
+
     async def test_spent_log_is_continued_by_the_lender(self) -> None:
         """Let a program use its whole budget while the store answers.
 
@@ -501,6 +750,35 @@
         self.assertEqual(handed, 1900)
 
 
+class CancelledOpenTests(unittest.IsolatedAsyncioTestCase):
+    """Return what the log grants to a caller that leaves."""
+
+    async def test_caller_leaves_as_the_log_grants_its_turn(self) -> None:
+        """Close a reservation that is made at the moment its caller leaves.
+
+        The log is slow and nobody lends, so the turn waits for the log. It
+        grants the turn, and in the same moment the caller leaves: nobody but
+        the one who asked knows the reservation and can close it.
+        """
+        reservation = mock.Mock(spec=Reservation)
+        granted = asyncio.Event()
+
+        async def reserve(terms: TurnTerms) -> Reservation:
+            await granted.wait()
+            # The caller leaves after this answer and before it is read.
+            asyncio.get_running_loop().call_soon(opening.cancel)
+            return reservation
+
+        ledger = mock.Mock(spec=Ledger, reserve=reserve)
+        opening = asyncio.create_task(LocalTurns(ledger=ledger).open(start("turn")))
+        await asyncio.sleep(2 * LOG_PATIENCE)
+        granted.set()
+        with self.assertRaises(asyncio.CancelledError):
+            await opening
+        await asyncio.sleep(0)
+        reservation.close.assert_called_once_with()
+
+
 class ForeignRequestTests(unittest.TestCase):
     """Answer what is no request of a borrower."""
 
--- a/sequoiaarch/tests/ledger/loans_tests.py
+++ b/sequoiaarch/tests/ledger/loans_tests.py
@@ -93,6 +93,31 @@
         self.book.settle(LoanId("other"), PROGRAM, 100)
         self.assertEqual(self.book.lend(LoanId("2"), terms(2000, 300), 0, LEAST), 275)
 
+    def test_loan_that_comes_after_its_settlement(self) -> None:
+        """Lend nothing for a loan whose borrower has left already.
+
+        A borrower asks, hears nothing in time and tells the lender that it
+        uses nothing. After a silence its link is made anew, so the lender may
+        handle that before the request to lend. Nobody settles the loan again:
+        lent now, it counts as handed out for as long as the program is
+        remembered.
+        """
+        self.book.settle(LoanId("1"), PROGRAM, 0)
+        self.assertEqual(self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST), 0)
+        self.assertEqual(self.book.lend_left(PROGRAM, 2000, 0), 375)
+
+    def test_raise_that_comes_after_the_settlement(self) -> None:
+        """Lend nothing more to a loan whose turn has ended.
+
+        A turn asks for more on its loan, hears nothing in time and ends. The
+        lender handles the settlement before the late raise. The turn used 40
+        tokens, and no more than these may count.
+        """
+        self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST)
+        self.book.settle(LoanId("1"), PROGRAM, 40)
+        self.assertEqual(self.book.lend(LoanId("1"), terms(2000, 250), 0, 0), 0)
+        self.assertEqual(self.book.totals(), {PROGRAM: 40})
+
     def test_raised_loan_is_counted_once(self) -> None:
         """Raise a loan that covered only a part of its turn."""
         self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST)
