Lend nothing for a loan that was settled before

Callers of a program saw less to borrow in an outage than was left: a lender that was late held up to a whole turn for a borrower that had gone elsewhere, for the retention of the program and a minute more, and counted it as handed out.

Cause: after a silence a link is made anew, so that a settlement may be handled before the request to lend, or to raise, that it belongs to. It was ignored as unknown, and the late request then opened a loan that nobody closes.

A book now remembers settled loans for 120 s, 20,000 at most, and lends nothing for them. Names of loans are never used twice, and who settles a loan has stopped to hand out under it, so that this only ever lends less. A loan that is forgotten is held as before: too much counts, never too little.

--- a/sequoiaarch/ledger/loans.py
+++ b/sequoiaarch/ledger/loans.py
@@ -13,6 +13,11 @@
 # Loans are remembered for this time beyond the retention of their program: one
 # that is forgotten while its program may come back could be lent again. Seconds.
 FORGET_AFTER = 60.0
+# A request that comes after its loan was settled may be as late as this, since a
+# connection that is cut holds and repeats it. Seconds.
+REMEMBER_SETTLED = 120.0
+# With more settled loans the oldest are forgotten.
+MOST_SETTLED = 20_000
 
 
 @dataclass(kw_only=True)
@@ -50,6 +55,8 @@
         self._carried = carried
         self._clock = clock
         self._accounts: dict[ProgramId, _Account] = {}
+        # When each loan was settled, the oldest first.
+        self._settled: dict[LoanId, float] = {}
         self.lent = 0
         self.refused = 0
 
@@ -58,6 +65,11 @@
 
         Asked again for the same loan, it is raised to what the turn may need.
         """
+        # A request that comes after its settlement would open a loan that nobody
+        # closes. Its borrower has left, so that nothing is missing anywhere.
+        if loan in self._settled:
+            self.refused += 1
+            return 0
         account = self._account(terms)
         before = account.open.get(loan, 0)
         left = self.lend_left(terms.program, terms.budget, place) + before
@@ -85,6 +97,7 @@
 
     def settle(self, loan: LoanId, program: ProgramId, handed: int) -> None:
         """Count what a loan's turn handed out; the rest can be lent again."""
+        self._remember_settled(loan)
         account = self._accounts.get(program)
         if account is None or account.open.pop(loan, None) is None:
             return
@@ -92,12 +105,21 @@
         account.touched = self._clock()
 
     def forget_old(self) -> None:
-        """Forget programs that can no longer come back."""
+        """Forget programs that can no longer come back, and loans long settled."""
         now = self._clock()
+        for loan, since in list(self._settled.items()):
+            if since + REMEMBER_SETTLED < now:
+                del self._settled[loan]
         for program, account in list(self._accounts.items()):
             if account.touched + account.retention + FORGET_AFTER < now:
                 del self._accounts[program]
 
+    def _remember_settled(self, loan: LoanId) -> None:
+        self._settled.pop(loan, None)
+        self._settled[loan] = self._clock()
+        if len(self._settled) > MOST_SETTLED:
+            del self._settled[next(iter(self._settled))]
+
     def _account(self, terms: TurnTerms) -> _Account:
         now = self._clock()
         account = self._accounts.get(terms.program)
--- a/sequoiaarch/tests/ledger/loans_tests.py
+++ b/sequoiaarch/tests/ledger/loans_tests.py
@@ -5,10 +5,12 @@
 import itertools
 import unittest
 from dataclasses import dataclass, field
+from unittest import mock
 
 from ...fleet.claims import LENDING_LEASE, RETIRE_MARGIN, Claims, Retirement
 from ...ids import LoanId, Offset, ProgramId, TurnId
-from ...ledger.loans import FORGET_AFTER, LoanBook
+from ...ledger import loans as loans_module
+from ...ledger.loans import FORGET_AFTER, REMEMBER_SETTLED, LoanBook
 from ...ledger.split import PartLent, WholeInLog
 from ...ledger.terms import TurnTerms
 from ...storage.keyed import ListedRecord
@@ -118,6 +120,36 @@
         self.assertEqual(self.book.lend(LoanId("1"), terms(2000, 250), 0, 0), 0)
         self.assertEqual(self.book.totals(), {PROGRAM: 40})
 
+    def test_settled_loans_are_forgotten_at_last(self) -> None:
+        """Bound the memory of settled loans in time and in number.
+
+        Borrowers settle loans for as long as a process runs. Late requests
+        come soon, so only the last ones are remembered, and the very last
+        always.
+        """
+        with mock.patch.object(loans_module, "MOST_SETTLED", 5):
+            for number in range(50):
+                self.book.settle(LoanId(str(number)), PROGRAM, 0)
+                self.assertLessEqual(len(self.book._settled), 5)
+        self.assertEqual(self.book.lend(LoanId("49"), terms(2000, 250), 0, LEAST), 0)
+        self.clock.now = REMEMBER_SETTLED + 1
+        self.book.settle(LoanId("50"), PROGRAM, 0)
+        self.book.forget_old()
+        self.assertEqual(set(self.book._settled), {"50"})
+
+    def test_loan_settled_again_is_remembered_from_then(self) -> None:
+        """Remember a loan for the whole time after it was settled last.
+
+        A borrower that isn't heard settles again and again. What it asked for
+        before may arrive as late after the last time as after the first.
+        """
+        self.book.settle(LoanId("1"), PROGRAM, 0)
+        self.clock.now = REMEMBER_SETTLED
+        self.book.settle(LoanId("1"), PROGRAM, 0)
+        self.clock.now = 2 * REMEMBER_SETTLED
+        self.book.forget_old()
+        self.assertEqual(self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST), 0)
+
     def test_raised_loan_is_counted_once(self) -> None:
         """Raise a loan that covered only a part of its turn."""
         self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST)
