Return a loan that comes after the end of its turn

A program in an outage had less to borrow than it had left over: where a caller left, or a gateway went on without its delegate, while a turn waited for its verdict, the loan that came then stayed open, counted in full for the retention of the program.

Cause: a turn's verdict borrows where the log is silent. A delegate goes on with that after it was told that the turn is over, and put the loan into a turn that had been closed already. The borrowing of a stream in the middle looked for an end meanwhile; that of the verdict didn't.

The loan is now closed at once, and the verdict is that of the log. Between the answer of the lender and this check nothing is awaited, so that no end can fall between them.

--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -136,6 +136,11 @@
         if loan is None:
             # Nobody lends: only the log can tell, however long it takes.
             return await self._hold.verdict()
+        if self._ended:
+            # Nobody closes a turn a second time: a loan that came after its end
+            # counted as handed out in full. Nothing is handed out under it.
+            loan.close()
+            return verdict
         self._go_on_with(loan)
         return BudgetVerdict.FITS
 
