Refuse to cover a turn that ended while it waited

A stream that waited for its budget in an outage and whose turn was closed meanwhile ended in a KeyError: a delegate answered its gateway with an internal error and wrote a traceback.

Cause: a wait for cover asks again for two seconds, and a loan that is settled has forgotten its lender. A raise under way at that moment even said that the turn may hand out more, which nobody would have counted.

A settled loan asks nobody and covers nothing. A loan is settled only once and never opened again, so that looking before and after the call is enough.

The test failed before (KeyError) and passes, with ledger.loans_tests and two tests of raises: 23 passed.

--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -66,9 +66,11 @@
 
     async def cover(self, total: int) -> bool:
         """Return whether so many tokens may be handed out, or ask for more."""
-        if total > self._tokens:
+        if total > self._tokens and not self._closed:
             self._tokens = await self._lenders.raised(self._loan, self.terms)
-        return total <= self._tokens
+        # A stream that waits may outlast its turn: asking where a settled loan is
+        # failed with an error, and nothing is counted for it any more.
+        return not self._closed and total <= self._tokens
 
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
