Show a lost gateway whose tokens are counted too low

A delegate counts a turn whose gateway was lost at what its loan covers. After a raise without an answer that is nothing: 100 tokens were counted where 175 may have been handed out.

--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -24,6 +24,7 @@
 from ...fleet.lenders import ASK_TIMEOUT, SETTLE_TIMEOUT, Lenders
 from ...fleet.peers import TOPIC as PEERS_TOPIC, Peers, PeerServer
 from ...fleet.standing import GONE_FAILURES, Standing
+from ...fleet.turn_server import TurnServer
 from ...ids import DataCentre, HostName, ProgramId, TurnId, WriterId
 from ...ledger.holds import NoLender
 from ...ledger.ledger import Ledger
@@ -36,7 +37,16 @@
 from ...routing.follower import TopicFollower
 from ...standins.keyed_store import KeyedStore
 from ...wire.links import Send
-from ...wire.messages import Failed, LendRequest, Reply, Request, SettleRequest
+from ...wire.messages import (
+    CoverTurnRequest,
+    Failed,
+    LendRequest,
+    OpenTurnRequest,
+    Reply,
+    Request,
+    SettleRequest,
+    TurnOpened,
+)
 from .delegates_tests import NoStore
 
 PROGRAM = ProgramId("program")
@@ -605,6 +615,30 @@
         await self.until(lambda: not self._owes())
         self.assertEqual(self.lender.book.totals(), {PROGRAM: 170})
 
+    async def test_gateway_is_lost_after_a_raise_without_an_answer(self) -> None:
+        """Count all that a lost gateway may have handed out.
+
+        A delegate keeps a turn's account for a gateway, which may hand out 175
+        tokens unasked. It tells that it handed out 100 and asks for more. The
+        lender's answer to that is lost, and the gateway is lost before the
+        turn's time is over: it may have handed out all of its 175.
+        """
+        self.take_store_away()
+        first = await self.lent(self.other, "turn-1", most=200)
+        delegate = TurnServer(local=self.other.turns, ledger=self.other.ledger)
+        opening = OpenTurnRequest(start=start("turn-2", most=300))
+        opened = await delegate.answer(opening, mock.AsyncMock())
+        assert isinstance(opened, TurnOpened)
+        self.assertEqual(opened.covered, 175)
+        first.close()
+        await self.until(lambda: self.lender.book.lend_left(PROGRAM, BUDGET, 0) > 150)
+        slow = SlowAnswers(self.lender)
+        slow.answer_delay = 2 * LOG_PATIENCE
+        asked = CoverTurnRequest(turn=TurnId("turn-2"), handed=100, total=180)
+        await delegate.answer(asked, mock.AsyncMock())
+        await self.until(lambda: not self._owes())
+        self.assertEqual(self.lender.book.totals(), {PROGRAM: 175})
+
     async def test_turn_that_ends_while_it_waits_to_be_covered(self) -> None:
         """Say that nothing is covered any more where a turn ended meanwhile.
 
