Keep what a turn was lent where a raise is not answered

Callers waited, or their streams were broken off, with tokens of their loan unused; and a gateway that was lost then was counted at 100 tokens where it may have handed out 175, so that its program could be handed 75 twice.

Cause: a raise without an answer, or to a lender that has stopped, counted as a loan of 0 in place of what the loan had.

A loan now keeps the larger of what it had and what it is answered.

--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -67,7 +67,10 @@
     async def cover(self, total: int) -> bool:
         """Return whether so many tokens may be handed out, or ask for more."""
         if total > self._tokens and not self._closed:
-            self._tokens = await self._lenders.raised(self._loan, self.terms)
+            raised = await self._lenders.raised(self._loan, self.terms)
+            # A raise without an answer took what the turn had, and a lost gateway
+            # was counted at less than it may have used. A loan only ever grows.
+            self._tokens = max(self._tokens, raised)
         # A stream that waits may outlast its turn: asking where a settled loan is
         # failed with an error, and nothing is counted for it any more.
         return not self._closed and total <= self._tokens
