Close a reservation whose caller leaves as it is granted

A program near its budget had less left than it had used, until its gateway ended: a turn stayed open in the account of a caller that had left.

Cause: where nobody lends, a turn waits for the log once more, outside what gives a late grant back. A caller that leaves in the turn of the event loop in which the log answers takes the answer with it.

That wait now stands within it. A grant that is under way ends its reservation by itself when it is cancelled; one that is done is closed; a refusal holds nothing.

--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -276,11 +276,13 @@
                 return asking.result()
             verdict = asking.result() if asking.done() else BudgetVerdict.UNCERTAIN
             loan = await _borrow(self._lender, terms, verdict)
+            if loan is None:
+                return await asking
         except BaseException:
+            # Also of the last wait: a caller that left as the log granted its turn
+            # left a reservation that nobody knew. What was not granted does nothing.
             _abandon(asking)
             raise
-        if loan is None:
-            return await asking
         _abandon(asking)
         return loan
 
