--- a/sequoiaarch/tests/ledger/loans_tests.py
+++ b/sequoiaarch/tests/ledger/loans_tests.py
@@ -5,10 +5,12 @@
 import itertools
 import unittest
 from dataclasses import dataclass, field
+from unittest import mock
 
 from ...fleet.claims import LENDING_LEASE, RETIRE_MARGIN, Claims, Retirement
 from ...ids import LoanId, Offset, ProgramId, TurnId
-from ...ledger.loans import FORGET_AFTER, LoanBook
+from ...ledger import loans as loans_module
+from ...ledger.loans import FORGET_AFTER, REMEMBER_SETTLED, LoanBook
 from ...ledger.split import PartLent, WholeInLog
 from ...ledger.terms import TurnTerms
 from ...storage.keyed import ListedRecord
@@ -93,6 +95,61 @@
         self.book.settle(LoanId("other"), PROGRAM, 100)
         self.assertEqual(self.book.lend(LoanId("2"), terms(2000, 300), 0, LEAST), 275)
 
+    def test_loan_that_comes_after_its_settlement(self) -> None:
+        """Lend nothing for a loan whose borrower has left already.
+
+        A borrower asks, hears nothing in time and tells the lender that it
+        uses nothing. After a silence its link is made anew, so the lender may
+        handle that before the request to lend. Nobody settles the loan again:
+        lent now, it counts as handed out for as long as the program is
+        remembered.
+        """
+        self.book.settle(LoanId("1"), PROGRAM, 0)
+        self.assertEqual(self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST), 0)
+        self.assertEqual(self.book.lend_left(PROGRAM, 2000, 0), 375)
+
+    def test_raise_that_comes_after_the_settlement(self) -> None:
+        """Lend nothing more to a loan whose turn has ended.
+
+        A turn asks for more on its loan, hears nothing in time and ends. The
+        lender handles the settlement before the late raise. The turn used 40
+        tokens, and no more than these may count.
+        """
+        self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST)
+        self.book.settle(LoanId("1"), PROGRAM, 40)
+        self.assertEqual(self.book.lend(LoanId("1"), terms(2000, 250), 0, 0), 0)
+        self.assertEqual(self.book.totals(), {PROGRAM: 40})
+
+    def test_settled_loans_are_forgotten_at_last(self) -> None:
+        """Bound the memory of settled loans in time and in number.
+
+        Borrowers settle loans for as long as a process runs. Late requests
+        come soon, so only the last ones are remembered, and the very last
+        always.
+        """
+        with mock.patch.object(loans_module, "MOST_SETTLED", 5):
+            for number in range(50):
+                self.book.settle(LoanId(str(number)), PROGRAM, 0)
+                self.assertLessEqual(len(self.book._settled), 5)
+        self.assertEqual(self.book.lend(LoanId("49"), terms(2000, 250), 0, LEAST), 0)
+        self.clock.now = REMEMBER_SETTLED + 1
+        self.book.settle(LoanId("50"), PROGRAM, 0)
+        self.book.forget_old()
+        self.assertEqual(set(self.book._settled), {"50"})
+
+    def test_loan_settled_again_is_remembered_from_then(self) -> None:
+        """Remember a loan for the whole time after it was settled last.
+
+        A borrower that isn't heard settles again and again. What it asked for
+        before may arrive as late after the last time as after the first.
+        """
+        self.book.settle(LoanId("1"), PROGRAM, 0)
+        self.clock.now = REMEMBER_SETTLED
+        self.book.settle(LoanId("1"), PROGRAM, 0)
+        self.clock.now = 2 * REMEMBER_SETTLED
+        self.book.forget_old()
+        self.assertEqual(self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST), 0)
+
     def test_raised_loan_is_counted_once(self) -> None:
         """Raise a loan that covered only a part of its turn."""
         self.book.lend(LoanId("1"), terms(2000, 250), 0, LEAST)
