Tell a lender the end of a loan until it has heard it

A program in an outage had less to borrow than was left: the end of a loan, or that nobody uses it, was told once, and a lender that was frozen or cut off at that moment counted the whole loan as handed out for as long as its program might come back. It is told again for half a minute now; a settlement that comes twice counts once. Two tests, each with a settlement that is lost, were red with the loan open for ten seconds and pass.

--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -28,6 +28,10 @@
 # frozen or overloaded. Seconds.
 ASK_TIMEOUT = 0.15
 SETTLE_TIMEOUT = 1.0
+# A lender that does not hear of the end of a loan counts it in full for as long as
+# its program may come back; one that is frozen or cut off for a while hears it in
+# this time. Seconds.
+SETTLE_PATIENCE = 30.0
 # Lenders of a program that are asked; those after the second have too little.
 MOST_ASKED = 2
 
@@ -188,7 +192,7 @@
 
     def _tell(self, link: Link, loan: LoanId, terms: TurnTerms, handed: int) -> None:
         request = SettleRequest(loan=loan, program=terms.program, handed=handed)
-        self._telling.tell(link, request)
+        self._telling.tell(link, request, patience=SETTLE_PATIENCE)
 
     def _lend(self, request: LendRequest) -> int:
         place = self._claiming.place(request.terms.program)
