--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -161,7 +161,7 @@
         if await self._cover_soon(total) or await self._cover_elsewhere(total):
             return True
         deadline = asyncio.get_running_loop().time() + CALLER_PATIENCE
-        while asyncio.get_running_loop().time() < deadline:
+        while not self._ended and asyncio.get_running_loop().time() < deadline:
             await asyncio.sleep(COVER_RETRY)
             if await self._cover_soon(total):
                 return True
