Make a silent link anew before a peer is told again

The end of a turn was told again through a connection that had gone silent for good, each time anew: the wait for the answer ended as soon as a link is taken for silent, which begins to count with each request, and nothing else is asked of a delegate that is passed over. The wait is longer than that now.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -51,7 +51,9 @@
 COVER_FIRST_WORD = 0.4
 # What follows waits for the store, which may be slow. Seconds.
 LAST_WORD = 1.5
-CLOSE_TIMEOUT = 1.0
+# Longer than it takes to find a link silent, so that the next try has a new one.
+# Seconds.
+CLOSE_TIMEOUT = 2.0
 # A delegate that hears that a turn goes on elsewhere returns what it holds for it
 # with one append. Seconds.
 RETURN_WAIT = 0.4
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -27,7 +27,9 @@
 # A lender answers from memory. One that doesn't within this time is dead,
 # frozen or overloaded. Seconds.
 ASK_TIMEOUT = 0.15
-SETTLE_TIMEOUT = 1.0
+# Longer than it takes to find a link silent, so that the next try has a new one.
+# Seconds.
+SETTLE_TIMEOUT = 2.0
 # A lender that does not hear of the end of a loan counts it in full for as long as
 # its program may come back; one that is frozen or cut off for a while hears it in
 # this time. Seconds.
