Name each opening of a turn at a delegate, not by its caller's id

A program could be handed more than its budget: a try was opened too late and its end told until it was heard; its caller came back with the same id through another gateway, and the end of the first try ended the second, whose gateway went on: 134 tokens of a budget of 100. Ids are the callers' own and nothing checks them. Each opening has a name that its gateway gives it now, and later requests name that. An end that is remembered can't refuse a later opening either, and a process needs one list of ends in place of two.

What a turn asked for that ended while it waited is refused now: it was answered as covered in full.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import logbook
 import msgspec
 
-from ..ids import HostName, Offset, ProgramId, TurnId
+from ..ids import HostName, Offset, OpeningId, ProgramId, TurnId
 from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnStart
 from ..ledger.turns import (
@@ -111,6 +112,7 @@
         self._local = local
         self._ledger = ledger
         self._telling = Telling(timeout=CLOSE_TIMEOUT)
+        self._numbers = itertools.count(1)
 
     async def open(self, start: TurnStart) -> OpenTurn | TurnRefusal:
         """Reserve a turn and find its history, or say why not."""
@@ -142,16 +144,22 @@
         link = self._delegates.link(host)
         if link is None:
             return None
+        opening = self._next_opening()
         try:
-            reply = await _ask(link, OpenTurnRequest(start=start))
+            reply = await _ask(link, OpenTurnRequest(opening=opening, start=start))
         except asyncio.CancelledError:
             # The caller left: what the delegate reserved must not count.
-            self.tell_end(link, start, 0)
+            self.tell_end(link, opening, start.lifetime, handed=0)
             raise
         if isinstance(reply, TurnOpened):
             self._delegates.standing.served(host)
             return DelegatedTurn(
-                start=start, opened=reply, host=host, link=link, turns=self
+                opening=opening,
+                start=start,
+                opened=reply,
+                host=host,
+                link=link,
+                turns=self,
             )
         if isinstance(reply, TurnRefused):
             self._delegates.standing.served(host)
@@ -163,7 +171,7 @@
         # It may open the turn yet. What it then holds has no user: it would stand
         # in the way of this program until the turn's time is over, and count as
         # handed out from then on.
-        self.tell_end(link, start, 0)
+        self.tell_end(link, opening, start.lifetime, handed=0)
         self._delegates.standing.failed(host, _reason(reply))
         log.info(
             "turn {} of {} goes on here, as {} did not open it: {}",
@@ -174,14 +182,24 @@
         )
         return None
 
-    def tell_end(self, link: Link, start: TurnStart, handed: int) -> None:
+    def tell_end(
+        self, link: Link, opening: OpeningId, lifetime: float, *, handed: int
+    ) -> None:
         """Tell a delegate the end of a turn, without waiting for its reply.
 
         It holds the turn for its lifetime unless it is told, so that long this is
         worth a retry.
         """
-        request = CloseTurnRequest(turn=start.terms.turn, handed=handed)
-        self._telling.tell(link, request, patience=start.lifetime)
+        request = CloseTurnRequest(opening=opening, handed=handed)
+        self._telling.tell(link, request, patience=lifetime)
+
+    def _next_opening(self) -> OpeningId:
+        """Return a name that nobody uses again.
+
+        Callers may use the id of a turn twice. An end that is told again would end
+        the later one, which goes on: more than its budget was handed out.
+        """
+        return OpeningId(f"{self._ledger.writer}/{next(self._numbers)}")
 
     async def take_over(self, start: TurnStart) -> LocalTurn | BudgetVerdict:
         """Reserve a turn here whose delegate was lost; its history is known."""
@@ -210,12 +228,14 @@
     def __init__(
         self,
         *,
+        opening: OpeningId,
         start: TurnStart,
         opened: TurnOpened,
         host: HostName,
         link: Link,
         turns: DelegatedTurns,
     ) -> None:
+        self._opening = opening
         self._start = start
         self._opened = opened
         self._host = host
@@ -253,7 +273,7 @@
             return await self._own.verdict()
         if self._opened.granted:
             return BudgetVerdict.FITS
-        request = ConfirmTurnRequest(turn=self._start.terms.turn)
+        request = ConfirmTurnRequest(opening=self._opening)
         reply = await _ask(self._link, request)
         if (
             isinstance(reply, TurnVerdict)
@@ -295,7 +315,7 @@
     async def _cover_there(self, tokens: int) -> bool | None:
         """Ask the delegate for more; None where it is lost."""
         request = CoverTurnRequest(
-            turn=self._start.terms.turn,
+            opening=self._opening,
             total=self._handed + tokens,
             handed=self._handed,
         )
@@ -374,11 +394,15 @@
         if self._ended_there:
             return
         self._ended_there = True
-        self._turns.tell_end(self._link, self._start, self._handed)
+        self._turns.tell_end(
+            self._link, self._opening, self._start.lifetime, handed=self._handed
+        )
 
     async def _commit_there(self, content: TurnContent) -> None:
         terms = self._start.terms
-        request = CommitTurnRequest(terms=terms, handed=self._handed, content=content)
+        request = CommitTurnRequest(
+            opening=self._opening, terms=terms, handed=self._handed, content=content
+        )
         reply = await _ask(self._link, request)
         if isinstance(reply, Accepted):
             self._ended_there = True
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -8,9 +8,9 @@
 import logbook
 
 from ..errors import ErrorKind, Failure
-from ..ids import TurnId
+from ..ids import OpeningId
 from ..ledger.ledger import Ledger
-from ..ledger.terms import BudgetVerdict, Lookup, TurnStart
+from ..ledger.terms import BudgetVerdict, Lookup, TurnStart, TurnTerms
 from ..ledger.turns import LocalTurn, LocalTurns
 from ..wire.links import Send
 from ..wire.messages import (
@@ -35,6 +35,7 @@
 # store is away the end of a turn waits for longer than that. Seconds.
 WORD_INTERVAL = 0.5
 CALLER_LEFT = "the caller left"
+NOT_OPEN = "the turn is not open here"
 # Ends that came before their beginning; those of some seconds at the peak.
 ENDS_REMEMBERED = 1000
 
@@ -45,11 +46,9 @@
     def __init__(self, *, local: LocalTurns, ledger: Ledger) -> None:
         self._local = local
         self._ledger = ledger
-        self._open: dict[TurnId, LocalTurn] = {}
-        # Turns that are being opened; False once their caller has left.
-        self._opening: dict[TurnId, bool] = {}
-        # Turns that ended before they began, the newest last.
-        self._ended_early: OrderedDict[TurnId, None] = OrderedDict()
+        self._open: dict[OpeningId, LocalTurn] = {}
+        # Openings that ended before they were open here, the newest last.
+        self._ended: OrderedDict[OpeningId, None] = OrderedDict()
         self.stopping = False
 
     @property
@@ -60,11 +59,8 @@
     async def answer(self, request: Request, send: Send) -> Reply:
         """Answer a request about a turn."""
         if isinstance(request, CloseTurnRequest):
-            self._close(request.turn, request.handed)
+            self._close(request.opening, request.handed)
             return Accepted()
-        if isinstance(request, OpenTurnRequest):
-            turn = request.start.terms.turn
-            self._opening[turn] = turn not in self._ended_early
         work = asyncio.create_task(self._work(request))
         try:
             # The first word comes at once, and others while the store is awaited.
@@ -77,9 +73,9 @@
 
     async def _work(self, request: Request) -> Reply:
         if isinstance(request, OpenTurnRequest):
-            return await self._begin(request.start)
+            return await self._begin(request.opening, request.start)
         if isinstance(request, ConfirmTurnRequest):
-            return await self._confirm(request.turn)
+            return await self._confirm(request.opening)
         if isinstance(request, CoverTurnRequest):
             return await self._cover(request)
         if isinstance(request, CommitTurnRequest):
@@ -87,28 +83,24 @@
             return Accepted()
         return failed(f"not for this part: {request}")
 
-    async def _begin(self, start: TurnStart) -> Reply:
-        turn = start.terms.turn
-        try:
-            if self.stopping:
-                return failed("stopping")
-            # A process that stood still finds a beginning and its end together, in
-            # either order.
-            if not self._opening[turn]:
-                return failed(CALLER_LEFT)
-            opened = await self._local.open(start)
-        finally:
-            wanted = self._opening.pop(turn, False)
+    async def _begin(self, opening: OpeningId, start: TurnStart) -> Reply:
+        if self.stopping:
+            return failed("stopping")
+        # A process that stood still finds a beginning and its end together, in
+        # either order.
+        if opening in self._ended:
+            return failed(CALLER_LEFT)
+        opened = await self._local.open(start)
         if isinstance(opened, Lookup):
             return TurnRefused(lookup=opened)
         if isinstance(opened, BudgetVerdict):
             return TurnRefused(verdict=opened)
-        if not wanted:
+        if opening in self._ended:
             opened.close()
             return failed(CALLER_LEFT)
-        self._open[turn] = opened
+        self._open[opening] = opened
         loop = asyncio.get_running_loop()
-        loop.call_later(start.lifetime, self._expire, turn, start.terms.most)
+        loop.call_later(start.lifetime, self._expire, opening, start.terms)
         return TurnOpened(
             history=opened.history,
             spent=opened.spent,
@@ -116,24 +108,27 @@
             covered=opened.covered,
         )
 
-    async def _confirm(self, turn: TurnId) -> Reply:
-        opened = self._open.get(turn)
+    async def _confirm(self, opening: OpeningId) -> Reply:
+        opened = self._open.get(opening)
         if opened is None:
-            return failed("the turn is not open here")
+            return failed(NOT_OPEN)
         verdict = await opened.verdict()
         return TurnVerdict(verdict=verdict, covered=opened.covered)
 
     async def _cover(self, request: CoverTurnRequest) -> Reply:
-        opened = self._open.get(request.turn)
+        opened = self._open.get(request.opening)
         if opened is None:
-            return failed("the turn is not open here")
+            return failed(NOT_OPEN)
         opened.hand_out_total(request.handed)
         if not await opened.cover_total(request.total):
             return TurnRefused(verdict=BudgetVerdict.EXCEEDED)
+        if request.opening not in self._open:
+            # It ended meanwhile, and what covered it may be granted to others.
+            return failed(NOT_OPEN)
         return TurnCovered(covered=opened.covered)
 
     async def _commit(self, request: CommitTurnRequest) -> None:
-        opened = self._open.pop(request.terms.turn, None)
+        opened = self._open.pop(request.opening, None)
         if opened is None:
             # This process took the place of the one that opened it.
             await self._ledger.write(request.terms, request.content)
@@ -141,39 +136,37 @@
         opened.hand_out_total(request.handed)
         await opened.commit_for(request.content)
 
-    def _close(self, turn: TurnId, handed: int) -> None:
-        if turn in self._opening:
-            self._opening[turn] = False
-        opened = self._open.pop(turn, None)
+    def _close(self, opening: OpeningId, handed: int) -> None:
+        opened = self._open.pop(opening, None)
         if opened is None:
-            self._remember_end(turn)
+            self._remember_end(opening)
             return
         opened.hand_out_total(handed)
         opened.close()
 
-    def _remember_end(self, turn: TurnId) -> None:
+    def _remember_end(self, opening: OpeningId) -> None:
         """Keep in mind that a turn has ended, should its beginning come later.
 
         A link that fell silent is made anew, and what waits in the old one may be
         read after what came through the new one. Nobody would end such a turn.
         """
-        self._ended_early[turn] = None
-        if len(self._ended_early) > ENDS_REMEMBERED:
-            self._ended_early.popitem(last=False)
+        self._ended[opening] = None
+        if len(self._ended) > ENDS_REMEMBERED:
+            self._ended.popitem(last=False)
 
-    def _expire(self, turn: TurnId, most: int) -> None:
+    def _expire(self, opening: OpeningId, terms: TurnTerms) -> None:
         """Count all that a turn was covered for whose gateway never told its end."""
-        opened = self._open.get(turn)
+        opened = self._open.get(opening)
         if opened is None:
             return
-        tokens = most if opened.covered is None else opened.covered
+        tokens = terms.most if opened.covered is None else opened.covered
         log.info(
             "turn {} of {} was never ended by its gateway, {} tokens count as used",
-            turn,
-            opened.program,
+            terms.turn,
+            terms.program,
             tokens,
         )
-        self._close(turn, tokens)
+        self._close(opening, tokens)
 
 
 def failed(reason: str) -> Failed:
--- a/sequoiaarch/ids.py
+++ b/sequoiaarch/ids.py
@@ -22,6 +22,7 @@
 TurnId = NewType("TurnId", str)
 WriterId = NewType("WriterId", str)
 LoanId = NewType("LoanId", str)
+OpeningId = NewType("OpeningId", str)
 
 RANDOM_ID_BYTES = 9
 CHILD_SEPARATOR = "."
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..ids import Offset, ProgramId
+from ..ids import Offset
 from .holds import Hold, Lender, NoLender
 from .ledger import Ledger
 from .reservation import Reservation
@@ -97,11 +97,6 @@
         self._spent = ledger.spent(start.terms)
         self._announced: asyncio.Future[Offset] | None = None
 
-    @property
-    def program(self) -> ProgramId:
-        """Return the program of the turn."""
-        return self._start.terms.program
-
     @property
     def history(self) -> History | None:
         """Return what the turn continues; None at the start of a chain."""
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -17,7 +17,7 @@
 from ...fleet.peers import PeerRecord, Peers, PeerServer
 from ...fleet.standing import Standing
 from ...fleet.turn_server import TurnServer, failed
-from ...ids import DataCentre, HostName, ProgramId, TurnId, WriterId
+from ...ids import DataCentre, HostName, OpeningId, ProgramId, TurnId, WriterId
 from ...ledger import budgets as budgets_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
@@ -702,8 +702,10 @@
         nobody ends.
         """
         server = self.keeper.turn_server
-        await server.answer(CloseTurnRequest(turn=TurnId("t1"), handed=0), _unheard)
-        reply = await server.answer(OpenTurnRequest(start=start("t1")), _unheard)
+        opening = OpeningId("1")
+        await server.answer(CloseTurnRequest(opening=opening, handed=0), _unheard)
+        begin = OpenTurnRequest(opening=opening, start=start("t1"))
+        reply = await server.answer(begin, _unheard)
         self.assertIsInstance(reply, Failed)
         self.assertEqual(server.open_turns, 0)
 
--- /dev/null
+++ b/sequoiaarch/tests/fleet/late_ends_tests.py
@@ -0,0 +1,167 @@
+"""Test ends of turns that come while a delegate still works on them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from ...fleet.turn_server import TurnServer
+from ...ids import OpeningId
+from ...ledger.holds import Hold
+from ...ledger.ledger import Ledger
+from ...ledger.places import Places
+from ...ledger.terms import BudgetVerdict, TurnTerms
+from ...ledger.turns import LocalTurn, LocalTurns
+from ...standins.keyed_store import KeyedStore
+from ...wire.links import Send
+from ...wire.messages import (
+    CloseTurnRequest,
+    ConfirmTurnRequest,
+    OpenTurnRequest,
+    Reply,
+    Request,
+    TurnOpened,
+)
+from .delegates_tests import (
+    MOST,
+    PATIENCE,
+    PROGRAM,
+    SETTLE_TIME,
+    DelegatesTestCase,
+    _unheard,
+    start,
+)
+
+
+class OneLoan:
+    """Stand for a loan that a lender gave."""
+
+    def __init__(self, terms: TurnTerms) -> None:
+        self.terms = terms
+        self.by_log = False
+        self.granted = True
+        self.covered: int | None = terms.most
+        self.closed = False
+
+    async def verdict(self) -> BudgetVerdict:
+        """Return that the turn may begin."""
+        return BudgetVerdict.FITS
+
+    async def cover(self, total: int) -> bool:
+        """Return whether so many tokens may be handed out."""
+        return total <= self.terms.most
+
+    def hand_out(self, tokens: int) -> None:
+        """Count nothing."""
+
+    def close(self) -> None:
+        """Note that it was settled."""
+        self.closed = True
+
+
+class SlowLender:
+    """Lend after a moment."""
+
+    def __init__(self) -> None:
+        self.loans: list[OneLoan] = []
+        self.asked = asyncio.Event()
+
+    async def borrow(self, terms: TurnTerms, *, least: int) -> Hold | None:
+        """Return a loan after a moment."""
+        self.asked.set()
+        await asyncio.sleep(0.1)
+        loan = OneLoan(terms)
+        self.loans.append(loan)
+        return loan
+
+
+class LateEndTests(unittest.IsolatedAsyncioTestCase):
+    """End turns while their delegate works on a request about them."""
+
+    async def test_end_while_the_verdict_is_awaited(self) -> None:
+        """Settle a loan that a turn gets after it has ended.
+
+        The store is slow. A gateway asks whether the turn is granted and its caller
+        leaves, or it hears nothing in time and goes on by itself: the turn's end
+        comes while the delegate still waits for the log. The delegate borrows
+        for the ended turn, and nobody settles that.
+        """
+        store = KeyedStore()
+        client = store.client()
+        ledger = Ledger(log=client, writer="w", places=Places(per_topic=2))
+        lender = SlowLender()
+        server = TurnServer(
+            local=LocalTurns(ledger=ledger, lender=lender), ledger=ledger
+        )
+        self.assertTrue(await ledger.partition(PROGRAM).sync())
+        client.faults.delay = 2.0
+        opening = OpeningId("1")
+        begin = OpenTurnRequest(opening=opening, start=start("t1"))
+        opened = await server.answer(begin, _unheard)
+        assert isinstance(opened, TurnOpened), opened
+        self.assertFalse(opened.granted)
+        confirm = ConfirmTurnRequest(opening=opening)
+        asked = asyncio.create_task(server.answer(confirm, _unheard))
+        await lender.asked.wait()
+        await server.answer(CloseTurnRequest(opening=opening, handed=0), _unheard)
+        await asked
+        self.assertTrue(lender.loans)
+        self.assertTrue(all(loan.closed for loan in lender.loans))
+        client.faults.delay = 0.0
+        await ledger.close()
+
+
+class SameIdTests(DelegatesTestCase):
+    """Use the id of a turn once more."""
+
+    async def test_end_of_an_earlier_try_with_the_same_id(self) -> None:
+        """Exceed no budget where a caller uses the id of its turn again.
+
+        A try was opened too late, and its gateway tells the delegate until that hears
+        it. The caller comes back under the same id through another gateway. What was
+        told of the first try ended the second, whose gateway went on with what it
+        was told to be covered: 134 tokens of a budget of 100 went out. Callers owe an
+        id of its own to each request; nothing checks that.
+        """
+        server = self.keeper.turn_server
+        begun = start("t1", lifetime=PATIENCE, budget=MOST)
+        heard = asyncio.Event()
+        again = asyncio.Event()
+        told = asyncio.Event()
+
+        async def answer(request: Request, send: Send) -> Reply:
+            if isinstance(request, CloseTurnRequest):
+                heard.set()
+                await again.wait()
+                told.set()
+            elif not heard.is_set():
+                await asyncio.Event().wait()
+            return await server.answer(request, send)
+
+        self.answer_with(answer)
+        first = await self.other.turns.open(begun)
+        assert isinstance(first, LocalTurn)
+        first.close()
+        await self.other.ledger.flush()
+        await heard.wait()
+        # The caller comes back with the same id, through a gateway that reaches it.
+        again_begun = OpenTurnRequest(opening=OpeningId("another/1"), start=begun)
+        opened = await server.answer(again_begun, _unheard)
+        assert isinstance(opened, TurnOpened), opened
+        assert opened.covered is not None
+        handed = opened.covered
+        again.set()
+        async with asyncio.timeout(SETTLE_TIME):
+            while not told.is_set():
+                await asyncio.sleep(0.01)
+        self.assertEqual(server.open_turns, 1, "the end was another turn's")
+        await self.keeper.ledger.flush()
+        second = await self.keeper.turns.open(
+            start("t2", lifetime=PATIENCE, budget=MOST)
+        )
+        if isinstance(second, LocalTurn):
+            while handed <= 2 * MOST and await second.cover(10):
+                second.hand_out(10)
+                handed += 10
+            second.close()
+        self.assertLessEqual(handed, MOST)
--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -25,7 +25,7 @@
 from ...fleet.peers import TOPIC as PEERS_TOPIC, Peers, PeerServer
 from ...fleet.standing import GONE_FAILURES, Standing
 from ...fleet.turn_server import TurnServer
-from ...ids import DataCentre, HostName, ProgramId, TurnId, WriterId
+from ...ids import DataCentre, HostName, OpeningId, ProgramId, TurnId, WriterId
 from ...ledger.holds import NoLender
 from ...ledger.ledger import Ledger
 from ...ledger.loans import FORGET_AFTER, LoanBook
@@ -626,7 +626,9 @@
         self.take_store_away()
         first = await self.lent(self.other, "turn-1", most=200)
         delegate = TurnServer(local=self.other.turns, ledger=self.other.ledger)
-        opening = OpenTurnRequest(start=start("turn-2", most=300))
+        opening = OpenTurnRequest(
+            opening=OpeningId("1"), start=start("turn-2", most=300)
+        )
         opened = await delegate.answer(opening, mock.AsyncMock())
         assert isinstance(opened, TurnOpened)
         self.assertEqual(opened.covered, 175)
@@ -634,7 +636,7 @@
         await self.until(lambda: self.lender.book.lend_left(PROGRAM, BUDGET, 0) > 150)
         slow = SlowAnswers(self.lender)
         slow.answer_delay = 2 * LOG_PATIENCE
-        asked = CoverTurnRequest(turn=TurnId("turn-2"), handed=100, total=180)
+        asked = CoverTurnRequest(opening=OpeningId("1"), handed=100, total=180)
         await delegate.answer(asked, mock.AsyncMock())
         await self.until(lambda: not self._owes())
         self.assertEqual(self.lender.book.totals(), {PROGRAM: 175})
--- a/sequoiaarch/tests/fleet/telling_tests.py
+++ b/sequoiaarch/tests/fleet/telling_tests.py
@@ -12,7 +12,7 @@
 from ...fleet.lenders import SETTLE_TIMEOUT
 from ...fleet.peers import PEER_SILENCE
 from ...fleet.telling import Telling
-from ...ids import TurnId
+from ...ids import OpeningId
 from ...wire.links import Link
 from ...wire.messages import CloseTurnRequest
 
@@ -50,7 +50,7 @@
             with self.subTest(timeout=timeout):
                 telling = Telling(timeout=timeout)
                 before = self.link._socket
-                request = CloseTurnRequest(turn=TurnId("t1"), handed=0)
+                request = CloseTurnRequest(opening=OpeningId("1"), handed=0)
                 telling.tell(self.link, request, patience=PEER_SILENCE)
                 async with asyncio.timeout(3 * PEER_SILENCE):
                     while self.link._socket is before:
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -19,10 +19,10 @@
     InstanceId,
     LoanId,
     Offset,
+    OpeningId,
     ProgramId,
     Seq,
     TargetName,
-    TurnId,
     Workspace,
 )
 from ..ledger.terms import (
@@ -231,20 +231,25 @@
 
 
 class OpenTurnRequest(Message, frozen=True, kw_only=True, tag="open"):
-    """Ask the keeper of a program's account to open a turn."""
+    """Ask the keeper of a program's account to open a turn.
 
+    Later requests name the opening and not the turn, whose id is its caller's.
+    """
+
+    opening: OpeningId
     start: TurnStart
 
 
 class ConfirmTurnRequest(Message, frozen=True, kw_only=True, tag="confirm"):
     """Ask whether the tokens of an open turn are granted."""
 
-    turn: TurnId
+    opening: OpeningId
 
 
 class CommitTurnRequest(Message, frozen=True, kw_only=True, tag="commit_turn"):
     """Ask to write a turn that handed out so many tokens."""
 
+    opening: OpeningId
     terms: TurnTerms
     handed: int
     content: TurnContent
@@ -253,7 +258,7 @@
 class CloseTurnRequest(Message, frozen=True, kw_only=True, tag="close_turn"):
     """Tell the end of a turn that is not written, and what it handed out."""
 
-    turn: TurnId
+    opening: OpeningId
     handed: int
 
 
@@ -263,7 +268,7 @@
     `handed` is what it has handed out so far.
     """
 
-    turn: TurnId
+    opening: OpeningId
     total: int
     handed: int = 0
 
