Carry the session of a turn to who keeps its account

The turns of a session follow each other. Who keeps an account could not tell whether a turn takes the place of one that it holds open. The field has a default: a process that does not know it passes over it, one that hears none has the empty session. Nothing uses it yet.

--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -110,6 +110,7 @@
                 budget=budget,
                 most=info.most_tokens,
                 retention=route.retention,
+                session=info.session,
             ),
             previous=info.previous,
             kept=route.retained,
--- a/sequoiaarch/ledger/terms.py
+++ b/sequoiaarch/ledger/terms.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..ids import ProgramId, TurnId
+from ..ids import ProgramId, SessionId, TurnId
 
 
 class BudgetVerdict(Enum):
@@ -33,13 +33,18 @@
 
 
 class TurnTerms(msgspec.Struct, frozen=True, kw_only=True):
-    """Name a turn, the program it belongs to, and the most it may hand out."""
+    """Name a turn, the program it belongs to, and the most it may hand out.
+
+    The turns of a `session` follow each other: who begins one has given up those
+    before. It is empty where the caller names none.
+    """
 
     turn: TurnId
     program: ProgramId
     budget: int
     most: int
     retention: float
+    session: SessionId = SessionId("")
 
 
 class TurnStart(msgspec.Struct, frozen=True, kw_only=True):
