Show that a caller is refused whose gateway was lost

It comes back through another gateway, or the keeper of its account itself, with a budget that holds a turn beside what the lost one was covered for, and is told HELD.

--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -17,7 +17,7 @@
 from ...fleet.peers import PeerRecord, Peers, PeerServer
 from ...fleet.standing import Standing
 from ...fleet.turn_server import TurnServer, failed
-from ...ids import DataCentre, HostName, ProgramId, TurnId, WriterId
+from ...ids import DataCentre, HostName, ProgramId, SessionId, TurnId, WriterId
 from ...ledger import budgets as budgets_module
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
@@ -46,6 +46,8 @@
 PATIENCE = 10.0
 # Later than a gateway waits for the first word of a delegate. Seconds.
 LATE = 0.25
+# The budget of a program that holds one turn and a half, in tokens.
+SMALL = 160
 # A caller whose budget is held comes back after this time, so often.
 HELD_RETRY = 0.5
 TRIES = 4
@@ -60,6 +62,7 @@
     kept: bool = True,
     budget: int = BUDGET,
     lifetime: float = LIFETIME,
+    session: str = "",
 ) -> TurnStart:
     """Return the start of a turn."""
     return TurnStart(
@@ -69,6 +72,7 @@
             budget=budget,
             most=MOST,
             retention=60.0,
+            session=SessionId(session),
         ),
         previous=TurnId(previous) if previous else None,
         kept=kept,
@@ -708,5 +712,31 @@
         self.assertEqual(server.open_turns, 0)
 
 
+class LostGatewayTests(DelegatesTestCase):
+    """Serve a caller whose gateway was lost with a turn open at the keeper."""
+
+    def begun(self, turn: str, *, session: str = "line") -> TurnStart:
+        """Return the start of a turn of which the budget holds one and a half."""
+        return start(turn, kept=False, budget=SMALL, lifetime=PATIENCE, session=session)
+
+    async def test_caller_comes_back_through_another_gateway(self) -> None:
+        """Serve a caller at once that comes back after its gateway was lost.
+
+        A gateway is killed with a turn open at the keeper of the account. Nobody
+        tells the end. The caller's connection breaks, and it comes back through
+        another gateway. Its budget holds a turn beside what the first was covered
+        for, but the keeper held the first one's most until its time was over: the
+        caller was told to come back until its tries were used up.
+        """
+        await self.opened(self.other, self.begun("t1"))
+        turn = await self.opened(self.other, self.begun("t2"))
+        self.assertIsInstance(turn, DelegatedTurn)
+
+    async def test_caller_comes_back_through_the_keeper(self) -> None:
+        """Serve a caller at once that comes back to the keeper itself."""
+        await self.opened(self.other, self.begun("t1"))
+        await self.opened(self.keeper, self.begun("t2"))
+
+
 async def _unheard(reply: Reply) -> None:
     """Take a reply that reaches nobody."""
