Show that more is handed out than the log grants

Two turns of a program hold a part each at a keeper whose store is away. The earlier one is given, unasked of the log, what was granted for the later one: 98 tokens handed out with 68 granted.

--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -492,6 +492,29 @@
             found.close()
         self.assertLessEqual(handed, BUDGET)
 
+    async def test_earlier_turn_asks_for_more(self) -> None:
+        """Hand out no more than the log grants where an earlier turn asks for more.
+
+        Little is left of the budget, so each of two turns at the keeper holds a part.
+        The store goes away, and the earlier one was covered by what was granted for
+        the later one, whose gateway hands that out unasked: 98 tokens went out and 68
+        were granted. Whoever follows a keeper that is lost then counts 68, and the
+        program is handed more than its budget.
+        """
+        budget = int(3.9 * MOST)
+        turns = [
+            await self.opened(self.other, start(name, budget=budget, lifetime=PATIENCE))
+            for name in ("t1", "t2")
+        ]
+        self.keeper.client.faults.down = True
+        handed = 0
+        for turn, tokens in zip(turns, (64, 34), strict=True):
+            self.assertIsInstance(turn, DelegatedTurn)
+            if await turn.cover(tokens):
+                turn.hand_out(tokens)
+                handed += tokens
+        self.assertLessEqual(handed, await self.granted(self.keeper))
+
     async def test_gateway_dies_within_a_turn(self) -> None:
         """Count a turn at its most whose gateway never tells its end.
 
