Cover no raise by what was granted for a later turn

A program could be handed more than its budget: where a turn asked for more, the grant was compared with what it and the turns before it hold. What was granted for a later one, which its gateway hands out unasked, covered the raise, and the log was not asked. A keeper lost then left 98 tokens handed out with 68 counted. What is known to be granted for a later turn now counts too, so the raise waits for the log; a turn whose grant is not known yet has handed out nothing under it and goes on to wait its turn. The test failed before (98 of 68).

--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -15,11 +15,12 @@
     """Hold what an open turn may still hand out, in tokens.
 
     `left` is the most that it may come to, `held` the part that the log was
-    asked to grant so far.
+    asked to grant so far, `sure` the part that it is known to have granted.
     """
 
     left: int
     held: int
+    sure: int = 0
 
     @property
     def whole(self) -> bool:
@@ -79,10 +80,21 @@
         most = max(self.granted, self.asked)
         return most > self.needed or self.told > self.wanted
 
-    def covers(self, part: OpenPart) -> bool:
-        """Return whether the grant covers what a turn holds and all before it."""
-        held = sum(one.held for one in self._up_to(part))
-        return self.handed + held <= self.granted
+    def cover(self, part: OpenPart) -> bool:
+        """Return whether the grant covers what a turn holds and all before it.
+
+        What is sure for later turns may be handed out unasked: a raise that was
+        covered by it had more go out than the log grants.
+        """
+        total = self.handed
+        before = True
+        for one in self.open:
+            total += one.held if before else one.sure
+            before = before and one is not part
+        covered = total <= self.granted
+        if covered:
+            part.sure = part.held
+        return covered
 
     def has_room(self, part: OpenPart) -> bool:
         """Return whether a turn can come to its most, and all before it too."""
--- a/sequoiaarch/ledger/reservation.py
+++ b/sequoiaarch/ledger/reservation.py
@@ -56,7 +56,7 @@
     @property
     def granted(self) -> bool:
         """Return whether the grant is known to cover what the turn holds."""
-        return self._account.covers(self._part)
+        return self._account.cover(self._part)
 
     @property
     def by_log(self) -> bool:
@@ -103,6 +103,7 @@
         account.handed += tokens
         self._part.left = max(0, self._part.left - tokens)
         self._part.held = max(0, self._part.held - tokens)
+        self._part.sure = max(0, self._part.sure - tokens)
 
     def close(self) -> None:
         """Return what the turn did not use; a second time does nothing."""
@@ -133,7 +134,7 @@
         left, so it is given as unknown.
         """
         account = self._account
-        while not account.covers(self._part):
+        while not account.cover(self._part):
             raising = account.raising
             if raising is None:
                 return BudgetVerdict.EXCEEDED
