Serve a caller at once that comes back after its gateway was lost

Callers of small budgets were told HELD until their tries were used up: their gateway was lost with a turn open, nobody told the end, and the keeper of the account left the turn's most free until its time was over. The caller came back through another gateway meanwhile.

A turn that doesn't fit now takes the place of the open ones of its session, if it fits then: they give up their claim to what they don't hold yet. Their caller has given them up, as the turns of a session follow each other. What they hold stays theirs, so what a lost gateway handed out unasked is counted, and an end that is only late is counted exactly. A gateway that lives after all has more granted where the newer turn's most leaves it, which is never cut for that; the keeper stays its delegate. Turns of other sessions, of callers that name none and of older processes are served as before. What goes on with a turn elsewhere takes nobody's place.

--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ..ids import SessionId
 from .partition import LedgerPartition
 from .terms import TurnTerms
 
@@ -16,17 +17,26 @@
 
     `left` is the most that it may come to, `held` the part that the log was
     asked to grant so far, `sure` the part that it is known to have granted.
+    `given_up` says that its caller has begun another turn of the session, which
+    needs the rest.
     """
 
     left: int
     held: int
+    session: SessionId
     sure: int = 0
+    given_up: bool = False
 
     @property
     def whole(self) -> bool:
         """Return whether all that the turn may need is held."""
         return self.held >= self.left
 
+    @property
+    def claimed(self) -> int:
+        """Return what no other turn may use."""
+        return self.held if self.given_up else self.left
+
 
 class Account:
     """Hold what this process may hand out, and did, for one program.
@@ -65,7 +75,7 @@
     @property
     def wanted(self) -> int:
         """Return what was handed out and the most that open turns may need."""
-        return self.handed + sum(part.left for part in self.open)
+        return self.handed + sum(part.claimed for part in self.open)
 
     @property
     def settled(self) -> bool:
@@ -98,9 +108,22 @@
 
     def has_room(self, part: OpenPart) -> bool:
         """Return whether a turn can come to its most, and all before it too."""
-        wanted = self.handed + sum(one.left for one in self._up_to(part))
+        wanted = self.handed + sum(one.claimed for one in self._up_to(part))
         return wanted <= self.granted or self.room is None or wanted <= self.room
 
+    def earlier(self, session: SessionId) -> list[OpenPart]:
+        """Return the parts of a session that claim more than they hold."""
+        return [
+            part
+            for part in self.open
+            if session and part.session == session and part.claimed > part.held
+        ]
+
+    def move_last(self, part: OpenPart) -> None:
+        """Have the grant cover all other turns before this one."""
+        self.open.remove(part)
+        self.open.append(part)
+
     def _up_to(self, part: OpenPart) -> Iterator[OpenPart]:
         """Return the parts of a turn and of all that began before it."""
         for one in self.open:
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -117,6 +117,10 @@
             self._raise_after(account, account.raising)
         )
 
+    def leaves(self, account: Account, tokens: int) -> bool:
+        """Return whether so much is free beside what all turns may come to."""
+        return self._others(account) + account.wanted + tokens <= account.limit
+
     def turn_ended(self, account: Account, *, unused: bool) -> None:
         """Return at once what an ended turn leaves, where it may be missing.
 
@@ -209,7 +213,7 @@
     def _reserved(
         self, account: Account, terms: TurnTerms, *, held: int
     ) -> Reservation:
-        part = OpenPart(left=terms.most, held=held)
+        part = OpenPart(left=terms.most, held=held, session=terms.session)
         return Reservation(terms=terms, account=account, part=part, raiser=self)
 
     async def _shortage(
@@ -228,7 +232,7 @@
             return None
         if not await account.partition.sync():
             return BudgetVerdict.UNCERTAIN
-        if self._fits(account, terms):
+        if self._fits(account, terms) or self._fits_instead(account, terms):
             return None
         return self._excess(account)
 
@@ -272,7 +276,28 @@
         return self._checked_later(account, terms) and not _small(account)
 
     def _fits(self, account: Account, terms: TurnTerms) -> bool:
-        return self._others(account) + account.wanted + terms.most <= account.limit
+        return self.leaves(account, terms.most)
+
+    def _fits_instead(self, account: Account, terms: TurnTerms) -> bool:
+        """Return whether a turn fits in place of earlier ones of its session.
+
+        Their caller has given them up, and whoever has them may be lost: it was
+        refused for what nobody was to use. What they hold may have been handed out.
+        """
+        earlier = account.earlier(terms.session)
+        freed = sum(part.left - part.held for part in earlier)
+        if not self.leaves(account, terms.most - freed):
+            return False
+        for part in earlier:
+            part.given_up = True
+        log.info(
+            "turn {} of {} takes the place of earlier ones of its session, which "
+            "leave {} tokens",
+            terms.turn,
+            account.program,
+            freed,
+        )
+        return True
 
     async def _raise_after(
         self, account: Account, before: asyncio.Task[bool] | None
--- a/sequoiaarch/ledger/reservation.py
+++ b/sequoiaarch/ledger/reservation.py
@@ -23,6 +23,9 @@
     def raise_grant(self, account: Account) -> None:
         """Ask for a larger grant."""
 
+    def leaves(self, account: Account, tokens: int) -> bool:
+        """Return whether so much is free beside what all turns may come to."""
+
     def turn_ended(self, account: Account, *, unused: bool) -> None:
         """Return what an ended turn leaves, where it may be missing."""
 
@@ -89,6 +92,8 @@
             return False
         short = total - self._handed - self._part.held
         if short > 0:
+            if self._part.given_up and not self._claim_again(short):
+                return False
             self._hold_more(self._part, short)
         # A raise that did not hold is asked for again: what was in its way may have
         # been returned since.
@@ -114,13 +119,26 @@
         self._account.touched = asyncio.get_running_loop().time()
         self._raiser.turn_ended(self._account, unused=not self._handed)
 
+    def _claim_again(self, short: int) -> bool:
+        """Claim what the newer turn of the session leaves free, if that is enough.
+
+        Whoever has this turn lives after all. The newer one is never cut for it.
+        """
+        part, account = self._part, self._account
+        rest = max(short, part.left - part.held)
+        part.given_up = not self._raiser.leaves(account, rest)
+        if part.given_up and not self._raiser.leaves(account, short):
+            return False
+        account.move_last(part)
+        return True
+
     def _hold_more(self, part: OpenPart, short: int) -> None:
         """Hold a further part of the turn, which is `short` tokens at least.
 
         A turn may come to more than its caller announced, or none was: it then
         holds as much again as it came to, so that few calls are needed.
         """
-        step = max(short, first_part(self.terms.most))
+        step = short if part.given_up else max(short, first_part(self.terms.most))
         if part.whole:
             part.held += max(step, self._handed)
         else:
--- a/sequoiaarch/ledger/terms.py
+++ b/sequoiaarch/ledger/terms.py
@@ -46,6 +46,10 @@
     retention: float
     session: SessionId = SessionId("")
 
+    def rest(self, most: int) -> TurnTerms:
+        """Return the terms of what is left, which takes no other turn's place."""
+        return msgspec.structs.replace(self, most=most, session=SessionId(""))
+
 
 class TurnStart(msgspec.Struct, frozen=True, kw_only=True):
     """Describe a turn that begins; `kept` says that it joins the history.
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import Protocol
 
-import msgspec
-
 from ..ids import Offset, ProgramId
 from .holds import Hold, Lender, NoLender
 from .ledger import Ledger
@@ -176,9 +174,8 @@
 
     async def _cover_elsewhere(self, total: int) -> bool:
         """Have a lender cover the rest of the turn in place of the log, or it again."""
-        terms = msgspec.structs.replace(
-            self._start.terms, most=max(total, self._start.terms.most) - self._handed
-        )
+        most = max(total, self._start.terms.most)
+        terms = self._start.terms.rest(most - self._handed)
         other: Hold | BudgetVerdict | None
         if self._hold.by_log:
             other = await self._lender.borrow(terms, least=total - self._handed)
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -36,6 +36,8 @@
     OpenTurnRequest,
     Reply,
     Request,
+    decode_request,
+    encode,
 )
 
 HERE = DataCentre("here")
@@ -48,6 +50,10 @@
 LATE = 0.25
 # The budget of a program that holds one turn and a half, in tokens.
 SMALL = 160
+# What a turn there is covered for when it begins, and what is left of the budget
+# beside that and a whole turn, in tokens.
+COVERED = 34
+BESIDE = SMALL - COVERED - MOST
 # A caller whose budget is held comes back after this time, so often.
 HELD_RETRY = 0.5
 TRIES = 4
@@ -760,6 +766,108 @@
         await self.opened(self.other, self.begun("t1"))
         await self.opened(self.keeper, self.begun("t2"))
 
+    async def test_lost_turn_counts_as_far_as_it_was_covered(self) -> None:
+        """Count what a lost gateway may have handed out, once the turn's time is over.
+
+        How much of it reached the caller nobody knows.
+        """
+        begun = start("t1", kept=False, budget=SMALL, session="line")
+        await self.opened(self.other, begun)
+        await self.run_whole(await self.opened(self.other, self.begun("t2")))
+        await self.settled_at_keeper()
+        self.assertEqual(self.keeper.ledger.spent(begun.terms), COVERED + MOST)
+
+    async def test_gateway_lives_after_all(self) -> None:
+        """Cut no newer turn for an earlier one whose gateway was only frozen.
+
+        It wakes and goes on for a caller that has left. It hands out what it was
+        covered for, and no more than what the newer one leaves of the budget.
+        """
+        earlier = await self.opened(self.other, self.begun("t1"))
+        newer = await self.opened(self.other, self.begun("t2"))
+        self.assertTrue(await earlier.cover(COVERED))
+        earlier.hand_out(COVERED)
+        for _ in range(2):
+            self.assertTrue(await earlier.cover(BESIDE // 2))
+            earlier.hand_out(BESIDE // 2)
+        self.assertFalse(await earlier.cover(1))
+        self.assertEqual(self.other.delegates.of(PROGRAM), self.keeper.name)
+        await self.run_whole(newer)
+
+    async def test_gateway_goes_on_when_the_newer_turn_has_ended(self) -> None:
+        """Cut no turn that its budget holds, though its caller began another.
+
+        A caller that asked twice and still listens to the first is served by it, once
+        the second has returned what it did not use.
+        """
+        earlier = await self.opened(self.other, self.begun("t1"))
+        newer = await self.opened(self.other, self.begun("t2"))
+        newer.hand_out(10)
+        newer.close()
+        await self.run_whole(earlier)
+
+    async def test_end_of_the_earlier_turn_comes_late(self) -> None:
+        """Count exactly a turn whose end comes after the next one has begun.
+
+        The caller has the whole answer and goes on through another gateway, faster
+        than the first one tells the keeper.
+        """
+        earlier = await self.opened(self.other, self.begun("t1"))
+        earlier.hand_out(10)
+        newer = await self.opened(self.other, self.begun("t2"))
+        earlier.close()
+        await self.run_whole(newer)
+        await self.settled_at_keeper()
+        spent = self.keeper.ledger.spent(self.begun("t1").terms)
+        self.assertEqual(spent, 10 + MOST)
+
+    async def test_beginning_of_an_earlier_turn_comes_late(self) -> None:
+        """Go on with a turn although an older beginning came after its own.
+
+        A machine that was cut off is reached again: the keeper reads the beginning of
+        a turn that its caller has given up, and then its end.
+        """
+        newer = await self.opened(self.other, self.begun("t2"))
+        late = await self.opened(self.other, self.begun("t1"))
+        newer.hand_out(COVERED)
+        asking = asyncio.create_task(newer.cover(MOST - COVERED))
+        await asyncio.sleep(LATE)
+        late.close()
+        self.assertTrue(await asking)
+
+    async def test_turns_of_other_sessions_keep_their_claim(self) -> None:
+        """Give up no turn of a sub-agent, nor one whose caller names no session."""
+        for first, second in (("line", "other"), ("", "")):
+            with self.subTest(first=first, second=second):
+                begun = self.begun(f"t-{first}", session=first)
+                earlier = await self.opened(self.other, begun)
+                found = await self.other.turns.open(self.begun("t2", session=second))
+                self.assertIs(found, BudgetVerdict.HELD)
+                earlier.close()
+                await self.settled_at_keeper()
+
+    async def test_process_that_knows_no_sessions(self) -> None:
+        """Take up a turn from a process that names no session."""
+        request = OpenTurnRequest(start=self.begun("t1"))
+        raw = msgspec.msgpack.decode(encode(request))
+        del raw["start"]["terms"]["session"]
+        found = decode_request(msgspec.msgpack.encode(raw))
+        assert isinstance(found, OpenTurnRequest)
+        self.assertEqual(found.start.terms.session, "")
+
+    async def run_whole(self, turn: OpenTurn) -> None:
+        """Hand out the most of a turn by events, and end it."""
+        for _ in range(10):
+            self.assertTrue(await turn.cover(MOST // 10))
+            turn.hand_out(MOST // 10)
+        turn.close()
+
+    async def settled_at_keeper(self) -> None:
+        """Wait until the keeper has no turn open."""
+        async with asyncio.timeout(PATIENCE):
+            while self.keeper.turn_server.open_turns:
+                await asyncio.sleep(0.01)
+
 
 async def _unheard(reply: Reply) -> None:
     """Take a reply that reaches nobody."""
