--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -42,10 +42,10 @@
     """Hold what this process may hand out, and did, for one program.
 
     `granted` is what the log granted, `asked` what the newest record asks for,
-    which may be less while an answer is awaited, `told` what other processes were told
-    that open turns may come to, `told_at` when, on the loop's clock. `room` is
-    what others left free where the newest grant stands in the log; None where
-    that is not known.
+    which may be less while an answer is awaited. `told` is what other processes
+    were told that open turns may come to, `told_at` when, on the loop's clock.
+    `room` is what others left free where the newest grant stands in the log; None
+    where that is not known.
     """
 
     def __init__(self, *, terms: TurnTerms, partition: LedgerPartition) -> None:
@@ -86,22 +86,26 @@
 
     @property
     def excess(self) -> bool:
-        """Return whether the log grants, or others leave free, more than is needed."""
+        """Return whether more than is needed is granted, asked for or left free."""
         most = max(self.granted, self.asked)
         return most > self.needed or self.told > self.wanted
 
-    def cover(self, part: OpenPart) -> bool:
+    def covers(self, part: OpenPart) -> bool:
         """Return whether the grant covers what a turn holds and all before it.
 
-        What is sure for later turns may be handed out unasked: a raise that was
-        covered by it had more go out than the log grants.
+        What is sure for later turns may be handed out unasked: were a raise covered
+        by it, more would go out than the log grants.
         """
         total = self.handed
         before = True
         for one in self.open:
             total += one.held if before else one.sure
             before = before and one is not part
-        covered = total <= self.granted
+        return total <= self.granted
+
+    def make_sure(self, part: OpenPart) -> bool:
+        """Mark what a turn holds as sure if the grant covers it; return whether."""
+        covered = self.covers(part)
         if covered:
             part.sure = part.held
         return covered
@@ -111,7 +115,7 @@
         wanted = self.handed + sum(one.claimed for one in self._up_to(part))
         return wanted <= self.granted or self.room is None or wanted <= self.room
 
-    def earlier(self, session: SessionId) -> list[OpenPart]:
+    def claiming(self, session: SessionId) -> list[OpenPart]:
         """Return the parts of a session that claim more than they hold."""
         return [
             part
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -132,9 +132,8 @@
         if account.raising is None and not account.settled:
             self.raise_grant(account)
         elif self._tight(account):
-            # Also while an answer is awaited, which may come too late to return what
-            # was asked for: a process lost with the turn's end told had it all
-            # counted as spent.
+            # Also while an answer is awaited, as the process may be lost before it
+            # comes: all that it had asked for would count as spent.
             self._lower(account, urgent=unused)
 
     def give_back_all(self) -> None:
@@ -232,7 +231,10 @@
             return None
         if not await account.partition.sync():
             return BudgetVerdict.UNCERTAIN
-        if self._fits(account, terms) or self._fits_instead(account, terms):
+        if self._fits(account, terms):
+            return None
+        if self._fits_instead(account, terms):
+            self._give_up_earlier(account, terms)
             return None
         return self._excess(account)
 
@@ -253,7 +255,7 @@
         return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
 
     def _refused(self, account: Account, verdict: BudgetVerdict) -> BudgetVerdict:
-        """Log what was counted against a turn that is refused."""
+        """Log what was counted against a refused turn, and return its verdict."""
         log.info(
             "a turn of {} is refused, its budget of {} is {}: {} handed out and {} "
             "wanted here, granted to others: {}",
@@ -279,25 +281,26 @@
         return self.leaves(account, terms.most)
 
     def _fits_instead(self, account: Account, terms: TurnTerms) -> bool:
-        """Return whether a turn fits in place of earlier ones of its session.
+        """Return whether a turn fits in place of earlier ones of its session."""
+        freed = _unheld(account.claiming(terms.session))
+        return self.leaves(account, terms.most - freed)
+
+    def _give_up_earlier(self, account: Account, terms: TurnTerms) -> None:
+        """Have the earlier turns of a session claim no more than they hold.
 
-        Their caller has given them up, and whoever has them may be lost: it was
-        refused for what nobody was to use. What they hold may have been handed out.
+        Whoever has them may be lost: their caller would be refused for what nobody
+        is to use. What they hold may have been handed out, so it stays theirs.
         """
-        earlier = account.earlier(terms.session)
-        freed = sum(part.left - part.held for part in earlier)
-        if not self.leaves(account, terms.most - freed):
-            return False
-        for part in earlier:
-            part.given_up = True
+        earlier = account.claiming(terms.session)
         log.info(
             "turn {} of {} takes the place of earlier ones of its session, which "
             "leave {} tokens",
             terms.turn,
             account.program,
-            freed,
+            _unheld(earlier),
         )
-        return True
+        for part in earlier:
+            part.given_up = True
 
     async def _raise_after(
         self, account: Account, before: asyncio.Task[bool] | None
@@ -372,5 +375,10 @@
         return account.partition.append(keyed, urgent=urgent)
 
 
+def _unheld(parts: list[OpenPart]) -> int:
+    """Return what parts may come to beyond what they hold."""
+    return sum(part.left - part.held for part in parts)
+
+
 def _small(account: Account) -> bool:
     return account.budget < SMALL_BUDGET * account.most
--- a/sequoiaarch/ledger/loans.py
+++ b/sequoiaarch/ledger/loans.py
@@ -66,7 +66,7 @@
         Asked again for the same loan, it is raised to what the turn may need.
         """
         # A request that comes after its settlement would open a loan that nobody
-        # closes. Its borrower has left, so that nothing is missing anywhere.
+        # closes. Its borrower has left, so a refusal takes nothing from anyone.
         if loan in self._settled:
             self.refused += 1
             return 0
@@ -107,13 +107,16 @@
     def forget_old(self) -> None:
         """Forget programs that can no longer come back, and loans long settled."""
         now = self._clock()
-        for loan, since in list(self._settled.items()):
-            if since + REMEMBER_SETTLED < now:
-                del self._settled[loan]
+        self._forget_settled(now)
         for program, account in list(self._accounts.items()):
             if account.touched + account.retention + FORGET_AFTER < now:
                 del self._accounts[program]
 
+    def _forget_settled(self, now: float) -> None:
+        for loan, since in list(self._settled.items()):
+            if since + REMEMBER_SETTLED < now:
+                del self._settled[loan]
+
     def _remember_settled(self, loan: LoanId) -> None:
         self._settled.pop(loan, None)
         self._settled[loan] = self._clock()
--- a/sequoiaarch/ledger/reservation.py
+++ b/sequoiaarch/ledger/reservation.py
@@ -58,8 +58,11 @@
 
     @property
     def granted(self) -> bool:
-        """Return whether the grant is known to cover what the turn holds."""
-        return self._account.cover(self._part)
+        """Return whether the grant is known to cover what the turn holds.
+
+        Who reads that it does may hand that out, so it is marked as sure.
+        """
+        return self._account.make_sure(self._part)
 
     @property
     def by_log(self) -> bool:
@@ -97,7 +100,8 @@
             self._hold_more(self._part, short)
         # A raise that did not hold is asked for again: what was in its way may have
         # been returned since.
-        if not self.granted and self._account.raising is None:
+        covered = self._account.covers(self._part)
+        if not covered and self._account.raising is None:
             self._raiser.raise_grant(self._account)
         return await self._granted_verdict() is BudgetVerdict.FITS
 
@@ -152,7 +156,7 @@
         left, so it is given as unknown.
         """
         account = self._account
-        while not account.cover(self._part):
+        while not account.make_sure(self._part):
             raising = account.raising
             if raising is None:
                 return BudgetVerdict.EXCEEDED
