--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -132,8 +132,8 @@
         deadline = asyncio.get_running_loop().time() + RETURN_WAIT
         while True:
             opened = await self._local.open(start)
-            late = asyncio.get_running_loop().time() >= deadline
-            if opened is not BudgetVerdict.HELD or late:
+            expired = asyncio.get_running_loop().time() >= deadline
+            if opened is not BudgetVerdict.HELD or expired:
                 return opened
             await asyncio.sleep(RETURN_CHECK)
 
@@ -172,6 +172,11 @@
         # in the way of this program until the turn's time is over, and count as
         # handed out from then on.
         self.tell_end(link, opening, start.lifetime, handed=0)
+        self._pass_over(host, start, reply)
+        return None
+
+    def _pass_over(self, host: HostName, start: TurnStart, reply: Reply) -> None:
+        """Note that a delegate did not open a turn."""
         self._delegates.standing.failed(host, _reason(reply))
         log.info(
             "turn {} of {} goes on here, as {} did not open it: {}",
@@ -180,7 +185,6 @@
             host,
             _reason(reply),
         )
-        return None
 
     def tell_end(
         self, link: Link, opening: OpeningId, lifetime: float, *, handed: int
@@ -197,7 +201,7 @@
         """Return a name that nobody uses again.
 
         Callers may use the id of a turn twice. An end that is told again would end
-        the later one, which goes on: more than its budget was handed out.
+        the later one, which goes on: more than its budget would be handed out.
         """
         return OpeningId(f"{self._ledger.writer}/{next(self._numbers)}")
 
@@ -222,7 +226,7 @@
     If that one is lost, the turn goes on here: tokens are reserved once more
     by this process, and the turn is written by it. The other one is told how much
     went out under its grant, in case it was only late. If that never reaches it,
-    the first reservation counts as handed out, which is safe.
+    all that the turn was covered for there counts as handed out, which is safe.
     """
 
     def __init__(
@@ -244,8 +248,9 @@
         self._handed = 0
         self._covered = opened.covered
         self._ended = False
-        # Whether the delegate knows the end, or is being told.
-        self._ended_there = False
+        # Whether the delegate knows that it holds the turn for nobody, or is being
+        # told; the turn itself may go on here.
+        self._told_end = False
         self._own: LocalTurn | None = None
         self._announced: asyncio.Future[Offset] | None = None
 
@@ -283,7 +288,7 @@
             return reply.verdict
         if not isinstance(reply, TurnVerdict):
             self._turns.lost(self._host, self._start.terms.turn, reply)
-        self._end_there()
+        self._tell_end()
         taken = await self._turns.take_over(self._start)
         if isinstance(taken, BudgetVerdict):
             return taken
@@ -324,7 +329,7 @@
             self._covered = reply.covered
             return True
         # The turn's end can overtake this request, which then finds it not open there:
-        # a delegate that was well was passed over, and a rest was reserved for nobody.
+        # a delegate that is well would be passed over, and a rest reserved for nobody.
         if self._ended or isinstance(reply, TurnRefused):
             return False
         self._turns.lost(self._host, self._start.terms.turn, reply)
@@ -335,34 +340,34 @@
 
         A delegate that only was slow hears what was handed out under its grant.
         What it still claims for this turn may leave no room until it has
-        returned that or is known to be lost; the stream waits for it. It was
-        cut at once, where little was left of the budget.
+        returned that or is known to be lost; the stream waits for it. Else it
+        would be cut at once where little is left of the budget.
         """
-        self._end_there()
+        self._tell_end()
         terms = self._start.terms
         rest = terms.rest(max(1, terms.most - self._handed))
         start = msgspec.structs.replace(self._start, terms=rest)
         deadline = asyncio.get_running_loop().time() + CALLER_PATIENCE
         while not self._ended and asyncio.get_running_loop().time() < deadline:
             taken = await self._turns.take_over(start)
-            if isinstance(taken, LocalTurn) and await self._holds(taken):
+            if isinstance(taken, LocalTurn) and await self._accept(taken):
                 self._own = taken
                 return taken
             await asyncio.sleep(COVER_RETRY)
         return None
 
-    async def _holds(self, taken: LocalTurn) -> bool:
+    async def _accept(self, taken: LocalTurn) -> bool:
         """Return whether the turn can go on with what was taken, or give it back."""
-        holds = False
+        accepted = False
         try:
             fits = await taken.verdict() is BudgetVerdict.FITS
-            holds = fits and not self._ended
+            accepted = fits and not self._ended
         finally:
             # The end of the turn closes only what is in use. Left open by a caller that
             # leaves, this would be missing from the budget for good.
-            if not holds:
+            if not accepted:
                 taken.close()
-        return holds
+        return accepted
 
     def hand_out(self, tokens: int) -> None:
         """Count tokens that go to the caller."""
@@ -387,13 +392,13 @@
         self._ended = True
         if self._own is not None:
             self._own.close()
-        self._end_there()
+        self._tell_end()
 
-    def _end_there(self) -> None:
+    def _tell_end(self) -> None:
         """Tell the delegate what was handed out under its grant, once."""
-        if self._ended_there:
+        if self._told_end:
             return
-        self._ended_there = True
+        self._told_end = True
         self._turns.tell_end(
             self._link, self._opening, self._start.lifetime, handed=self._handed
         )
@@ -405,9 +410,9 @@
         )
         reply = await _ask(self._link, request)
         if isinstance(reply, Accepted):
-            self._ended_there = True
+            self._told_end = True
             return
-        self._end_there()
+        self._tell_end()
         # It may have been written there too: the same record under the same key.
         self._turns.lost(self._host, self._start.terms.turn, reply)
         await self._turns.ledger.write(terms, content)
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -74,11 +74,11 @@
         """Return whether so many tokens may be handed out, or ask for more."""
         if total > self._tokens and not self._closed:
             raised = await self._lenders.raised(self._loan, self.terms)
-            # A raise without an answer took what the turn had, and a lost gateway
-            # was counted at less than it may have used. A loan only ever grows.
+            # A raise without an answer gives 0: the turn would lose what it has, and a
+            # lost gateway count at less than it may have used. A loan only ever grows.
             self._tokens = max(self._tokens, raised)
-        # A stream that waits may outlast its turn: asking where a settled loan is
-        # failed with an error, and nothing is counted for it any more.
+        # A stream that waits may outlast its turn. Nobody knows the lender of a settled
+        # loan, so asking would fail with an error, and what goes out is not counted.
         return not self._closed and total <= self._tokens
 
     def hand_out(self, tokens: int) -> None:
--- a/sequoiaarch/fleet/telling.py
+++ b/sequoiaarch/fleet/telling.py
@@ -1,4 +1,4 @@
-"""Tell other hosts what they need not answer."""
+"""Tell other hosts what no caller waits for."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 
 log = logbook.Logger("peers")
 
+# Seconds.
 RETRY_PAUSE = 0.1
 
 
@@ -22,7 +23,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def tell(self, link: Link, request: Request, *, patience: float = 0.0) -> None:
-        """Send a request, again for `patience` seconds until it was answered.
+        """Send a request, and again for `patience` seconds until it is answered.
 
         What must arrive is worth a retry: a message is lost with its connection.
         That it did not arrive is only logged.
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -36,7 +36,7 @@
 WORD_INTERVAL = 0.5
 CALLER_LEFT = "the caller left"
 NOT_OPEN = "the turn is not open here"
-# Ends that came before their beginning; those of some seconds at the peak.
+# Ends of turns that were not open here; those of some seconds at the peak.
 ENDS_REMEMBERED = 1000
 
 
@@ -47,8 +47,8 @@
         self._local = local
         self._ledger = ledger
         self._open: dict[OpeningId, LocalTurn] = {}
-        # Openings that ended before they were open here, the newest last.
-        self._ended: OrderedDict[OpeningId, None] = OrderedDict()
+        # Openings whose end came while they were not open here, the newest last.
+        self._ended_unopened: OrderedDict[OpeningId, None] = OrderedDict()
         self.stopping = False
 
     @property
@@ -88,14 +88,14 @@
             return failed("stopping")
         # A process that stood still finds a beginning and its end together, in
         # either order.
-        if opening in self._ended:
+        if opening in self._ended_unopened:
             return failed(CALLER_LEFT)
         opened = await self._local.open(start)
         if isinstance(opened, Lookup):
             return TurnRefused(lookup=opened)
         if isinstance(opened, BudgetVerdict):
             return TurnRefused(verdict=opened)
-        if opening in self._ended:
+        if opening in self._ended_unopened:
             opened.close()
             return failed(CALLER_LEFT)
         self._open[opening] = opened
@@ -150,9 +150,9 @@
         A link that fell silent is made anew, and what waits in the old one may be
         read after what came through the new one. Nobody would end such a turn.
         """
-        self._ended[opening] = None
-        if len(self._ended) > ENDS_REMEMBERED:
-            self._ended.popitem(last=False)
+        self._ended_unopened[opening] = None
+        if len(self._ended_unopened) > ENDS_REMEMBERED:
+            self._ended_unopened.popitem(last=False)
 
     def _expire(self, opening: OpeningId, terms: TurnTerms) -> None:
         """Count all that a turn was covered for whose gateway never told its end."""
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -297,8 +297,8 @@
 
     async def commit(self, given: bytes) -> None:
         """Make the turn part of the history; return once that is durable."""
-        # A request for more that outlives the turn finds it ended: whoever keeps the
-        # turn was taken for lost. The stream has ended, so nothing asks anew.
+        # A request for more that outlives the turn finds it ended, and the delegate
+        # would be taken for lost. The stream has ended, so nothing asks anew.
         asking, self._asking = self._asking, None
         if asking is not None:
             asking.cancel()
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -231,9 +231,10 @@
 
 
 class OpenTurnRequest(Message, frozen=True, kw_only=True, tag="open"):
-    """Ask the keeper of a program's account to open a turn.
+    """Ask the delegate of a program to open a turn.
 
-    Later requests name the opening and not the turn, whose id is its caller's.
+    Later requests name the opening and not the turn, whose id its caller may use
+    again.
     """
 
     opening: OpeningId
