--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -138,7 +138,7 @@
     """Hold two processes of one data centre over real sockets."""
 
     async def asyncSetUp(self) -> None:
-        """Start the keeper of the program's account, and another process."""
+        """Start the delegate of the program's account, and another process."""
         self.store = KeyedStore()
         self.context = zmq.asyncio.Context()
         self.closing: list[Callable[[], None]] = []
@@ -150,13 +150,13 @@
                 record = PeerRecord(address=other.address, data_centre=HERE)
                 value = msgspec.json.encode(record)
                 process.peers.change(KeyedRecord(key=other.name, value=value))
-        keeper = processes["one"].delegates.of(PROGRAM) or HostName("one")
-        self.keeper = processes.pop(keeper)
+        delegate = processes["one"].delegates.of(PROGRAM) or HostName("one")
+        self.delegate = processes.pop(delegate)
         self.other = processes.popitem()[1]
 
     async def asyncTearDown(self) -> None:
         """Close everything."""
-        for process in (self.keeper, self.other):
+        for process in (self.delegate, self.other):
             process.peers.close()
             await process.ledger.close()
         for task in self.serving:
@@ -173,8 +173,8 @@
         return process
 
     def answer_with(self, answer: Callable[[Request, Send], object]) -> None:
-        """Have the keeper answer requests otherwise."""
-        self.keeper.server.others = answer  # type: ignore[assignment]
+        """Have the delegate answer requests otherwise."""
+        self.delegate.server.others = answer  # type: ignore[assignment]
 
     async def opened(self, process: Process, begun: TurnStart) -> OpenTurn:
         """Open a turn, which must fit."""
@@ -191,8 +191,8 @@
         return partition.state.granted(PROGRAM, WriterId(process.name))
 
     def covers_arrive_after(self, end: asyncio.Event) -> None:
-        """Have the keeper take up raises only after a turn's end."""
-        before = self.keeper.turn_server.answer
+        """Have the delegate take up raises only after a turn's end."""
+        before = self.delegate.turn_server.answer
 
         async def overtaken(request: Request, send: Send) -> Reply:
             if isinstance(request, CoverTurnRequest):
@@ -202,14 +202,14 @@
         self.answer_with(overtaken)
 
     async def rest_being_reserved(self) -> tuple[OpenTurn, asyncio.Task[bool]]:
-        """Lose the keeper midway; return the turn whose rest is asked for here.
+        """Lose the delegate midway; return the turn whose rest is asked for here.
 
         The store is slow, so the gateway waits for the verdict on that rest.
         """
         turn = await self.opened(self.other, start("t1", budget=4 * MOST - 10))
         self.assertFalse(turn.covers(40))
         turn.hand_out(30)
-        ledger = self.keeper.ledger
+        ledger = self.delegate.ledger
         restarted = TurnServer(local=LocalTurns(ledger=ledger), ledger=ledger)
         self.answer_with(restarted.answer)
         self.assertTrue(await self.other.ledger.partition(PROGRAM).sync())
@@ -251,18 +251,18 @@
 
 
 class DelegatesTests(DelegatesTestCase):
-    """Run turns through a gateway and the keeper of their program's account."""
+    """Run turns through a gateway and the delegate of their program's account."""
 
     async def test_turns_through_both(self) -> None:
         """Continue at one process what the other relayed, without the store.
 
-        The keeper has the history in memory and tokens granted ahead. The
+        The delegate has the history in memory and tokens granted ahead. The
         second turn costs the store its own commit and index entry only.
         """
         await self.run_turn(self.other, start("t1"), b"in", b"out")
         calls = self.store.listings
         turn = await self.run_turn(
-            self.keeper, start("t2", previous="t1"), b"in2", b"out2"
+            self.delegate, start("t2", previous="t1"), b"in2", b"out2"
         )
         assert turn.history is not None
         self.assertEqual(turn.history.prompt, b"inout")
@@ -277,10 +277,10 @@
         found = await self.other.turns.open(start("t2", previous="nothing"))
         self.assertIs(found, Lookup.ABSENT)
 
-    async def test_keeper_is_dead(self) -> None:
-        """Serve a turn although the keeper of its account says nothing.
+    async def test_delegate_is_dead(self) -> None:
+        """Serve a turn although the delegate of its account says nothing.
 
-        The keeper's machine froze. The process that has the caller waits a
+        The delegate's machine froze. The process that has the caller waits a
         tenth of a second, keeps the account itself, and goes on from the same
         history; for a while it asks the frozen one no more.
         """
@@ -297,15 +297,15 @@
         self.assertEqual(turn.history.prompt, b"inout")
         self.assertIsNone(self.other.delegates.of(PROGRAM))
 
-    async def test_keeper_dies_before_the_commit(self) -> None:
-        """Commit a turn here whose keeper is lost at the turn's end.
+    async def test_delegate_dies_before_the_commit(self) -> None:
+        """Commit a turn here whose delegate is lost at the turn's end.
 
-        The caller has all events but the end. The keeper may or may not have
+        The caller has all events but the end. The delegate may or may not have
         written the turn; the same record under the same key does no harm.
         """
         turn = await self.opened(self.other, start("t1"))
         turn.announce()
-        before = self.keeper.turn_server.answer
+        before = self.delegate.turn_server.answer
 
         async def lost(request: Request, send: Send) -> Reply:
             if isinstance(request, CommitTurnRequest):
@@ -319,23 +319,23 @@
         assert not isinstance(found, Lookup)
         self.assertEqual(found.prompt, b"inout")
 
-    async def test_keeper_restarts_within_a_turn(self) -> None:
-        """Commit through a keeper that has forgotten the turn."""
+    async def test_delegate_restarts_within_a_turn(self) -> None:
+        """Commit through a delegate that has forgotten the turn."""
         turn = await self.opened(self.other, start("t1"))
         turn.announce()
-        ledger = self.keeper.ledger
+        ledger = self.delegate.ledger
         restarted = TurnServer(local=LocalTurns(ledger=ledger), ledger=ledger)
         self.answer_with(restarted.answer)
         await turn.commit(b"in", b"out")
-        found = await self.keeper.ledger.history(PROGRAM, TurnId("t1"))
+        found = await self.delegate.ledger.history(PROGRAM, TurnId("t1"))
         assert not isinstance(found, Lookup)
         self.assertEqual(found.prompt, b"inout")
 
-    async def test_keeper_raises_what_a_turn_holds(self) -> None:
-        """Ask the keeper for more in the middle of a stream, a part at a time.
+    async def test_delegate_raises_what_a_turn_holds(self) -> None:
+        """Ask the delegate for more in the middle of a stream, a part at a time.
 
         Little is left of the budget, so the turn holds a third of its most. The
-        gateway asks before that is used up; the keeper has the log grant more.
+        gateway asks before that is used up; the delegate has the log grant more.
         """
         turn = await self.opened(self.other, start("t1", budget=3 * MOST))
         self.assertIsInstance(turn, DelegatedTurn)
@@ -346,19 +346,19 @@
             turn.hand_out(10)
         turn.close()
         async with asyncio.timeout(PATIENCE):
-            while self.keeper.ledger.spent(start("t1").terms) < MOST:
+            while self.delegate.ledger.spent(start("t1").terms) < MOST:
                 await asyncio.sleep(0.01)
 
-    async def test_keeper_is_lost_between_two_raises(self) -> None:
-        """Go on here where the keeper is lost with a part of a turn granted.
+    async def test_delegate_is_lost_between_two_raises(self) -> None:
+        """Go on here where the delegate is lost with a part of a turn granted.
 
-        The caller has some events. The keeper has forgotten the turn when more
+        The caller has some events. The delegate has forgotten the turn when more
         is asked for. This process has the rest granted to itself; what the
-        keeper had granted counts as spent, the stream does not break.
+        delegate had granted counts as spent, the stream does not break.
         """
         turn = await self.opened(self.other, start("t1", budget=3 * MOST))
         turn.hand_out(30)
-        ledger = self.keeper.ledger
+        ledger = self.delegate.ledger
         restarted = TurnServer(local=LocalTurns(ledger=ledger), ledger=ledger)
         self.answer_with(restarted.answer)
         self.assertTrue(await turn.cover(30))
@@ -366,16 +366,16 @@
         self.assertIn("after all", turn.where)
         turn.announce()
         await turn.commit(b"in", b"out")
-        found = await self.keeper.ledger.history(PROGRAM, TurnId("t1"))
+        found = await self.delegate.ledger.history(PROGRAM, TurnId("t1"))
         assert not isinstance(found, Lookup)
         self.assertEqual(found.prompt, b"inout")
 
     async def test_turn_is_kept_while_more_is_asked_for(self) -> None:
-        """Trust a keeper that says that a turn is not open which has just ended.
+        """Trust a delegate that says that a turn is not open which has just ended.
 
         A caller's stream ends at the event before more would be needed. The request
-        for more is on its way when the keeper writes the turn, and finds the turn no
-        longer open. The keeper is well: the program's next turns must go to it, and
+        for more is on its way when the delegate writes the turn, and finds the turn no
+        longer open. The delegate is well: the program's next turns must go to it, and
         nothing may be granted here for a turn that has ended.
         """
         turn = await self.opened(self.other, start("t1", budget=3 * MOST))
@@ -388,15 +388,15 @@
         await turn.commit(b"in", b"out")
         ended.set()
         covered = await asking
-        self.assertEqual(self.other.delegates.of(PROGRAM), self.keeper.name)
+        self.assertEqual(self.other.delegates.of(PROGRAM), self.delegate.name)
         self.assertFalse(covered)
         self.assertEqual(await self.granted(self.other), 0)
 
     async def test_turn_is_closed_while_more_is_asked_for(self) -> None:
-        """Trust a keeper that was told the end of a turn before a request for more.
+        """Trust a delegate that was told the end of a turn before a request for more.
 
-        The answer of a turn that is not kept ends, and its end reaches the keeper
-        first. The keeper is well, and nothing is left to be granted here.
+        The answer of a turn that is not kept ends, and its end reaches the delegate
+        first. The delegate is well, and nothing is left to be granted here.
         """
         turn = await self.opened(self.other, start("t1", budget=3 * MOST, kept=False))
         turn.hand_out(30)
@@ -406,18 +406,18 @@
         await asyncio.sleep(0)
         turn.close()
         async with asyncio.timeout(PATIENCE):
-            while self.keeper.turn_server.open_turns:
+            while self.delegate.turn_server.open_turns:
                 await asyncio.sleep(0.01)
         ended.set()
         covered = await asking
-        self.assertEqual(self.other.delegates.of(PROGRAM), self.keeper.name)
+        self.assertEqual(self.other.delegates.of(PROGRAM), self.delegate.name)
         self.assertFalse(covered)
         self.assertEqual(await self.granted(self.other), 0)
 
     async def test_caller_leaves_while_the_rest_is_reserved(self) -> None:
         """Return the rest of a turn whose caller left before it was granted.
 
-        The keeper is lost midway, and the gateway has the rest granted to itself. The
+        The delegate is lost midway, and the gateway has the rest granted to itself. The
         caller leaves while the log is waited for. Nobody else knows of that rest: left
         open, it would be missing from the program's budget for good.
         """
@@ -430,7 +430,7 @@
     async def test_turn_ends_while_the_rest_is_reserved(self) -> None:
         """Return the rest of a turn that ended before it was granted.
 
-        The keeper is lost midway, and the answer ends with what it had granted while
+        The delegate is lost midway, and the answer ends with what it had granted while
         the rest is being granted to the gateway. That rest must not stay open.
         """
         turn, asking = await self.rest_being_reserved()
@@ -438,15 +438,15 @@
         self.assertFalse(await asking)
         await self.assert_returned()
 
-    async def test_keeper_is_slow_between_two_raises(self) -> None:
-        """Stay with a keeper that takes a moment to say that it works on a raise.
+    async def test_delegate_is_slow_between_two_raises(self) -> None:
+        """Stay with a delegate that takes a moment to say that it works on a raise.
 
-        The keeper's machine is busy. Its grant would be lost with it, so a stream
+        The delegate's machine is busy. Its grant would be lost with it, so a stream
         that is under way waits for it longer than one that begins.
         """
         turn = await self.opened(self.other, start("t1", budget=3 * MOST))
         turn.hand_out(30)
-        before = self.keeper.turn_server.answer
+        before = self.delegate.turn_server.answer
 
         async def slow(request: Request, send: Send) -> Reply:
             if isinstance(request, CoverTurnRequest):
@@ -458,10 +458,10 @@
         self.assertNotIn("after all", turn.where)
         turn.close()
 
-    async def test_keeper_is_lost_where_little_is_left(self) -> None:
-        """Wait for what a lost keeper claimed for the turn, and go on.
+    async def test_delegate_is_lost_where_little_is_left(self) -> None:
+        """Wait for what a lost delegate claimed for the turn, and go on.
 
-        A budget holds little more than the turn that is open. Its keeper is lost
+        A budget holds little more than the turn that is open. Its delegate is lost
         with a third of the turn granted; what it claimed for the rest still stands
         for a while, and leaves no room for the same rest here. The stream must
         not be cut for that.
@@ -478,11 +478,11 @@
         turn.close()
 
     async def test_budget_over_both(self) -> None:
-        """Hand out no more than the budget through both, the keeper lost midway.
+        """Hand out no more than the budget through both, the delegate lost midway.
 
-        The first turns run on the keeper's account. Then it stops answering,
+        The first turns run on the delegate's account. Then it stops answering,
         and the other one keeps an account of its own. What was granted to the
-        keeper counts.
+        delegate counts.
         """
         handed = 0
         for number in range(4):
@@ -509,10 +509,10 @@
     async def test_earlier_turn_asks_for_more(self) -> None:
         """Hand out no more than the log grants where an earlier turn asks for more.
 
-        Little is left of the budget, so each of two turns at the keeper holds a part.
+        Little is left of the budget, so each of two turns at the delegate holds a part.
         The store goes away, and the earlier one was covered by what was granted for
         the later one, whose gateway hands that out unasked: 98 tokens went out and 68
-        were granted. Whoever follows a keeper that is lost then counts 68, and the
+        were granted. Whoever follows a delegate that is lost then counts 68, and the
         program is handed more than its budget.
         """
         budget = int(3.9 * MOST)
@@ -520,14 +520,14 @@
             await self.opened(self.other, start(name, budget=budget, lifetime=PATIENCE))
             for name in ("t1", "t2")
         ]
-        self.keeper.client.faults.down = True
+        self.delegate.client.faults.down = True
         handed = 0
         for turn, tokens in zip(turns, (64, 34), strict=True):
             self.assertIsInstance(turn, DelegatedTurn)
             if await turn.cover(tokens):
                 turn.hand_out(tokens)
                 handed += tokens
-        self.assertLessEqual(handed, await self.granted(self.keeper))
+        self.assertLessEqual(handed, await self.granted(self.delegate))
 
     async def test_gateway_dies_within_a_turn(self) -> None:
         """Count a turn at its most whose gateway never tells its end.
@@ -538,9 +538,9 @@
         handler = logbook.TestHandler()
         with handler.applicationbound():
             async with asyncio.timeout(PATIENCE):
-                while self.keeper.turn_server.open_turns:
+                while self.delegate.turn_server.open_turns:
                     await asyncio.sleep(0.01)
-        turn = await self.opened(self.keeper, start("t2", kept=False))
+        turn = await self.opened(self.delegate, start("t2", kept=False))
         self.assertEqual(turn.spent, MOST)
         lines = "\n".join(handler.formatted_records)
         self.assertIn("turn t1 of program was never ended by its gateway", lines)
@@ -548,28 +548,28 @@
 
     async def test_caller_leaves_while_a_turn_opens(self) -> None:
         """Count nothing for a caller that left before its turn was opened."""
-        self.keeper.client.faults.delay = 0.05
+        self.delegate.client.faults.delay = 0.05
         opening = asyncio.create_task(self.other.turns.open(start("t1", kept=False)))
         await asyncio.sleep(0.03)
         opening.cancel()
         await asyncio.wait([opening])
-        self.keeper.client.faults.delay = 0.0
+        self.delegate.client.faults.delay = 0.0
         await asyncio.sleep(2 * LIFETIME)
-        turn = await self.opened(self.keeper, start("t2", kept=False))
+        turn = await self.opened(self.delegate, start("t2", kept=False))
         self.assertEqual(turn.spent, 0)
 
-    async def test_keeper_stops(self) -> None:
-        """Open nothing at a keeper that stops, and end what is open there."""
+    async def test_delegate_stops(self) -> None:
+        """Open nothing at a delegate that stops, and end what is open there."""
         first = await self.opened(self.other, start("t1"))
-        self.keeper.turn_server.stopping = True
+        self.delegate.turn_server.stopping = True
         second = await self.opened(self.other, start("t2"))
         self.assertIsInstance(second, LocalTurn)
         first.announce()
         await first.commit(b"in", b"out")
-        self.assertEqual(self.keeper.turn_server.open_turns, 0)
+        self.assertEqual(self.delegate.turn_server.open_turns, 0)
 
     async def test_store_away(self) -> None:
-        """Go on inside what the keeper was granted while the store is away.
+        """Go on inside what the delegate was granted while the store is away.
 
         The store goes down between two turns of a program whose turns come
         through both processes. Neither can have tokens granted any more.
@@ -577,11 +577,11 @@
         first = await self.opened(self.other, start("t0", kept=False))
         first.hand_out(10)
         first.close()
-        for process in (self.keeper, self.other):
+        for process in (self.delegate, self.other):
             process.client.faults.down = True
         ran = 0
         for number in range(8):
-            process = (self.keeper, self.other)[number % 2]
+            process = (self.delegate, self.other)[number % 2]
             found = await process.turns.open(start(f"t{number + 1}", kept=False))
             if isinstance(found, Lookup | BudgetVerdict):
                 break
@@ -591,12 +591,12 @@
         self.assertGreaterEqual(ran, 2)
 
 
-class LateKeeperTests(DelegatesTestCase):
-    """Return what a keeper holds for a turn whose gateway has gone elsewhere."""
+class LateDelegateTests(DelegatesTestCase):
+    """Return what a delegate holds for a turn whose gateway has gone elsewhere."""
 
     def late(self, kind: type[Request]) -> None:
-        """Have the keeper do what it is asked at once and say so too late."""
-        before = self.keeper.turn_server.answer
+        """Have the delegate do what it is asked at once and say so too late."""
+        before = self.delegate.turn_server.answer
 
         async def answer(request: Request, send: Send) -> Reply:
             if not isinstance(request, kind):
@@ -608,8 +608,8 @@
         self.answer_with(answer)
 
     def deaf(self, kind: type[Request]) -> None:
-        """Have the keeper neither do nor answer what it is first asked."""
-        before = self.keeper.turn_server.answer
+        """Have the delegate neither do nor answer what it is first asked."""
+        before = self.delegate.turn_server.answer
         missed: list[Request] = []
 
         async def answer(request: Request, send: Send) -> Reply:
@@ -628,7 +628,7 @@
         self.assertTrue(await fresh.partition(PROGRAM).sync())
         return sum(
             fresh.partition(PROGRAM).state.granted(PROGRAM, one.ledger.writer)
-            for one in (self.keeper, self.other)
+            for one in (self.delegate, self.other)
         )
 
     async def settled(self, tokens: int) -> None:
@@ -643,12 +643,12 @@
         """Serve a caller that comes back after its turn was opened too late.
 
         All machines have just started again, and a program whose budget holds
-        little more than a turn goes on from a kept one. The keeper of its account
+        little more than a turn goes on from a kept one. The delegate of its account
         is busy and says its first word too late; the gateway keeps the account
-        itself. The keeper opens the turn all the same and holds the budget for it,
+        itself. The delegate opens the turn all the same and holds the budget for it,
         so the caller is told to come back for as long as the turn might have run.
         Of five such turns in half a minute three were `kept here` and committed at
-        their gateway, while their keeper wrote six seconds later that the turn `was
+        their gateway, while their delegate wrote six seconds later that the turn `was
         never ended by its gateway`.
         """
         self.late(OpenTurnRequest)
@@ -665,7 +665,7 @@
     async def test_turns_opened_too_late_are_not_spent(self) -> None:
         """Refuse no program for turns that were opened too late.
 
-        The keeper is late for two tries in a row. When their time was over it
+        The delegate is late for two tries in a row. When their time was over it
         counted what it had held for them as handed out. Nothing had reached the
         caller, and each further try was told that the budget is spent: 402 for
         the rest of fifteen seconds, in 37 tries.
@@ -683,13 +683,13 @@
         self.assertIsInstance(found, LocalTurn | DelegatedTurn)
 
     async def test_turn_confirmed_too_late_is_returned(self) -> None:
-        """Count a turn once whose keeper was late to say that it is granted.
+        """Count a turn once whose delegate was late to say that it is granted.
 
-        The engine works on the turn already when its gateway asks the keeper
+        The engine works on the turn already when its gateway asks the delegate
         whether the grant stands. No answer comes in time, so the gateway has the
-        turn granted to itself. The keeper counted its own grant as handed out
+        turn granted to itself. The delegate counted its own grant as handed out
         besides: two turns opened so were found in half a minute after a restart of
-        all, `kept at` their keeper, answered, and `never ended by its gateway`.
+        all, `kept at` their delegate, answered, and `never ended by its gateway`.
         """
         self.late(ConfirmTurnRequest)
         turn = await self.opened(self.other, start("t1", kept=False))
@@ -698,14 +698,14 @@
         turn.close()
         await asyncio.sleep(2 * LIFETIME)
         self.other.ledger._budgets.give_back_all()
-        self.keeper.ledger._budgets.give_back_all()
+        self.delegate.ledger._budgets.give_back_all()
         await self.settled(10)
 
     async def test_end_is_told_where_the_commit_was_not(self) -> None:
-        """Count what a turn handed out whose keeper did not hear of its end.
+        """Count what a turn handed out whose delegate did not hear of its end.
 
-        The keeper is frozen when it is to commit the turn. The gateway writes the
-        turn itself. The keeper wakes with the turn open and counted it at its most.
+        The delegate is frozen when it is to commit the turn. The gateway writes the
+        turn itself. The delegate wakes with the turn open and counted it at its most.
         """
         turn = await self.opened(self.other, start("t1", lifetime=PATIENCE))
         self.deaf(CommitTurnRequest)
@@ -714,35 +714,35 @@
         await turn.commit(b"in", b"out")
         turn.close()
         async with asyncio.timeout(SETTLE_TIME):
-            while self.keeper.turn_server.open_turns:
+            while self.delegate.turn_server.open_turns:
                 await asyncio.sleep(0.01)
-        self.keeper.ledger._budgets.give_back_all()
+        self.delegate.ledger._budgets.give_back_all()
         await self.settled(10)
 
     async def test_end_that_is_lost_is_told_again(self) -> None:
         """Tell the end of a turn again whose first message was lost.
 
-        The connection to the keeper breaks just as a turn ends. It was told once
-        only, and the keeper counted the turn at its most.
+        The connection to the delegate breaks just as a turn ends. It was told once
+        only, and the delegate counted the turn at its most.
         """
         turn = await self.opened(self.other, start("t1", kept=False, lifetime=PATIENCE))
         self.deaf(CloseTurnRequest)
         turn.hand_out(10)
         turn.close()
         async with asyncio.timeout(SETTLE_TIME):
-            while self.keeper.turn_server.open_turns:
+            while self.delegate.turn_server.open_turns:
                 await asyncio.sleep(0.01)
-        self.keeper.ledger._budgets.give_back_all()
+        self.delegate.ledger._budgets.give_back_all()
         await self.settled(10)
 
     async def test_end_that_overtakes_the_beginning(self) -> None:
         """Open no turn whose end has come already.
 
         A link that was silent is made anew, and what waits in the old one can be
-        read after what came through the new one. The keeper would hold a turn that
+        read after what came through the new one. The delegate would hold a turn that
         nobody ends.
         """
-        server = self.keeper.turn_server
+        server = self.delegate.turn_server
         opening = OpeningId("1")
         await server.answer(CloseTurnRequest(opening=opening, handed=0), _unheard)
         begin = OpenTurnRequest(opening=opening, start=start("t1"))
@@ -752,7 +752,7 @@
 
 
 class LostGatewayTests(DelegatesTestCase):
-    """Serve a caller whose gateway was lost with a turn open at the keeper."""
+    """Serve a caller whose gateway was lost with a turn open at the delegate."""
 
     def begun(self, turn: str, *, session: str = "line") -> TurnStart:
         """Return the start of a turn of which the budget holds one and a half."""
@@ -761,20 +761,20 @@
     async def test_caller_comes_back_through_another_gateway(self) -> None:
         """Serve a caller at once that comes back after its gateway was lost.
 
-        A gateway is killed with a turn open at the keeper of the account. Nobody
+        A gateway is killed with a turn open at the delegate of the account. Nobody
         tells the end. The caller's connection breaks, and it comes back through
         another gateway. Its budget holds a turn beside what the first was covered
-        for, but the keeper held the first one's most until its time was over: the
+        for, but the delegate held the first one's most until its time was over: the
         caller was told to come back until its tries were used up.
         """
         await self.opened(self.other, self.begun("t1"))
         turn = await self.opened(self.other, self.begun("t2"))
         self.assertIsInstance(turn, DelegatedTurn)
 
-    async def test_caller_comes_back_through_the_keeper(self) -> None:
-        """Serve a caller at once that comes back to the keeper itself."""
+    async def test_caller_comes_back_through_the_delegate(self) -> None:
+        """Serve a caller at once that comes back to the delegate itself."""
         await self.opened(self.other, self.begun("t1"))
-        await self.opened(self.keeper, self.begun("t2"))
+        await self.opened(self.delegate, self.begun("t2"))
 
     async def test_lost_turn_counts_as_far_as_it_was_covered(self) -> None:
         """Count what a lost gateway may have handed out, once the turn's time is over.
@@ -784,8 +784,8 @@
         begun = start("t1", kept=False, budget=SMALL, session="line")
         await self.opened(self.other, begun)
         await self.run_whole(await self.opened(self.other, self.begun("t2")))
-        await self.settled_at_keeper()
-        self.assertEqual(self.keeper.ledger.spent(begun.terms), COVERED + MOST)
+        await self.settled_at_delegate()
+        self.assertEqual(self.delegate.ledger.spent(begun.terms), COVERED + MOST)
 
     async def test_gateway_lives_after_all(self) -> None:
         """Cut no newer turn for an earlier one whose gateway was only frozen.
@@ -801,7 +801,7 @@
             self.assertTrue(await earlier.cover(BESIDE // 2))
             earlier.hand_out(BESIDE // 2)
         self.assertFalse(await earlier.cover(1))
-        self.assertEqual(self.other.delegates.of(PROGRAM), self.keeper.name)
+        self.assertEqual(self.other.delegates.of(PROGRAM), self.delegate.name)
         await self.run_whole(newer)
 
     async def test_gateway_goes_on_when_the_newer_turn_has_ended(self) -> None:
@@ -820,21 +820,21 @@
         """Count exactly a turn whose end comes after the next one has begun.
 
         The caller has the whole answer and goes on through another gateway, faster
-        than the first one tells the keeper.
+        than the first one tells the delegate.
         """
         earlier = await self.opened(self.other, self.begun("t1"))
         earlier.hand_out(10)
         newer = await self.opened(self.other, self.begun("t2"))
         earlier.close()
         await self.run_whole(newer)
-        await self.settled_at_keeper()
-        spent = self.keeper.ledger.spent(self.begun("t1").terms)
+        await self.settled_at_delegate()
+        spent = self.delegate.ledger.spent(self.begun("t1").terms)
         self.assertEqual(spent, 10 + MOST)
 
     async def test_beginning_of_an_earlier_turn_comes_late(self) -> None:
         """Go on with a turn although an older beginning came after its own.
 
-        A machine that was cut off is reached again: the keeper reads the beginning of
+        A machine that was cut off is reached again: the delegate reads the beginning of
         a turn that its caller has given up, and then its end.
         """
         newer = await self.opened(self.other, self.begun("t2"))
@@ -854,7 +854,7 @@
                 found = await self.other.turns.open(self.begun("t2", session=second))
                 self.assertIs(found, BudgetVerdict.HELD)
                 earlier.close()
-                await self.settled_at_keeper()
+                await self.settled_at_delegate()
 
     async def test_process_that_knows_no_sessions(self) -> None:
         """Take up a turn from a process that names no session."""
@@ -873,10 +873,10 @@
             turn.hand_out(MOST // 10)
         turn.close()
 
-    async def settled_at_keeper(self) -> None:
-        """Wait until the keeper has no turn open."""
+    async def settled_at_delegate(self) -> None:
+        """Wait until the delegate has no turn open."""
         async with asyncio.timeout(PATIENCE):
-            while self.keeper.turn_server.open_turns:
+            while self.delegate.turn_server.open_turns:
                 await asyncio.sleep(0.01)
 
 
--- a/sequoiaarch/tests/fleet/late_ends_tests.py
+++ b/sequoiaarch/tests/fleet/late_ends_tests.py
@@ -123,7 +123,7 @@
         was told to be covered: 134 tokens of a budget of 100 went out. Callers owe an
         id of its own to each request; nothing checks that.
         """
-        server = self.keeper.turn_server
+        server = self.delegate.turn_server
         begun = start("t1", lifetime=PATIENCE, budget=MOST)
         heard = asyncio.Event()
         again = asyncio.Event()
@@ -155,8 +155,8 @@
             while not told.is_set():
                 await asyncio.sleep(0.01)
         self.assertEqual(server.open_turns, 1, "the end was another turn's")
-        await self.keeper.ledger.flush()
-        second = await self.keeper.turns.open(
+        await self.delegate.ledger.flush()
+        second = await self.delegate.turns.open(
             start("t2", lifetime=PATIENCE, budget=MOST)
         )
         if isinstance(second, LocalTurn):
