--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -183,12 +183,21 @@
         self.assertIs(await found.verdict(), BudgetVerdict.FITS)
         return found
 
-    async def granted(self, process: Process) -> int:
-        """Return what the log grants a process, as one that starts now reads it."""
+    async def granted(self, *processes: Process) -> int:
+        """Return what the log grants processes, as one that starts now reads it."""
         fresh = Ledger(log=self.store.client(), writer="x", places=Places(per_topic=2))
         partition = fresh.partition(PROGRAM)
         self.assertTrue(await partition.sync())
-        return partition.state.granted(PROGRAM, WriterId(process.name))
+        return sum(
+            partition.state.granted(PROGRAM, WriterId(process.name))
+            for process in processes
+        )
+
+    async def ended_at_delegate(self, *, within: float) -> None:
+        """Wait until the delegate has no turn open, for so many seconds."""
+        async with asyncio.timeout(within):
+            while self.delegate.turn_server.open_turns:
+                await asyncio.sleep(0.01)
 
     def covers_arrive_after(self, end: asyncio.Event) -> None:
         """Have the delegate take up raises only after a turn's end."""
@@ -405,9 +414,7 @@
         asking = asyncio.create_task(turn.cover(10))
         await asyncio.sleep(0)
         turn.close()
-        async with asyncio.timeout(PATIENCE):
-            while self.delegate.turn_server.open_turns:
-                await asyncio.sleep(0.01)
+        await self.ended_at_delegate(within=PATIENCE)
         ended.set()
         covered = await asking
         self.assertEqual(self.other.delegates.of(PROGRAM), self.delegate.name)
@@ -537,9 +544,7 @@
         await self.opened(self.other, start("t1", kept=False))
         handler = logbook.TestHandler()
         with handler.applicationbound():
-            async with asyncio.timeout(PATIENCE):
-                while self.delegate.turn_server.open_turns:
-                    await asyncio.sleep(0.01)
+            await self.ended_at_delegate(within=PATIENCE)
         turn = await self.opened(self.delegate, start("t2", kept=False))
         self.assertEqual(turn.spent, MOST)
         lines = "\n".join(handler.formatted_records)
@@ -622,14 +627,7 @@
 
     async def spent(self) -> int:
         """Return what a process counts as spent that reads the log anew."""
-        fresh = Ledger(
-            log=self.store.client(), writer="fresh", places=Places(per_topic=2)
-        )
-        self.assertTrue(await fresh.partition(PROGRAM).sync())
-        return sum(
-            fresh.partition(PROGRAM).state.granted(PROGRAM, one.ledger.writer)
-            for one in (self.delegate, self.other)
-        )
+        return await self.granted(self.delegate, self.other)
 
     async def settled(self, tokens: int) -> None:
         """Wait until the log counts so many tokens as spent, for a while."""
@@ -713,9 +711,7 @@
         turn.hand_out(10)
         await turn.commit(b"in", b"out")
         turn.close()
-        async with asyncio.timeout(SETTLE_TIME):
-            while self.delegate.turn_server.open_turns:
-                await asyncio.sleep(0.01)
+        await self.ended_at_delegate(within=SETTLE_TIME)
         self.delegate.ledger._budgets.give_back_all()
         await self.settled(10)
 
@@ -729,9 +725,7 @@
         self.deaf(CloseTurnRequest)
         turn.hand_out(10)
         turn.close()
-        async with asyncio.timeout(SETTLE_TIME):
-            while self.delegate.turn_server.open_turns:
-                await asyncio.sleep(0.01)
+        await self.ended_at_delegate(within=SETTLE_TIME)
         self.delegate.ledger._budgets.give_back_all()
         await self.settled(10)
 
@@ -784,7 +778,7 @@
         begun = start("t1", kept=False, budget=SMALL, session="line")
         await self.opened(self.other, begun)
         await self.run_whole(await self.opened(self.other, self.begun("t2")))
-        await self.settled_at_delegate()
+        await self.ended_at_delegate(within=PATIENCE)
         self.assertEqual(self.delegate.ledger.spent(begun.terms), COVERED + MOST)
 
     async def test_gateway_lives_after_all(self) -> None:
@@ -827,7 +821,7 @@
         newer = await self.opened(self.other, self.begun("t2"))
         earlier.close()
         await self.run_whole(newer)
-        await self.settled_at_delegate()
+        await self.ended_at_delegate(within=PATIENCE)
         spent = self.delegate.ledger.spent(self.begun("t1").terms)
         self.assertEqual(spent, 10 + MOST)
 
@@ -854,7 +848,7 @@
                 found = await self.other.turns.open(self.begun("t2", session=second))
                 self.assertIs(found, BudgetVerdict.HELD)
                 earlier.close()
-                await self.settled_at_delegate()
+                await self.ended_at_delegate(within=PATIENCE)
 
     async def test_process_that_knows_no_sessions(self) -> None:
         """Take up a turn from a process that names no session."""
@@ -873,12 +867,6 @@
             turn.hand_out(MOST // 10)
         turn.close()
 
-    async def settled_at_delegate(self) -> None:
-        """Wait until the delegate has no turn open."""
-        async with asyncio.timeout(PATIENCE):
-            while self.delegate.turn_server.open_turns:
-                await asyncio.sleep(0.01)
-
 
 async def _unheard(reply: Reply) -> None:
     """Take a reply that reaches nobody."""
--- a/sequoiaarch/tests/fleet/late_ends_tests.py
+++ b/sequoiaarch/tests/fleet/late_ends_tests.py
@@ -7,10 +7,8 @@
 
 from ...fleet.turn_server import TurnServer
 from ...ids import OpeningId
-from ...ledger.holds import Hold
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
-from ...ledger.terms import BudgetVerdict, TurnTerms
 from ...ledger.turns import LocalTurn, LocalTurns
 from ...standins.keyed_store import KeyedStore
 from ...wire.links import Send
@@ -22,6 +20,7 @@
     Request,
     TurnOpened,
 )
+from ..ledger.lending import SlowLender
 from .delegates_tests import (
     MOST,
     PATIENCE,
@@ -33,48 +32,6 @@
 )
 
 
-class OneLoan:
-    """Stand for a loan that a lender gave."""
-
-    def __init__(self, terms: TurnTerms) -> None:
-        self.terms = terms
-        self.by_log = False
-        self.granted = True
-        self.covered: int | None = terms.most
-        self.closed = False
-
-    async def verdict(self) -> BudgetVerdict:
-        """Return that the turn may begin."""
-        return BudgetVerdict.FITS
-
-    async def cover(self, total: int) -> bool:
-        """Return whether so many tokens may be handed out."""
-        return total <= self.terms.most
-
-    def hand_out(self, tokens: int) -> None:
-        """Count nothing."""
-
-    def close(self) -> None:
-        """Note that it was settled."""
-        self.closed = True
-
-
-class SlowLender:
-    """Lend after a moment."""
-
-    def __init__(self) -> None:
-        self.loans: list[OneLoan] = []
-        self.asked = asyncio.Event()
-
-    async def borrow(self, terms: TurnTerms, *, least: int) -> Hold | None:
-        """Return a loan after a moment."""
-        self.asked.set()
-        await asyncio.sleep(0.1)
-        loan = OneLoan(terms)
-        self.loans.append(loan)
-        return loan
-
-
 class LateEndTests(unittest.IsolatedAsyncioTestCase):
     """End turns while their delegate works on a request about them."""
 
@@ -104,6 +61,7 @@
         asked = asyncio.create_task(server.answer(confirm, _unheard))
         await lender.asked.wait()
         await server.answer(CloseTurnRequest(opening=opening, handed=0), _unheard)
+        lender.answer.set()
         await asked
         self.assertTrue(lender.loans)
         self.assertTrue(all(loan.closed for loan in lender.loans))
--- a/sequoiaarch/tests/ledger/turns_tests.py
+++ b/sequoiaarch/tests/ledger/turns_tests.py
@@ -8,13 +8,13 @@
 
 from ...ids import ProgramId, TurnId
 from ...ledger import turns as turns_module
-from ...ledger.holds import Hold
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
 from ...ledger.reservation import Reservation
 from ...ledger.terms import BudgetVerdict, TurnStart, TurnTerms
 from ...ledger.turns import LocalTurn, LocalTurns
 from ...standins.keyed_store import KeyedStore
+from .lending import SlowLender
 
 PROGRAM = ProgramId("program")
 MOST = 100
@@ -49,49 +49,6 @@
         return found
 
 
-class _Loan:
-    """Hold a loan that covers a whole turn."""
-
-    by_log = False
-    granted = True
-    covered = MOST
-
-    def __init__(self, *, terms: TurnTerms) -> None:
-        self.terms = terms
-        self.closed = False
-
-    async def verdict(self) -> BudgetVerdict:
-        """Return that it fits."""
-        return BudgetVerdict.FITS
-
-    async def cover(self, total: int) -> bool:
-        """Return whether the loan covers so much."""
-        return total <= MOST
-
-    def hand_out(self, tokens: int) -> None:
-        """Count nothing."""
-
-    def close(self) -> None:
-        """Note that the loan was settled."""
-        self.closed = True
-
-
-class _SlowLender:
-    """Lend once the test lets it."""
-
-    def __init__(self) -> None:
-        self.asked = asyncio.Event()
-        self.answer = asyncio.Event()
-        self.loans: list[_Loan] = []
-
-    async def borrow(self, terms: TurnTerms, *, least: int) -> Hold | None:
-        """Return a loan."""
-        self.asked.set()
-        await self.answer.wait()
-        self.loans.append(_Loan(terms=terms))
-        return self.loans[-1]
-
-
 class TurnsTestCase(unittest.IsolatedAsyncioTestCase):
     """Hold a store and ledgers of several processes on it."""
 
@@ -144,7 +101,7 @@
         turn was closed before the loan arrives. A loan that nobody settles counts as
         handed out at its most, and later turns are refused for it.
         """
-        lender = _SlowLender()
+        lender = SlowLender()
         budget = 10 * MOST
         with mock.patch.object(turns_module, "LOG_PATIENCE", DELAY / 5):
             ledger, _ = self.process("b", delay=DELAY)
