--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -67,9 +67,8 @@
     The turns of a program come through all gateways of a data centre. Each
     would read the program's records and have tokens granted to itself, and
     while the store is away could do neither. One that keeps the account has
-    the history in memory and tokens granted ahead: with 38 gateways the store
-    got less than half of the calls, and 90 % of what callers are owed was
-    earned in place of 87 %, in one run each of the same load and faults.
+    the history in memory and tokens granted ahead, which saves the store about
+    half of the calls.
 
     It has no authority: the log decides what counts, so two delegates at once,
     or none, cost calls and nothing else.
@@ -163,11 +162,7 @@
             )
         if isinstance(reply, TurnRefused):
             self._delegates.standing.served(host)
-            # What it can't tell, this process may reach the store for.
-            if reply.lookup is Lookup.ABSENT:
-                return reply.lookup
-            unsure = reply.verdict in (None, BudgetVerdict.UNCERTAIN)
-            return None if unsure else reply.verdict
+            return _sure_refusal(reply)
         # It may open the turn yet. What it then holds has no user: it would stand
         # in the way of this program until the turn's time is over, and count as
         # handed out from then on.
@@ -418,6 +413,15 @@
         await self._turns.ledger.write(terms, content)
 
 
+def _sure_refusal(reply: TurnRefused) -> TurnRefusal | None:
+    """Return why a delegate refused a turn; None where it can't tell."""
+    # What it can't tell, this process may reach the store for.
+    if reply.lookup is Lookup.ABSENT:
+        return reply.lookup
+    unsure = reply.verdict in (None, BudgetVerdict.UNCERTAIN)
+    return None if unsure else reply.verdict
+
+
 async def _ask(
     link: Link,
     request: OpenTurnRequest
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -97,7 +97,7 @@
 
     While the store is away no grant can be written, and a program that begins
     then, or has used what it was granted ahead, would be refused until it gives
-    up: 123 of 132 programs that began in an outage of 7 s were.
+    up.
     """
 
     def __init__(
--- a/sequoiaarch/ledger/account.py
+++ b/sequoiaarch/ledger/account.py
@@ -61,8 +61,8 @@
         self.told_at = 0.0
         self.room: int | None = None
         self.handed = 0
-        # In the order in which they began. Not by the name of their turn: of two
-        # openings of one turn the end of either would return what the other holds.
+        # In the order in which the grant covers them. Not by the name of their turn: of
+        # two openings of one turn the end of either would return what the other holds.
         self.open: list[OpenPart] = []
         self.raising: asyncio.Task[bool] | None = None
         self.touched = 0.0
@@ -129,7 +129,7 @@
         self.open.append(part)
 
     def _up_to(self, part: OpenPart) -> Iterator[OpenPart]:
-        """Return the parts of a turn and of all that began before it."""
+        """Return the parts of a turn and of all that are covered before it."""
         for one in self.open:
             yield one
             if one is part:
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -124,9 +124,9 @@
     def turn_ended(self, account: Account, *, unused: bool) -> None:
         """Return at once what an ended turn leaves, where it may be missing.
 
-        What a process had not returned when it was lost counts as spent for
-        good: a program that came back later was refused although its budget
-        held several more turns. An unused turn most likely runs elsewhere and
+        What a process has not returned when it is lost counts as spent for
+        good: a program that comes back later would be refused although its budget
+        holds several more turns. An unused turn most likely runs elsewhere and
         waits there for what it held here.
         """
         if account.raising is None and not account.settled:
@@ -140,7 +140,7 @@
         """Return all that no open turn needs, as the process is to end.
 
         What is not returned counts as spent by whoever follows: after a
-        planned restart programs were refused that had used a tenth.
+        planned restart programs would be refused that have used little.
         """
         for account in self._accounts.values():
             self._lower(account)
@@ -221,9 +221,9 @@
         """Return why a turn can't be granted, as the log stands.
 
         Where little is left the log is read first. What a process asks for by an
-        old view is granted as a part, found to be too much, and taken back; a
-        program that loops through several processes did so all the time, and the
-        parts that its running turns needed were taken by turns that never began.
+        old view is granted as a part, found to be too much, and taken back. A
+        program that loops through several processes would do so all the time, and
+        turns that never begin would take the parts that its running turns need.
         """
         if account.partition.stuck:
             return BudgetVerdict.UNCERTAIN
--- a/sequoiaarch/ledger/reservation.py
+++ b/sequoiaarch/ledger/reservation.py
@@ -35,9 +35,9 @@
 
     Where much of the budget is left the whole turn is granted at once. Else a
     part of it is, and more while the turn runs: turns generate a quarter of
-    their most on average, and what a lost process held counts as spent. After a
-    power loss a program whose budget held two turns was refused for good with
-    less than one of them handed out.
+    their most on average, and what a lost process held counts as spent. Were
+    whole turns held, a power loss would have a program whose budget holds two
+    refused for good with less than one of them handed out.
     """
 
     def __init__(
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -606,7 +606,7 @@
         async def answer(request: Request, send: Send) -> Reply:
             if not isinstance(request, kind):
                 return await before(request, send)
-            work = asyncio.create_task(before(request, _unheard))
+            work = asyncio.create_task(before(request, unheard))
             await asyncio.sleep(LATE)
             return await work
 
@@ -738,9 +738,9 @@
         """
         server = self.delegate.turn_server
         opening = OpeningId("1")
-        await server.answer(CloseTurnRequest(opening=opening, handed=0), _unheard)
+        await server.answer(CloseTurnRequest(opening=opening, handed=0), unheard)
         begin = OpenTurnRequest(opening=opening, start=start("t1"))
-        reply = await server.answer(begin, _unheard)
+        reply = await server.answer(begin, unheard)
         self.assertIsInstance(reply, Failed)
         self.assertEqual(server.open_turns, 0)
 
@@ -868,5 +868,5 @@
         turn.close()
 
 
-async def _unheard(reply: Reply) -> None:
+async def unheard(reply: Reply) -> None:
     """Take a reply that reaches nobody."""
--- a/sequoiaarch/tests/fleet/late_ends_tests.py
+++ b/sequoiaarch/tests/fleet/late_ends_tests.py
@@ -27,8 +27,8 @@
     PROGRAM,
     SETTLE_TIME,
     DelegatesTestCase,
-    _unheard,
     start,
+    unheard,
 )
 
 
@@ -54,13 +54,13 @@
         client.faults.delay = 2.0
         opening = OpeningId("1")
         begin = OpenTurnRequest(opening=opening, start=start("t1"))
-        opened = await server.answer(begin, _unheard)
+        opened = await server.answer(begin, unheard)
         assert isinstance(opened, TurnOpened), opened
         self.assertFalse(opened.granted)
         confirm = ConfirmTurnRequest(opening=opening)
-        asked = asyncio.create_task(server.answer(confirm, _unheard))
+        asked = asyncio.create_task(server.answer(confirm, unheard))
         await lender.asked.wait()
-        await server.answer(CloseTurnRequest(opening=opening, handed=0), _unheard)
+        await server.answer(CloseTurnRequest(opening=opening, handed=0), unheard)
         lender.answer.set()
         await asked
         self.assertTrue(lender.loans)
@@ -104,7 +104,7 @@
         await heard.wait()
         # The caller comes back with the same id, through a gateway that reaches it.
         again_begun = OpenTurnRequest(opening=OpeningId("another/1"), start=begun)
-        opened = await server.answer(again_begun, _unheard)
+        opened = await server.answer(again_begun, unheard)
         assert isinstance(opened, TurnOpened), opened
         assert opened.covered is not None
         handed = opened.covered
