--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -671,7 +671,7 @@
             opening = asyncio.create_task(
                 self.other.turns.open(start(f"turn-{number}", most=300))
             )
-            await self.until(lambda: self._owes())
+            await self.until(self._owes)
             await asyncio.sleep(number * ASK_TIMEOUT / 10)
             opening.cancel()
             try:
