--- a/sequoiaarch/tests/fleet/late_ends_tests.py
+++ b/sequoiaarch/tests/fleet/late_ends_tests.py
@@ -7,10 +7,8 @@
 
 from ...fleet.turn_server import TurnServer
 from ...ids import OpeningId
-from ...ledger.holds import Hold
 from ...ledger.ledger import Ledger
 from ...ledger.places import Places
-from ...ledger.terms import BudgetVerdict, TurnTerms
 from ...ledger.turns import LocalTurn, LocalTurns
 from ...standins.keyed_store import KeyedStore
 from ...wire.links import Send
@@ -22,59 +20,18 @@
     Request,
     TurnOpened,
 )
+from ..ledger.lending import SlowLender
 from .delegates_tests import (
     MOST,
     PATIENCE,
     PROGRAM,
     SETTLE_TIME,
     DelegatesTestCase,
-    _unheard,
     start,
+    unheard,
 )
 
 
-class OneLoan:
-    """Stand for a loan that a lender gave."""
-
-    def __init__(self, terms: TurnTerms) -> None:
-        self.terms = terms
-        self.by_log = False
-        self.granted = True
-        self.covered: int | None = terms.most
-        self.closed = False
-
-    async def verdict(self) -> BudgetVerdict:
-        """Return that the turn may begin."""
-        return BudgetVerdict.FITS
-
-    async def cover(self, total: int) -> bool:
-        """Return whether so many tokens may be handed out."""
-        return total <= self.terms.most
-
-    def hand_out(self, tokens: int) -> None:
-        """Count nothing."""
-
-    def close(self) -> None:
-        """Note that it was settled."""
-        self.closed = True
-
-
-class SlowLender:
-    """Lend after a moment."""
-
-    def __init__(self) -> None:
-        self.loans: list[OneLoan] = []
-        self.asked = asyncio.Event()
-
-    async def borrow(self, terms: TurnTerms, *, least: int) -> Hold | None:
-        """Return a loan after a moment."""
-        self.asked.set()
-        await asyncio.sleep(0.1)
-        loan = OneLoan(terms)
-        self.loans.append(loan)
-        return loan
-
-
 class LateEndTests(unittest.IsolatedAsyncioTestCase):
     """End turns while their delegate works on a request about them."""
 
@@ -97,13 +54,14 @@
         client.faults.delay = 2.0
         opening = OpeningId("1")
         begin = OpenTurnRequest(opening=opening, start=start("t1"))
-        opened = await server.answer(begin, _unheard)
+        opened = await server.answer(begin, unheard)
         assert isinstance(opened, TurnOpened), opened
         self.assertFalse(opened.granted)
         confirm = ConfirmTurnRequest(opening=opening)
-        asked = asyncio.create_task(server.answer(confirm, _unheard))
+        asked = asyncio.create_task(server.answer(confirm, unheard))
         await lender.asked.wait()
-        await server.answer(CloseTurnRequest(opening=opening, handed=0), _unheard)
+        await server.answer(CloseTurnRequest(opening=opening, handed=0), unheard)
+        lender.answer.set()
         await asked
         self.assertTrue(lender.loans)
         self.assertTrue(all(loan.closed for loan in lender.loans))
@@ -123,7 +81,7 @@
         was told to be covered: 134 tokens of a budget of 100 went out. Callers owe an
         id of its own to each request; nothing checks that.
         """
-        server = self.keeper.turn_server
+        server = self.delegate.turn_server
         begun = start("t1", lifetime=PATIENCE, budget=MOST)
         heard = asyncio.Event()
         again = asyncio.Event()
@@ -146,7 +104,7 @@
         await heard.wait()
         # The caller comes back with the same id, through a gateway that reaches it.
         again_begun = OpenTurnRequest(opening=OpeningId("another/1"), start=begun)
-        opened = await server.answer(again_begun, _unheard)
+        opened = await server.answer(again_begun, unheard)
         assert isinstance(opened, TurnOpened), opened
         assert opened.covered is not None
         handed = opened.covered
@@ -155,8 +113,8 @@
             while not told.is_set():
                 await asyncio.sleep(0.01)
         self.assertEqual(server.open_turns, 1, "the end was another turn's")
-        await self.keeper.ledger.flush()
-        second = await self.keeper.turns.open(
+        await self.delegate.ledger.flush()
+        second = await self.delegate.turns.open(
             start("t2", lifetime=PATIENCE, budget=MOST)
         )
         if isinstance(second, LocalTurn):
