Harm the links between gateways in the soak

The soak could not find a delegate that is late: gateways reached each other directly. Each has a proxy now, at which the store registers it for the others, and settings name proxies as seeds. The product is unchanged.

--- a/sequoiaarch/tests/platform/soak/__main__.py
+++ b/sequoiaarch/tests/platform/soak/__main__.py
@@ -27,6 +27,7 @@
 @click.option("--seed", default=1, help="First seed.")
 @click.option("--seeds", default=1, help="How many seeds, one after the other.")
 @click.option("--seconds", default=20.0, help="Seconds of each run.")
+@click.option("--link-seconds", default=10.0, help="And with harmed links only.")
 @click.option("--gateways", default=4, help="Gateway processes.")
 @click.option("--module", default=MODULE, help="Module that gateways run.")
 @click.option("--folder", type=Path, default=Path("results/soak"))
@@ -35,6 +36,7 @@
     seed: int,
     seeds: int,
     seconds: float,
+    link_seconds: float,
     gateways: int,
     module: str,
     folder: Path,
@@ -47,7 +49,13 @@
     failed = 0
     chosen = list(REGRESSIONS) if regressions else range(seed, seed + seeds)
     for number in chosen:
-        plan = Plan(seed=number, seconds=seconds, gateways=gateways, module=module)
+        plan = Plan(
+            seed=number,
+            seconds=seconds,
+            link_seconds=link_seconds,
+            gateways=gateways,
+            module=module,
+        )
         where = folder / f"seed-{number}"
         shutil.rmtree(where, ignore_errors=True)
         report = run_seed(plan, where.resolve())
--- a/sequoiaarch/tests/platform/soak/faults.py
+++ b/sequoiaarch/tests/platform/soak/faults.py
@@ -10,7 +10,7 @@
 
 from ....standins.keyed_store import KeyedStore
 from .gateways import Gateway
-from .proxy import Harm
+from .proxy import HARMS, Harm
 from .targets import SoakTarget, Trouble
 
 PAUSE = (0.1, 1.2)
@@ -132,7 +132,7 @@
 
     async def _harm_callers(self) -> None:
         gateway = self._rng.choice(self._gateways)
-        harm = self._rng.choice([one for one in Harm if one is not Harm.NONE])
+        harm = self._rng.choice(HARMS)
         gateway.disturb()
         gateway.callers.set(harm, SLOW_SECONDS)
         await asyncio.sleep(self._rng.uniform(*SHORT))
@@ -146,8 +146,7 @@
         await self._store_away(self._gateways)
 
     async def _store_away(self, gateways: list[Gateway]) -> None:
-        harms = [one for one in Harm if one is not Harm.NONE]
-        harm = self._rng.choice([*harms, None, None])
+        harm = self._rng.choice([*HARMS, None, None])
         self._begin()
         for gateway in gateways:
             if harm is None:
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -59,8 +59,8 @@
 class Gateway:
     """Hold one gateway: its process, its settings and the proxies around it.
 
-    `life` counts its processes. Callers come through `callers`, its calls to
-    the store go through `to_store`.
+    `life` counts its processes. Callers come through `callers`, other gateways
+    through `from_peers`, its calls to the store go through `to_store`.
     """
 
     def __init__(
@@ -82,6 +82,7 @@
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
         self.callers = FaultProxy(target=(self._address, self._front_port))
+        self.from_peers = FaultProxy(target=(self._address, self.control))
         self.to_store = FaultProxy(target=(LOOPBACK, 0))
 
     @property
@@ -92,14 +93,18 @@
     @property
     def inner(self) -> str:
         """Return the address at which other gateways reach this one."""
-        return f"{self._address}:{self.control}"
+        return f"{LOOPBACK}:{self.from_peers.port}"
 
-    async def prepare(self, seeds: list[str]) -> None:
-        """Start the proxies and write the settings."""
+    async def listen(self) -> None:
+        """Start the proxies."""
         await self.store.server.start(LOOPBACK, 0)
         self.to_store.target = (LOOPBACK, self.store.server.port)
         await self.to_store.start()
         await self.callers.start()
+        await self.from_peers.start()
+
+    def write_settings(self, seeds: list[str]) -> None:
+        """Write the settings, with addresses of other gateways."""
         text = SETTINGS.format(
             name=self.name,
             ip=self._address,
@@ -211,6 +216,7 @@
         self.signal(signal.SIGCONT)
         await self.kill()
         await self.callers.stop()
+        await self.from_peers.stop()
         await self.to_store.stop()
         self.store.server.stop_accepting()
         self.store.server.abort()
--- a/sequoiaarch/tests/platform/soak/proxy.py
+++ b/sequoiaarch/tests/platform/soak/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from enum import Enum
 
 from ....http1.sockets import reset_on_close
@@ -20,6 +21,23 @@
     DEAF = "nothing reaches the far end"
     MUTE = "nothing comes back"
     SILENT = "nothing passes either way"
+    LATE = "answers come later"
+
+
+# What callers and the way to the store meet.
+HARMS = (Harm.DELAY, Harm.RESET, Harm.DEAF, Harm.MUTE, Harm.SILENT)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Way:
+    """Say which harms a direction suffers from."""
+
+    slowed_by: tuple[Harm, ...]
+    blocked_by: tuple[Harm, ...]
+
+
+THERE = Way(slowed_by=(Harm.DELAY,), blocked_by=(Harm.DEAF, Harm.SILENT))
+BACK = Way(slowed_by=(Harm.DELAY, Harm.LATE), blocked_by=(Harm.MUTE, Harm.SILENT))
 
 
 class FaultProxy:
@@ -29,6 +47,8 @@
         self.target = target
         self.harm = Harm.NONE
         self.delay = 0.0
+        # How often something passed late or was held up.
+        self.harmed = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._healed = asyncio.Event()
@@ -48,7 +68,7 @@
         self.harm, self.delay = harm, delay
         if harm is Harm.RESET:
             self.reset()
-        if harm in (Harm.NONE, Harm.DELAY):
+        if harm in (Harm.NONE, Harm.DELAY, Harm.LATE):
             self._healed.set()
         else:
             self._healed.clear()
@@ -76,11 +96,9 @@
                 return
             far_reader, far = await asyncio.open_connection(*self.target)
             self._writers.add(far)
-            there = (Harm.DEAF, Harm.SILENT)
-            back = (Harm.MUTE, Harm.SILENT)
             ways = {
-                asyncio.create_task(self._pass(reader, far, there)),
-                asyncio.create_task(self._pass(far_reader, writer, back)),
+                asyncio.create_task(self._pass(reader, far, THERE)),
+                asyncio.create_task(self._pass(far_reader, writer, BACK)),
             }
             _, left = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
             # An end in one direction lets the other finish what it holds.
@@ -100,13 +118,14 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        blocked_by: tuple[Harm, ...],
+        way: Way,
     ) -> None:
         try:
             while data := await reader.read(READ_BYTES):
-                if self.harm is Harm.DELAY:
+                self.harmed += self.harm in way.slowed_by + way.blocked_by
+                if self.harm in way.slowed_by:
                     await asyncio.sleep(self.delay)
-                while self.harm in blocked_by:
+                while self.harm in way.blocked_by:
                     await self._healed.wait()
                 writer.write(data)
                 await writer.drain()
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -10,11 +10,11 @@
 
 import msgspec
 
-from ....standins.keyed_store import KeyedStore
 from ..site import ENGINES, ROUTES, TOOLS, config, route
 from .callers import Caller, KeptCaller, Line
 from .faults import Faults
 from .gateways import MODULE, START_SECONDS, Gateway
+from .links import LinkFaults, ProxiedStore
 from .tally import Promise, Tally
 from .targets import SoakTarget
 
@@ -24,14 +24,20 @@
 CALLERS_EACH = 4
 KEPT_EACH = 3
 QUIET_SECONDS = 3.0
+# Links are whole again for so long before the last check.
+LINKS_QUIET_SECONDS = 1.0
 LINES_CHECKED = 20
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """Say how large and how long a run is; `module` is what gateways run."""
+    """Say how large and how long a run is; `module` is what gateways run.
+
+    After `seconds` with all faults come `link_seconds` with none but harmed links.
+    """
 
     seed: int
     seconds: float = 20.0
+    link_seconds: float = 10.0
     gateways: int = 4
     module: str = MODULE
 
@@ -54,7 +60,7 @@
         self._plan = plan
         self._folder = folder
         self._rng = random.Random(plan.seed)
-        self._store = KeyedStore()
+        self._store = ProxiedStore()
         self._tally = Tally()
         self._version = 1
         self._gateways = [
@@ -92,6 +98,7 @@
             )
             for number in range(CALLERS_EACH * plan.gateways)
         ]
+        self._link_faults = LinkFaults(gateways=self._gateways, rng=self._fresh_rng())
 
     async def run(self) -> Report:
         """Run the site under faults, then quietly, and report."""
@@ -99,21 +106,27 @@
             await self._start()
             loop = asyncio.get_running_loop()
             until = loop.time() + self._plan.seconds
+            end = until + self._plan.link_seconds
             await asyncio.gather(
                 self._faults.run(until - QUIET_SECONDS),
                 *(one.run(until) for one in self._callers),
                 *(one.run(until) for one in self._kept),
+                self._link_faults.run(end - LINKS_QUIET_SECONDS),
             )
             await self._check_end()
         finally:
             await asyncio.gather(*(one.close() for one in self._gateways))
             await asyncio.gather(*(one.stop() for one in self._targets))
         self._tally.close()
+        for gateway in self._gateways:
+            self._tally.counts["harmed between gateways"] += gateway.from_peers.harmed
         return Report(
             seed=self._plan.seed,
             seconds=self._plan.seconds,
             counts=dict(sorted(self._tally.counts.items())),
-            faults=dict(sorted(self._faults.counts.items())),
+            faults=dict(
+                sorted((self._faults.counts + self._link_faults.counts).items())
+            ),
             broken=self._tally.broken,
             folder=str(self._folder),
         )
@@ -136,9 +149,13 @@
         await self._write_config()
         for target in self._targets:
             await target.start()
-        seeds = [one.inner for one in self._gateways[:3]]
         for gateway in self._gateways:
-            await gateway.prepare(seeds)
+            await gateway.listen()
+            self._store.proxies[gateway.name] = gateway.inner
+        for gateway in self._gateways:
+            others = [one.inner for one in self._gateways[:3] if one is not gateway]
+            gateway.write_settings(others)
+        for gateway in self._gateways:
             await gateway.start()
         await self._all_ready()
 
--- a/sequoiaarch/tests/platform/soak_tests.py
+++ b/sequoiaarch/tests/platform/soak_tests.py
@@ -13,6 +13,7 @@
 from .soak.run import Plan, Report, run_seed
 
 SECONDS = 10.0
+LINK_SECONDS = 5.0
 GATEWAYS = 3
 PLANTED_MODULE = "sequoiaarch.tests.platform.soak.planted"
 
@@ -42,9 +43,13 @@
 
     def test_short_seed(self) -> None:
         """Keep every promise while gateways die, freeze and lose the store."""
-        report = run(Plan(seed=1, seconds=SECONDS, gateways=GATEWAYS), print_last_lines)
+        plan = Plan(
+            seed=1, seconds=SECONDS, link_seconds=LINK_SECONDS, gateways=GATEWAYS
+        )
+        report = run(plan, print_last_lines)
         self.assertEqual(report.broken, [])
         self.assertGreater(report.counts["turns"], 0)
+        self.assertGreater(report.counts["harmed between gateways"], 0)
 
     def test_planted_fault_is_caught(self) -> None:
         """See that kept turns are missing when a gateway skips their commit.
@@ -52,8 +57,13 @@
         A soak that can't tell a broken system from a sound one proves nothing.
         """
         planting = {planted.VARIABLE: planted.commit_skipped.__name__}
+        plan = Plan(
+            seed=1,
+            seconds=SECONDS,
+            link_seconds=0.0,
+            gateways=GATEWAYS,
+            module=PLANTED_MODULE,
+        )
         with mock.patch.dict(os.environ, planting):
-            report = run(
-                Plan(seed=1, seconds=SECONDS, gateways=GATEWAYS, module=PLANTED_MODULE)
-            )
+            report = run(plan)
         self.assertTrue(any(one.startswith("HISTORY") for one in report.broken))
