Judge refusals of programs with small budgets in the soak

No promise of the soak broke when a budget was held for nobody: refusals for a budget were counted and not judged, and budgets of eight turns hardly notice a lost third of one. Callers with budgets of 1.6 turns now come back until they are served. A 402 while their turns leave room for one more breaks the tenth promise, ROOM, and so do six seconds of "the budget is held"; a turn that broke counts at its most.

--- a/sequoiaarch/tests/platform/soak/callers.py
+++ b/sequoiaarch/tests/platform/soak/callers.py
@@ -63,9 +63,16 @@
     """Send requests of programs to gateways drawn by lot."""
 
     def __init__(
-        self, *, name: str, gateways: list[Gateway], tally: Tally, rng: random.Random
+        self,
+        *,
+        name: str,
+        gateways: list[Gateway],
+        tally: Tally,
+        rng: random.Random,
+        deadline: float = DEADLINE,
     ) -> None:
         self.lines: list[Line] = []
+        self._deadline = deadline
         self._name = name
         self._gateways = gateways
         self._tally = tally
@@ -151,6 +158,7 @@
             "X-Program-Id": line.program,
             "X-Token-Budget": str(line.budget),
             "X-Token-Usage": f"10,{MOST_TOKENS}",
+            "X-Deadline-Ms": str(int(self._deadline * 1000)),
         }
         prompt = given
         if line.kept:
@@ -228,8 +236,12 @@
     tally: Tally,
 ) -> Answer:
     """Send one request on a connection and return what came."""
-    sent = {"Host": HOST, "X-Attempt-Id": attempt, **headers}
-    sent["X-Deadline-Ms"] = str(int(DEADLINE * 1000))
+    sent = {
+        "Host": HOST,
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": str(int(DEADLINE * 1000)),
+        **headers,
+    }
     message = RequestMessage(
         method=b"POST",
         target=path.encode(),
--- a/sequoiaarch/tests/platform/soak/faults.py
+++ b/sequoiaarch/tests/platform/soak/faults.py
@@ -83,6 +83,10 @@
             return float("inf")
         return self.store_calm_since
 
+    def undisturbed_since(self) -> float:
+        """Return since when no process was lost, and none kept from the store."""
+        return max(self.calm_since(), *(one.killed_at for one in self._gateways))
+
     def _draw(self) -> Gateway | None:
         """Return a gateway on which no other fault of a process is under way."""
         free = [one for one in self._gateways if one.name not in self._busy]
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -75,6 +75,7 @@
         self.life = 0
         # Changes with each fault that may cut connections of this gateway.
         self.quiet_since = 0.0
+        self.killed_at = 0.0
         self._ready_port = free_port(self._address)
         self._front_port = free_port(self._address)
         self._module = module
@@ -202,6 +203,7 @@
     async def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.disturb()
+        self.killed_at = asyncio.get_running_loop().time()
         self.signal(signal.SIGKILL)
         await self.ended(START_SECONDS)
 
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -15,6 +15,7 @@
 from .faults import Faults
 from .gateways import MODULE, START_SECONDS, Gateway
 from .links import LinkFaults, ProxiedStore
+from .small import SmallCaller
 from .tally import Promise, Tally
 from .targets import SoakTarget
 
@@ -23,6 +24,7 @@
 TOOL_COUNT = 3
 CALLERS_EACH = 4
 KEPT_EACH = 3
+SMALL_EACH = 3
 QUIET_SECONDS = 3.0
 # Links are whole again for so long before the last check.
 LINKS_QUIET_SECONDS = 1.0
@@ -99,6 +101,16 @@
             for number in range(CALLERS_EACH * plan.gateways)
         ]
         self._link_faults = LinkFaults(gateways=self._gateways, rng=self._fresh_rng())
+        self._small = [
+            SmallCaller(
+                name=f"small-{number}",
+                gateways=self._gateways,
+                tally=self._tally,
+                rng=self._fresh_rng(),
+                undisturbed_since=self._faults.undisturbed_since,
+            )
+            for number in range(SMALL_EACH * plan.gateways)
+        ]
 
     async def run(self) -> Report:
         """Run the site under faults, then quietly, and report."""
@@ -112,6 +124,7 @@
                 *(one.run(until) for one in self._callers),
                 *(one.run(until) for one in self._kept),
                 self._link_faults.run(end - LINKS_QUIET_SECONDS),
+                *(one.run(end) for one in self._small),
             )
             await self._check_end()
         finally:
--- a/sequoiaarch/tests/platform/soak/tally.py
+++ b/sequoiaarch/tests/platform/soak/tally.py
@@ -15,6 +15,7 @@
     NOT_RUN = "what was refused as not run has not run"
     HISTORY = "a kept turn is found, and its prompt is exact"
     BUDGET = "no more tokens than the budget and one turn"
+    ROOM = "a turn that the budget has room for is not refused for it for long"
     STOP = "a planned stop cuts nothing"
     CONFIGURATION = "a process never goes back to an older configuration"
     LEAVING = "a target that drains gets nothing new"
--- a/sequoiaarch/tests/platform/soak_tests.py
+++ b/sequoiaarch/tests/platform/soak_tests.py
@@ -49,6 +49,7 @@
         report = run(plan, print_last_lines)
         self.assertEqual(report.broken, [])
         self.assertGreater(report.counts["turns"], 0)
+        self.assertGreater(report.counts["small programs judged"], 0)
         self.assertGreater(report.counts["harmed between gateways"], 0)
 
     def test_planted_fault_is_caught(self) -> None:
