Have a caller come back whose room was returned while its grant was judged

Its delegate was late, opened the turn and returned it at once. The grant of the gateway that went on by itself fell between the two, where it had no room. When its verdict was judged nothing was held any more, and "nothing is held" was taken for "spent" though the turn fitted by then. It is told that the budget is held now.

A budget whose use leaves no room for a turn is refused as before.

--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -97,7 +97,7 @@
         if verdict is BudgetVerdict.FITS:
             return reservation
         if verdict is BudgetVerdict.EXCEEDED:
-            verdict = self._excess(account)
+            verdict = self._excess(account, terms)
         return self._refused(account, verdict)
 
     def ahead(self, program: ProgramId) -> None:
@@ -230,9 +230,9 @@
             return BudgetVerdict.UNCERTAIN
         if self._fits(account, terms):
             return None
-        return self._excess(account)
+        return self._excess(account, terms)
 
-    def _excess(self, account: Account) -> BudgetVerdict:
+    def _excess(self, account: Account, terms: TurnTerms) -> BudgetVerdict:
         """Return whether the budget is spent, or held for a moment.
 
         Open turns return most of what they hold: a program with four
@@ -246,7 +246,10 @@
             return BudgetVerdict.EXCEEDED
         held = state.returning(account.program, state.now() - RETURN_BOUND)
         open_here = any(part.left for part in account.open)
-        return BudgetVerdict.HELD if held or open_here else BudgetVerdict.EXCEEDED
+        # What was in the way of a grant may be gone by the time that it is read.
+        returned = self._fits(account, terms)
+        waits = held or open_here or returned
+        return BudgetVerdict.HELD if waits else BudgetVerdict.EXCEEDED
 
     def _refused(self, account: Account, verdict: BudgetVerdict) -> BudgetVerdict:
         """Log what was counted against a turn that is refused."""
--- a/sequoiaarch/tests/ledger/ledger_tests.py
+++ b/sequoiaarch/tests/ledger/ledger_tests.py
@@ -18,7 +18,7 @@
 from ...ledger.reservation import Reservation
 from ...ledger.terms import BudgetVerdict, History, Lookup, TurnContent, TurnTerms
 from ...standins.keyed_store import KeyedStore
-from ...storage.keyed import KeyedRecord, LogGap, Partition
+from ...storage.keyed import KeyedRecord, LogGap, Partition, Writer
 
 PROGRAM = ProgramId("program-1")
 BUDGET = 800
@@ -445,6 +445,49 @@
             await self.store.add(place, key, encode_record(record))
             self.assertIs(await running.cover(MOST), fits)
 
+    async def test_room_is_returned_while_a_turn_is_judged(self) -> None:
+        """Have a caller come back whose budget was held only for a moment.
+
+        Another process opens a turn and returns it at once, as its gateway has gone
+        elsewhere. A grant that falls between the two has no room at its place in the
+        log. By the time that it is read nothing is held any more, which was taken for
+        a budget that is spent.
+        """
+        ledger = await self.ledger("a")
+        client = self.clients["a"]
+        place = ledger.places.of_program(PROGRAM)
+        small = msgspec.structs.replace(terms("t1"), budget=int(1.6 * MOST))
+
+        async def put_other(tokens: int, wanted: int) -> None:
+            record = GrantRecord(
+                program=PROGRAM,
+                retention=RETENTION,
+                writer=WriterId("b"),
+                budget=small.budget,
+                tokens=tokens,
+                used=30,
+                wanted=wanted,
+            )
+            key = grant_key(PROGRAM, WriterId("b"))
+            await self.store.add(place, key, encode_record(record))
+
+        append = client.append
+
+        async def overtaken(
+            partition: Partition, records: list[KeyedRecord], *, writer: Writer
+        ) -> Offset | Failure:
+            await put_other(64, 30 + MOST)
+            done = await append(partition, records, writer=writer)
+            await put_other(30, 30)
+            return done
+
+        await put_other(30, 30)
+        with mock.patch.object(client, "append", overtaken):
+            found = await ledger.reserve(small)
+        self.assertIs(found, BudgetVerdict.HELD)
+        again = msgspec.structs.replace(small, turn=TurnId("t2"))
+        self.assertIsInstance(await ledger.reserve(again), Reservation)
+
     async def test_raise_without_an_answer(self) -> None:
         """Hand out nothing of a raise whose answer was lost, and go on after it.
 
