--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ....errors import ErrorKind, fail
+from ....fleet.delegates import DelegatedTurn, DelegatedTurns
 from ....http1.messages import LinkError
 from ....ids import LoanId
 from ....ingress.attempts import Attempts
@@ -56,6 +57,22 @@
     setattr(LoanBook, "lend", lend)  # noqa: B010
 
 
+def goes_on_untold() -> None:
+    """Open a turn elsewhere without telling a delegate that is late."""
+    tell = DelegatedTurns.tell_end
+
+    def tell_end(self: DelegatedTurns, *_: Any) -> None:
+        pass
+
+    def end_there(self: DelegatedTurn) -> None:
+        if not self._ended_there:
+            self._ended_there = True
+            tell(self._turns, self._link, self._start, self._handed)
+
+    setattr(DelegatedTurns, "tell_end", tell_end)  # noqa: B010
+    setattr(DelegatedTurn, "_end_there", end_there)  # noqa: B010
+
+
 def repeats_everything() -> None:
     """Send again what may run only once."""
 
@@ -116,6 +133,7 @@
         commit_skipped,
         budget_counted_late,
         lends_without_account,
+        goes_on_untold,
         repeats_everything,
         refuses_after_run,
         goes_back,
