--- a/sequoiaarch/tests/platform/soak/__main__.py
+++ b/sequoiaarch/tests/platform/soak/__main__.py
@@ -20,6 +20,7 @@
     144: "the same",
     145: "the same",
     301: "parts of lost lenders counted as spent: refused with an eighth used",
+    812: "room that was returned while a grant was judged: told that all is spent",
 }
 
 
