Keep the time for an answer that is asked for again in one place

Delegates and lenders had a constant each, with the same value and the same reason, which is the retry's own. Behaviour is the same; the test of a silent link looped over both and checks the one that is left.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -39,7 +39,7 @@
 from .peers import Peers
 from .ranking import SlotRanking
 from .standing import Standing
-from .telling import Telling
+from .telling import RETRY_TIMEOUT, Telling
 from .turn_server import failed
 
 log = logbook.Logger("delegates")
@@ -52,9 +52,6 @@
 COVER_FIRST_WORD = 0.4
 # What follows waits for the store, which may be slow. Seconds.
 LAST_WORD = 1.5
-# Longer than it takes to find a link silent, so that the next try has a new one.
-# Seconds.
-CLOSE_TIMEOUT = 2.0
 # A delegate that hears that a turn goes on elsewhere returns what it holds for it
 # with one append. Seconds.
 RETURN_WAIT = 0.4
@@ -110,7 +107,7 @@
         self._delegates = delegates
         self._local = local
         self._ledger = ledger
-        self._telling = Telling(timeout=CLOSE_TIMEOUT)
+        self._telling = Telling(timeout=RETRY_TIMEOUT)
         self._numbers = itertools.count(1)
 
     async def open(self, start: TurnStart) -> OpenTurn | TurnRefusal:
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -21,15 +21,12 @@
 from .claims import Claims, slot_of
 from .peers import Peers
 from .standing import Standing
-from .telling import Telling
+from .telling import RETRY_TIMEOUT, Telling
 from .turn_server import failed
 
 # A lender answers from memory. One that doesn't within this time is dead,
 # frozen or overloaded. Seconds.
 ASK_TIMEOUT = 0.15
-# Longer than it takes to find a link silent, so that the next try has a new one.
-# Seconds.
-SETTLE_TIMEOUT = 2.0
 # A lender that does not hear of the end of a loan counts it in full for as long as
 # its program may come back; one that is frozen or cut off for a while hears it in
 # this time. Seconds.
@@ -120,7 +117,7 @@
         self._standing = standing
         self._numbers = itertools.count(1)
         self._where: dict[LoanId, Link | None] = {}
-        self._telling = Telling(timeout=SETTLE_TIMEOUT)
+        self._telling = Telling(timeout=RETRY_TIMEOUT)
 
     async def borrow(self, terms: TurnTerms, *, least: int) -> Loan | None:
         """Return a loan of `least` tokens or more; None where there is none."""
--- a/sequoiaarch/fleet/telling.py
+++ b/sequoiaarch/fleet/telling.py
@@ -11,7 +11,9 @@
 
 log = logbook.Logger("peers")
 
-# Seconds.
+# For what is told again. Longer than it takes to find a link silent, so that the
+# next try has a new one. Seconds.
+RETRY_TIMEOUT = 2.0
 RETRY_PAUSE = 0.1
 
 
--- a/sequoiaarch/tests/fleet/lenders_tests.py
+++ b/sequoiaarch/tests/fleet/lenders_tests.py
@@ -21,9 +21,10 @@
     Retirement,
     slot_of,
 )
-from ...fleet.lenders import ASK_TIMEOUT, SETTLE_TIMEOUT, Lenders
+from ...fleet.lenders import ASK_TIMEOUT, Lenders
 from ...fleet.peers import TOPIC as PEERS_TOPIC, Peers, PeerServer
 from ...fleet.standing import GONE_FAILURES, Standing
+from ...fleet.telling import RETRY_TIMEOUT
 from ...fleet.turn_server import TurnServer
 from ...ids import DataCentre, HostName, OpeningId, ProgramId, TurnId, WriterId
 from ...ledger.holds import NoLender
@@ -549,7 +550,7 @@
         turn = await self.lent(self.other, "turn-1", most=300)
         turn.hand_out(40)
         turn.close()
-        await asyncio.sleep(SETTLE_TIMEOUT)
+        await asyncio.sleep(RETRY_TIMEOUT)
         await self.until(lambda: not self._owes())
         self.assertEqual(self.lender.book.totals(), {PROGRAM: 40})
 
--- a/sequoiaarch/tests/fleet/telling_tests.py
+++ b/sequoiaarch/tests/fleet/telling_tests.py
@@ -8,10 +8,8 @@
 import zmq
 import zmq.asyncio
 
-from ...fleet.delegates import CLOSE_TIMEOUT
-from ...fleet.lenders import SETTLE_TIMEOUT
 from ...fleet.peers import PEER_SILENCE
-from ...fleet.telling import Telling
+from ...fleet.telling import RETRY_TIMEOUT, Telling
 from ...ids import OpeningId
 from ...wire.links import Link
 from ...wire.messages import CloseTurnRequest
@@ -46,12 +44,10 @@
         before a link is taken for silent begins anew each time, on the dead
         connection, until nobody needs to know any more.
         """
-        for timeout in (CLOSE_TIMEOUT, SETTLE_TIMEOUT):
-            with self.subTest(timeout=timeout):
-                telling = Telling(timeout=timeout)
-                before = self.link._socket
-                request = CloseTurnRequest(opening=OpeningId("1"), handed=0)
-                telling.tell(self.link, request, patience=PEER_SILENCE)
-                async with asyncio.timeout(3 * PEER_SILENCE):
-                    while self.link._socket is before:
-                        await asyncio.sleep(0.05)
+        telling = Telling(timeout=RETRY_TIMEOUT)
+        before = self.link._socket
+        request = CloseTurnRequest(opening=OpeningId("1"), handed=0)
+        telling.tell(self.link, request, patience=PEER_SILENCE)
+        async with asyncio.timeout(3 * PEER_SILENCE):
+            while self.link._socket is before:
+                await asyncio.sleep(0.05)
