Know workspaces by the keys of their callers

A configuration's workspaces are read as typed, checked data; one that can't be understood changes nothing. A request without a good key is refused before anything is read or granted, but on public routes. The target is told the workspace of the key and nothing else; the key stays in the gateway and has no representation that a log line or error could show. Programs and turns carry their workspace in the ids by which the ledger, delegates and lenders know them, so equal ids of two workspaces are two programs, also after a restart. Where no workspaces are configured ids stay as they were, and earlier records are read.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -12,6 +12,7 @@
 from ..policies.health import next_event_due
 from ..routing.routes import Route
 from ..routing.targets import TargetEntry
+from ..workspaces.access import Caller
 from .calls import AnswerInfo, CallInfo, Dispatch
 from .dispatcher import Dispatcher
 
@@ -46,12 +47,14 @@
         *,
         message: RequestMessage,
         info: CallInfo,
+        caller: Caller,
         route: Route,
         deadline: float,
         dispatcher: Dispatcher,
     ) -> None:
         self._message = message
         self._info = info
+        self._caller = caller
         self._route = route
         self._deadline = deadline
         self._dispatcher = dispatcher
@@ -200,6 +203,14 @@
             instance=target.instance,
             deadline=left,
             body=self.body,
-            urgency=self._dispatcher.urgency(self._route, self._info, self.spent),
+            urgency=self._urgency(),
+            workspace=self._caller.workspace,
         )
         return self._dispatcher.codec.forward(self._message, dispatch)
+
+    def _urgency(self) -> int | None:
+        """Return the urgency at an engine; a workspace's priority goes first."""
+        rank = self._caller.priority
+        if rank is None:
+            rank = self._route.priority
+        return self._dispatcher.urgency(self._route, self._info, rank, self.spent)
--- a/sequoiaarch/ingress/calls.py
+++ b/sequoiaarch/ingress/calls.py
@@ -7,7 +7,21 @@
 import msgspec
 
 from ..http1.messages import Headers, RequestMessage, ResponseHead
-from ..ids import AttemptId, InstanceId, ProgramId, SessionId, TurnId
+from ..ids import AttemptId, InstanceId, ProgramId, SessionId, TurnId, Workspace
+
+
+class Secret:
+    """Hold a key so that no log line or error can show it."""
+
+    def __init__(self, value: str) -> None:
+        self._value = value
+
+    def __repr__(self) -> str:
+        return "Secret()"
+
+    def reveal(self) -> str:
+        """Return the key."""
+        return self._value
 
 
 class PromptPart(msgspec.Struct, frozen=True, kw_only=True):
@@ -21,7 +35,8 @@
     """Hold what a request says of itself; times in seconds from its arrival.
 
     `most_tokens` is the most that it may generate, `expected_tokens` the
-    caller's estimate; `previous` names the turn that it continues from.
+    caller's estimate; `previous` names the turn that it continues from. The key is
+    secret and shows in no representation.
     """
 
     attempt: AttemptId
@@ -37,18 +52,21 @@
     expected_tokens: int | None
     previous: TurnId | None
     prefix: tuple[PromptPart, ...]
+    key: Secret | None = None
 
 
 class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """Say how a request goes to a target; the deadline in seconds.
 
-    The most urgent requests have urgency 0, the least 9.
+    The most urgent requests have urgency 0, the least 9. `workspace` is the one
+    of the caller's key, if there is one.
     """
 
     instance: InstanceId
     deadline: float
     body: bytes
     urgency: int | None
+    workspace: Workspace | None = None
 
 
 class AnswerInfo(msgspec.Struct, frozen=True, kw_only=True):
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -276,12 +276,16 @@
 
     async def _answer_ready(self, message: RequestMessage, reply: Reply) -> None:
         if message.target.split(b"?")[0] == METRICS_PATH:
-            self._measure_state()
             headers = [(b"Content-Type", b"text/plain")]
-            await reply.whole(200, headers, self._metrics.text())
+            await reply.whole(200, headers, self.metrics_text())
             return
         await reply.whole(200 if self.ready else 503, [], b"")
 
+    def metrics_text(self) -> bytes:
+        """Return all metrics as text."""
+        self._measure_state()
+        return self._metrics.text()
+
     async def answer_peer(self, request: Request, send: Send) -> PeerReply:
         """Answer another daemon."""
         if self._fleet is None:
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -119,13 +119,13 @@
             return 1
         return found.engine.event_tokens
 
-    def urgency(self, route: Route, info: CallInfo, spent: float) -> int | None:
+    def urgency(
+        self, route: Route, info: CallInfo, rank: int, spent: float
+    ) -> int | None:
         """Return the urgency of a request at an engine; None for others."""
         if not route.sticky:
             return None
-        standing = ProgramStanding(
-            rank=route.priority, left=info.program_deadline, spent=spent
-        )
+        standing = ProgramStanding(rank=rank, left=info.program_deadline, spent=spent)
         return self._urgency.of(standing)
 
     def _service(self, route: Route) -> ServiceName:
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -15,6 +15,8 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.retries import patience
 from ..routing.routes import Route, RouteKind
+from ..workspaces.access import Caller
+from ..workspaces.directory import scoped
 from .attempts import Attempts, Running
 from .calls import CallInfo
 from .dispatcher import Dispatcher
@@ -42,6 +44,7 @@
         *,
         message: RequestMessage,
         info: CallInfo,
+        caller: Caller,
         route: Route,
         reply: Reply,
         deadline: float,
@@ -51,9 +54,12 @@
         metrics: RequestMetrics,
     ) -> None:
         self._metrics = metrics
+        # Equal ids of two workspaces are two programs.
+        self._program = scoped(caller.workspace, info.program)
         self._started = asyncio.get_running_loop().time()
         self._message = message
         self._info = info
+        self._caller = caller
         self._route = route
         self._reply = reply
         self._dispatcher = dispatcher
@@ -63,6 +69,7 @@
         self._attempts = Attempts(
             message=message,
             info=info,
+            caller=caller,
             route=route,
             deadline=deadline,
             dispatcher=dispatcher,
@@ -102,17 +109,18 @@
     async def _open_turn(self, budget: int) -> OpenTurn:
         """Reserve the turn and find what it continues, or say why not."""
         route, info = self._route, self._info
+        workspace = self._caller.workspace
         left = self._deadline - asyncio.get_running_loop().time()
         start = TurnStart(
             terms=TurnTerms(
-                turn=TurnId(info.attempt),
-                program=info.program,
+                turn=scoped(workspace, TurnId(info.attempt)),
+                program=self._program,
                 budget=budget,
                 most=info.most_tokens,
                 retention=route.retention,
                 session=info.session,
             ),
-            previous=info.previous,
+            previous=info.previous and scoped(workspace, info.previous),
             kept=route.retained,
             lifetime=left + TURN_MARGIN,
         )
@@ -127,7 +135,7 @@
         if info.previous is not None:
             return
         retry_after = self._dispatcher.refuse_start(self._route)
-        if retry_after is None or await self._ledger.knows_program(info.program):
+        if retry_after is None or await self._ledger.knows_program(self._program):
             return
         raise fail(
             ErrorKind.OVERLOADED, "all engines are full", retry_after=retry_after
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -17,6 +17,7 @@
 from ..observe.events import EventLog
 from ..observe.request_metrics import RequestMetrics
 from ..routing.routes import Route, RouteTable
+from ..workspaces.access import Caller, identify
 from .calls import CallInfo
 from .dispatcher import Dispatcher
 from .exchange import Exchange
@@ -37,6 +38,7 @@
     info: CallInfo | None = None
     routes: RouteTable | None = None
     route: Route | None = None
+    caller: Caller | None = None
     exchange: Exchange | None = None
     outcome: str = "answered"
     reason: str = ""
@@ -94,6 +96,9 @@
         route = request.route = routes.match(info.host, info.path)
         if route is None:
             raise fail(ErrorKind.NOT_FOUND, "no route")
+        key = info.key.reveal() if info.key is not None else None
+        caller = identify(routes.workspaces, key, public=route.public)
+        request.caller = caller
         limit = route.timeout
         if info.deadline is not None:
             limit = min(limit, info.deadline - CALLER_DELAY)
@@ -101,6 +106,7 @@
         exchange = request.exchange = Exchange(
             message=message,
             info=info,
+            caller=caller,
             route=route,
             reply=reply,
             deadline=deadline,
@@ -148,6 +154,7 @@
         self._events.emit(
             "request",
             id=info.attempt if info else "",
+            workspace=request.caller.workspace if request.caller else None,
             program=info.program if info else "",
             session=info.session if info else "",
             previous=info.previous if info else None,
--- a/sequoiaarch/platform/calls.py
+++ b/sequoiaarch/platform/calls.py
@@ -4,7 +4,7 @@
 
 from ..http1.messages import Headers, RequestMessage, ResponseHead, end_to_end
 from ..ids import AttemptId, InstanceId, ProgramId, SessionId, TurnId
-from ..ingress.calls import AnswerInfo, CallInfo, Dispatch, PromptPart
+from ..ingress.calls import AnswerInfo, CallInfo, Dispatch, PromptPart, Secret
 
 ATTEMPT = b"x-attempt-id"
 DEADLINE = b"x-deadline-ms"
@@ -20,10 +20,12 @@
 INSTANCE = b"x-instance-id"
 NOT_RUN = b"x-not-executed"
 PRIORITY = b"x-request-priority"
+KEY = b"api-key"
+WORKSPACE = b"x-tenant"
 MISDIRECTED = 421
 
-# Headers by which a request holds engine memory or names a place in it. Only
-# the scheduler may set them: from a caller they would pin another's memory.
+# Headers that only the scheduler may set, as they hold engine memory, name a place
+# in it or say who the caller is; and the caller's key, which goes no further.
 RESERVED = frozenset(
     {
         b"x-hold",
@@ -34,6 +36,8 @@
         b"x-expect-version",
         EXPECT_INSTANCE,
         PRIORITY,
+        KEY,
+        WORKSPACE,
     }
 )
 
@@ -46,6 +50,7 @@
         found = {name.lower(): value.strip() for name, value in message.headers}
         usage = _numbers(found.get(USAGE))
         previous = _text(found.get(PREVIOUS))
+        key = _text(found.get(KEY))
         return CallInfo(
             attempt=AttemptId(_text(found.get(ATTEMPT)) or ""),
             host=_text(found.get(b"host")) or "",
@@ -60,6 +65,7 @@
             expected_tokens=_number(found.get(HINT)),
             previous=TurnId(previous) if previous else None,
             prefix=_prefix(found.get(PREFIX)),
+            key=Secret(key) if key else None,
         )
 
     def forward(self, message: RequestMessage, dispatch: Dispatch) -> RequestMessage:
@@ -74,6 +80,8 @@
         headers.append((b"X-Expect-Instance", dispatch.instance.encode()))
         if dispatch.urgency is not None:
             headers.append((b"X-Request-Priority", str(dispatch.urgency).encode()))
+        if dispatch.workspace:
+            headers.append((b"X-Tenant", dispatch.workspace.encode()))
         return RequestMessage(
             method=message.method,
             target=message.target,
--- a/sequoiaarch/platform/documents.py
+++ b/sequoiaarch/platform/documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..ids import DataCentre, InstanceId, ServiceName
+from ..ids import DataCentre, InstanceId, ServiceName, Workspace
 from ..routing.routes import (
     ClientLimits,
     EngineTraits,
@@ -18,6 +18,7 @@
     ServiceShare,
 )
 from ..routing.targets import TargetEntry
+from ..workspaces.directory import Directory, RateLimit, WorkspaceEntry
 from .fields import Fields, split_address
 
 CONFIG_TOPIC = "keyed.op"
@@ -48,6 +49,7 @@
     retention_s: float = 60
     sticky: bool = False
     resumable: bool = False
+    public: bool = False  # needs no key
 
 
 class _Runtime(Fields, frozen=True):
@@ -69,11 +71,20 @@
     idle_timeout_ms: float = 15000
 
 
+class _Tenant(Fields, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0  # 0 for no limit
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0
+
+
 class _Config(Fields, frozen=True):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
 
 
 class _Registration(Fields, frozen=True):
@@ -89,7 +100,7 @@
 
 
 def decode_routes(data: bytes) -> RouteTable:
-    """Return the routes in a configuration; raises msgspec.DecodeError."""
+    """Return the routes in a configuration; raises ValueError."""
     config = msgspec.json.decode(data, type=_Config, strict=False)
     limits = ClientLimits(
         header_bytes=config.limits.max_header_bytes,
@@ -102,6 +113,7 @@
         routes=[_route(one) for one in config.routes],
         services=[_service(one) for one in config.services],
         limits=limits,
+        workspaces=_workspaces(config.tenants),
     )
 
 
@@ -150,6 +162,25 @@
         retention=found.retention_s,
         sticky=found.sticky,
         resumable=found.resumable,
+        public=found.public,
+    )
+
+
+def _workspaces(found: list[_Tenant] | None) -> Directory | None:
+    if found is None:
+        return None
+    return Directory(_workspace(one) for one in found)
+
+
+def _workspace(found: _Tenant) -> WorkspaceEntry:
+    limit = None
+    if found.rate_per_s:
+        limit = RateLimit(rate=found.rate_per_s, burst=found.burst)
+    return WorkspaceEntry(
+        name=Workspace(found.name),
+        keys=frozenset(found.api_keys),
+        priority=found.priority,
+        limit=limit,
     )
 
 
--- a/sequoiaarch/routing/routes.py
+++ b/sequoiaarch/routing/routes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..ids import ServiceName
+from ..workspaces.directory import Directory
 
 
 class RouteKind(Enum):
@@ -30,7 +31,7 @@
     """Describe one route; times in seconds, priority 0 is the most urgent.
 
     `event_pause` is the longest time between two events that callers accept, 0
-    where none is named.
+    where none is named. A `public` route needs no key.
     """
 
     name: str
@@ -47,6 +48,7 @@
     retention: float = 60.0
     sticky: bool = False
     resumable: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -80,7 +82,10 @@
 
 
 class RouteTable:
-    """Hold the routes, services and limits of one configuration version."""
+    """Hold the routes, services and limits of one configuration version.
+
+    `workspaces` is None where the configuration knows none and callers need no key.
+    """
 
     def __init__(
         self,
@@ -89,9 +94,11 @@
         routes: Iterable[Route],
         services: Iterable[Service],
         limits: ClientLimits,
+        workspaces: Directory | None = None,
     ) -> None:
         self.version = version
         self.limits = limits
+        self.workspaces = workspaces
         self.services = {service.name: service for service in services}
         self._by_host: dict[str, list[Route]] = {}
         for route in routes:
--- a/sequoiaarch/standins/keyed_store.py
+++ b/sequoiaarch/standins/keyed_store.py
@@ -77,6 +77,15 @@
             topic.first = topic.end
             topic.records.clear()
 
+    def records(self, *, but: str) -> list[KeyedRecord]:
+        """Return the records of all topics but one."""
+        return [
+            record
+            for partition, topic in self._topics.items()
+            if partition.topic != but
+            for record in topic.records
+        ]
+
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Write a record as the operator or a target would."""
         await self.add(Partition(topic=topic, number=0), key, value)
--- a/sequoiaarch/tests/platform/names_tests.py
+++ b/sequoiaarch/tests/platform/names_tests.py
@@ -23,6 +23,8 @@
     "|kvcapacitytokens|kvtokenbytes|chunktokens|coldremainingms|heartbeatms"
     "|maxheaderbytes|maxbodybytes|headertimeoutms|idletimeoutms|nodename"
     "|machineclass|internalportrange|firstoffset|endoffset|hasmore|sequoiaarch_settings"
+    "|api-key|apikeys|x-tenant|tenants?\\b|ratepers|revokems|revokestrict"
+    "|quotawindows|quotaoverage|quotaslack"
 )
 
 
--- a/sequoiaarch/tests/platform/site.py
+++ b/sequoiaarch/tests/platform/site.py
@@ -15,6 +15,7 @@
 from ...ids import DataCentre, HostName
 from ...ingress.daemon import IngressDaemon
 from ...ingress.options import IngressOptions, StoreOptions
+from ...observe.events import EventLog
 from ...platform.calls import PlatformCalls
 from ...platform.program import SOURCES
 from ...standins.keyed_store import KeyedStore, KeyedStoreClient
@@ -67,7 +68,12 @@
     }
 
 
-def config(version: int, routes: list[dict[str, Any]]) -> bytes:
+def tenant(name: str, *keys: str, **more: Any) -> dict[str, Any]:
+    """Return a workspace as the operator writes it."""
+    return {"name": name, "apiKeys": list(keys), "priority": 1, **more}
+
+
+def config(version: int, routes: list[dict[str, Any]], **more: Any) -> bytes:
     """Return a configuration as the operator writes it."""
     engine = {"slots": 8, "kvCapacityTokens": 90000, "chunkTokens": EVENT_TOKENS}
     services = [
@@ -79,6 +85,7 @@
         "routes": routes,
         "services": services,
         "limits": {"idleTimeoutMs": 15000},
+        **more,
     }
     return json.dumps(document).encode()
 
@@ -185,7 +192,11 @@
         await self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
     async def add_daemon(
-        self, name: str, *, peers: Peers | None = None
+        self,
+        name: str,
+        *,
+        peers: Peers | None = None,
+        events: EventLog | None = None,
     ) -> IngressDaemon:
         """Start an ingress daemon and wait until it is ready."""
         client = self.store.client()
@@ -208,6 +219,7 @@
             codec=PlatformCalls(),
             sources=SOURCES,
             peers=peers,
+            events=events,
         )
         self.clients[name] = client
         self.daemons[name] = daemon
@@ -259,9 +271,11 @@
         previous: str | None = None,
         budget: int = 1000,
         path: str = "/kept/a",
+        **more: str,
     ) -> Answer:
         """Run a turn of a program."""
-        more = {"X_Previous_Turn": previous} if previous else {}
+        if previous:
+            more["X_Previous_Turn"] = previous
         return await self.call(
             daemon,
             path,
--- /dev/null
+++ b/sequoiaarch/tests/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Test workspaces: keys, isolation, revocation and limits."""
--- /dev/null
+++ b/sequoiaarch/tests/workspaces/directory_tests.py
@@ -0,0 +1,75 @@
+"""Test which workspace a key belongs to."""
+
+from __future__ import annotations
+
+import unittest
+
+from ...errors import ErrorKind, FailureError
+from ...ids import ProgramId, Workspace
+from ...workspaces.access import OPEN_CALLER, identify
+from ...workspaces.directory import ANONYMOUS, Directory, WorkspaceEntry, scoped
+
+ONE, TWO = Workspace("one"), Workspace("two")
+
+
+def entry(name: str, *keys: str, priority: int | None = None) -> WorkspaceEntry:
+    """Return a workspace that holds keys."""
+    return WorkspaceEntry(name=Workspace(name), keys=frozenset(keys), priority=priority)
+
+
+DIRECTORY = Directory([entry("one", "k1", "k2", priority=0), entry("two", "k3")])
+
+
+class DirectoryTests(unittest.TestCase):
+    """Look keys up."""
+
+    def test_keys_of_two_workspaces(self) -> None:
+        """Find the workspace of each key."""
+        found = [identify(DIRECTORY, key, public=False) for key in ("k1", "k2", "k3")]
+        self.assertEqual([one.workspace for one in found], [ONE, ONE, TWO])
+        self.assertEqual([one.priority for one in found], [0, 0, None])
+
+    def test_key_that_nobody_holds(self) -> None:
+        """Refuse an unknown or missing key, and name it nowhere."""
+        for key in ("secret-text", "", None):
+            with self.subTest(key=key), self.assertRaises(FailureError) as caught:
+                identify(DIRECTORY, key, public=False)
+            failure = caught.exception.failure
+            self.assertIs(failure.kind, ErrorKind.UNAUTHORISED)
+            self.assertNotIn("secret-text", str(caught.exception))
+
+    def test_public_route(self) -> None:
+        """Let callers without a good key use a public route, as nobody."""
+        for key in ("unknown", None):
+            found = identify(DIRECTORY, key, public=True)
+            self.assertEqual(found.workspace, ANONYMOUS)
+        self.assertEqual(identify(DIRECTORY, "k3", public=True).workspace, TWO)
+
+    def test_no_workspaces_are_configured(self) -> None:
+        """Ask for no key where the configuration knows no workspaces."""
+        self.assertIs(identify(None, None, public=False), OPEN_CALLER)
+
+    def test_invalid_entries(self) -> None:
+        """Refuse names and keys that can't be told apart, without showing a key."""
+        cases = [
+            [entry("", "k")],
+            [entry("a:b", "k")],
+            [entry("a\nb", "k")],
+            [entry("a", "k"), entry("a", "l")],
+            [entry("a", "secret"), entry("b", "secret")],
+            [entry("a", "")],
+        ]
+        for entries in cases:
+            with self.subTest(entries=entries):
+                with self.assertRaises(ValueError) as caught:
+                    Directory(entries)
+                self.assertNotIn("secret", str(caught.exception))
+
+    def test_scoped_ids_differ(self) -> None:
+        """Give equal ids of several workspaces, and of none, different scopes."""
+        name = ProgramId("two:p")
+        ids = [scoped(one, name) for one in (ONE, TWO, ANONYMOUS, None)]
+        ids.append(scoped(TWO, ProgramId("p")))
+        self.assertEqual(len(set(ids[:3])), 3)
+        self.assertEqual(scoped(None, name), name)
+        self.assertNotEqual(scoped(ANONYMOUS, name), scoped(TWO, ProgramId("p")))
--- /dev/null
+++ b/sequoiaarch/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the workspaces of callers apart, and within their limits."""
