Refuse keys that may have been taken away

Each request with a key rests on a view of the configuration whose age is known: when the last read of it that was answered began, on the clock that counts pauses, also where a peer carried the read. Beyond the bound of the deployment, less a twentieth for clocks, the request is refused at once as not run; the line in the log names the age. It is checked again right before each send, as a request may have waited for a grant or a retry, or its process been frozen. Reads of the configuration end after a fifth of the bound there, so that a view is two fifths old at most while reads succeed, and some may fail before anybody is refused.

--- a/sequoiaarch/errors.py
+++ b/sequoiaarch/errors.py
@@ -37,6 +37,7 @@
     MOVED = "moved"
     NO_TARGET = "no_target"
     LOG_UNAVAILABLE = "log_unavailable"
+    OUTDATED = "outdated"
     SUPERSEDED = "superseded"
     INTERRUPTED = "interrupted"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -75,6 +76,7 @@
     ErrorKind.MOVED: Answer(status=503, not_run=NotRun.YES, retry_after=0.2),
     ErrorKind.NO_TARGET: Answer(status=503, not_run=NotRun.YES, retry_after=1.0),
     ErrorKind.LOG_UNAVAILABLE: Answer(status=503, not_run=NotRun.YES, retry_after=2.0),
+    ErrorKind.OUTDATED: Answer(status=503, not_run=NotRun.YES, retry_after=0.2),
     ErrorKind.SUPERSEDED: Answer(status=409, not_run=NotRun.NO, retry_after=0.2),
     ErrorKind.INTERRUPTED: Answer(status=502, not_run=NotRun.NO, retry_after=0.2),
     ErrorKind.OUTCOME_UNKNOWN: Answer(status=502, not_run=NotRun.UNKNOWN),
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -142,6 +142,7 @@
         link: ClientLink | None = None
         try:
             link = await self._dispatcher.pool.take(target)
+            self._confirm_caller()
             await link.send(self._outgoing(target))
             self._sends += 1
             self._dispatcher.sent(target, self._route, self._info, self)
@@ -208,6 +209,17 @@
         )
         return self._dispatcher.codec.forward(self._message, dispatch)
 
+    def _confirm_caller(self) -> None:
+        """Check the key again; an earlier attempt may have run all the same."""
+        try:
+            self._dispatcher.access.confirm(
+                self._caller, self._info.key_text, public=self._route.public
+            )
+        except FailureError as error:
+            if self._sends:
+                raise fail(ErrorKind.INTERRUPTED, str(error)) from error
+            raise
+
     def _urgency(self) -> int | None:
         """Return the urgency at an engine; a workspace's priority goes first."""
         rank = self._caller.priority
--- a/sequoiaarch/ingress/calls.py
+++ b/sequoiaarch/ingress/calls.py
@@ -54,6 +54,11 @@
     prefix: tuple[PromptPart, ...]
     key: Secret | None = None
 
+    @property
+    def key_text(self) -> str | None:
+        """Return the caller's key, which must not be logged or sent."""
+        return self.key.reveal() if self.key is not None else None
+
 
 class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """Say how a request goes to a target; the deadline in seconds.
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -27,7 +27,7 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
 from ..policies.health import TargetHealth
-from ..routing.follower import TopicFollower
+from ..routing.follower import WAIT_SECONDS, TopicFollower, boot_time
 from ..routing.registrations import Registrations
 from ..routing.routes import ClientLimits, RouteTable
 from ..routing.targets import TargetEntry, Targets
@@ -35,6 +35,7 @@
 from ..storage.relayed import Way
 from ..wire.links import Send
 from ..wire.messages import Reply as PeerReply, Request
+from ..workspaces.access import Access
 from .calls import CallCodec
 from .dispatcher import Dispatcher
 from .handler import RequestHandler
@@ -58,6 +59,7 @@
 TURNS_SHARE = 0.1
 LINKS_SHARE = 0.6
 METRICS_PATH = b"/metrics"
+READS_WITHIN_LIMIT = 5
 
 
 class Sources:
@@ -119,6 +121,7 @@
         )
         memory = PrefixMemory()
         health = TargetHealth(own=options.host, place=self._place)
+        access = Access(limit=options.key_age_limit)
         self.dispatcher = Dispatcher(
             codec=codec,
             data_centre=options.data_centre,
@@ -127,6 +130,7 @@
             memory=memory,
             plain=NearestFree(rng=rng),
             health=health,
+            access=access,
             rng=rng,
         )
         self._metrics = metrics or RequestMetrics()
@@ -161,7 +165,9 @@
             topic=sources.routes_topic,
             replace=self._take_all_routes,
             change=self._take_routes,
+            wait=_read_wait(options.key_age_limit),
         )
+        access.age = lambda: boot_time() - self._routes_follower.seen_from
         registrations = Registrations(
             decode=sources.decode_target, targets=self.targets
         )
@@ -332,6 +338,7 @@
         if current is not None and routes.version <= current.version:
             return
         self.dispatcher.routes = routes
+        self.dispatcher.access.directory = routes.workspaces
         self.front.limits = self._server_limits(routes.limits)
         log.info("version {}: {} routes", routes.version, routes.route_count)
 
@@ -347,3 +354,14 @@
 
     def _forget(self, instance: InstanceId) -> None:
         self.dispatcher.forget(instance)
+
+
+def _read_wait(limit: float | None) -> float:
+    """Return how long a read of the configuration may wait for a change.
+
+    A view is up to two reads old while all goes well. It has to stay far below the
+    limit, so that reads that fail for a second refuse nobody.
+    """
+    if limit is None:
+        return WAIT_SECONDS
+    return min(WAIT_SECONDS, limit / READS_WITHIN_LIMIT)
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -15,6 +15,7 @@
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
 from ..storage.relayed import Way
+from ..workspaces.access import Access
 from .calls import CallCodec, CallInfo
 from .load import LoadBoard
 from .pool import TargetPool
@@ -33,9 +34,11 @@
         memory: PrefixMemory,
         plain: EnginePlacement,
         health: TargetHealth,
+        access: Access,
         rng: random.Random,
     ) -> None:
         self.codec = codec
+        self.access = access
         self.pool = TargetPool()
         self.load = LoadBoard(health=health)
         self.retries: RetryPolicy = RetryBudget()
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -17,7 +17,7 @@
 from ..observe.events import EventLog
 from ..observe.request_metrics import RequestMetrics
 from ..routing.routes import Route, RouteTable
-from ..workspaces.access import Caller, identify
+from ..workspaces.access import Caller
 from .calls import CallInfo
 from .dispatcher import Dispatcher
 from .exchange import Exchange
@@ -96,8 +96,7 @@
         route = request.route = routes.match(info.host, info.path)
         if route is None:
             raise fail(ErrorKind.NOT_FOUND, "no route")
-        key = info.key.reveal() if info.key is not None else None
-        caller = identify(routes.workspaces, key, public=route.public)
+        caller = self._dispatcher.access.identify(info.key_text, public=route.public)
         request.caller = caller
         limit = route.timeout
         if info.deadline is not None:
@@ -160,6 +159,7 @@
             previous=info.previous if info else None,
             route=route,
             config=request.routes.version if request.routes else None,
+            config_age=round(self._dispatcher.access.age(), 3),
             targets_age=round(self._dispatcher.targets_age(), 3),
             store=self._dispatcher.store_way().value,
             status=reply.status,
--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -20,7 +20,8 @@
     """Set addresses and limits; sizes in bytes, times in seconds.
 
     Other daemons reach this one at `inner`; `seeds` are such addresses of a
-    few of them, some of which may be gone.
+    few of them, some of which may be gone. Keys count up to `key_age_limit` after
+    the configuration was last known to hold them; None for ever.
     """
 
     host: HostName
@@ -34,3 +35,4 @@
     descriptors: int
     stop_timeout: float
     store: StoreOptions
+    key_age_limit: float | None = None
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -13,6 +13,8 @@
 
 SETTINGS_VARIABLE = "SEQUOIAARCH_SETTINGS"
 MIB = 1024 * 1024
+# The rest is for clocks of two machines that run at slightly different speeds.
+REVOKE_SHARE = 0.95
 
 
 class _Listen(Fields, frozen=True):
@@ -28,6 +30,16 @@
 
 class _Bounds(Fields, frozen=True):
     grace_s: float = 8
+    # Whether, and for how long after its removal, a key may still be used.
+    revoke_strict: bool = False
+    revoke_ms: float = 5000
+
+    @property
+    def key_age_limit(self) -> float | None:
+        """Return up to which age a view of the keys counts, in seconds."""
+        if not self.revoke_strict:
+            return None
+        return self.revoke_ms / 1000 * REVOKE_SHARE
 
 
 class _Platform(Fields, frozen=True):
@@ -65,6 +77,7 @@
         memory_bytes=found.limits.memory_mb * MIB,
         descriptors=found.limits.max_fds,
         stop_timeout=found.bounds.grace_s,
+        key_age_limit=found.bounds.key_age_limit,
         store=StoreOptions(
             address=(store_host, store_port), partitions=found.platform.parts
         ),
--- a/sequoiaarch/tests/platform/keys_tests.py
+++ b/sequoiaarch/tests/platform/keys_tests.py
@@ -16,6 +16,7 @@
     ENGINES,
     ROUTES,
     TOOLS,
+    Answer,
     SiteTestCase,
     config,
     route,
@@ -120,6 +121,24 @@
             answer = await self.kept("more", key, previous="t1", daemon=later)
             self.assertEqual(answer.status, status)
 
+    async def test_store_is_away_for_longer_than_keys_count(self) -> None:
+        """Refuse keys at once that may have been taken away, until the store is back.
+
+        The refusal promises that the request has not run and says when to come back.
+        """
+        strict = await self.add_daemon("strict", key_age_limit=1.0)
+        self.clients["strict"].faults.down = True
+        refused = await self.until(strict, 503)
+        self.assertIn(b'"not_run":"true"', refused.body)
+        self.assertGreater(float(refused.headers["retry-after"]), 0)
+        sent = len(self.seen)
+        self.assertEqual((await self.keyed("/safe/a", KEY_ONE, strict)).status, 503)
+        self.assertEqual(len(self.seen), sent)
+        public = await self.call(strict, "/public/a")
+        self.assertEqual(public.status, 200)
+        self.clients["strict"].faults.down = False
+        await self.until(strict, 200)
+
     async def test_records_from_before_workspaces(self) -> None:
         """Read turns that were kept while no workspaces were configured."""
         await self.store.put("keyed.op", "config", config(3, ROUTES))
@@ -168,9 +187,20 @@
         for text in (sent, records, metrics, logged):
             self.assertNotIn(KEY_ONE.encode(), text)
 
-    async def keyed(self, path: str, key: str) -> Any:
+    async def keyed(
+        self, path: str, key: str, daemon: IngressDaemon | None = None
+    ) -> Any:
         """Call a route with a key."""
-        return await self.call(self.gateway, path, Api_Key=key)
+        return await self.call(daemon or self.gateway, path, Api_Key=key)
+
+    async def until(self, daemon: IngressDaemon, status: int) -> Answer:
+        """Call with a key again and again until a status is answered."""
+        async with asyncio.timeout(10):
+            while True:
+                answer: Answer = await self.keyed("/safe/a", KEY_ONE, daemon)
+                if answer.status == status:
+                    return answer
+                await asyncio.sleep(0.05)
 
     async def kept(
         self, body: str, key: str, *, daemon: IngressDaemon | None = None, **more: Any
--- a/sequoiaarch/tests/platform/site.py
+++ b/sequoiaarch/tests/platform/site.py
@@ -197,6 +197,7 @@
         *,
         peers: Peers | None = None,
         events: EventLog | None = None,
+        **more: Any,
     ) -> IngressDaemon:
         """Start an ingress daemon and wait until it is ready."""
         client = self.store.client()
@@ -212,6 +213,7 @@
             descriptors=1000,
             stop_timeout=8.0,
             store=StoreOptions(address=(LOOPBACK, 0)),
+            **more,
         )
         daemon = IngressDaemon(
             options=options,
--- a/sequoiaarch/tests/workspaces/directory_tests.py
+++ b/sequoiaarch/tests/workspaces/directory_tests.py
@@ -6,7 +6,7 @@
 
 from ...errors import ErrorKind, FailureError
 from ...ids import ProgramId, Workspace
-from ...workspaces.access import OPEN_CALLER, identify
+from ...workspaces.access import OPEN_CALLER, Access, Caller
 from ...workspaces.directory import ANONYMOUS, Directory, WorkspaceEntry, scoped
 
 ONE, TWO = Workspace("one"), Workspace("two")
@@ -20,6 +20,13 @@
 DIRECTORY = Directory([entry("one", "k1", "k2", priority=0), entry("two", "k3")])
 
 
+def identify(directory: Directory | None, key: str | None, *, public: bool) -> Caller:
+    """Return the caller that a directory knows by a key."""
+    access = Access()
+    access.directory = directory
+    return access.identify(key, public=public)
+
+
 class DirectoryTests(unittest.TestCase):
     """Look keys up."""
 
--- a/sequoiaarch/workspaces/access.py
+++ b/sequoiaarch/workspaces/access.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from ..errors import ErrorKind, fail
 from ..ids import Workspace
 from .directory import ANONYMOUS, Directory, RateLimit
 
+# A process whose view is too old follows the store again within a read or two;
+# if it is cut off, another one serves the caller. Seconds.
+OUTDATED_RETRY = 0.1
+
 
 class Caller(msgspec.Struct, frozen=True, kw_only=True):
     """Hold who a caller is.
@@ -24,18 +30,56 @@
 OPEN_CALLER = Caller()
 
 
-def identify(directory: Directory | None, key: str | None, *, public: bool) -> Caller:
-    """Return the caller that holds a key; raises FailureError with no key to it.
+class Access:
+    """Admit callers by a view of the keys whose age is known.
 
-    On a public route a key that is not known is as good as none.
+    Answers the load of callers that go on with a key that was taken away, at a
+    process that is cut off, frozen or turned away by the store and can't know.
+    `age` tells since when the view may be outdated, in seconds, and `limit` up to
+    which age a key counts; None for any.
     """
-    if directory is None:
-        return OPEN_CALLER
-    entry = directory.holder(key) if key else None
-    if entry is not None:
-        return Caller(workspace=entry.name, priority=entry.priority, limit=entry.limit)
-    if public:
-        return Caller(workspace=ANONYMOUS)
-    raise fail(
-        ErrorKind.UNAUTHORISED, "the key is not known" if key else "a key is needed"
-    )
+
+    def __init__(
+        self,
+        *,
+        limit: float | None = None,
+        age: Callable[[], float] = lambda: 0.0,
+    ) -> None:
+        self.limit = limit
+        self.age = age
+        self.directory: Directory | None = None
+
+    def identify(self, key: str | None, *, public: bool) -> Caller:
+        """Return the caller that holds a key; raises FailureError if nobody does.
+
+        On a public route a key that is not known is as good as none.
+        """
+        if self.directory is None:
+            return OPEN_CALLER
+        if not public:
+            self._check_age()
+        entry = self.directory.holder(key) if key else None
+        if entry is not None:
+            return Caller(
+                workspace=entry.name, priority=entry.priority, limit=entry.limit
+            )
+        if public:
+            return Caller(workspace=ANONYMOUS)
+        reason = "the key is not known" if key else "a key is needed"
+        raise fail(ErrorKind.UNAUTHORISED, reason)
+
+    def confirm(self, caller: Caller, key: str | None, *, public: bool) -> None:
+        """Check again, as a request is sent, what held as it came in.
+
+        It may have waited for a grant or a retry meanwhile; raises FailureError.
+        """
+        if public or caller.workspace is None:
+            return
+        if self.identify(key, public=False).workspace != caller.workspace:
+            raise fail(ErrorKind.UNAUTHORISED, "the key is held by another workspace")
+
+    def _check_age(self) -> None:
+        age = self.age()
+        if self.limit is not None and age > self.limit:
+            reason = f"keys are known as of {age:.1f} s ago, over {self.limit:.1f} s"
+            raise fail(ErrorKind.OUTDATED, reason, retry_after=OUTDATED_RETRY)
