Keep the limits of workspaces by shares

Each limit is divided into three shares, kept by hosts of different data centres that follow from the registrations by rendezvous. A gateway takes a token from the nearest keeper for each send; what a target did not run gives it back. Two keepers of one share would hand out twice its part, as views of the registrations differ: a process acts by a view that is at most a lease old, and one whose host is new waits for a lease. Refusals say when there is room, spread over those refused of late; where no keeper answers the request is refused as not run.

--- a/sequoiaarch/errors.py
+++ b/sequoiaarch/errors.py
@@ -38,6 +38,7 @@
     NO_TARGET = "no_target"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTDATED = "outdated"
+    LIMIT_UNKNOWN = "limit_unknown"
     SUPERSEDED = "superseded"
     INTERRUPTED = "interrupted"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -77,6 +78,7 @@
     ErrorKind.NO_TARGET: Answer(status=503, not_run=NotRun.YES, retry_after=1.0),
     ErrorKind.LOG_UNAVAILABLE: Answer(status=503, not_run=NotRun.YES, retry_after=2.0),
     ErrorKind.OUTDATED: Answer(status=503, not_run=NotRun.YES, retry_after=0.2),
+    ErrorKind.LIMIT_UNKNOWN: Answer(status=503, not_run=NotRun.YES, retry_after=0.3),
     ErrorKind.SUPERSEDED: Answer(status=409, not_run=NotRun.NO, retry_after=0.2),
     ErrorKind.INTERRUPTED: Answer(status=502, not_run=NotRun.NO, retry_after=0.2),
     ErrorKind.OUTCOME_UNKNOWN: Answer(status=502, not_run=NotRun.UNKNOWN),
--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -2,24 +2,41 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
+import random
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
-from ..ids import HostName, WriterId
+import msgspec
+
+from ..ids import HostName, Workspace, WriterId
 from ..ledger.ledger import Ledger
 from ..ledger.loans import LoanBook
 from ..ledger.split import BudgetSplit
 from ..ledger.turns import LocalTurns
 from ..policies.health import TargetHealth
-from ..routing.follower import TopicFollower
-from ..storage.keyed import KeyedLog
+from ..routing.follower import TopicFollower, boot_time
+from ..storage.keyed import KeyedLog, KeyedRecord, ListedRecord
 from ..wire.links import Send
-from ..wire.messages import LendRequest, Reply, Request, SettleRequest, TargetReport
+from ..wire.messages import (
+    LendRequest,
+    Reply,
+    Request,
+    SettleRequest,
+    TakeTokens,
+    TargetReport,
+)
+from ..workspaces.buckets import QuotaBounds
+from ..workspaces.credits import Purse
+from ..workspaces.directory import RateLimit
+from ..workspaces.limiter import Limiter
+from ..workspaces.shares import Keepers
+from ..workspaces.tenure import Tenure
 from .claiming import Claiming
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
 from .delegates import DelegatedTurns, Delegates
 from .lenders import Lenders
 from .peers import TOPIC as PEERS_TOPIC, Peers
+from .quotas import FleetQuotas
 from .standing import Standing
 from .target_reports import TargetReports
 from .turn_server import TurnServer
@@ -30,8 +47,21 @@
 CLAIMS_WAIT = 10.0
 
 
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Say what workspaces are held to.
+
+    A process keeps shares of limits by a view of the fleet that is at most `lease`
+    seconds old, and reads registrations for up to `wait` seconds at a time.
+    """
+
+    of: Callable[[Workspace], RateLimit | None]
+    bounds: QuotaBounds
+    lease: float
+    wait: float
+
+
 class Fleet:
-    """Hold one gateway's part in the fleet: registration, accounts and loans."""
+    """Hold one gateway's part in the fleet: registration, accounts, loans, limits."""
 
     def __init__(
         self,
@@ -43,7 +73,9 @@
         ledger: Ledger,
         split: BudgetSplit,
         health: TargetHealth,
+        limits: Limits,
     ) -> None:
+        self._own = own
         self._writer = writer
         self._peers = peers
         self._log = keyed_log
@@ -76,13 +108,38 @@
             ledger=ledger,
         )
         self.reports = TargetReports(own=own, peers=peers, health=health)
+        self._registrations = TopicFollower(
+            log=keyed_log,
+            topic=PEERS_TOPIC,
+            replace=self._replace_peers,
+            change=self._change_peer,
+            wait=limits.wait,
+        )
+        self.tenure = Tenure(
+            lease=limits.lease,
+            seen_from=lambda: self._registrations.seen_from,
+            clock=boot_time,
+        )
+        peers.own_changed = self._own_changed
+        self._keepers = Keepers(hosts=peers.by_centre, version=lambda: peers.version)
+        self.limiter = Limiter(
+            bounds=limits.bounds,
+            limits=limits.of,
+            keeps=self._keeps,
+            term=lambda: self.tenure.term,
+            clock=boot_time,
+            rng=random.Random(),
+        )
+        self.quotas = FleetQuotas(
+            own=own,
+            peers=peers,
+            standing=standing,
+            keepers=self._keepers,
+            limiter=self.limiter,
+            purse=Purse(clock=boot_time),
+        )
         self._followers = [
-            TopicFollower(
-                log=keyed_log,
-                topic=PEERS_TOPIC,
-                replace=peers.replace,
-                change=peers.change,
-            ),
+            self._registrations,
             TopicFollower(
                 log=keyed_log,
                 topic=CLAIMS_TOPIC,
@@ -111,6 +168,8 @@
             return self._lenders.answer(request)
         if isinstance(request, TargetReport):
             return self.reports.take(request)
+        if isinstance(request, TakeTokens):
+            return self.quotas.answer(request)
         return await self._server.answer(request, send)
 
     def refuse_new(self) -> None:
@@ -120,8 +179,29 @@
     async def leave(self) -> None:
         """Take back claims and registration."""
         await self._claiming.stop(self._log)
+        self.tenure.cease()
         await self._peers.unregister(self._log, self._writer)
 
     def _seen_from(self) -> float:
         """Return since when claims and registrations are known, in boot time."""
         return min(one.seen_from for one in self._followers)
+
+    def _replace_peers(self, records: Sequence[KeyedRecord]) -> None:
+        self._peers.replace(records)
+        self.limiter.drop_lost()
+
+    def _change_peer(self, record: ListedRecord) -> None:
+        self._peers.change(record)
+        self.limiter.drop_lost()
+
+    def _own_changed(self, writer: WriterId | None, ordered: bool) -> None:
+        if writer is None:
+            self.tenure.unregistered()
+        else:
+            self.tenure.registered(own=writer == self._writer, ordered=ordered)
+
+    def _keeps(self, workspace: Workspace, share: int) -> bool:
+        """Return whether a share of a workspace's limit is kept here."""
+        keepers = self._keepers.of(workspace)
+        ranked = share < len(keepers) and keepers[share] == self._own
+        return ranked and self.tenure.acts
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
+from collections import defaultdict
 from collections.abc import Callable, Sequence
 
 import logbook
@@ -28,6 +30,8 @@
 PEER_TIMEOUT = 0.5
 PEER_SILENCE = 1.0
 REGISTER_RETRY = 0.5
+# Others should soon know this process, whatever stood there before. Seconds.
+LIST_WAIT = 1.0
 
 
 class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -62,6 +66,11 @@
         self._host_of: dict[WriterId, HostName] = {}
         # Grows when a registration changes.
         self.version = 0
+        self._by_centre: dict[DataCentre, list[HostName]] = {}
+        self._listed = asyncio.Event()
+        # Called with the process that this host's registration names, if there is
+        # one, and whether that was read right after what stood there before.
+        self.own_changed: Callable[[WriterId | None, bool], None] = _ignore
         self._own_writer = WriterId("")
         self._shunned: dict[str, float] = {}
         self._liked: str | None = None
@@ -75,11 +84,15 @@
         self._own_writer = WriterId("")
         for record in records:
             self._take(record)
+        self._tell_own(ordered=False)
+        self._listed.set()
         self._index()
 
     def change(self, record: KeyedRecord) -> None:
         """Take over one registration."""
         self._take(record)
+        if record.key == self._own:
+            self._tell_own(ordered=True)
         self._index()
 
     def registered(self, writer: WriterId) -> bool:
@@ -90,6 +103,10 @@
         """Return the other host on which a process runs; None if it is gone."""
         return self._host_of.get(writer)
 
+    def by_centre(self) -> dict[DataCentre, list[HostName]]:
+        """Return all registered hosts, this one too, by their data centre."""
+        return self._by_centre
+
     def hosts(self) -> list[HostName]:
         """Return all other hosts that are known."""
         return list(self._known)
@@ -101,6 +118,10 @@
         )
         record = KeyedRecord(key=self._own, value=msgspec.json.encode(own))
         first = Writer(name=f"peer-{writer}", epoch=1, sequence=0)
+        # What stood there before tells whether this process follows a lost one.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIST_WAIT):
+                await self._listed.wait()
         while True:
             done = await keyed_log.append(PARTITION, [record], writer=first)
             if not isinstance(done, Failure):
@@ -163,6 +184,15 @@
             if one.data_centre == self._data_centre
         ]
         self._host_of = {one.writer: host for host, one in self._known.items()}
+        by_centre = defaultdict(list)
+        for host, one in self._known.items():
+            by_centre[one.data_centre].append(host)
+        if self._own_writer:
+            by_centre[self._data_centre].append(self._own)
+        self._by_centre = dict(by_centre)
+
+    def _tell_own(self, *, ordered: bool) -> None:
+        self.own_changed(self._own_writer or None, ordered)
 
     def _order(self) -> list[str]:
         """Return whom to ask, the best first.
@@ -242,6 +272,10 @@
         return None
 
 
+def _ignore(writer: WriterId | None, ordered: bool) -> None:
+    """Do nothing with a registration."""
+
+
 async def _answer_none(request: Request, send: Send) -> Reply:
     reason = f"not for this process: {type(request).__name__}"
     return Failed(failure=Failure(kind=ErrorKind.MALFORMED, reason=reason))
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -13,6 +13,7 @@
 from ..routing.routes import Route
 from ..routing.targets import TargetEntry
 from ..workspaces.access import Caller
+from ..workspaces.quotas import Credit, quota_failure
 from .calls import AnswerInfo, CallInfo, Dispatch
 from .dispatcher import Dispatcher
 
@@ -48,6 +49,7 @@
         message: RequestMessage,
         info: CallInfo,
         caller: Caller,
+        credit: Credit,
         route: Route,
         deadline: float,
         dispatcher: Dispatcher,
@@ -55,6 +57,7 @@
         self._message = message
         self._info = info
         self._caller = caller
+        self._credit = credit
         self._route = route
         self._deadline = deadline
         self._dispatcher = dispatcher
@@ -140,16 +143,22 @@
         load.started(target.incarnation)
         running: Running | None = None
         link: ClientLink | None = None
+        token: float | None = None
         try:
             link = await self._dispatcher.pool.take(target)
-            self._confirm_caller()
+            await self._admit_send()
+            token = self._credit.spend()
             await link.send(self._outgoing(target))
             self._sends += 1
             self._dispatcher.sent(target, self._route, self._info, self)
             running = await self._await_head(target, link)
+            if running is None:
+                self._credit.restore(token)
         except LinkError as error:
             load.judged(target.incarnation, ok=False)
             self._abort(link)
+            if not error.sent:
+                self._credit.restore(token)
             if error.sent and not self.may_repeat(error):
                 raise fail(ErrorKind.INTERRUPTED, str(error)) from error
         except BaseException:
@@ -209,16 +218,20 @@
         )
         return self._dispatcher.codec.forward(self._message, dispatch)
 
-    def _confirm_caller(self) -> None:
-        """Check the key again; an earlier attempt may have run all the same."""
+    async def _admit_send(self) -> None:
+        """Check key and limit as the request is sent; it may have waited for long."""
         try:
             self._dispatcher.access.confirm(
                 self._caller, self._info.key_text, public=self._route.public
             )
+            refusal = await self._credit.ensure()
+            if refusal is not None:
+                raise quota_failure(self._caller, refusal)
         except FailureError as error:
-            if self._sends:
-                raise fail(ErrorKind.INTERRUPTED, str(error)) from error
-            raise
+            if not self._sends:
+                raise
+            # An earlier attempt may have run, so nothing can be promised.
+            raise fail(ErrorKind.INTERRUPTED, str(error)) from error
 
     def _urgency(self) -> int | None:
         """Return the urgency at an engine; a workspace's priority goes first."""
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -12,7 +12,7 @@
 
 import logbook
 
-from ..fleet.fleet import Fleet
+from ..fleet.fleet import Fleet, Limits
 from ..fleet.peers import Peers
 from ..fleet.turn_server import failed
 from ..http1.messages import RequestMessage
@@ -36,6 +36,10 @@
 from ..wire.links import Send
 from ..wire.messages import Reply as PeerReply, Request
 from ..workspaces.access import Access
+from ..workspaces.buckets import QuotaBounds
+from ..workspaces.credits import Purse
+from ..workspaces.limiter import Limiter
+from ..workspaces.quotas import LocalQuotas, Quotas
 from .calls import CallCodec
 from .dispatcher import Dispatcher
 from .handler import RequestHandler
@@ -60,6 +64,9 @@
 LINKS_SHARE = 0.6
 METRICS_PATH = b"/metrics"
 READS_WITHIN_LIMIT = 5
+# A process that hears nothing of the fleet keeps its shares of limits for this time
+# where keys count for ever. Seconds.
+DEFAULT_LEASE = 10.0
 
 
 class Sources:
@@ -135,6 +142,18 @@
         )
         self._metrics = metrics or RequestMetrics()
         self.dispatcher.store_way = store_way
+        bounds = options.quota or QuotaBounds()
+        quotas: Quotas = LocalQuotas(
+            limiter=Limiter(
+                bounds=bounds,
+                limits=access.limit_of,
+                keeps=lambda workspace, share: True,
+                term=lambda: 0,
+                clock=boot_time,
+                rng=rng,
+            ),
+            purse=Purse(clock=boot_time),
+        )
         turns: Turns = LocalTurns(ledger=self.ledger)
         self._fleet: Fleet | None = None
         if peers is not None:
@@ -146,13 +165,21 @@
                 ledger=self.ledger,
                 split=split,
                 health=health,
+                limits=Limits(
+                    of=access.limit_of,
+                    bounds=bounds,
+                    lease=options.key_age_limit or DEFAULT_LEASE,
+                    wait=_read_wait(options.key_age_limit),
+                ),
             )
+            quotas = self._fleet.quotas
             turns = self._fleet.turns
             self.dispatcher.load.report = self._fleet.reports.tell
         handler = RequestHandler(
             dispatcher=self.dispatcher,
             ledger=self.ledger,
             turns=turns,
+            quotas=quotas,
             metrics=self._metrics,
             events=events,
         )
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -18,6 +18,7 @@
 from ..observe.request_metrics import RequestMetrics
 from ..routing.routes import Route, RouteTable
 from ..workspaces.access import Caller
+from ..workspaces.quotas import Quotas
 from .calls import CallInfo
 from .dispatcher import Dispatcher
 from .exchange import Exchange
@@ -54,12 +55,14 @@
         dispatcher: Dispatcher,
         ledger: Ledger,
         turns: Turns,
+        quotas: Quotas,
         metrics: RequestMetrics,
         events: EventLog | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._ledger = ledger
         self._turns = turns
+        self._quotas = quotas
         self._metrics = metrics
         self._events = events
 
@@ -112,6 +115,7 @@
             dispatcher=self._dispatcher,
             ledger=self._ledger,
             turns=self._turns,
+            quotas=self._quotas,
             metrics=self._metrics,
         )
         try:
--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..ids import DataCentre, HostName
+from ..workspaces.buckets import QuotaBounds
 
 Address = tuple[str, int]
 
@@ -21,7 +22,8 @@
 
     Other daemons reach this one at `inner`; `seeds` are such addresses of a
     few of them, some of which may be gone. Keys count up to `key_age_limit` after
-    the configuration was last known to hold them; None for ever.
+    the configuration was last known to hold them; None for ever. `quota` says how far
+    workspaces may go over their limits.
     """
 
     host: HostName
@@ -36,3 +38,4 @@
     stop_timeout: float
     store: StoreOptions
     key_age_limit: float | None = None
+    quota: QuotaBounds | None = None
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -9,6 +9,7 @@
 
 from ..ids import DataCentre, HostName
 from ..ingress.options import IngressOptions, StoreOptions
+from ..workspaces.buckets import QuotaBounds
 from .fields import Fields, split_address
 
 SETTINGS_VARIABLE = "SEQUOIAARCH_SETTINGS"
@@ -33,6 +34,19 @@
     # Whether, and for how long after its removal, a key may still be used.
     revoke_strict: bool = False
     revoke_ms: float = 5000
+    # How far a workspace may go over its limit, and in which time.
+    quota_window_s: float = 5
+    quota_overage: float = 0
+    quota_slack: float = 0
+
+    @property
+    def quota(self) -> QuotaBounds:
+        """Return how far workspaces may go over their limits."""
+        return QuotaBounds(
+            window=self.quota_window_s,
+            overage=self.quota_overage,
+            slack=self.quota_slack,
+        )
 
     @property
     def key_age_limit(self) -> float | None:
@@ -78,6 +92,7 @@
         descriptors=found.limits.max_fds,
         stop_timeout=found.bounds.grace_s,
         key_age_limit=found.bounds.key_age_limit,
+        quota=found.bounds.quota,
         store=StoreOptions(
             address=(store_host, store_port), partitions=found.platform.parts
         ),
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -41,6 +41,7 @@
     ShardRecord,
 )
 from ..storage.calls import StoreCall, StoreReply
+from ..workspaces.limiter import Tokens
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field="t"):
@@ -290,6 +291,15 @@
     handed: int
 
 
+class TakeTokens(Message, frozen=True, kw_only=True, tag="take_tokens"):
+    """Ask the keeper of a share of a workspace's limit for some tokens."""
+
+    workspace: Workspace
+    share: int
+    count: int
+    begins: bool
+
+
 class TargetReport(Message, frozen=True, kw_only=True, tag="target"):
     """Tell what a host saw of a target: that it failed, or serves again."""
 
@@ -312,6 +322,7 @@
     | CoverTurnRequest
     | LendRequest
     | SettleRequest
+    | TakeTokens
     | TargetReport
     | DispatchRequest
     | SubmitRequest
@@ -495,6 +506,12 @@
     tokens: int
 
 
+class TokensTaken(Message, frozen=True, kw_only=True, tag="tokens"):
+    """Hand out tokens, or say why not."""
+
+    tokens: Tokens
+
+
 class Accepted(Message, frozen=True, kw_only=True, tag="accepted"):
     """Say that an order was carried out."""
 
@@ -509,6 +526,7 @@
     | TurnVerdict
     | TurnCovered
     | Lent
+    | TokensTaken
     | Head
     | Done
     | Executed
--- a/sequoiaarch/workspaces/access.py
+++ b/sequoiaarch/workspaces/access.py
@@ -68,6 +68,10 @@
         reason = "the key is not known" if key else "a key is needed"
         raise fail(ErrorKind.UNAUTHORISED, reason)
 
+    def limit_of(self, workspace: Workspace) -> RateLimit | None:
+        """Return the limit of a workspace; None where it has none or is not known."""
+        return self.directory.limit(workspace) if self.directory is not None else None
+
     def confirm(self, caller: Caller, key: str | None, *, public: bool) -> None:
         """Check again, as a request is sent, what held as it came in.
 
--- /dev/null
+++ b/sequoiaarch/workspaces/limiter.py
@@ -0,0 +1,118 @@
+"""Keep the shares of limits that fall to this process."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..ids import Workspace
+from .buckets import SHARES, QuotaBounds, TokenBucket, share_terms
+from .directory import RateLimit
+
+# Over how long callers that were refused are counted, among whom what the rate
+# brings is spread. Seconds.
+REFUSED_SPAN = 1.0
+
+
+class Tokens(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer who asked for tokens of a share.
+
+    `wait` says after how many seconds to come back where there are none; it is None
+    where the share is not kept here.
+    """
+
+    count: int = 0
+    wait: float | None = None
+
+
+NOT_KEPT = Tokens()
+
+
+@dataclass(kw_only=True, eq=False)
+class _Share:
+    bucket: TokenBucket
+    term: int
+    refused: deque[float] = field(default_factory=deque)
+
+
+class Limiter:
+    """Hand out the tokens of shares that are kept here.
+
+    Answers the load of a workspace that sends more than its limit through many
+    gateways at once, none of which sees more than a part of it. `term` tells since
+    when this process has kept its shares without a break, `keeps` which they are.
+    """
+
+    def __init__(
+        self,
+        *,
+        bounds: QuotaBounds,
+        limits: Callable[[Workspace], RateLimit | None],
+        keeps: Callable[[Workspace, int], bool],
+        term: Callable[[], int],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._bounds = bounds
+        self._limits = limits
+        self._keeps = keeps
+        self._term = term
+        self._clock = clock
+        self._rng = rng
+        self._shares: dict[tuple[Workspace, int], _Share] = {}
+
+    def take(
+        self, workspace: Workspace, share: int, count: int, *, begins: bool
+    ) -> Tokens:
+        """Hand out some of the tokens that are asked for, or say when to come back."""
+        found = self._share(workspace, share)
+        if found is None:
+            return NOT_KEPT
+        now = self._clock()
+        taken = found.bucket.take(count, now, begins=begins)
+        if taken:
+            return Tokens(count=taken)
+        wait = found.bucket.wait(now, begins=begins)
+        return Tokens(wait=wait + self._spread(found, now))
+
+    def drop_lost(self) -> None:
+        """Forget shares that passed to another process."""
+        for key in list(self._shares):
+            if not self._keeps(*key):
+                del self._shares[key]
+
+    def levels(self) -> dict[tuple[Workspace, int], float]:
+        """Return the tokens that each share has."""
+        now = self._clock()
+        return {key: one.bucket.level(now) for key, one in self._shares.items()}
+
+    def _share(self, workspace: Workspace, share: int) -> _Share | None:
+        limit = self._limits(workspace)
+        if limit is None or not self._keeps(workspace, share):
+            self._shares.pop((workspace, share), None)
+            return None
+        terms = share_terms(limit, self._bounds)
+        now, term = self._clock(), self._term()
+        found = self._shares.get((workspace, share))
+        if found is None or found.term != term:
+            found = _Share(bucket=TokenBucket(terms=terms, now=now), term=term)
+            self._shares[workspace, share] = found
+        elif found.bucket.terms != terms:
+            found.bucket.change(terms, now)
+        return found
+
+    def _spread(self, share: _Share, now: float) -> float:
+        """Return a time within that in which the rate serves those refused of late.
+
+        All shares refuse each of them and serve them together.
+        """
+        refused = share.refused
+        refused.append(now)
+        while refused[0] < now - REFUSED_SPAN:
+            refused.popleft()
+        span = len(refused) / (SHARES * share.bucket.terms.rate)
+        return self._rng.uniform(0.0, min(span, self._bounds.window))
--- /dev/null
+++ b/sequoiaarch/workspaces/shares.py
@@ -0,0 +1,57 @@
+"""Say which host keeps which share of a workspace's limit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+
+import xxhash
+
+from ..ids import DataCentre, HostName, Workspace
+from .buckets import SHARES
+
+Hosts = Mapping[DataCentre, Sequence[HostName]]
+
+
+class Keepers:
+    """Rank hosts for shares by rendezvous, alike in every process.
+
+    The shares of a workspace go to hosts of different data centres, so that most
+    callers have a keeper nearby, and one data centre takes one share with it.
+    """
+
+    def __init__(
+        self, *, hosts: Callable[[], Hosts], version: Callable[[], int]
+    ) -> None:
+        self._hosts = hosts
+        self._version = version
+        self._seen: int | None = None
+        self._found: dict[Workspace, tuple[HostName, ...]] = {}
+
+    def of(self, workspace: Workspace) -> tuple[HostName, ...]:
+        """Return the keeper of each share, in order; none where no host is known."""
+        version = self._version()
+        if version != self._seen:
+            self._found.clear()
+            self._seen = version
+        found = self._found.get(workspace)
+        if found is None:
+            found = self._found[workspace] = self._rank(workspace)
+        return found
+
+    def _rank(self, workspace: Workspace) -> tuple[HostName, ...]:
+        hosts = self._hosts()
+        centres = sorted(centre for centre in hosts if hosts[centre])
+        if not centres:
+            return ()
+        first = _digest(workspace)
+        found = []
+        for share in range(SHARES):
+            centre = centres[(first + share) % len(centres)]
+            name = f"{workspace}/{share}"
+            ranked = max(hosts[centre], key=lambda host: _digest(f"{name}/{host}"))
+            found.append(ranked)
+        return tuple(found)
+
+
+def _digest(name: str) -> int:
+    return xxhash.xxh32_intdigest(name.encode())
