--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -108,17 +108,14 @@
             ledger=ledger,
         )
         self.reports = TargetReports(own=own, peers=peers, health=health)
+        self.tenure = Tenure(lease=limits.lease, clock=boot_time)
         self._registrations = TopicFollower(
             log=keyed_log,
             topic=PEERS_TOPIC,
             replace=self._replace_peers,
             change=self._change_peer,
             wait=limits.wait,
-        )
-        self.tenure = Tenure(
-            lease=limits.lease,
-            seen_from=lambda: self._registrations.seen_from,
-            clock=boot_time,
+            viewed=self.tenure.viewed,
         )
         peers.own_changed = self._own_changed
         self._keepers = Keepers(hosts=peers.by_centre, version=lambda: peers.version)
@@ -127,6 +124,7 @@
             limits=limits.of,
             keeps=self._keeps,
             term=lambda: self.tenure.term,
+            since=lambda: self.tenure.since,
             clock=boot_time,
             rng=random.Random(),
         )
@@ -188,10 +186,14 @@
 
     def _replace_peers(self, records: Sequence[KeyedRecord]) -> None:
         self._peers.replace(records)
-        self.limiter.drop_lost()
+        self._hosts_changed()
 
     def _change_peer(self, record: ListedRecord) -> None:
         self._peers.change(record)
+        self._hosts_changed()
+
+    def _hosts_changed(self) -> None:
+        self.tenure.hosts_changed()
         self.limiter.drop_lost()
 
     def _own_changed(self, writer: WriterId | None, ordered: bool) -> None:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -149,6 +149,7 @@
                 limits=access.limit_of,
                 keeps=lambda workspace, share: True,
                 term=lambda: 0,
+                since=boot_time,
                 clock=boot_time,
                 rng=rng,
             ),
--- a/sequoiaarch/routing/follower.py
+++ b/sequoiaarch/routing/follower.py
@@ -30,7 +30,8 @@
 
     `gather` seconds pass after each change before the next read, so that
     frequent heartbeats don't cost a call each. A read waits up to `wait` seconds
-    for a change; the longer, the fewer calls for a topic that rarely changes.
+    for a change; the longer, the fewer calls for a topic that rarely changes. Each
+    read that was answered is told to `viewed` by the time at which it began.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         wait: float = WAIT_SECONDS,
         lost: Callable[[], None] = lambda: None,
         regained: Callable[[], None] = lambda: None,
+        viewed: Callable[[float], None] = lambda since: None,
     ) -> None:
         self._log = log
         self._partition = Partition(topic=topic, number=0)
@@ -53,6 +55,7 @@
         self._wait = wait
         self._lost = lost
         self._regained = regained
+        self._viewed = viewed
         self._cursor: Offset | None = None
         self._away = False
         self.read_at = float("-inf")
@@ -72,6 +75,7 @@
             reason = await self._step()
             if reason is None:
                 self.seen_from = begun
+                self._viewed(begun)
                 self.read_at = asyncio.get_running_loop().time()
                 if self._away:
                     self._away = False
--- /dev/null
+++ b/sequoiaarch/tests/workspaces/windows.py
@@ -0,0 +1,237 @@
+"""Play a fleet that keeps a limit, and count what runs in every window."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from ...ids import DataCentre, HostName, Workspace
+from ...workspaces.buckets import SHARES, QuotaBounds
+from ...workspaces.credits import Purse
+from ...workspaces.directory import RateLimit
+from ...workspaces.limiter import Limiter, Tokens
+from ...workspaces.shares import Keepers
+from ...workspaces.tenure import Tenure
+
+WORKSPACE = Workspace("w")
+BOUNDS = QuotaBounds(window=5.0, overage=0.1, slack=20.0)
+LEASE = 4.0
+STEP = 0.02
+CENTRES = 3
+
+
+@dataclass(kw_only=True, eq=False)
+class Registration:
+    """Hold what stands under a host in the store."""
+
+    life: int
+    centre: DataCentre
+
+
+@dataclass(kw_only=True)
+class Plants:
+    """Say which safeguards are missing."""
+
+    acts_at_once: bool = False
+    acts_by_old_views: bool = False
+    tokens_last: bool = False
+    starts_full: bool = False
+
+
+class Life:
+    """Run one process of a host: a view of the registrations, shares and tokens."""
+
+    def __init__(self, *, fleet: Fleet, host: HostName, number: int) -> None:
+        self.fleet = fleet
+        self.host = host
+        self.number = number
+        self.frozen_until = 0.0
+        self.cut_until = 0.0
+        self.seen_from = float("-inf")
+        self.view: dict[HostName, Registration] = {}
+        self.version = 0
+        self.filled: set[tuple[Workspace, int]] = set()
+        plants = fleet.plants
+        lease = 1e9 if plants.acts_by_old_views else LEASE
+        self.tenure = Tenure(lease=lease, clock=fleet.clock)
+        self.purse = Purse(clock=fleet.clock)
+        self.keepers = Keepers(hosts=self._centres, version=lambda: self.version)
+        self.limiter = Limiter(
+            bounds=BOUNDS,
+            limits=lambda name: fleet.limit,
+            keeps=self._keeps,
+            term=lambda: self.tenure.term,
+            since=lambda: self.tenure.since,
+            clock=fleet.clock,
+            rng=fleet.rng,
+        )
+
+    @property
+    def runs(self) -> bool:
+        """Return whether the process does anything now."""
+        return self.fleet.now >= self.frozen_until
+
+    @property
+    def reached(self) -> bool:
+        """Return whether the process reaches the store."""
+        return self.runs and self.fleet.now >= max(
+            self.cut_until, self.fleet.store_back
+        )
+
+    def look(self) -> None:
+        """Read the registrations, in the order in which they changed."""
+        if not self.reached:
+            return
+        first = self.seen_from == float("-inf")
+        if self.version < len(self.fleet.changes):
+            self.tenure.hosts_changed()
+        self.seen_from = self.fleet.now
+        self.tenure.viewed(self.fleet.now)
+        for host, found in self.fleet.changes[self.version :]:
+            self._change(host, found, ordered=not first)
+        if first:
+            self._tell_own(ordered=False)
+        self.version = len(self.fleet.changes)
+        self.limiter.drop_lost()
+
+    def take(self, asked: float, begins: bool) -> bool:
+        """Run a request if a token can be had; return whether it ran."""
+        held = self.purse.take(WORKSPACE)
+        if held is None:
+            held = self._ask(asked, begins)
+        if held is None:
+            return False
+        self.fleet.sending.append((held, self))
+        return True
+
+    def answer(self, share: int, count: int, begins: bool) -> Tokens:
+        """Answer another process, or the own one."""
+        if self.fleet.plants.starts_full:
+            self._fill()
+        return self.limiter.take(WORKSPACE, share, count, begins=begins)
+
+    def _fill(self) -> None:
+        """Fill new buckets, as if no predecessor had handed anything out."""
+        for share in range(SHARES):
+            self.limiter._share(WORKSPACE, share)
+        for key, one in self.limiter._shares.items():
+            if key not in self.filled:
+                self.filled.add(key)
+                one.bucket._level = one.bucket.terms.capacity
+
+    def _ask(self, asked: float, begins: bool) -> float | None:
+        for share, host in enumerate(self.keepers.of(WORKSPACE)):
+            keeper = self.fleet.lives.get(host)
+            if keeper is None or not keeper.runs:
+                continue
+            count = self.purse.wanted(WORKSPACE)
+            found = keeper.answer(share, count, begins)
+            if found.count:
+                return self.purse.put(WORKSPACE, found.count - 1, asked=asked)
+        return None
+
+    def _change(
+        self, host: HostName, found: Registration | None, *, ordered: bool
+    ) -> None:
+        if found is None:
+            self.view.pop(host, None)
+        else:
+            self.view[host] = found
+        if host == self.host and ordered:
+            self._tell_own(ordered=True)
+
+    def _tell_own(self, *, ordered: bool) -> None:
+        own = self.view.get(self.host)
+        if own is None:
+            self.tenure.unregistered()
+        else:
+            mine = own.life == self.number
+            at_once = self.fleet.plants.acts_at_once and mine
+            if at_once:
+                self.tenure.registered(own=False, ordered=True)
+            self.tenure.registered(own=mine, ordered=ordered or at_once)
+
+    def _centres(self) -> dict[DataCentre, list[HostName]]:
+        found = defaultdict(list)
+        for host, one in self.view.items():
+            found[one.centre].append(host)
+        return found
+
+    def _keeps(self, workspace: Workspace, share: int) -> bool:
+        keepers = self.keepers.of(workspace)
+        ranked = bool(keepers) and keepers[share] == self.host
+        return ranked and self.tenure.acts
+
+
+@dataclass(kw_only=True, eq=False)
+class Fleet:
+    """Hold the processes, the store's registrations and what ran."""
+
+    limit: RateLimit
+    rng: random.Random
+    plants: Plants = field(default_factory=Plants)
+    now: float = 0.0
+    store_back: float = 0.0
+    sends_after: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Begin with nothing."""
+        self.lives: dict[HostName, Life] = {}
+        self.changes: list[tuple[HostName, Registration | None]] = []
+        self.ran: list[float] = []
+        self.sending: list[tuple[float, Life]] = []
+        self.asked = 0
+        self._numbers = 0
+
+    def clock(self) -> float:
+        """Return the time, pauses included."""
+        return self.now
+
+    def start(self, host: HostName) -> None:
+        """Start a process at a host; it registers once it has read the list."""
+        self._numbers += 1
+        life = self.lives[host] = Life(fleet=self, host=host, number=self._numbers)
+        life.look()
+        life.look()
+        centre = DataCentre(f"dc{int(host[1:]) % CENTRES}")
+        self.changes.append((host, Registration(life=life.number, centre=centre)))
+
+    def kill(self, host: HostName) -> None:
+        """Lose a process; its registration stays."""
+        life = self.lives.pop(host, None)
+        self.sending = [one for one in self.sending if one[1] is not life]
+
+    def stop(self, host: HostName) -> None:
+        """Stop a process in order, if it reaches the store."""
+        life = self.lives.get(host)
+        if life is None or not life.reached:
+            return
+        life.tenure.cease()
+        self.changes.append((host, None))
+        self.kill(host)
+
+    def step(self) -> None:
+        """Let some time pass: views are read, and requests that wait are sent."""
+        self.now += STEP
+        for life in self.lives.values():
+            if self.rng.random() < 0.2:
+                life.look()
+        waiting, self.sending = self.sending, []
+        for until, life in waiting:
+            waits = self.now < self.sends_after or self.rng.random() < 0.3
+            if waits or not life.runs:
+                self.sending.append((until, life))
+            elif self.now < until or self.plants.tokens_last:
+                self.ran.append(self.now)
+
+    def worst_window(self) -> int:
+        """Return the most that ran in any window."""
+        return max(
+            (
+                bisect_left(self.ran, begin + BOUNDS.window) - place
+                for place, begin in enumerate(self.ran)
+            ),
+            default=0,
+        )
--- a/sequoiaarch/workspaces/buckets.py
+++ b/sequoiaarch/workspaces/buckets.py
@@ -14,7 +14,7 @@
 TOKEN_LIFE = 0.25
 # Of what a window may hold beyond the rate, buckets hold this part. The rest is for
 # what new keepers hand out that don't know what their predecessors did.
-HELD_PART = 0.4
+HELD_PART = 0.6
 # So many times in one window a share may pass to a new keeper.
 NEW_KEEPERS = 3
 # Requests that begin a program leave this part of a bucket to those under way: a
--- a/sequoiaarch/workspaces/credits.py
+++ b/sequoiaarch/workspaces/credits.py
@@ -13,7 +13,7 @@
 RATE_SPAN = 1.0
 # Of the requests that are expected within a token's life so many are asked for at
 # once: a token that is not used in time is lost to its workspace.
-AHEAD_PART = 0.5
+AHEAD_PART = 0.25
 
 
 @dataclass(kw_only=True)
--- a/sequoiaarch/workspaces/limiter.py
+++ b/sequoiaarch/workspaces/limiter.py
@@ -43,8 +43,9 @@
     """Hand out the tokens of shares that are kept here.
 
     Answers the load of a workspace that sends more than its limit through many
-    gateways at once, none of which sees more than a part of it. `term` tells since
-    when this process has kept its shares without a break, `keeps` which they are.
+    gateways at once, none of which sees more than a part of it. `keeps` tells which
+    shares fall to this process, `since` from when on at the latest, on the clock, and
+    `term` grows where another process may have kept them meanwhile.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         limits: Callable[[Workspace], RateLimit | None],
         keeps: Callable[[Workspace, int], bool],
         term: Callable[[], int],
+        since: Callable[[], float],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -61,6 +63,7 @@
         self._limits = limits
         self._keeps = keeps
         self._term = term
+        self._since = since
         self._clock = clock
         self._rng = rng
         self._shares: dict[tuple[Workspace, int], _Share] = {}
@@ -99,7 +102,8 @@
         now, term = self._clock(), self._term()
         found = self._shares.get((workspace, share))
         if found is None or found.term != term:
-            found = _Share(bucket=TokenBucket(terms=terms, now=now), term=term)
+            bucket = TokenBucket(terms=terms, now=self._since())
+            found = _Share(bucket=bucket, term=term)
             self._shares[workspace, share] = found
         elif found.bucket.terms != terms:
             found.bucket.change(terms, now)
--- a/sequoiaarch/workspaces/tenure.py
+++ b/sequoiaarch/workspaces/tenure.py
@@ -25,22 +25,26 @@
         self,
         *,
         lease: float,
-        seen_from: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         self._lease = lease
-        self._seen_from = seen_from
         self._clock = clock
         self._acts_from: float | None = None
         self._before = False
         self._ceased = False
         self._last_view = float("-inf")
+        self._changed = float("-inf")
         self.term = 0
 
+    @property
+    def since(self) -> float:
+        """Return from when on this process has acted on what is its own now."""
+        begun = self._clock() if self._acts_from is None else self._acts_from
+        return max(begun, self._changed)
+
     @property
     def acts(self) -> bool:
         """Return whether this process may act now."""
-        self._note_view()
         now = self._clock()
         if self._ceased or self._acts_from is None or now < self._acts_from:
             return False
@@ -66,13 +70,17 @@
         self._before = False
         self._acts_from = None
 
+    def viewed(self, since: float) -> None:
+        """Note a view of the registrations that is as of a time of the clock."""
+        if since - self._last_view > self._lease:
+            self.term += 1
+            self._changed = self._clock()
+        self._last_view = since
+
+    def hosts_changed(self) -> None:
+        """Note that something may have come to this host, or gone."""
+        self._changed = self._clock()
+
     def cease(self) -> None:
         """Act no more, as the registration is to be removed."""
         self._ceased = True
-
-    def _note_view(self) -> None:
-        """Begin a new term where nothing was seen for longer than a lease."""
-        view = self._seen_from()
-        if view - self._last_view > self._lease:
-            self.term += 1
-        self._last_view = view
