Allow what is left of a window in place of a bucket's burst

Workspaces are idle for most of the time and then run a program or two. A share counts what it handed out in the window and allows the rest; a new keeper, which does not know that, begins with a part of the rate.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -25,11 +25,11 @@
     TakeTokens,
     TargetReport,
 )
-from ..workspaces.buckets import QuotaBounds
 from ..workspaces.credits import Purse
 from ..workspaces.directory import RateLimit
 from ..workspaces.limiter import Limiter
 from ..workspaces.shares import Keepers
+from ..workspaces.spans import QuotaBounds
 from ..workspaces.tenure import Tenure
 from .claiming import Claiming
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -36,10 +36,10 @@
 from ..wire.links import Send
 from ..wire.messages import Reply as PeerReply, Request
 from ..workspaces.access import Access
-from ..workspaces.buckets import QuotaBounds
 from ..workspaces.credits import Purse
 from ..workspaces.limiter import Limiter
 from ..workspaces.quotas import LocalQuotas, Quotas
+from ..workspaces.spans import QuotaBounds
 from .calls import CallCodec
 from .dispatcher import Dispatcher
 from .handler import RequestHandler
--- a/sequoiaarch/tests/workspaces/windows.py
+++ b/sequoiaarch/tests/workspaces/windows.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass, field
 
 from ...ids import DataCentre, HostName, Workspace
-from ...workspaces.buckets import SHARES, QuotaBounds
 from ...workspaces.credits import Purse
 from ...workspaces.directory import RateLimit
 from ...workspaces.limiter import Limiter, Tokens
 from ...workspaces.shares import Keepers
+from ...workspaces.spans import SHARES, QuotaBounds
 from ...workspaces.tenure import Tenure
 
 WORKSPACE = Workspace("w")
@@ -52,10 +52,8 @@
         self.seen_from = float("-inf")
         self.view: dict[HostName, Registration] = {}
         self.version = 0
-        self.filled: set[tuple[Workspace, int]] = set()
-        plants = fleet.plants
-        lease = 1e9 if plants.acts_by_old_views else LEASE
-        self.tenure = Tenure(lease=lease, clock=fleet.clock)
+        self.filled: set[int] = set()
+        self.tenure = Tenure(lease=LEASE, clock=fleet.clock)
         self.purse = Purse(clock=fleet.clock)
         self.keepers = Keepers(hosts=self._centres, version=lambda: self.version)
         self.limiter = Limiter(
@@ -83,6 +81,8 @@
     def look(self) -> None:
         """Read the registrations, in the order in which they changed."""
         if not self.reached:
+            if self.fleet.plants.acts_by_old_views:
+                self.tenure.viewed(self.fleet.now)
             return
         first = self.seen_from == float("-inf")
         if self.version < len(self.fleet.changes):
@@ -115,11 +115,10 @@
     def _fill(self) -> None:
         """Fill new buckets, as if no predecessor had handed anything out."""
         for share in range(SHARES):
-            self.limiter._share(WORKSPACE, share)
-        for key, one in self.limiter._shares.items():
-            if key not in self.filled:
-                self.filled.add(key)
-                one.bucket._level = one.bucket.terms.capacity
+            found = self.limiter._share(WORKSPACE, share)
+            if found is not None and share not in self.filled:
+                self.filled.add(share)
+                found.count._entries.clear()
 
     def _ask(self, asked: float, begins: bool) -> float | None:
         for share, host in enumerate(self.keepers.of(WORKSPACE)):
--- a/sequoiaarch/workspaces/limiter.py
+++ b/sequoiaarch/workspaces/limiter.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from ..ids import Workspace
-from .buckets import SHARES, QuotaBounds, TokenBucket, share_terms
 from .directory import RateLimit
+from .spans import SHARES, QuotaBounds, ShareCount, share_terms
 
 # Over how long callers that were refused are counted, among whom what the rate
 # brings is spread. Seconds.
@@ -34,7 +34,7 @@
 
 @dataclass(kw_only=True, eq=False)
 class _Share:
-    bucket: TokenBucket
+    count: ShareCount
     term: int
     refused: deque[float] = field(default_factory=deque)
 
@@ -76,10 +76,10 @@
         if found is None:
             return NOT_KEPT
         now = self._clock()
-        taken = found.bucket.take(count, now, begins=begins)
+        taken = found.count.take(count, now, begins=begins)
         if taken:
             return Tokens(count=taken)
-        wait = found.bucket.wait(now, begins=begins)
+        wait = found.count.wait(now, begins=begins)
         return Tokens(wait=wait + self._spread(found, now))
 
     def drop_lost(self) -> None:
@@ -88,10 +88,10 @@
             if not self._keeps(*key):
                 del self._shares[key]
 
-    def levels(self) -> dict[tuple[Workspace, int], float]:
-        """Return the tokens that each share has."""
+    def free(self) -> dict[tuple[Workspace, int], float]:
+        """Return the tokens that each share has left."""
         now = self._clock()
-        return {key: one.bucket.level(now) for key, one in self._shares.items()}
+        return {key: one.count.free(now) for key, one in self._shares.items()}
 
     def _share(self, workspace: Workspace, share: int) -> _Share | None:
         limit = self._limits(workspace)
@@ -99,14 +99,13 @@
             self._shares.pop((workspace, share), None)
             return None
         terms = share_terms(limit, self._bounds)
-        now, term = self._clock(), self._term()
+        term = self._term()
         found = self._shares.get((workspace, share))
         if found is None or found.term != term:
-            bucket = TokenBucket(terms=terms, now=self._since())
-            found = _Share(bucket=bucket, term=term)
+            count = ShareCount(terms=terms, since=self._since())
+            found = _Share(count=count, term=term)
             self._shares[workspace, share] = found
-        elif found.bucket.terms != terms:
-            found.bucket.change(terms, now)
+        found.count.change(terms)
         return found
 
     def _spread(self, share: _Share, now: float) -> float:
@@ -118,5 +117,5 @@
         refused.append(now)
         while refused[0] < now - REFUSED_SPAN:
             refused.popleft()
-        span = len(refused) / (SHARES * share.bucket.terms.rate)
+        span = len(refused) / (SHARES * share.count.terms.rate)
         return self._rng.uniform(0.0, min(span, self._bounds.window))
--- a/sequoiaarch/workspaces/quotas.py
+++ b/sequoiaarch/workspaces/quotas.py
@@ -8,9 +8,9 @@
 
 from ..errors import ErrorKind, FailureError, fail
 from .access import Caller
-from .buckets import SHARES
 from .credits import Purse
 from .limiter import Limiter, Tokens
+from .spans import SHARES
 
 # Seconds after which a keeper that was lost is likely followed by another one.
 UNKNOWN_RETRY = 0.3
--- a/sequoiaarch/workspaces/shares.py
+++ b/sequoiaarch/workspaces/shares.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from ..ids import DataCentre, HostName, Workspace
-from .buckets import SHARES
+from .spans import SHARES
 
 Hosts = Mapping[DataCentre, Sequence[HostName]]
 
