--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -143,13 +143,14 @@
         self._metrics = metrics or RequestMetrics()
         self.dispatcher.store_way = store_way
         bounds = options.quota or QuotaBounds()
+        started = boot_time()
         quotas: Quotas = LocalQuotas(
             limiter=Limiter(
                 bounds=bounds,
                 limits=access.limit_of,
                 keeps=lambda workspace, share: True,
                 term=lambda: 0,
-                since=boot_time,
+                since=lambda: started,
                 clock=boot_time,
                 rng=rng,
             ),
