Tell failures by workspace

`sequoiaarch failures --by workspace`; programs of two workspaces with one id are two. Metrics show what is left of the shares that are kept here.

--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -348,6 +348,8 @@
         if self._fleet is not None:
             state["loans_lent"] = float(self._fleet.loans.lent)
             state["loans_refused"] = float(self._fleet.loans.refused)
+            for (workspace, share), free in self._fleet.limiter.free().items():
+                self._metrics.share(workspace, share, free)
         for name, value in state.items():
             self._metrics.state(name, value)
 
--- a/sequoiaarch/observe/failures.py
+++ b/sequoiaarch/observe/failures.py
@@ -16,6 +16,7 @@
 # How a step of a request begins that names the target it went to.
 CHOSEN = re.compile(r"^(\S+) chosen:")
 NOT_SENT = "sent to no target"
+NO_WORKSPACE = "no workspace"
 
 
 class Grouping(Enum):
@@ -25,6 +26,7 @@
     GATEWAY = "gateway"
     ROUTE = "route"
     TARGET = "target"
+    WORKSPACE = "workspace"
 
 
 class RequestLine(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,6 +38,7 @@
     time: float
     event: str
     id: str = ""
+    workspace: str | None = None
     program: str = ""
     outcome: str = ""
     reason: str = ""
@@ -43,9 +46,14 @@
     steps: list[str] = []
     gateway: str = ""
 
+    @property
+    def owner(self) -> tuple[str | None, str]:
+        """Return the program and its workspace, which may share its id with others."""
+        return self.workspace, self.program
+
 
 class GroupRow(msgspec.Struct, frozen=True, kw_only=True):
-    """Count the failures of one target, gateway, route or cause.
+    """Count the failures of one target, gateway, route, workspace or cause.
 
     `first` and `final` are the seconds from the start of the log at which they
     began and ended; `last` counts programs as in FailureRow.
@@ -102,7 +110,7 @@
         ordered = sorted(requests, key=lambda one: one.time)
         self.failed = [one for one in ordered if one.outcome != ANSWERED]
         self._begin = ordered[0].time if ordered else 0.0
-        self._last_of = {one.program: one.id for one in ordered if one.program}
+        self._last_of = {one.owner: one.id for one in ordered if one.program}
 
     def second(self, one: RequestLine) -> float:
         """Return when a request ended, in seconds from the start of the logs."""
@@ -110,7 +118,7 @@
 
     def given_up(self, group: Iterable[RequestLine]) -> int:
         """Return how many programs had their last request in a group."""
-        return sum(self._last_of.get(one.program) == one.id for one in group)
+        return sum(self._last_of.get(one.owner) == one.id for one in group)
 
 
 def count_failures(requests: Iterable[RequestLine], span: float) -> list[FailureRow]:
@@ -166,7 +174,7 @@
 
 
 def _programs(group: Iterable[RequestLine]) -> int:
-    return len({one.program for one in group if one.program})
+    return len({one.owner for one in group if one.program})
 
 
 def _cause(reason: str) -> str:
@@ -184,4 +192,5 @@
     Grouping.GATEWAY: lambda one: one.gateway,
     Grouping.ROUTE: lambda one: one.route,
     Grouping.TARGET: _target,
+    Grouping.WORKSPACE: lambda one: one.workspace or NO_WORKSPACE,
 }
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -18,6 +18,11 @@
         self._gauge = Gauge(
             "sequoiaarch_state", "State by name.", registry=self._registry
         )
+        self._shares = Gauge(
+            "sequoiaarch_share_free",
+            "Tokens left of the shares of limits that are kept here.",
+            registry=self._registry,
+        )
         self._duration = self._histogram("request_seconds", "Time to the last byte.")
         self._first = self._histogram("first_event_seconds", "Time to the first event.")
         self._commit = self._histogram("commit_seconds", "Time of a turn's commit.")
@@ -43,6 +48,10 @@
         """Set a value of the daemon's state."""
         self._gauge.set({"name": name}, value)
 
+    def share(self, workspace: str, share: int, free: float) -> None:
+        """Set what is left of a share of a workspace's limit."""
+        self._shares.set({"workspace": workspace, "share": str(share)}, free)
+
     def text(self) -> bytes:
         """Return all metrics as text."""
         return render(self._registry, ["text/plain"])[0]
--- a/sequoiaarch/tests/observe/failures_tests.py
+++ b/sequoiaarch/tests/observe/failures_tests.py
@@ -24,12 +24,14 @@
     outcome: str,
     reason: str = "",
     steps: tuple[str, ...] = (),
+    workspace: str | None = None,
 ) -> str:
     """Return a line as a gateway writes it."""
     found = {
         "time": time,
         "event": "request",
         "id": f"{program}-{time}",
+        "workspace": workspace,
         "program": program,
         "status": 200,
         "outcome": outcome,
@@ -55,6 +57,19 @@
 class FailuresTests(unittest.TestCase):
     """Count causes in a handful of lines."""
 
+    def test_programs_of_two_workspaces(self) -> None:
+        """Tell apart programs of two workspaces that share an id."""
+        lines = [
+            line(1.0, "p", "overloaded", workspace="one"),
+            line(1.1, "p", "answered", workspace="one"),
+            line(1.2, "p", "overloaded", workspace="two"),
+            line(1.3, "p", "overloaded"),
+        ]
+        found = group_failures(read_requests(lines), Grouping.WORKSPACE)
+        counts = {row.group: (row.requests, row.last) for row in found}
+        expected = {"one": (1, 0), "two": (1, 1), "no workspace": (1, 1)}
+        self.assertEqual(counts, expected)
+
     def test_rows(self) -> None:
         """Put equal causes together, and tell where programs were given up."""
         rows = count_failures(read_requests(LINES), 1.0)
