Take a token right before the send

Turns that were refused for their budget or history had taken a token before, which was lost to their workspace. A token counts for 0.1 s now, as it is used at once, so that less of a window is held back for late ones.

--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -17,7 +17,7 @@
 from ..routing.routes import Route, RouteKind
 from ..workspaces.access import Caller
 from ..workspaces.directory import scoped
-from ..workspaces.quotas import Credit, Quotas, quota_failure
+from ..workspaces.quotas import Credit, Quotas
 from .attempts import Attempts, Running
 from .calls import CallInfo
 from .dispatcher import Dispatcher
@@ -68,8 +68,7 @@
         self._ledger = ledger
         self._turns = turns
         self._deadline = deadline
-        begins = route.kind is RouteKind.STREAM and info.previous is None
-        self._credit = Credit(quotas=quotas, caller=caller, begins=begins)
+        self._credit = Credit(quotas=quotas, caller=caller)
         self._attempts = Attempts(
             message=message,
             info=info,
@@ -94,38 +93,21 @@
 
     async def _run(self) -> None:
         if self._route.kind is not RouteKind.STREAM:
-            await self._take_token()
             await self._plain()
         elif self._info.budget is not None:
             await self._turn(self._info.budget)
         elif self._route.retained:
             await self._turn(NO_BUDGET)
         else:
-            await self._take_token()
             await self._stream(None)
 
-    async def _take_token(self) -> None:
-        """Refuse the request while its workspace is at its limit.
-
-        What begins a program is refused before what goes on with one. Whether a
-        turn does can take a read of the store, so it is found out only then.
-        """
-        refusal = await self._credit.ensure()
-        if refusal is None:
-            return
-        if self._credit.begins and await self._ledger.knows_program(self._program):
-            self._credit.begins = False
-            refusal = await self._credit.ensure()
-        if refusal is not None:
-            raise quota_failure(self._caller, refusal)
-
     async def _turn(self, budget: int) -> None:
         """Run a turn of a program inside its budget."""
         await self._check_start()
-        await self._take_token()
         turn = await self._open_turn(budget)
         self.trail.append(f"spent {turn.spent} of {budget} tokens, kept {turn.where}")
         self._attempts.spent = turn.spent / max(1, budget)
+        self._credit.begins = turn.spent == 0 and turn.history is None
         if turn.history is not None:
             self._attempts.body = turn.history.prompt + self._message.body
             self.trail.append(f"history of {len(turn.history.prompt)} bytes")
--- a/sequoiaarch/workspaces/quotas.py
+++ b/sequoiaarch/workspaces/quotas.py
@@ -74,12 +74,13 @@
 
     Every send that reaches a target counts. One that a target did not run gives its
     token back, and one that waited for longer than a token counts takes another.
+    `begins` says that the request begins a program.
     """
 
-    def __init__(self, *, quotas: Quotas, caller: Caller, begins: bool) -> None:
+    def __init__(self, *, quotas: Quotas, caller: Caller) -> None:
         self._quotas = quotas
         self._caller = caller
-        self.begins = begins
+        self.begins = False
         self._until: float | None = None
 
     @property
--- a/sequoiaarch/workspaces/spans.py
+++ b/sequoiaarch/workspaces/spans.py
@@ -14,17 +14,13 @@
 SHARES = 3
 # A token that was handed out counts for this time. One that is used later would
 # come on top of what its window allows. Seconds.
-TOKEN_LIFE = 0.25
+TOKEN_LIFE = 0.1
 # Tokens handed out within this time are counted as one entry, at the time of the
 # last. Seconds.
-ENTRY_SPAN = 0.1
+ENTRY_SPAN = 0.05
 # A new keeper, which does not know what was handed out before, serves this part of
 # the rate until the window has passed. The more, the less may be used at once.
 LEAST_RATE = 2 / 3
-# At once a new keeper hands out a token of its share, and so many times in one
-# window a share may pass to a new keeper; at most this part of what a window allows.
-NEW_KEEPERS = 2
-NEW_KEEPERS_PART = 0.15
 # Requests that begin a program leave this part to those under way: a program that is
 # refused in its middle has used its engine in vain.
 UNDER_WAY_PART = 0.25
@@ -50,35 +46,25 @@
 class ShareTerms(msgspec.Struct, frozen=True, kw_only=True):
     """Say what a share may hand out: `at_once`, and `rate` tokens a second more.
 
-    That holds for any time up to `span` seconds. A new keeper hands out `start`
-    tokens at once, and then the rate.
+    That holds for any time up to `span` seconds; a new keeper hands out the rate.
     """
 
     at_once: float
     rate: float
     span: float
-    start: float
 
 
 def share_terms(limit: RateLimit, bounds: QuotaBounds) -> ShareTerms:
     """Return the terms of each share of a limit.
 
-    All shares together hand out what a window allows, less what new keepers may
-    hand out that don't know of it. Tokens may be used late, so that the window is
-    longer by their life.
+    All shares together hand out what a window allows. Tokens may be used late, so
+    that the window is longer by their life.
     """
-    allowed = bounds.allowed(limit)
     span = bounds.window + TOKEN_LIFE + ENTRY_SPAN
     rate = LEAST_RATE * limit.rate
-    new_keepers = min(NEW_KEEPERS * SHARES, NEW_KEEPERS_PART * allowed)
-    at_once = (allowed - new_keepers - rate * span) / SHARES
-    return ShareTerms(
-        # Less than a token would never let anything pass.
-        at_once=max(1.0, at_once),
-        rate=rate / SHARES,
-        span=span,
-        start=new_keepers / NEW_KEEPERS / SHARES,
-    )
+    at_once = (bounds.allowed(limit) - rate * span) / SHARES
+    # Less than a token would never let anything pass.
+    return ShareTerms(at_once=max(1.0, at_once), rate=rate / SHARES, span=span)
 
 
 class _Entry(msgspec.Struct, kw_only=True):
@@ -99,7 +85,7 @@
 
     def __init__(self, *, terms: ShareTerms, since: float) -> None:
         self.terms = terms
-        before = _Entry(first=since, last=since, count=terms.at_once - terms.start)
+        before = _Entry(first=since, last=since, count=terms.at_once)
         self._entries = deque([before])
         # Until when there is nothing, for what begins a program and for all.
         self._none_until = {True: since, False: since}
