Give the soak workspaces with changing keys and a limit

It checks from what targets see that they are told the workspace of the key and never the key, that a key that was taken away runs nothing after the bound, and that no window holds more of a workspace than its limit allows. Planted: a gateway that goes by the first keys for ever, and one that hands out every token; both are caught.

--- a/sequoiaarch/tests/platform/soak/callers.py
+++ b/sequoiaarch/tests/platform/soak/callers.py
@@ -11,7 +11,7 @@
 from ..site import EVENT_TOKENS, HOST, events_of
 from .gateways import Gateway
 from .proxy import LOOPBACK
-from .tally import NOT_RUN_STATUSES, Promise, Tally
+from .tally import NOT_RUN_STATUSES, OPEN_KEY, Promise, Sent, Tally
 from .targets import MOST_TOKENS, event_count
 
 DEADLINE = 3.0
@@ -240,8 +240,11 @@
         "Host": HOST,
         "X-Attempt-Id": attempt,
         "X-Deadline-Ms": str(int(DEADLINE * 1000)),
+        "Api-Key": OPEN_KEY,
         **headers,
     }
+    now = asyncio.get_running_loop().time()
+    tally.sent[attempt] = Sent(key=sent["Api-Key"], at=now)
     message = RequestMessage(
         method=b"POST",
         target=path.encode(),
--- a/sequoiaarch/tests/platform/soak/faults.py
+++ b/sequoiaarch/tests/platform/soak/faults.py
@@ -35,6 +35,7 @@
         targets: list[SoakTarget],
         store: KeyedStore,
         publish: Action,
+        rotate: Action,
         rng: random.Random,
     ) -> None:
         self.counts: Counter[str] = Counter()
@@ -60,6 +61,7 @@
             (self._target_drains, 4),
             (self._kill_all, 1),
             (publish, 3),
+            (rotate, 3),
         ]
 
     async def run(self, until: float) -> None:
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -33,6 +33,11 @@
 maxFds = 2000
 [bounds]
 graceS = {grace}
+revokeStrict = true
+revokeMs = 5000
+quotaWindowS = 5
+quotaOverage = 0.1
+quotaSlack = 20
 [platform]
 address = "{store_ip}:{store}"
 parts = {parts}
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -22,6 +22,8 @@
 from ....ledger.terms import BudgetVerdict, TurnTerms
 from ....platform.__main__ import main
 from ....routing.targets import Targets
+from ....workspaces.access import Access, Caller
+from ....workspaces.spans import ShareCount
 
 VARIABLE = "SOAK_PLANTED"
 
@@ -129,6 +131,29 @@
     setattr(IngressDaemon, "stop", stop)  # noqa: B010
 
 
+def keeps_keys() -> None:
+    """Go by the keys of the first configuration for ever."""
+    identify = Access.identify
+
+    def identify_first(self: Access, key: str | None, *, public: bool) -> Caller:
+        first = getattr(self, "first", None) or self.directory
+        setattr(self, "first", first)  # noqa: B010
+        self.directory = first
+        self.age = lambda: 0.0
+        return identify(self, key, public=public)
+
+    setattr(Access, "identify", identify_first)  # noqa: B010
+
+
+def hands_out_everything() -> None:
+    """Hand out every token that is asked for."""
+
+    def take(self: ShareCount, count: int, *_: Any, **__: Any) -> int:
+        return count
+
+    setattr(ShareCount, "take", take)  # noqa: B010
+
+
 PLANTS: dict[str, Callable[[], None]] = {
     one.__name__: one
     for one in (
@@ -141,6 +166,8 @@
         goes_back,
         ignores_drains,
         stops_at_once,
+        keeps_keys,
+        hands_out_everything,
     )
 }
 
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -14,6 +14,7 @@
 from .callers import Caller, KeptCaller, Line
 from .faults import Faults
 from .gateways import MODULE, START_SECONDS, Gateway
+from .keyed import LIMITED_CALLERS, KeyedCaller, Workspaces
 from .links import LinkFaults, ProxiedStore
 from .small import SmallCaller
 from .tally import Promise, Tally
@@ -25,6 +26,7 @@
 CALLERS_EACH = 4
 KEPT_EACH = 3
 SMALL_EACH = 3
+ROTATED_CALLERS = 2
 QUIET_SECONDS = 3.0
 # Links are whole again for so long before the last check.
 LINKS_QUIET_SECONDS = 1.0
@@ -65,6 +67,7 @@
         self._store = ProxiedStore()
         self._tally = Tally()
         self._version = 1
+        self._workspaces = Workspaces(tally=self._tally)
         self._gateways = [
             Gateway(
                 number=number,
@@ -84,6 +87,7 @@
             targets=self._targets,
             store=self._store,
             publish=self._publish,
+            rotate=self._rotate,
             rng=self._fresh_rng(),
         )
         self._kept = [
@@ -100,6 +104,16 @@
             )
             for number in range(CALLERS_EACH * plan.gateways)
         ]
+        self._keyed = [
+            KeyedCaller(
+                gateways=self._gateways,
+                tally=self._tally,
+                workspaces=self._workspaces,
+                limited=number < LIMITED_CALLERS,
+                rng=self._fresh_rng(),
+            )
+            for number in range(LIMITED_CALLERS + ROTATED_CALLERS)
+        ]
         self._link_faults = LinkFaults(gateways=self._gateways, rng=self._fresh_rng())
         self._small = [
             SmallCaller(
@@ -123,6 +137,7 @@
                 self._faults.run(until - QUIET_SECONDS),
                 *(one.run(until) for one in self._callers),
                 *(one.run(until) for one in self._kept),
+                *(one.run(until) for one in self._keyed),
                 self._link_faults.run(end - LINKS_QUIET_SECONDS),
                 *(one.run(end) for one in self._small),
             )
@@ -178,11 +193,18 @@
         for kept in self._kept:
             kept.newest = self._version
 
+    async def _rotate(self) -> None:
+        """Take a key away; the store's answer is when the bound begins."""
+        gone = self._workspaces.rotate()
+        await self._publish()
+        self._tally.revoked[gone] = asyncio.get_running_loop().time()
+
     async def _write_config(self) -> None:
         routes: list[dict[str, Any]] = list(ROUTES)
         for version in range(2, self._version + 1):
             routes.append(route(f"/added-{version}/", "safe", TOOLS, maxAttempts=2))
-        document = config(self._version, routes)
+        workspaces = self._workspaces.document()
+        document = config(self._version, routes, tenants=workspaces)
         await self._store.put("keyed.op", "config", document)
 
     async def _all_ready(self) -> None:
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -113,7 +113,13 @@
             exchange.send(whole_answer(b"", status=503, headers=full))
             return
         self._check_drain(attempt)
-        run = Run(instance=self._instance, body=exchange.request.body)
+        run = Run(
+            instance=self._instance,
+            body=exchange.request.body,
+            at=asyncio.get_running_loop().time(),
+            workspace=_header(exchange, b"x-tenant"),
+            key=_header(exchange, b"api-key"),
+        )
         self._tally.ran(attempt, run)
         await self._answer(exchange, attempt)
 
@@ -148,3 +154,8 @@
         if trouble is Trouble.EXTRA:
             other = (("X-Attempt-Id", "other"), ("X-Server-Stamp", "other"))
             exchange.send(whole_answer(b"another's", headers=other))
+
+
+def _header(exchange: TargetExchange, name: bytes) -> str | None:
+    value = exchange.request.header(name)
+    return value.decode() if value is not None else None
