Let a new host keep shares as soon as all others see it

While gateways were stopped in turn each of them kept no share for five seconds after its start, and right after a loss of all workspaces had two thirds of their rate. A new host asks all others whether they see its registration; one that follows a lost process counts from its own start, when that one had ended; new keepers serve the whole rate. Registrations that change a process and not a host no longer count as a change of keepers.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -21,6 +21,7 @@
     LendRequest,
     Reply,
     Request,
+    SeenRequest,
     SettleRequest,
     TakeTokens,
     TargetReport,
@@ -34,6 +35,7 @@
 from .claiming import Claiming
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
 from .delegates import DelegatedTurns, Delegates
+from .joining import Joining
 from .lenders import Lenders
 from .peers import TOPIC as PEERS_TOPIC, Peers
 from .quotas import FleetQuotas
@@ -117,8 +119,12 @@
             wait=limits.wait,
             viewed=self.tenure.viewed,
         )
+        self._joining = Joining(own=own, writer=writer, peers=peers, tenure=self.tenure)
         peers.own_changed = self._own_changed
-        self._keepers = Keepers(hosts=peers.by_centre, version=lambda: peers.version)
+        self._hosts_seen = peers.hosts_version
+        self._keepers = Keepers(
+            hosts=peers.by_centre, version=lambda: peers.hosts_version
+        )
         self.limiter = Limiter(
             bounds=limits.bounds,
             limits=limits.of,
@@ -158,6 +164,7 @@
             *(one.follow() for one in self._followers),
             self._peers.register(self._log, self._writer),
             self._claiming.run(self._log, retention),
+            self._joining.run(),
         ]
 
     async def answer(self, request: Request, send: Send) -> Reply:
@@ -168,6 +175,8 @@
             return self.reports.take(request)
         if isinstance(request, TakeTokens):
             return self.quotas.answer(request)
+        if isinstance(request, SeenRequest):
+            return self._joining.answer(request)
         return await self._server.answer(request, send)
 
     def refuse_new(self) -> None:
@@ -193,6 +202,9 @@
         self._hosts_changed()
 
     def _hosts_changed(self) -> None:
+        if self._hosts_seen == self._peers.hosts_version:
+            return
+        self._hosts_seen = self._peers.hosts_version
         self.tenure.hosts_changed()
         self.limiter.drop_lost()
 
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -66,6 +66,8 @@
         self._host_of: dict[WriterId, HostName] = {}
         # Grows when a registration changes.
         self.version = 0
+        # Grows when a host is registered that was not, or is no more.
+        self.hosts_version = 0
         self._by_centre: dict[DataCentre, list[HostName]] = {}
         self._listed = asyncio.Event()
         # Called with the process that this host's registration names, if there is
@@ -107,6 +109,11 @@
         """Return all registered hosts, this one too, by their data centre."""
         return self._by_centre
 
+    def knows(self, host: HostName, writer: WriterId) -> bool:
+        """Return whether another host's registration is that of a process."""
+        record = self._known.get(host)
+        return record is not None and record.writer == writer
+
     def hosts(self) -> list[HostName]:
         """Return all other hosts that are known."""
         return list(self._known)
@@ -185,11 +192,13 @@
         ]
         self._host_of = {one.writer: host for host, one in self._known.items()}
         by_centre = defaultdict(list)
-        for host, one in self._known.items():
+        for host, one in sorted(self._known.items()):
             by_centre[one.data_centre].append(host)
         if self._own_writer:
             by_centre[self._data_centre].append(self._own)
-        self._by_centre = dict(by_centre)
+        if self._by_centre != by_centre:
+            self._by_centre = dict(by_centre)
+            self.hosts_version += 1
 
     def _tell_own(self, *, ordered: bool) -> None:
         self.own_changed(self._own_writer or None, ordered)
--- a/sequoiaarch/tests/workspaces/windows.py
+++ b/sequoiaarch/tests/workspaces/windows.py
@@ -94,6 +94,8 @@
         if first:
             self._tell_own(ordered=False)
         self.version = len(self.fleet.changes)
+        if self.tenure.waits and all(map(self._seen_by, self.view)):
+            self.tenure.seen_by_all()
         self.limiter.drop_lost()
 
     def take(self, asked: float, begins: bool) -> bool:
@@ -141,6 +143,13 @@
         if host == self.host and ordered:
             self._tell_own(ordered=True)
 
+    def _seen_by(self, host: HostName) -> bool:
+        life = self.fleet.lives.get(host)
+        if life is None or not life.runs:
+            return False
+        found = life.view.get(self.host)
+        return found is not None and found.life == self.number
+
     def _tell_own(self, *, ordered: bool) -> None:
         own = self.view.get(self.host)
         if own is None:
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -24,6 +24,7 @@
     Seq,
     TargetName,
     Workspace,
+    WriterId,
 )
 from ..ledger.terms import (
     BudgetVerdict,
@@ -300,6 +301,13 @@
     begins: bool
 
 
+class SeenRequest(Message, frozen=True, kw_only=True, tag="seen"):
+    """Ask whether a host's registration by a process is seen."""
+
+    host: HostName
+    writer: WriterId
+
+
 class TargetReport(Message, frozen=True, kw_only=True, tag="target"):
     """Tell what a host saw of a target: that it failed, or serves again."""
 
@@ -323,6 +331,7 @@
     | LendRequest
     | SettleRequest
     | TakeTokens
+    | SeenRequest
     | TargetReport
     | DispatchRequest
     | SubmitRequest
--- a/sequoiaarch/workspaces/tenure.py
+++ b/sequoiaarch/workspaces/tenure.py
@@ -13,10 +13,11 @@
 
     Hosts are ranked by the registrations in the store, and each process sees them
     with a delay of its own. A process acts by a view that is at most a lease old.
-    One whose host is new there waits for a lease: whoever came first before has
-    seen it by then, or stopped. A process that ends removes its registration when
-    it acts no more, so that the next one need not wait. One that follows a lost
-    process of the same host, whose registration still stood, need not either.
+    One whose host is new there waits for a lease, or until all others have told it
+    that they see its host: whoever came first before has seen it by then, or stopped.
+    A process that ends removes its registration when it acts no more, so that the
+    next one need not wait. One that follows a lost process of the same host, whose
+    registration still stood, need not either.
 
     `term` grows whenever another process may have acted meanwhile.
     """
@@ -29,6 +30,7 @@
     ) -> None:
         self._lease = lease
         self._clock = clock
+        self._begun = clock()
         self._acts_from: float | None = None
         self._before = False
         self._ceased = False
@@ -62,8 +64,19 @@
         if self._acts_from is not None:
             return
         now = self._clock()
+        # Whoever acted here before had ended when this process began.
         inherits = self._before and ordered
-        self._acts_from = now if inherits else now + self._lease * CLOCK_MARGIN
+        self._acts_from = self._begun if inherits else now + self._lease * CLOCK_MARGIN
+
+    def seen_by_all(self) -> None:
+        """Note that every other host sees this one's registration."""
+        if self._acts_from is not None:
+            self._acts_from = min(self._acts_from, self._clock())
+
+    @property
+    def waits(self) -> bool:
+        """Return whether this host is registered and may not act yet."""
+        return self._acts_from is not None and self._clock() < self._acts_from
 
     def unregistered(self) -> None:
         """Note that this host is not registered."""
