Grant nothing ahead of open turns

A program with a budget of 2,600 tokens was refused with three lost turns of 567: what a lost process had been granted ahead of its open turn counted as spent beside the turn's most. Nobody can tell later what of it was handed out, so no lease or claim gives it back; only what was never granted can't be lost.

A grant covers open turns and nothing else, and what an ended turn leaves is returned in the append that keeps the turn.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -64,8 +64,7 @@
     The turns of a program come through all gateways of a data centre. Each
     would read the program's records and have tokens granted to itself, and
     while the store is away could do neither. One that keeps the account has
-    the history in memory and tokens granted ahead, which saves the store about
-    half of the calls.
+    the history in memory and knows what was granted.
 
     It has no authority: the log decides what counts, so two delegates at once,
     or none, cost calls and nothing else.
--- a/sequoiaarch/fleet/lenders.py
+++ b/sequoiaarch/fleet/lenders.py
@@ -93,8 +93,7 @@
     """Lend to other processes, and borrow from them.
 
     While the store is away no grant can be written, and a program that begins
-    then, or has used what it was granted ahead, would be refused until it gives
-    up.
+    or goes on then would be refused until it gives up.
     """
 
     def __init__(
--- a/sequoiaarch/ledger/budgets.py
+++ b/sequoiaarch/ledger/budgets.py
@@ -17,18 +17,10 @@
 
 log = logbook.Logger("budget")
 
-# A grant reaches so many turns ahead: each turn then needs no call of its own,
-# and a program goes on for some turns while the store is away.
-TURNS_AHEAD = 2
-# What a grant reaches ahead is at most this part of what is left of the first
-# half, so that other processes have their share of a program that works
-# through several of them.
-AHEAD_PART = 2
 # A budget of fewer turns at their most than this is granted turn by turn.
 SMALL_BUDGET = 4
 # Below this share of the budget a grant is checked beside the engine's work;
-# above it, before the request is sent, so that a refusal stays true. Above it
-# nothing is held ahead either: another process may need the rest.
+# above it, before the request is sent, so that a refusal stays true.
 CHECKED_LATER_SHARE = 0.5
 # A program that has been still for this long here returns what it doesn't use;
 # the pauses between its turns are shorter. Seconds.
@@ -42,7 +34,11 @@
 
 
 class Budgets:
-    """Grant turns their part of a budget, in blocks that the log orders."""
+    """Grant turns their part of a budget, in the order of the log.
+
+    Nothing is granted beyond what open turns may need: a process that is lost can't
+    return it, and the program would be refused for tokens that nobody handed out.
+    """
 
     def __init__(self, *, writer: WriterId, split: BudgetSplit | None = None) -> None:
         self._writer = writer
@@ -100,16 +96,11 @@
             verdict = self._excess(account, terms)
         return self._refused(account, verdict)
 
-    def ahead(self, program: ProgramId) -> None:
-        """Ask for the next block if the present one is nearly used up.
-
-        Called when a record is written anyway, so that it costs no call.
-        """
+    def return_rest(self, program: ProgramId) -> None:
+        """Return what no open turn needs, beside a record that is written anyway."""
         account = self._accounts.get(program)
-        if account is None or account.raising is not None:
-            return
-        if account.wanted + account.most > account.granted and self._ahead(account):
-            self.raise_grant(account)
+        if account is not None:
+            self._lower(account)
 
     def raise_grant(self, account: Account) -> None:
         """Ask for a larger grant, after one that is under way."""
@@ -324,21 +315,20 @@
 
     async def _raise_now(self, account: Account) -> bool:
         partition = account.partition
-        for ahead in (self._ahead(account), 0):
-            if account.settled and account.needed + ahead <= account.granted:
-                return True
-            tokens = max(account.granted, account.needed + ahead)
-            offset = await self._write(account, tokens, urgent=True)
-            while partition.cursor <= offset:
-                if not await partition.sync():
-                    return False
-            state = partition.state
-            # Less may have been asked for meanwhile, which counts at its place.
-            tokens = min(tokens, account.asked)
-            if state.granted(account.program, self._writer) >= tokens:
-                account.granted = tokens
-                self._note_room(account)
-                return True
+        if account.settled:
+            return True
+        tokens = max(account.granted, account.needed)
+        offset = await self._write(account, tokens, urgent=True)
+        while partition.cursor <= offset:
+            if not await partition.sync():
+                return False
+        state = partition.state
+        # Less may have been asked for meanwhile, which counts at its place.
+        tokens = min(tokens, account.asked)
+        if state.granted(account.program, self._writer) >= tokens:
+            account.granted = tokens
+            self._note_room(account)
+            return True
         # The newest record names more than is valid: put that right.
         self._write(account, account.granted, urgent=False)
         return True
@@ -350,13 +340,6 @@
         beside = state.wanted_beside(account.program, self._writer, since)
         account.room = None if beside is None else account.limit - beside
 
-    def _ahead(self, account: Account) -> int:
-        if _small(account):
-            return 0
-        others = self._others(account)
-        left = account.budget * CHECKED_LATER_SHARE - others - account.wanted
-        return max(0, min(TURNS_AHEAD * account.most, int(left / AHEAD_PART)))
-
     def _write(
         self, account: Account, tokens: int, *, urgent: bool
     ) -> asyncio.Future[Offset]:
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -115,7 +115,7 @@
         append.
         """
         hold.close()
-        self._budgets.ahead(hold.terms.program)
+        self._budgets.return_rest(hold.terms.program)
         await self.write(hold.terms, content)
 
     async def write(self, terms: TurnTerms, content: TurnContent) -> None:
--- a/sequoiaarch/tests/platform/outage_tests.py
+++ b/sequoiaarch/tests/platform/outage_tests.py
@@ -78,6 +78,21 @@
             answer = await self.begin(daemon, "/free/a", f"program-{number}")
             self.assertEqual((answer.status, answer.whole), (200, True))
 
+    async def test_program_goes_on_while_the_store_is_away(self) -> None:
+        """Serve several more turns of a program whose grant holds none of them.
+
+        The store goes silent between two turns. Nothing was granted ahead; what the
+        turns of a program may hand out then is lent.
+        """
+        await self.add_target("i-1", ENGINES, stream_answer)
+        daemon = await self.claimed()
+        first = await self.begin(daemon, "/free/a", "program")
+        self.assertEqual(first.status, 200)
+        self.clients["one"].faults.down = True
+        for _ in range(3):
+            answer = await self.begin(daemon, "/free/a", "program")
+            self.assertEqual((answer.status, answer.whole), (200, True))
+
     async def test_end_of_a_kept_turn_waits_for_the_store(self) -> None:
         """Keep what was answered whole, and answer nothing whole before.
 
