--- /dev/null
+++ b/sequoiaarch/fleet/asking.py
@@ -0,0 +1,49 @@
+"""Ask a delegate, which says at once that it works on a request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..wire.links import Link
+from ..wire.messages import (
+    CommitTurnRequest,
+    ConfirmTurnRequest,
+    CoverTurnRequest,
+    Failed,
+    OpenTurnRequest,
+    Reply,
+)
+from .turn_server import failed
+
+# A delegate says at once that it works on a request. One that does not within
+# this time is dead, frozen or overloaded; a turn takes about 0.25 s. Seconds.
+FIRST_WORD = 0.1
+# What follows waits for the store, which may be slow. Seconds.
+LAST_WORD = 1.5
+
+
+async def ask(
+    link: Link,
+    request: OpenTurnRequest
+    | ConfirmTurnRequest
+    | CoverTurnRequest
+    | CommitTurnRequest,
+    *,
+    first_word: float = FIRST_WORD,
+) -> Reply:
+    """Return the last reply, if the first one comes soon enough."""
+    replies = link.stream(request)
+    last: Reply = failed("no reply")
+    try:
+        async with asyncio.timeout(first_word) as limit:
+            async for reply in replies:
+                last = reply
+                limit.reschedule(asyncio.get_running_loop().time() + LAST_WORD)
+    except TimeoutError:
+        return failed("no reply in time")
+    return last
+
+
+def reason_of(reply: Reply) -> str:
+    """Return why a request was not carried out."""
+    return reply.failure.reason if isinstance(reply, Failed) else str(reply)
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -13,7 +13,8 @@
 import zmq.asyncio
 
 from ...errors import ErrorKind, Failure
-from ...fleet.delegates import DelegatedTurn, DelegatedTurns, Delegates
+from ...fleet.delegated_turn import DelegatedTurn
+from ...fleet.delegates import DelegatedTurns, Delegates
 from ...fleet.peers import PeerRecord, Peers, PeerServer
 from ...fleet.standing import Standing
 from ...fleet.turn_server import TurnServer, failed
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from ....errors import ErrorKind, fail
-from ....fleet.delegates import DelegatedTurn, DelegatedTurns
+from ....fleet.delegated_turn import DelegatedTurn
+from ....fleet.delegates import DelegatedTurns
 from ....http1.messages import LinkError
 from ....ids import LoanId
 from ....ingress.attempts import Attempts
@@ -71,6 +72,7 @@
             return
         self._told_end = True
         lifetime = self._start.lifetime
+        assert isinstance(self._turns, DelegatedTurns)
         tell(self._turns, self._link, self._opening, lifetime, handed=self._handed)
 
     setattr(DelegatedTurns, "tell_end", tell_end)  # noqa: B010
