--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -7,7 +7,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import logbook
@@ -27,23 +27,23 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixMemory, PrefixPlacement
 from ..policies.health import TargetHealth
-from ..routing.follower import WAIT_SECONDS, TopicFollower, boot_time
+from ..routing.follower import TopicFollower
 from ..routing.registrations import Registrations
 from ..routing.routes import ClientLimits, RouteTable
-from ..routing.targets import TargetEntry, Targets
-from ..storage.keyed import KeyedLog, KeyedRecord
+from ..routing.targets import Targets
+from ..storage.keyed import KeyedLog
 from ..storage.relayed import Way
 from ..wire.links import Send
 from ..wire.messages import Reply as PeerReply, Request
 from ..workspaces.access import Access
-from ..workspaces.credits import Purse
-from ..workspaces.limiter import Limiter
-from ..workspaces.quotas import LocalQuotas, Quotas
+from ..workspaces.quotas import Quotas, local_quotas
 from ..workspaces.spans import QuotaBounds
 from .calls import CallCodec
+from .configuration import Configuration, read_wait
 from .dispatcher import Dispatcher
 from .handler import RequestHandler
 from .options import IngressOptions
+from .sources import Sources
 
 log = logbook.Logger("daemon")
 
@@ -63,31 +63,11 @@
 TURNS_SHARE = 0.1
 LINKS_SHARE = 0.6
 METRICS_PATH = b"/metrics"
-READS_WITHIN_LIMIT = 5
 # A process that hears nothing of the fleet keeps its shares of limits for this time
 # where keys count for ever. Seconds.
 DEFAULT_LEASE = 10.0
 
 
-class Sources:
-    """Name the topics that the platform fills, and decode their records."""
-
-    def __init__(
-        self,
-        *,
-        routes_topic: str,
-        routes_key: str,
-        targets_topic: str,
-        decode_routes: Callable[[bytes], RouteTable],
-        decode_target: Callable[[str, bytes], TargetEntry],
-    ) -> None:
-        self.routes_topic = routes_topic
-        self.routes_key = routes_key
-        self.targets_topic = targets_topic
-        self.decode_routes = decode_routes
-        self.decode_target = decode_target
-
-
 class IngressDaemon:
     """Hold the parts of one ingress daemon."""
 
@@ -106,7 +86,6 @@
     ) -> None:
         self._reload = reload
         self._options = options
-        self._sources = sources
         rng = random.Random()
         self.targets = Targets(dropped=self._forget)
         writer = WriterId(secrets.token_hex(WRITER_BYTES))
@@ -143,19 +122,7 @@
         self._metrics = metrics or RequestMetrics()
         self.dispatcher.store_way = store_way
         bounds = options.quota or QuotaBounds()
-        started = boot_time()
-        quotas: Quotas = LocalQuotas(
-            limiter=Limiter(
-                bounds=bounds,
-                limits=access.limit_of,
-                keeps=lambda workspace, share: True,
-                term=lambda: 0,
-                since=lambda: started,
-                clock=boot_time,
-                rng=rng,
-            ),
-            purse=Purse(clock=boot_time),
-        )
+        quotas: Quotas = local_quotas(limits=access.limit_of, bounds=bounds)
         turns: Turns = LocalTurns(ledger=self.ledger)
         self._fleet: Fleet | None = None
         if peers is not None:
@@ -171,7 +138,7 @@
                     of=access.limit_of,
                     bounds=bounds,
                     lease=options.key_age_limit or DEFAULT_LEASE,
-                    wait=_read_wait(options.key_age_limit),
+                    wait=read_wait(options.key_age_limit),
                 ),
             )
             quotas = self._fleet.quotas
@@ -189,14 +156,12 @@
             handle=handler.handle, limits=self._server_limits(ClientLimits())
         )
         self._ready = Server(handle=self._answer_ready, limits=ServerLimits())
-        self._routes_follower = TopicFollower(
-            log=keyed_log,
-            topic=sources.routes_topic,
-            replace=self._take_all_routes,
-            change=self._take_routes,
-            wait=_read_wait(options.key_age_limit),
+        configuration = Configuration(
+            keyed_log=keyed_log,
+            sources=sources,
+            access=access,
+            changed=self._take_routes,
         )
-        access.age = lambda: boot_time() - self._routes_follower.seen_from
         registrations = Registrations(
             decode=sources.decode_target, targets=self.targets
         )
@@ -211,7 +176,7 @@
         )
         self.dispatcher.targets_read = lambda: self._targets_follower.read_at
         self._parts: list[Coroutine[Any, Any, None]] = [
-            self._routes_follower.follow(),
+            configuration.follow(),
             self._targets_follower.follow(),
             self.ledger.trim(),
             self.ledger.give_back(),
@@ -353,25 +318,9 @@
         for name, value in state.items():
             self._metrics.state(name, value)
 
-    def _take_all_routes(self, records: Sequence[KeyedRecord]) -> None:
-        for record in records:
-            self._take_routes(record)
-
-    def _take_routes(self, record: KeyedRecord) -> None:
-        if record.key != self._sources.routes_key or not record.value:
-            return
-        try:
-            routes = self._sources.decode_routes(record.value)
-        except ValueError as error:
-            log.error("configuration can't be read and is passed over: {}", error)
-            return
-        current = self.dispatcher.routes
-        if current is not None and routes.version <= current.version:
-            return
+    def _take_routes(self, routes: RouteTable) -> None:
         self.dispatcher.routes = routes
-        self.dispatcher.access.directory = routes.workspaces
         self.front.limits = self._server_limits(routes.limits)
-        log.info("version {}: {} routes", routes.version, routes.route_count)
 
     def _server_limits(self, limits: ClientLimits) -> ServerLimits:
         return ServerLimits(
@@ -385,14 +334,3 @@
 
     def _forget(self, instance: InstanceId) -> None:
         self.dispatcher.forget(instance)
-
-
-def _read_wait(limit: float | None) -> float:
-    """Return how long a read of the configuration may wait for a change.
-
-    A view is up to two reads old while all goes well. It has to stay far below the
-    limit, so that reads that fail for a second refuse nobody.
-    """
-    if limit is None:
-        return WAIT_SECONDS
-    return min(WAIT_SECONDS, limit / READS_WITHIN_LIMIT)
--- a/sequoiaarch/platform/program.py
+++ b/sequoiaarch/platform/program.py
@@ -11,7 +11,8 @@
 import zmq.asyncio
 
 from ..fleet.peers import Peers, PeerServer
-from ..ingress.daemon import IngressDaemon, Sources
+from ..ingress.daemon import IngressDaemon
+from ..ingress.sources import Sources
 from ..observe.events import EventLog, events_to
 from ..storage.direct import DirectCaller
 from ..storage.hedged import HedgedCaller
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -22,6 +22,7 @@
 from ....ledger.reservation import Reservation
 from ....ledger.terms import BudgetVerdict, TurnTerms
 from ....platform.__main__ import main
+from ....routing.routes import RouteTable
 from ....routing.targets import Targets
 from ....workspaces.access import Access, Caller
 from ....workspaces.spans import ShareCount
@@ -101,9 +102,9 @@
     """Return to the first configuration now and then."""
     take = IngressDaemon._take_routes
 
-    def take_routes(self: IngressDaemon, record: Any) -> None:
+    def take_routes(self: IngressDaemon, routes: RouteTable) -> None:
         first = getattr(self, "first_routes", None)
-        take(self, record)
+        take(self, routes)
         if first is None:
             setattr(self, "first_routes", self.dispatcher.routes)  # noqa: B010
             return
--- a/sequoiaarch/workspaces/quotas.py
+++ b/sequoiaarch/workspaces/quotas.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
 from ..errors import ErrorKind, FailureError, fail
+from ..ids import Workspace
+from ..routing.follower import boot_time
 from .access import Caller
 from .credits import Purse
+from .directory import RateLimit
 from .limiter import Limiter, Tokens
-from .spans import SHARES
+from .spans import SHARES, QuotaBounds
 
 # Seconds after which a keeper that was lost is likely followed by another one.
 UNKNOWN_RETRY = 0.3
@@ -69,6 +74,23 @@
         return self._purse.now()
 
 
+def local_quotas(
+    *, limits: Callable[[Workspace], RateLimit | None], bounds: QuotaBounds
+) -> LocalQuotas:
+    """Return the quotas of a process that keeps all limits itself."""
+    started = boot_time()
+    limiter = Limiter(
+        bounds=bounds,
+        limits=limits,
+        keeps=lambda workspace, share: True,
+        term=lambda: 0,
+        since=lambda: started,
+        clock=boot_time,
+        rng=random.Random(),
+    )
+    return LocalQuotas(limiter=limiter, purse=Purse(clock=boot_time))
+
+
 class Credit:
     """Hold the token of one request, and have one more for each further send.
 
