Bound starts by what the aim of a program bears

In a burst above capacity engines are full for seconds, and programs that begun were late together with those begun before them; a fixed limit of 0.12 s for the wait of a first turn suits programs of three turns and is too much for those of nine, which wait at each. The time to its aim says about how many turns a program has, so it says what each may wait.

--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -10,7 +10,7 @@
 from ..policies.engines import EngineChoice, EnginePlacement, PrefixMemory, PromptShape
 from ..policies.health import TargetHealth, first_event_due
 from ..policies.retries import RetryBudget, RetryPolicy, patience
-from ..policies.starts import BoundedWait, Start, StartPolicy
+from ..policies.starts import Start, StartPolicy, WaitByAim
 from ..policies.urgency import ProgramStanding, Urgency, WorthUrgency
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
@@ -51,7 +51,7 @@
         self._memory = memory
         self._plain = plain
         self._urgency: Urgency = WorthUrgency()
-        self._starts: StartPolicy = BoundedWait(rng=rng)
+        self._starts: StartPolicy = WaitByAim(rng=rng)
         self._rng = rng
         # Requests on connections that a target still holds would be lost with it.
         # On new ones they go on to the next target if it does not answer.
@@ -75,13 +75,18 @@
         chosen = next(entry for entry in entries if entry.incarnation == instance)
         return chosen, reason
 
-    def refuse_start(self, route: Route) -> float | None:
+    def refuse_start(self, route: Route, info: CallInfo) -> float | None:
         """Return when a new program should come back; None to let it start."""
         service = self._service(route)
         waits = [self.load.wait(one.incarnation) for one in self._targets.of(service)]
         if not waits:
             return None
-        return self._starts.refuse(Start(wait=min(waits)))
+        start = Start(
+            wait=min(waits),
+            left=info.program_deadline,
+            latency_target=route.latency_target,
+        )
+        return self._starts.refuse(start)
 
     def sent(
         self, entry: TargetEntry, route: Route, info: CallInfo, request: object
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -145,7 +145,7 @@
         info = self._info
         if info.previous is not None:
             return
-        retry_after = self._dispatcher.refuse_start(self._route)
+        retry_after = self._dispatcher.refuse_start(self._route, info)
         if retry_after is None or await self._ledger.knows_program(self._program):
             return
         raise fail(
