Replay a burst above capacity

Programs of three and nine turns begin twice as fast as engines can serve them; those whose starts go by their aims end in time more often than with one limit, and than with none.

--- a/sequoiaarch/tests/policies/worst_load_tests.py
+++ b/sequoiaarch/tests/policies/worst_load_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 import unittest
 from dataclasses import dataclass, field
@@ -23,6 +24,8 @@
     BoundedWait,
     OpenStarts,
     Start,
+    StartPolicy,
+    WaitByAim,
 )
 from ...policies.urgency import ProgramStanding, RankUrgency, WorthUrgency
 
@@ -32,6 +35,49 @@
 TURN_SECONDS = 0.23
 
 
+BURST_SECONDS = 5.0
+# Turns of the programs, and how much longer than on idle engines each may take.
+PROGRAMS = ((3, 1.4), (9, 1.3))
+OBJECTIVE = 0.25
+BEGIN_RATE = 2 * ENGINES * SLOTS / (6 * TURN_SECONDS)
+TRIES = 4
+
+
+def ended_in_time(policy: StartPolicy, seed: int) -> int:
+    """Return how many turns of programs that end in time a burst gets."""
+    rng = random.Random(seed)
+    free = [0.0] * (ENGINES * SLOTS)
+    # When the next turn is due, its number, the program's turns, begin and aim.
+    due: list[tuple[float, float, int, int, float, float, int]] = []
+    now = 0.0
+    while now < BURST_SECONDS:
+        now += rng.expovariate(BEGIN_RATE)
+        turns, factor = rng.choice(PROGRAMS)
+        aim = factor * turns * TURN_SECONDS + OBJECTIVE
+        heapq.heappush(due, (now, rng.random(), 0, turns, now, aim, 0))
+    good = 0
+    while due:
+        now, tie, done, turns, begun, aim, tries = heapq.heappop(due)
+        if done == turns:
+            good += turns * (now <= begun + aim)
+            continue
+        wait = max(0.0, min(free) - now)
+        if not done:
+            left = begun + aim - now
+            back = policy.refuse(
+                Start(wait=wait, left=max(left, 0.01), latency_target=OBJECTIVE)
+            )
+            if back is not None:
+                if tries < TRIES:
+                    again = (now + back, tie, 0, turns, begun, aim, tries + 1)
+                    heapq.heappush(due, again)
+                continue
+        place = free.index(min(free))
+        free[place] = max(now, free[place]) + TURN_SECONDS
+        heapq.heappush(due, (free[place], tie, done + 1, turns, begun, aim, tries))
+    return good
+
+
 @dataclass
 class _Engine:
     """Serve requests in order of arrival, so many at a time."""
@@ -276,3 +322,24 @@
         """Refuse nothing while an engine has room."""
         for policy in (BoundedWait(rng=random.Random(3)), OpenStarts()):
             self.assertIsNone(policy.refuse(Start(wait=WAIT_LIMIT / 2)))
+
+    def test_programs_begin_above_capacity(self) -> None:
+        """End more programs in time than with one limit for all.
+
+        Twice as many programs begin for five seconds as the engines can serve. Those
+        of many turns, whose aims bear little at each of them, are sent back before
+        those of few.
+        """
+        for seed in range(4):
+            rng = random.Random(seed)
+            by_aim = ended_in_time(WaitByAim(rng=rng), seed)
+            fixed = ended_in_time(BoundedWait(rng=rng), seed)
+            opened = ended_in_time(OpenStarts(), seed)
+            self.assertGreater(by_aim, fixed)
+            self.assertGreater(fixed, opened)
+
+    def test_no_aim(self) -> None:
+        """Bear the usual wait where a program names no aim."""
+        policy = WaitByAim(rng=random.Random(3))
+        self.assertIsNone(policy.refuse(Start(wait=WAIT_LIMIT)))
+        self.assertIsNotNone(policy.refuse(Start(wait=1.01 * WAIT_LIMIT)))
