Go by what answers of all targets waited

The limit for starts looked at the shortest wait known of any target. With twenty engines and 33 gateways each gateway hears of an engine about once a second, and what nobody confirms fades: the shortest wait is the oldest one, and says that there is room while all are full. A start now waits for what three in four answers of the last 0.6 s waited at least, if that is more.

--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -82,7 +82,7 @@
         if not waits:
             return None
         start = Start(
-            wait=min(waits),
+            wait=max(min(waits), self.load.usual),
             left=info.program_deadline,
             latency_target=route.latency_target,
         )
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -19,6 +19,12 @@
 # What an idle engine takes to its first event beyond reading the prompt; the
 # least seen is used once there is one. Seconds.
 FIRST_GUESS = 0.06
+# Waits of the last answers of all targets tell whether all of them are full. Of the
+# waits at single ones the shortest is the one that was not confirmed for longest:
+# with many targets and few answers it says little. Seconds, and answers.
+RECENT_SECONDS = 0.6
+RECENT_LEAST = 4
+RECENT_MOST = 32
 # For how long a long wait says that targets have queues. Seconds.
 LONGEST_HALF_LIFE = 3.0
 # Targets are judged by what they owe so often: a part of the shortest pause that
@@ -52,6 +58,8 @@
         self._least = FIRST_GUESS
         self._longest = 0.0
         self._longest_seen = 0.0
+        # When a first event came, and how long it had waited.
+        self._recent: deque[tuple[float, float]] = deque(maxlen=RECENT_MOST)
 
     def started(self, instance: InstanceId) -> None:
         """Count a request that was sent."""
@@ -84,6 +92,13 @@
         faded: float = 0.5 ** ((now - self._longest_seen) / LONGEST_HALF_LIFE)
         return self._longest * faded
 
+    @property
+    def usual(self) -> float:
+        """Return what three in four answers of late waited at least, in seconds."""
+        since = asyncio.get_running_loop().time() - RECENT_SECONDS
+        waits = sorted(wait for seen, wait in self._recent if seen >= since)
+        return waits[len(waits) // 4] if len(waits) >= RECENT_LEAST else 0.0
+
     def heard(self, instance: InstanceId, request: object) -> None:
         """Note that a target sent what it owed for a request."""
         self._instances[instance].due.pop(request, None)
@@ -124,6 +139,7 @@
         taken = max(0.0, now - begun)
         self._least = min(self._least, taken)
         excess = taken - self._least
+        self._recent.append((now, excess))
         self._longest = max(self.longest, excess)
         self._longest_seen = now
         before = self._faded(found, now)
