--- a/sequoiaarch/tests/ingress/load_tests.py
+++ b/sequoiaarch/tests/ingress/load_tests.py
@@ -94,3 +94,57 @@
             self.board.heard(TARGET, "request")
             self.health.told(TARGET, HostName(host), ok=False, now=self.now)
             self.assertEqual(self.board.failing(TARGET), 0.0)
+
+
+class UsualWaitTests(unittest.IsolatedAsyncioTestCase):
+    """Tell full targets from one that was not asked for a while."""
+
+    async def asyncSetUp(self) -> None:
+        """Make a board on a clock that the test moves."""
+        self.now = 100.0
+        loop = asyncio.get_running_loop()
+        patched = mock.patch.object(loop, "time", lambda: self.now)
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.board = LoadBoard(health=TargetHealth(own=HostName("own")))
+
+    def answer(self, number: int, waited: float) -> None:
+        """Have a target answer a request that waited."""
+        target = InstanceId(f"i-{number}")
+        request = object()
+        self.board.started(target)
+        self.board.awaits_first(target, request, 0.0)
+        self.now += waited
+        self.board.got_first(target, request)
+        self.board.ended(target)
+        self.now -= waited
+
+    async def test_many_targets_and_few_answers(self) -> None:
+        """See that all targets are full, though few of them answered of late.
+
+        Twenty engines are full for seconds and a gateway hears of each about once in
+        that time. What it last saw of one of them has faded by then, so that the
+        shortest wait it knows of says that there is room.
+        """
+        self.answer(0, 0.0)
+        for number in range(20):
+            self.answer(number, 0.2)
+            self.now += 0.1
+        shortest = min(self.board.wait(InstanceId(f"i-{n}")) for n in range(20))
+        self.assertLess(shortest, 0.05)
+        self.assertGreater(self.board.usual, 0.15)
+
+    async def test_some_targets_are_slow(self) -> None:
+        """Go by what most answers waited, not by a few slow targets."""
+        for number in range(12):
+            self.answer(number, 0.3 if number % 3 == 0 else 0.01)
+            self.now += 0.02
+        self.assertLess(self.board.usual, 0.05)
+
+    async def test_answers_of_long_ago(self) -> None:
+        """Say nothing by few answers, or by those of a burst that has passed."""
+        for number in range(8):
+            self.answer(number, 0.3)
+        self.assertGreater(self.board.usual, 0.1)
+        self.now += 1.0
+        self.assertEqual(self.board.usual, 0.0)
