--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -16,7 +16,8 @@
 from ..fleet.peers import Peers
 from ..fleet.turn_server import failed
 from ..http1.messages import RequestMessage
-from ..http1.server import Reply, Server, ServerLimits
+from ..http1.server import Server
+from ..http1.server_link import Reply, ServerLimits
 from ..ids import InstanceId, WriterId
 from ..ledger.ledger import Ledger
 from ..ledger.places import Places
--- a/sequoiaarch/tests/http1/exchange_tests.py
+++ b/sequoiaarch/tests/http1/exchange_tests.py
@@ -8,7 +8,8 @@
 from ...http1.client import ClientLink, connect
 from ...http1.events import EventSplitter, event_data
 from ...http1.messages import LinkError, LinkFault, RequestMessage
-from ...http1.server import Reply, Server, ServerLimits
+from ...http1.server import Server
+from ...http1.server_link import Reply, ServerLimits
 from ...http1.sockets import reset_on_close
 from ...standins.target import (
     TargetExchange,
--- a/sequoiaarch/tests/platform/http_store.py
+++ b/sequoiaarch/tests/platform/http_store.py
@@ -10,7 +10,8 @@
 
 from ...errors import Failure
 from ...http1.messages import RequestMessage
-from ...http1.server import Reply, Server, ServerLimits
+from ...http1.server import Server
+from ...http1.server_link import Reply, ServerLimits
 from ...ids import Offset
 from ...standins.keyed_store import KeyedStore
 from ...storage.keyed import KeyedRecord, LogGap, Partition, Writer
