Quote no header that can't be read

A request whose header line is malformed was refused with that line in the answer and in the log, where it may hold the caller's key: the error of the parser quotes what it could not read. Only what stands before the quotation is told. The test was red with the key in both places.

--- a/sequoiaarch/http1/server_link.py
+++ b/sequoiaarch/http1/server_link.py
@@ -312,7 +312,9 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
-                raise _Refused(error.error_status_hint, str(error)) from None
+                # What follows the colon quotes the request, with the caller's key.
+                reason = str(error).partition(":")[0]
+                raise _Refused(error.error_status_hint, reason) from None
             if event is h11.NEED_DATA:
                 await self._more()
                 continue
--- a/sequoiaarch/tests/http1/exchange_tests.py
+++ b/sequoiaarch/tests/http1/exchange_tests.py
@@ -5,6 +5,8 @@
 import asyncio
 import unittest
 
+import logbook
+
 from ...http1.client import ClientLink, connect
 from ...http1.events import EventSplitter, event_data
 from ...http1.messages import LinkError, LinkFault, RequestMessage
@@ -236,6 +238,18 @@
         self.assertIn(b"400", answer.split(b"\r\n")[0])
         self.assertEqual(self.seen, [])
 
+    async def test_malformed_header_is_quoted_nowhere(self) -> None:
+        """Show no bytes of a header that can't be read, which may hold a key."""
+        handler = logbook.TestHandler(level=logbook.DEBUG)
+        with handler.applicationbound():
+            answer = await self.exchange(
+                b"GET /a HTTP/1.1\r\nHost: h\r\nAuthorization : secret-text\r\n\r\n"
+            )
+        self.assertIn(b"400", answer.split(b"\r\n")[0])
+        self.assertTrue(handler.formatted_records)
+        self.assertNotIn(b"secret-text", answer)
+        self.assertNotIn("secret-text", "".join(handler.formatted_records))
+
     async def test_too_large(self) -> None:
         """Refuse a body over the limit."""
         head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"
