Tell callers with a key to come back after an outage, not into it

While the store served nobody, callers whose key could no longer be judged were told to come back after 0.1 s. They have a handful of tries and used them up within a second; an outage takes several. They are told a second then, and 0.1 s where this process alone has an old view. The metric of shares shows 0 for those that are kept elsewhere now.

--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -122,6 +122,7 @@
         )
         self._metrics = metrics or RequestMetrics()
         self.dispatcher.store_way = store_way
+        access.reached = self.dispatcher.store_reached
         bounds = options.quota or QuotaBounds()
         quotas: Quotas = local_quotas(limits=access.limit_of, bounds=bounds)
         turns: Turns = LocalTurns(ledger=self.ledger)
@@ -314,8 +315,7 @@
         if self._fleet is not None:
             state["loans_lent"] = float(self._fleet.loans.lent)
             state["loans_refused"] = float(self._fleet.loans.refused)
-            for (workspace, share), free in self._fleet.limiter.free().items():
-                self._metrics.share(workspace, share, free)
+            self._metrics.shares(self._fleet.limiter.free())
         for name, value in state.items():
             self._metrics.state(name, value)
 
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from ..ids import Workspace
+
 SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
 
 
@@ -18,6 +22,7 @@
         self._gauge = Gauge(
             "sequoiaarch_state", "State by name.", registry=self._registry
         )
+        self._shown: set[tuple[Workspace, int]] = set()
         self._shares = Gauge(
             "sequoiaarch_share_free",
             "Tokens left of the shares of limits that are kept here.",
@@ -48,9 +53,12 @@
         """Set a value of the daemon's state."""
         self._gauge.set({"name": name}, value)
 
-    def share(self, workspace: str, share: int, free: float) -> None:
-        """Set what is left of a share of a workspace's limit."""
-        self._shares.set({"workspace": workspace, "share": str(share)}, free)
+    def shares(self, free: Mapping[tuple[Workspace, int], float]) -> None:
+        """Set what is left of the shares that are kept here, and 0 for those gone."""
+        gone = dict.fromkeys(self._shown - free.keys(), 0.0)
+        for (workspace, share), left in {**gone, **free}.items():
+            self._shares.set({"workspace": workspace, "share": str(share)}, left)
+        self._shown = set(free)
 
     def text(self) -> bytes:
         """Return all metrics as text."""
--- a/sequoiaarch/tests/workspaces/access_tests.py
+++ b/sequoiaarch/tests/workspaces/access_tests.py
@@ -6,7 +6,7 @@
 
 from ...errors import ErrorKind, FailureError
 from ...ids import Workspace
-from ...workspaces.access import Access
+from ...workspaces.access import OUTAGE_RETRY, OUTDATED_RETRY, Access
 from ...workspaces.directory import Directory, WorkspaceEntry
 
 LIMIT = 4.0
@@ -50,6 +50,22 @@
         self.age = 5.0
         self.assertIs(self.refused("new"), ErrorKind.OUTDATED)
 
+    def test_callers_outlast_an_outage(self) -> None:
+        """Send callers back for longer while the store serves nobody.
+
+        A caller has a handful of tries. Told to come back in a tenth of a second, it
+        uses them up in the first second of an outage of some seconds.
+        """
+        self.age = LIMIT + 1.0
+        waits = []
+        reached = True
+        self.access.reached = lambda: reached
+        for reached in (True, False):
+            with self.assertRaises(FailureError) as caught:
+                self.access.identify("k1", public=False)
+            waits.append(caught.exception.failure.wait)
+        self.assertEqual(waits, [OUTDATED_RETRY, OUTAGE_RETRY])
+
     def test_key_is_taken_away_while_a_request_waits(self) -> None:
         """Refuse to send a request whose key went while it waited for a grant."""
         caller = self.access.identify("k1", public=False)
--- a/sequoiaarch/workspaces/access.py
+++ b/sequoiaarch/workspaces/access.py
@@ -10,9 +10,11 @@
 from ..ids import Workspace
 from .directory import ANONYMOUS, Directory, RateLimit
 
-# A process whose view is too old follows the store again within a read or two;
-# if it is cut off, another one serves the caller. Seconds.
+# A process that was frozen follows the store again within a read. Seconds.
 OUTDATED_RETRY = 0.1
+# An outage of the store takes seconds; callers who come back sooner use up their
+# tries before it ends. Seconds.
+OUTAGE_RETRY = 1.0
 
 
 class Caller(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,7 +38,8 @@
     Answers the load of callers that go on with a key that was taken away, at a
     process that is cut off, frozen or turned away by the store and can't know.
     `age` tells since when the view may be outdated, in seconds, and `limit` up to
-    which age a key counts; None for any.
+    which age a key counts; None for any. `reached` tells whether the store served
+    this process lately, by any way.
     """
 
     def __init__(
@@ -44,9 +47,11 @@
         *,
         limit: float | None = None,
         age: Callable[[], float] = lambda: 0.0,
+        reached: Callable[[], bool] = lambda: True,
     ) -> None:
         self.limit = limit
         self.age = age
+        self.reached = reached
         self.directory: Directory | None = None
 
     def identify(self, key: str | None, *, public: bool) -> Caller:
@@ -86,4 +91,5 @@
         age = self.age()
         if self.limit is not None and age > self.limit:
             reason = f"keys are known as of {age:.1f} s ago, over {self.limit:.1f} s"
-            raise fail(ErrorKind.OUTDATED, reason, retry_after=OUTDATED_RETRY)
+            wait = OUTDATED_RETRY if self.reached() else OUTAGE_RETRY
+            raise fail(ErrorKind.OUTDATED, reason, retry_after=wait)
