Hold a stand-alone daemon's callers to limits

Keys and limits of its settings go through the same directory, access and shares as a configuration's. A key of two workspaces was taken for the last one's and is refused at the start now, as is a limit of a workspace that nobody has a key of.

--- a/sequoiaarch/config/settings.py
+++ b/sequoiaarch/config/settings.py
@@ -74,6 +74,14 @@
     workspace: str = Field(min_length=1, pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]*$")
 
 
+class WorkspaceLimit(Options):
+    """Bound what the callers of a workspace may send through this daemon."""
+
+    workspace: str
+    rate: float = Field(gt=0, description="requests a second")
+    burst: float = Field(default=0, ge=0, description="requests more at once")
+
+
 class LoggingOptions(Options):
     """Set what is logged and how."""
 
@@ -116,6 +124,7 @@
     platform: PlatformOptions = PlatformOptions()
     peers: list[str] = []
     callers: list[Caller] = []
+    workspace_limits: list[WorkspaceLimit] = []
     operator_keys: list[str] = []
     shards: int = Field(default=4, ge=1, le=1024)
     logging: LoggingOptions = LoggingOptions()
@@ -130,6 +139,13 @@
             raise ValueError("role 'sidecar' needs 'target', the name of its target")
         if self.role is Role.GATEWAY and not self.callers:
             raise ValueError("role 'gateway' needs 'callers', at least one bearer key")
+        known = {caller.workspace for caller in self.callers}
+        held = {(caller.key, caller.workspace) for caller in self.callers}
+        if len(held) != len({key for key, _ in held}):
+            raise ValueError("'callers' gives one key to two workspaces")
+        for limit in self.workspace_limits:
+            if limit.workspace not in known:
+                raise ValueError(f"workspace {limit.workspace!r} has no caller")
         if self.role is not Role.STANDALONE and self.platform.log is None:
             raise ValueError(f"role {self.role.value!r} needs 'platform.log', a URL")
         return self
--- a/sequoiaarch/gateway/app.py
+++ b/sequoiaarch/gateway/app.py
@@ -162,7 +162,7 @@
     # Model calls.
 
     def _chat(self, request: Request) -> Response:
-        workspace = self._keys.workspace(request)
+        workspace = self._keys.admit(request)
         body = read_body(request, self._settings.http.max_body)
         chat = parse_chat(body)
         document = self._program_document(workspace, chat.model)
@@ -348,7 +348,7 @@
     def _tool(
         self, request: Request, name: str, service: str, path: str = ""
     ) -> Response:
-        workspace = self._keys.workspace(request)
+        workspace = self._keys.admit(request)
         program = inner_id(workspace, name, "id")
         state = self._need(program, workspace)
         if state.ended is None:
@@ -358,7 +358,7 @@
         )
 
     def _plain(self, request: Request, service: str, path: str = "") -> Response:
-        workspace = self._keys.workspace(request)
+        workspace = self._keys.admit(request)
         document = self._document_with_service(workspace, service)
         key = read_key(request)
         # The same key through any gateway names the same program, and so
--- a/sequoiaarch/gateway/requests.py
+++ b/sequoiaarch/gateway/requests.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import re
+import threading
+from collections import defaultdict
 from typing import Any, TypeVar
 
 import msgspec
 from werkzeug.wrappers import Request
 
 from ..config.settings import Settings
-from ..errors import ErrorKind, fail
+from ..errors import ErrorKind, FailureError, fail
 from ..ids import CHILD_SEPARATOR, ProgramId, Seq, Workspace
+from ..workspaces.access import Access, Caller
+from ..workspaces.directory import ANONYMOUS, Directory, RateLimit, WorkspaceEntry
+from ..workspaces.quotas import Refusal, local_quotas, quota_failure
+from ..workspaces.spans import QuotaBounds
 
 PROGRAM_ID = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
 KEY = re.compile(r"^[\x21-\x7e]{1,255}$")
@@ -102,22 +108,40 @@
 
 
 class KeyTable:
-    """Map bearer keys to workspaces and operators."""
+    """Know callers and operators by their bearer keys, and hold callers to limits.
+
+    Each daemon keeps its limits by itself.
+    """
 
     def __init__(self, *, settings: Settings) -> None:
-        self._callers = {
-            caller.key: Workspace(caller.workspace) for caller in settings.callers
-        }
+        self._access = Access()
+        self._access.directory = _directory(settings)
+        bounds = QuotaBounds(overage=0.0, slack=0.0)
+        self._quotas = local_quotas(limits=self._access.limit_of, bounds=bounds)
         self._operators = set(settings.operator_keys)
+        self._lock = threading.Lock()
 
     def workspace(self, request: Request) -> Workspace:
         """Return the workspace of the caller."""
-        workspace = self._callers.get(bearer(request))
-        if workspace is None:
-            raise fail(
-                ErrorKind.UNAUTHORISED, "the key is not known", field="Authorization"
-            )
-        return workspace
+        return self._caller(request).workspace or ANONYMOUS
+
+    def admit(self, request: Request) -> Workspace:
+        """Return the workspace of the caller, which has room for a call more."""
+        caller = self._caller(request)
+        if caller.limit is not None:
+            with self._lock:
+                found = self._quotas.take_here(caller)
+            if isinstance(found, Refusal):
+                raise quota_failure(caller, found)
+        return caller.workspace or ANONYMOUS
+
+    def _caller(self, request: Request) -> Caller:
+        key = bearer(request)
+        try:
+            return self._access.identify(key, public=False)
+        except FailureError as error:
+            failure = msgspec.structs.replace(error.failure, field="Authorization")
+            raise FailureError(failure) from None
 
     def check_operator(self, request: Request) -> None:
         """Refuse whoever is no operator."""
@@ -129,6 +153,22 @@
             )
 
 
+def _directory(settings: Settings) -> Directory:
+    limits = {
+        one.workspace: RateLimit(rate=one.rate, burst=one.burst)
+        for one in settings.workspace_limits
+    }
+    keys: dict[str, set[str]] = defaultdict(set)
+    for caller in settings.callers:
+        keys[caller.workspace].add(caller.key)
+    return Directory(
+        WorkspaceEntry(
+            name=Workspace(name), keys=frozenset(held), limit=limits.get(name)
+        )
+        for name, held in keys.items()
+    )
+
+
 def inner_id(workspace: Workspace, program: str, field: str) -> ProgramId:
     """Return the identifier of a program of a workspace."""
     if not PROGRAM_ID.match(program):
--- a/sequoiaarch/workspaces/quotas.py
+++ b/sequoiaarch/workspaces/quotas.py
@@ -50,6 +50,10 @@
 
     async def take(self, caller: Caller, *, begins: bool) -> float | Refusal:
         """Take a token of any share."""
+        return self.take_here(caller, begins=begins)
+
+    def take_here(self, caller: Caller, *, begins: bool = False) -> float | Refusal:
+        """Take a token of any share, which needs no wait."""
         workspace = caller.workspace
         assert workspace is not None
         asked = self._purse.now()
