Have new keepers serve two thirds of the rate

With the whole rate for a new keeper less of a window is left for what is asked for at once, by which small workspaces live.

--- a/sequoiaarch/workspaces/spans.py
+++ b/sequoiaarch/workspaces/spans.py
@@ -18,6 +18,9 @@
 # Tokens handed out within this time are counted as one entry, at the time of the
 # last. Seconds.
 ENTRY_SPAN = 0.05
+# A new keeper, which does not know what was handed out before, serves this part of
+# the rate until the window has passed. The more, the less may be used at once.
+LEAST_RATE = 2 / 3
 # Requests that begin a program leave this part to those under way: a program that is
 # refused in its middle has used its engine in vain.
 UNDER_WAY_PART = 0.25
@@ -58,9 +61,10 @@
     that the window is longer by their life.
     """
     span = bounds.window + TOKEN_LIFE + ENTRY_SPAN
-    at_once = (bounds.allowed(limit) - limit.rate * span) / SHARES
+    rate = LEAST_RATE * limit.rate
+    at_once = (bounds.allowed(limit) - rate * span) / SHARES
     # Less than a token would never let anything pass.
-    return ShareTerms(at_once=max(1.0, at_once), rate=limit.rate / SHARES, span=span)
+    return ShareTerms(at_once=max(1.0, at_once), rate=rate / SHARES, span=span)
 
 
 class _Entry(msgspec.Struct, kw_only=True):
