--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -221,12 +221,13 @@
     async def _admit_send(self) -> None:
         """Check key and limit as the request is sent; it may have waited for long."""
         try:
-            self._dispatcher.access.confirm(
-                self._caller, self._info.key_text, public=self._route.public
-            )
             refusal = await self._credit.ensure()
             if refusal is not None:
                 raise quota_failure(self._caller, refusal)
+            # Last, as a keeper that does not answer takes a while.
+            self._dispatcher.access.confirm(
+                self._caller, self._info.key_text, public=self._route.public
+            )
         except FailureError as error:
             if not self._sends:
                 raise
