Show five ways in which a workspace gets more than its limit

A share forgets its grants while its owner's view of the hosts is late or its limit is missing; two processes own a share when one is replaced while it runs, when the removal of a registration is carried out late, or when the data centres change; a token is used long after it expired when the process was held up. The simulation of windows now reads the registrations in time that passes, replaces processes that still run and uses tokens at any time of their life.

A further test passes and fails with the lifetime of tokens left out of the span that shares count, which no test noticed.

--- a/sequoiaarch/tests/fleet/peers_tests.py
+++ b/sequoiaarch/tests/fleet/peers_tests.py
@@ -157,3 +157,20 @@
         await self.peers.unregister(client, "writer")
         newest = store.newest(Partition(topic=TOPIC, number=0))
         self.assertEqual(newest.records, [])
+
+    async def test_removal_is_carried_out_late(self) -> None:
+        """Keep the registration of the next process of this host."""
+        store = KeyedStore()
+        first, second = store.client(), store.client()
+        self.peers.replace([])
+        await self.peers.register(first, WriterId("first"))
+        first.faults.lost_replies, first.faults.append_delay = 1, 0.1
+        await self.peers.unregister(first, "first")
+        await self.peers.register(second, WriterId("second"))
+        await asyncio.sleep(0.2)
+        newest = store.newest(Partition(topic=TOPIC, number=0))
+        registered = [
+            msgspec.json.decode(record.value, type=PeerRecord).writer
+            for record in newest.records
+        ]
+        self.assertEqual(registered, ["second"])
--- a/sequoiaarch/tests/workspaces/limiter_tests.py
+++ b/sequoiaarch/tests/workspaces/limiter_tests.py
@@ -11,7 +11,7 @@
 from ...workspaces.directory import RateLimit
 from ...workspaces.host_lease import HostLease
 from ...workspaces.limiter import Limiter
-from ...workspaces.sliding_window import SHARES, QuotaBounds
+from ...workspaces.sliding_window import SHARES, TOKEN_LIFE, QuotaBounds
 
 WORKSPACE = Workspace("w")
 LIMIT = RateLimit(rate=10.0, burst=10.0)
@@ -62,6 +62,86 @@
         return taken
 
 
+class ForgottenGrantsTests(unittest.TestCase):
+    """Test that no event between two bursts lets a share forget what it granted."""
+
+    def setUp(self) -> None:
+        """Use all tokens shortly before the event."""
+        self.owner = Owner()
+        self.owner.read_hosts_until(START + 60.9)
+        self.granted = self.owner.take_all()
+
+    def check_bursts(self) -> None:
+        """Use all tokens again and check both bursts, 4.1 s apart."""
+        self.owner.now = START + 65.0
+        granted = self.granted + self.owner.take_all()
+        self.assertLessEqual(granted, BOUNDS.allowed(LIMIT))
+
+    def test_no_event(self) -> None:
+        """Stay within the bound if nothing happens between the bursts."""
+        self.owner.read_hosts_until(START + 65.0)
+        self.check_bursts()
+
+    def test_view_renewed_late(self) -> None:
+        """Keep counting if tokens are requested before a late read is answered."""
+        self.owner.now = START + 64.8
+        self.assertEqual(self.owner.take_all(), 0)
+        self.owner.now = START + 65.0
+        self.owner.host_lease.renew(START + 61.0)
+        self.check_bursts()
+
+    def test_hosts_change_while_view_is_old(self) -> None:
+        """Keep counting if other hosts change before a late read is answered."""
+        self.owner.now = START + 64.8
+        self.owner.limiter.drop_unowned()
+        self.owner.now = START + 65.0
+        self.owner.host_lease.renew(START + 61.0)
+        self.check_bursts()
+
+    def test_registration_of_another_process(self) -> None:
+        """Assume grants of another process that registered this host for a moment."""
+        self.owner.now = START + 62.0
+        self.owner.host_lease.registered(own=False, ordered=True)
+        self.owner.take_all()
+        self.owner.host_lease.registered(own=True, ordered=True)
+        self.owner.read_hosts_until(START + 65.0)
+        self.check_bursts()
+
+    def test_limit_missing_for_a_moment(self) -> None:
+        """Keep counting while a configuration has no limit for the workspace."""
+        self.owner.read_hosts_until(START + 62.0)
+        self.owner.limit = None
+        self.owner.take_all()
+        self.owner.limit = LIMIT
+        self.owner.read_hosts_until(START + 65.0)
+        self.check_bursts()
+
+
+class TokenLifeTests(unittest.TestCase):
+    """Test that a window counts tokens at the time of their use."""
+
+    def test_tokens_used_at_the_end_of_their_life(self) -> None:
+        """Count tokens that are used last for a window longer than their life."""
+        owner = Owner()
+        granted = owner.take_all()
+        # The first tokens are used just before they expire, the next at once.
+        owner.read_hosts_until(owner.now + BOUNDS.window + 0.9 * TOKEN_LIFE)
+        granted += owner.take_all()
+        self.assertLessEqual(granted, BOUNDS.allowed(LIMIT))
+
+
+class NewOwnerTests(unittest.TestCase):
+    """Test what an owner assumes of the previous one."""
+
+    def test_limit_raised_after_handover(self) -> None:
+        """Assume that the previous owner already granted by a raised limit."""
+        owner = Owner()
+        owner.host_lease.hosts_changed()
+        owner.take_all()
+        owner.limit = RateLimit(rate=10 * LIMIT.rate, burst=10 * LIMIT.burst)
+        self.assertEqual(owner.take_all(), 0)
+
+
 class LogTests(unittest.TestCase):
     """Test that the log tells why a share is counted anew."""
 
--- a/sequoiaarch/tests/workspaces/simulation.py
+++ b/sequoiaarch/tests/workspaces/simulation.py
@@ -12,7 +12,7 @@
 from ...workspaces.host_lease import HostLease
 from ...workspaces.limiter import Limiter, TokenGrant
 from ...workspaces.shares import ShareOwners
-from ...workspaces.sliding_window import SHARES, QuotaBounds
+from ...workspaces.sliding_window import SHARES, TOKEN_LIFE, QuotaBounds
 from ...workspaces.token_cache import Token, TokenCache
 
 WORKSPACE = Workspace("w")
@@ -20,6 +20,8 @@
 LEASE = 4.0
 STEP = 0.02
 CENTRES = 3
+# A read of the registrations that takes longer fails. Seconds.
+READ_TIMEOUT = 5.0
 
 
 @dataclass(kw_only=True, eq=False)
@@ -30,6 +32,18 @@
     centre: DataCentre
 
 
+@dataclass(kw_only=True, eq=False)
+class Read:
+    """Represent a read of the registrations that is not answered yet.
+
+    `version` is the state that the answer shows.
+    """
+
+    began: float
+    answered_at: float
+    version: int
+
+
 @dataclass(kw_only=True)
 class MissingSafeguards:
     """Select safeguards to leave out, so that the limit must be exceeded."""
@@ -40,6 +54,11 @@
     new_owner_starts_full: bool = False
 
 
+def centre_number(host: HostName) -> int:
+    """Return the number of the data centre of a host."""
+    return int(host[1:]) % CENTRES
+
+
 class Process:
     """Simulate one process of a host, with its registrations, shares and tokens."""
 
@@ -49,6 +68,9 @@
         self.process_id = process_id
         self.frozen_until = 0.0
         self.partitioned_until = 0.0
+        self.read_seconds = 0.0
+        self.slow_reads_until = 0.0
+        self.read: Read | None = None
         self.read_at = float("-inf")
         self.view: dict[HostName, Registration] = {}
         self.version = 0
@@ -78,29 +100,58 @@
             self.partitioned_until, self.fleet.store_down_until
         )
 
+    def advance_read(self) -> None:
+        """Begin a read at times, and apply its answer once it has arrived.
+
+        A process that wakes up may handle requests before the answer.
+        """
+        read = self.read
+        if read is None:
+            if self.fleet.rng.random() < 0.2:
+                self.read_registrations()
+        elif self.runs and self.fleet.now >= read.answered_at:
+            if self.fleet.now - read.began > READ_TIMEOUT:
+                self.read = None
+            elif self.fleet.rng.random() < 0.5:
+                self.read = None
+                self._apply_read(read)
+
     def read_registrations(self) -> None:
-        """Read the changes of registrations in order."""
+        """Read the changes of registrations in order; the answer may take time."""
         if not self.reaches_store:
             if self.fleet.missing.lease_never_expires:
                 self.host_lease.renew(self.fleet.now)
             return
+        slow = self.fleet.now < self.slow_reads_until
+        read_seconds = self.read_seconds if slow else 0.0
+        read = Read(
+            began=self.fleet.now,
+            answered_at=self.fleet.now + read_seconds,
+            version=len(self.fleet.changes),
+        )
+        if read_seconds:
+            self.read = read
+        else:
+            self._apply_read(read)
+
+    def _apply_read(self, read: Read) -> None:
         first = self.read_at == float("-inf")
-        if self.version < len(self.fleet.changes):
+        if self.version < read.version:
             self.host_lease.hosts_changed()
-        self.read_at = self.fleet.now
-        self.host_lease.renew(self.fleet.now)
-        for host, registration in self.fleet.changes[self.version :]:
+        self.read_at = read.began
+        for host, registration in self.fleet.changes[self.version : read.version]:
             self._change(host, registration, ordered=not first)
         if first:
             self._update_lease(ordered=False)
-        self.version = len(self.fleet.changes)
+        self.version = max(self.version, read.version)
+        self.host_lease.renew(read.began)
         if self.host_lease.pending and all(map(self._seen_by, self.view)):
             self.host_lease.activate()
         self.limiter.drop_unowned()
 
     def take(self, requested_at: float, begins: bool) -> bool:
         """Queue a request if it gets a token; return whether it did."""
-        token = self.token_cache.take(WORKSPACE)
+        token = self.token_cache.take(self.fleet.workspace)
         if token is None:
             token = self._ask(requested_at, begins)
         if token is None:
@@ -112,26 +163,26 @@
         """Grant tokens to another process or this one."""
         if self.fleet.missing.new_owner_starts_full:
             self._fill()
-        return self.limiter.grant(WORKSPACE, share, count, begins=begins)
+        return self.limiter.grant(self.fleet.workspace, share, count, begins=begins)
 
     def _fill(self) -> None:
         """Clear new windows, as if no previous owner had granted tokens."""
         for share in range(SHARES):
-            share_state = self.limiter._share(WORKSPACE, share)
+            share_state = self.limiter._share(self.fleet.workspace, share)
             if share_state is not None and share not in self.filled:
                 self.filled.add(share)
                 share_state.window._entries.clear()
 
     def _ask(self, requested_at: float, begins: bool) -> Token | None:
-        for share, host in enumerate(self.owners.of(WORKSPACE)):
-            owner = self.fleet.processes.get(host)
+        for share, host in enumerate(self.owners.of(self.fleet.workspace)):
+            owner = self if host == self.host else self.fleet.processes.get(host)
             if owner is None or not owner.runs:
                 continue
-            count = self.token_cache.wanted(WORKSPACE)
+            count = self.token_cache.wanted(self.fleet.workspace)
             grant = owner.answer(share, count, begins)
             if grant.count:
                 return self.token_cache.put(
-                    WORKSPACE, grant.count - 1, asked=requested_at
+                    self.fleet.workspace, grant.count - 1, asked=requested_at
                 )
         return None
 
@@ -182,6 +233,7 @@
     limit: RateLimit
     rng: random.Random
     missing: MissingSafeguards = field(default_factory=MissingSafeguards)
+    workspace: Workspace = WORKSPACE
     now: float = 0.0
     store_down_until: float = 0.0
     sends_held_until: float = 0.0
@@ -189,6 +241,8 @@
     def __post_init__(self) -> None:
         """Start without processes and registrations."""
         self.processes: dict[HostName, Process] = {}
+        # Processes that were replaced and still serve their open connections.
+        self.replaced: list[Process] = []
         self.changes: list[tuple[HostName, Registration | None]] = []
         self.ran: list[float] = []
         self.sending: list[tuple[float, Process]] = []
@@ -207,11 +261,23 @@
         )
         process.read_registrations()
         process.read_registrations()
-        centre = DataCentre(f"dc{int(host[1:]) % CENTRES}")
+        centre = DataCentre(f"dc{centre_number(host)}")
         self.changes.append(
             (host, Registration(process=process.process_id, centre=centre))
         )
 
+    def replace(self, host: HostName) -> None:
+        """Start another process for a host whose process still runs."""
+        self.replaced.append(self.processes[host])
+        self.start(host)
+
+    def end_replaced(self) -> None:
+        """Kill all processes that were replaced."""
+        self.sending = [
+            entry for entry in self.sending if entry[1] not in self.replaced
+        ]
+        self.replaced.clear()
+
     def kill(self, host: HostName) -> None:
         """Kill a process; its registration stays."""
         process = self.processes.pop(host, None)
@@ -220,18 +286,36 @@
     def stop(self, host: HostName) -> None:
         """Stop a process cleanly if it can reach the store."""
         process = self.processes.get(host)
-        if process is None or not process.reaches_store:
-            return
-        process.host_lease.release()
+        if process is not None and process.reaches_store:
+            self.leave(host)
+
+    def leave(self, host: HostName) -> None:
+        """End a process that has released its lease and removed its registration."""
+        self.processes[host].host_lease.release()
         self.changes.append((host, None))
         self.kill(host)
 
+    def exhaust(self) -> None:
+        """Use all tokens that any running process grants, at any time of their life."""
+        for process in self.running:
+            if not process.runs:
+                continue
+            for share in range(SHARES):
+                while process.answer(share, 1, False).count:
+                    used_after = self.rng.choice((0.0, TOKEN_LIFE - STEP / 10))
+                    self.ran.append(self.now + used_after)
+
+    def advance(self, seconds: float) -> None:
+        """Advance the time without requests."""
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+
     def step(self) -> None:
         """Advance the time, read registrations and send queued requests."""
         self.now += STEP
-        for process in self.processes.values():
-            if self.rng.random() < 0.2:
-                process.read_registrations()
+        for process in self.running:
+            process.advance_read()
         waiting, self.sending = self.sending, []
         for until, process in waiting:
             waits = self.now < self.sends_held_until or self.rng.random() < 0.3
@@ -240,12 +324,18 @@
             elif self.now < until or self.missing.tokens_never_expire:
                 self.ran.append(self.now)
 
+    @property
+    def running(self) -> list[Process]:
+        """Return all processes, those that were replaced included."""
+        return [*self.processes.values(), *self.replaced]
+
     def largest_window(self) -> int:
         """Return the maximum number of requests that ran in any window."""
+        times = sorted(self.ran)
         return max(
             (
-                bisect_left(self.ran, begin + BOUNDS.window) - index
-                for index, begin in enumerate(self.ran)
+                bisect_left(times, begin + BOUNDS.window) - index
+                for index, begin in enumerate(times)
             ),
             default=0,
         )
--- a/sequoiaarch/tests/workspaces/tokens_tests.py
+++ b/sequoiaarch/tests/workspaces/tokens_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Callable
 
 from ...errors import ErrorKind
 from ...ids import Workspace
@@ -22,6 +23,8 @@
     def __init__(self, tokens: int) -> None:
         self.tokens = tokens
         self.time = 10.0
+        self.seconds = 0.0
+        self.on_take: Callable[[], None] = lambda: None
         self.returned = 0
 
     async def take(self, caller: Caller, *, begins: bool) -> Token | Refusal:
@@ -29,7 +32,10 @@
         if not self.tokens:
             return Refusal(wait=0.7)
         self.tokens -= 1
-        return Token(until=self.time + TOKEN_LIFE, source="share 1 at h1")
+        asked = self.time
+        self.time += self.seconds
+        self.on_take()
+        return Token(until=asked + TOKEN_LIFE, source="share 1 at h1")
 
     def release(self, caller: Caller, token: Token) -> None:
         """Count a returned token."""
@@ -71,6 +77,24 @@
         quotas.time += TOKEN_LIFE + 0.01
         self.assertIsInstance(await request_token.ensure(), Refusal)
 
+    async def test_answer_is_read_after_expiry(self) -> None:
+        """Send with no token that expired before its answer was read."""
+        request_token, quotas = self.request_token(10)
+        quotas.seconds = 4.0
+        refusal = await request_token.ensure()
+        assert refusal is not None
+        self.assertFalse(refusal.kept)
+        self.assertGreater(refusal.wait, 0)
+
+    async def test_next_answer_is_read_in_time(self) -> None:
+        """Take another token if the first expired before its answer was read."""
+        request_token, quotas = self.request_token(2)
+        quotas.seconds = 4.0
+        taking = request_token.ensure()
+        quotas.on_take = lambda: setattr(quotas, "seconds", 0.0)
+        self.assertIsNone(await taking)
+        self.assertTrue(request_token.held)
+
     async def test_request_that_was_never_sent(self) -> None:
         """Return the unused token of a refused request, only once."""
         request_token, quotas = self.request_token(1)
--- a/sequoiaarch/tests/workspaces/windows_tests.py
+++ b/sequoiaarch/tests/workspaces/windows_tests.py
@@ -5,9 +5,17 @@
 import random
 import unittest
 
-from ...ids import HostName
+from ...ids import HostName, Workspace
 from ...workspaces.directory import RateLimit
-from .simulation import BOUNDS, LEASE, STEP, Fleet, MissingSafeguards
+from .simulation import (
+    BOUNDS,
+    LEASE,
+    STEP,
+    WORKSPACE,
+    Fleet,
+    MissingSafeguards,
+    centre_number,
+)
 
 HOSTS = [HostName(f"h{number}") for number in range(9)]
 SPARE = [HostName(f"h{number}") for number in range(9, 30)]
@@ -16,6 +24,11 @@
     RateLimit(rate=40.0, burst=40.0),
     RateLimit(rate=300.0, burst=300.0),
 )
+REAL_MACHINE_SEEDS = 12
+WORKSPACES = 6
+# Between bursts, shares fill up to what they may grant at once.
+BURST_PERIOD = 13.0
+BURST_SECONDS = 7.0
 SETTLING_SECONDS = 2 * LEASE + BOUNDS.window
 SECONDS = 25.0
 SEEDS = 8
@@ -77,7 +90,7 @@
 def send_requests(fleet: Fleet, rate: float, rng: random.Random) -> int:
     """Send the requests of one step to running hosts; return how many were refused."""
     count = int(rate * STEP) + (rng.random() < rate * STEP % 1)
-    running = [process for process in fleet.processes.values() if process.runs]
+    running = [process for process in fleet.running if process.runs]
     refused = 0
     for _ in range(count if running else 0):
         process = rng.choice(running)
@@ -85,6 +98,52 @@
     return refused
 
 
+def simulate_real_machines(limit: RateLimit, seed: int) -> Fleet:
+    """Simulate bursts over a limit while processes pause and reads are late."""
+    rng = random.Random(seed)
+    fleet = Fleet(limit=limit, rng=rng)
+    for host in HOSTS:
+        fleet.start(host)
+    restarts: dict[HostName, float] = {}
+    while fleet.now < SETTLING_SECONDS + SECONDS:
+        for host, restart_at in list(restarts.items()):
+            if restart_at <= fleet.now:
+                del restarts[host]
+                fleet.start(host)
+        if fleet.now > SETTLING_SECONDS and rng.random() < 0.05:
+            disturb(fleet, rng, restarts)
+        fleet.step()
+        if fleet.now % BURST_PERIOD < BURST_SECONDS:
+            fleet.exhaust()
+    return fleet
+
+
+def disturb(fleet: Fleet, rng: random.Random, restarts: dict[HostName, float]) -> None:
+    """Apply one random fault of real machines to some hosts."""
+    fault = rng.choice(("pause", "pause", "read", "read", "replace", "end", "stop"))
+    hosts = sorted(fleet.processes)
+    affected = rng.sample(hosts, min(len(hosts), rng.randint(1, 5)))
+    if fault == "end":
+        fleet.end_replaced()
+        return
+    if fault == "stop" and rng.random() < 0.3:
+        # All hosts of a data centre, so that the others share its limits.
+        affected = [host for host in hosts if centre_number(host) == 0]
+    for host in affected:
+        process = fleet.processes[host]
+        if fault == "pause":
+            process.frozen_until = fleet.now + rng.uniform(0.1, 6.0)
+        elif fault == "read":
+            process.slow_reads_until = fleet.now + rng.uniform(1.0, 8.0)
+            process.read_seconds = rng.uniform(0.5, 1.2 * LEASE)
+        elif fault == "replace":
+            fleet.replace(host)
+        else:
+            fleet.stop(host)
+            if host not in fleet.processes:
+                restarts[host] = fleet.now + rng.uniform(0.5, 8.0)
+
+
 class WindowTests(unittest.TestCase):
     """Test the number of requests in each window."""
 
@@ -103,6 +162,37 @@
                 with self.subTest(limit=limit, seed=seed):
                     self.check_within_bound(simulate(limit, seed, MissingSafeguards()))
 
+    def test_limit_holds_on_real_machines(self) -> None:
+        """Stay within the bound under bursts while pauses, reads and owners overlap."""
+        for limit in LIMITS[:2]:
+            for seed in range(REAL_MACHINE_SEEDS):
+                with self.subTest(limit=limit, seed=seed):
+                    self.check_within_bound(simulate_real_machines(limit, seed))
+
+    def test_process_replaced_while_it_still_runs(self) -> None:
+        """Never grant a share by two processes of a host while the first still runs."""
+        fleet = idle_fleet(MissingSafeguards())
+        for host in HOSTS:
+            fleet.processes[host].partitioned_until = fleet.now + 2 * LEASE
+            fleet.replace(host)
+        fleet.advance(LEASE - 0.2)
+        exhaust_for(fleet, BOUNDS.window)
+        self.check_within_bound(fleet)
+
+    def test_last_host_of_data_centre_leaves(self) -> None:
+        """Never let two running hosts own a share that moves with the data centres."""
+        for number in range(WORKSPACES):
+            fleet = idle_fleet(MissingSafeguards(), Workspace(f"w{number}"))
+            for host in fleet.processes[HOSTS[0]].owners.of(fleet.workspace):
+                fleet.processes[host].partitioned_until = fleet.now + 2 * LEASE
+            for host in HOSTS:
+                if centre_number(host) == 0:
+                    fleet.leave(host)
+            fleet.advance(0.5)
+            exhaust_for(fleet, 2 * LEASE)
+            with self.subTest(workspace=fleet.workspace):
+                self.check_within_bound(fleet)
+
     def test_repeated_loss_of_all_processes(self) -> None:
         """Grant only a low rate after a restart, as earlier grants are unknown."""
         self.check_within_bound(lose_all_three_times(MissingSafeguards()))
@@ -133,9 +223,11 @@
         self.check_exceeded(delay_sends(MissingSafeguards(tokens_never_expire=True)))
 
 
-def idle_fleet(missing: MissingSafeguards) -> Fleet:
+def idle_fleet(missing: MissingSafeguards, workspace: Workspace = WORKSPACE) -> Fleet:
     """Return a fleet that was idle until all its tokens are available."""
-    fleet = Fleet(limit=LIMITS[2], rng=random.Random(1), missing=missing)
+    fleet = Fleet(
+        limit=LIMITS[2], rng=random.Random(1), missing=missing, workspace=workspace
+    )
     for host in HOSTS:
         fleet.start(host)
     while fleet.now < SETTLING_SECONDS:
@@ -143,6 +235,14 @@
     return fleet
 
 
+def exhaust_for(fleet: Fleet, seconds: float) -> None:
+    """Use all tokens that are granted for some seconds."""
+    until = fleet.now + seconds
+    while fleet.now < until:
+        fleet.step()
+        fleet.exhaust()
+
+
 def overload(fleet: Fleet, seconds: float) -> None:
     """Send ten times the limit."""
     until = fleet.now + seconds
