Check that a token is still valid after it was taken

Requests ran with tokens that had expired seconds before, so that a workspace got more than its limit in a window. A gateway that is paused, or whose event loop is held up, while it waits for a token reads the answer late, and often before the timeout, as an event loop handles what was received before its timers. The expiry counts from when the token was asked for, but it was only checked before that.

The token is checked after the answer, and another is taken up to twice; a gateway that reads all of them too late refuses the request as not run. Nothing is awaited between this check and the send.

--- a/sequoiaarch/workspaces/quotas.py
+++ b/sequoiaarch/workspaces/quotas.py
@@ -19,6 +19,9 @@
 
 # Time after which a lost owner of a share has likely been replaced. Seconds.
 UNKNOWN_RETRY_AFTER = 0.3
+# Tokens taken for one attempt; a process that reads all of them too late is too slow
+# to serve the request.
+MAX_TAKES = 3
 
 
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,15 +128,19 @@
         return self._token is not None and self._quotas.now() < self._token.until
 
     async def ensure(self) -> Refusal | None:
-        """Take a token for the next attempt; return the refusal if there is none."""
-        if self.held:
-            return None
-        self._token = None
-        result = await self._quotas.take(self._caller, begins=self.begins)
-        if isinstance(result, Refusal):
-            return result
-        self._token = result
-        return None
+        """Take a token for the next attempt; return the refusal if there is none.
+
+        A process that was held up may read an answer after the token has expired.
+        """
+        for _ in range(MAX_TAKES):
+            if self.held:
+                return None
+            self._token = None
+            result = await self._quotas.take(self._caller, begins=self.begins)
+            if isinstance(result, Refusal):
+                return result
+            self._token = result
+        return None if self.held else Refusal(wait=UNKNOWN_RETRY_AFTER, kept=False)
 
     def spend(self) -> Token | None:
         """Use the token for an attempt and return it for a later `restore`."""
@@ -162,7 +169,7 @@
     if refusal.kept:
         reason = f"workspace {caller.workspace} is at its limit"
         return fail(ErrorKind.OVERLOADED, reason, retry_after=refusal.wait)
-    reason = f"nobody who keeps the limit of {caller.workspace} could be asked"
+    reason = f"no owner of the limit of {caller.workspace} answered in time"
     return fail(ErrorKind.LIMIT_UNKNOWN, reason, retry_after=refusal.wait)
 
 
