Let a new owner assume earlier grants by a raised limit

A workspace whose limit was raised while a share changed its owner could get more than the new limit: 285 requests at once where none was left. A new owner assumes that the previous one granted all that the limit allowed, but by the limit of its own first view. If the previous owner had already read the raised limit, the difference was granted twice. The assumption now grows with the limit.

--- a/sequoiaarch/workspaces/sliding_window.py
+++ b/sequoiaarch/workspaces/sliding_window.py
@@ -87,8 +87,8 @@
     def __init__(self, *, bounds: ShareBounds, since: float) -> None:
         self.bounds = bounds
         # Assume that the previous owner granted as much as possible.
-        previous_grants = _Entry(first=since, last=since, count=bounds.at_once)
-        self._entries = deque([previous_grants])
+        self._previous_grants = _Entry(first=since, last=since, count=bounds.at_once)
+        self._entries = deque([self._previous_grants])
         # Time until which no token is available, by whether a request begins a program.
         self._empty_until = {True: since, False: since}
 
@@ -133,9 +133,12 @@
 
     def change(self, bounds: ShareBounds) -> None:
         """Change the bounds and keep counting earlier grants."""
-        if bounds != self.bounds:
-            self.bounds = bounds
-            self._empty_until = dict.fromkeys((True, False), float("-inf"))
+        if bounds == self.bounds:
+            return
+        # The previous owner may have known of a higher limit before this one.
+        self._previous_grants.count += max(0.0, bounds.at_once - self.bounds.at_once)
+        self.bounds = bounds
+        self._empty_until = dict.fromkeys((True, False), float("-inf"))
 
     def _seconds_until_token(self, now: float, *, begins: bool) -> float:
         needed = 1 + self._reserved(begins)
