Remove a registration only while it is the last one of the topic

A gateway that stops removes its registration. If the reply was lost, the store could carry the removal out seconds later and take away the registration of the next process of that host. Other hosts then served its shares of limits at once, as one that removes its registration has stopped serving them, while the next process served them too until it read of the removal, up to a lease later: together more than the limit. Afterwards that process kept no shares and was no delegate until it was started again.

The removal now applies only if nothing was appended to the registrations since they were read with the own one among them; if another host came first, it is tried again. Claims of lenders are kept by process and can't be affected; the sweeper already removes records in this way.

--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -136,12 +136,23 @@
             await asyncio.sleep(REGISTER_RETRY_INTERVAL)
 
     async def unregister(self, keyed_log: KeyedLog, writer: str) -> None:
-        """Remove this process's registration; a failure is only logged."""
-        record = KeyedRecord(key=self._own, value=b"")
-        log_writer = Writer(name=f"peer-{writer}", epoch=1, sequence=1)
-        result = await keyed_log.append(PARTITION, [record], writer=log_writer)
-        if isinstance(result, Failure):
-            log.warning("own registration was not removed: {}", result.reason)
+        """Remove this process's registration; a failure is only logged.
+
+        The store may carry out a removal late, when the next process of this host has
+        registered. It is therefore bound to the end of the topic.
+        """
+        removal = KeyedRecord(key=self._own, value=b"")
+        removed: bool | Failure = False
+        while not removed:
+            newest = await keyed_log.newest(PARTITION)
+            if isinstance(newest, Failure):
+                removed = newest
+                break
+            if not self._registers(newest.records, writer):
+                return
+            removed = await keyed_log.append_at(PARTITION, [removal], end=newest.resume)
+        if isinstance(removed, Failure):
+            log.warning("own registration was not removed: {}", removed.reason)
 
     async def relay(self, call: StoreCall) -> StoreReply | Failure:
         """Relay a store call through a peer that reaches the store."""
@@ -172,6 +183,11 @@
         """Close all links."""
         self._links.close()
 
+    def _registers(self, records: Sequence[KeyedRecord], writer: str) -> bool:
+        """Return whether a list of registrations has this host's by a process."""
+        own = [_decode(record) for record in records if record.key == self._own]
+        return any(found is not None and found.writer == writer for found in own)
+
     def _update_registration(self, record: KeyedRecord) -> None:
         host = HostName(record.key)
         decoded = _decode(record)
--- a/sequoiaarch/standins/keyed_store.py
+++ b/sequoiaarch/standins/keyed_store.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from ..errors import ErrorKind, Failure
 from ..ids import Offset
@@ -171,7 +173,7 @@
         self._store = store
         self.faults = StoreFaults()
         self.reads = 0
-        self._delayed_appends: set[asyncio.Task[Offset | Failure]] = set()
+        self._delayed_appends: set[asyncio.Task[None]] = set()
 
     async def append(
         self, partition: Partition, records: list[KeyedRecord], *, writer: Writer
@@ -180,14 +182,7 @@
         if await self._inject_faults():
             return _failure("down")
         if self.faults.lost_replies > 0:
-            self.faults.lost_replies -= 1
-            delayed = asyncio.create_task(
-                self._append_delayed(
-                    partition, records, writer, self.faults.append_delay
-                )
-            )
-            self._delayed_appends.add(delayed)
-            delayed.add_done_callback(self._delayed_appends.discard)
+            self._append_late(self._store.append(partition, records, writer))
             return _failure("the reply was lost")
         return await self._store.append(partition, records, writer)
 
@@ -197,6 +192,9 @@
         """Append if the partition still ends at an offset; return whether it did."""
         if await self._inject_faults():
             return _failure("down")
+        if self.faults.lost_replies > 0:
+            self._append_late(self._store.append_at(partition, records, end))
+            return _failure("the reply was lost")
         return await self._store.append_at(partition, records, end)
 
     async def read(
@@ -214,15 +212,17 @@
             return _failure("down")
         return self._store.newest(partition)
 
-    async def _append_delayed(
-        self,
-        partition: Partition,
-        records: list[KeyedRecord],
-        writer: Writer,
-        delay: float,
-    ) -> Offset | Failure:
-        await asyncio.sleep(delay)
-        return await self._store.append(partition, records, writer)
+    def _append_late(self, append: Coroutine[Any, Any, Any]) -> None:
+        """Carry out an append after the delay, whose reply is lost."""
+        self.faults.lost_replies -= 1
+
+        async def carry_out(delay: float) -> None:
+            await asyncio.sleep(delay)
+            await append
+
+        delayed = asyncio.create_task(carry_out(self.faults.append_delay))
+        self._delayed_appends.add(delayed)
+        delayed.add_done_callback(self._delayed_appends.discard)
 
     async def _inject_faults(self) -> bool:
         if self.faults.delay:
