Inherit shares only from a process that has ended and had owned them

A process that finds an earlier registration of its host took over its shares of limits at once, as that process was taken to have ended and to have owned them.

- A host is started again at another address while its process still runs, paused or with a late view: both serve the shares for up to a lease.
A process now inherits only at the address at which it listens itself, which no other can hold then.
At another address it waits for a lease; confirmations of other hosts don't shorten that, as they can't tell whether the earlier process still acts.
- A new host waits until no older view of the hosts is acted on.
A process that was started again meanwhile inherited shares which the first did not own yet.
A registration now tells that its process is settled, that is has waited, which costs two calls to the store for each start.
Registrations of before count as not settled: where such a process was lost, the next waits for a lease.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
@@ -28,7 +29,7 @@
     TargetReport,
 )
 from ..workspaces.directory import RateLimit
-from ..workspaces.host_lease import HostLease
+from ..workspaces.host_lease import HostLease, Registration
 from ..workspaces.limiter import Limiter
 from ..workspaces.shares import ShareOwners
 from ..workspaces.sliding_window import QuotaBounds
@@ -37,7 +38,7 @@
 from .delegates import DelegatedTurns, DelegateSelector
 from .loan_service import LoanService
 from .peer_health import PeerHealth
-from .peers import TOPIC as PEERS_TOPIC, Peers
+from .peers import TOPIC as PEERS_TOPIC, PeerRecord, Peers
 from .quotas import FleetQuotas
 from .registration_check import RegistrationCheck
 from .slot_claimer import SlotClaimer
@@ -49,6 +50,9 @@
 # Long-poll time for claims, which change only when processes start and stop. A dead
 # connection hides a change for as long. Seconds.
 CLAIMS_READ_WAIT = 10.0
+# In seconds.
+SETTLED_CHECK_INTERVAL = 0.1
+SETTLED_MAX_DELAY = 0.5
 
 
 class QuotaOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -176,6 +180,7 @@
             self._peers.register(self._log, self._writer),
             self._claimer.run(self._log, retention),
             self._registration_check.run(),
+            self._mark_settled(),
         ]
 
     async def answer(self, request: Request, send: Send) -> Reply:
@@ -235,18 +240,34 @@
             self.host_lease.term,
         )
 
-    def _on_own_registration(self, writer: WriterId | None, ordered: bool) -> None:
-        if writer is None:
+    def _on_own_registration(self, record: PeerRecord | None, ordered: bool) -> None:
+        if record is None:
             self.host_lease.unregistered()
-        else:
-            self.host_lease.registered(own=writer == self._writer, ordered=ordered)
+            log.info("this host is not registered")
+            return
+        registration = Registration(
+            own=record.writer == self._writer,
+            ended=self._peers.listens_at(record),
+            settled=record.settled,
+        )
+        self.host_lease.registered(registration, ordered=ordered)
         log.info(
-            "this host is registered by process {}, shares are counted from"
-            " {:.2f} s ago on",
-            writer,
+            "this host is registered by process {} at {}, settled: {}; shares are"
+            " counted from {:.2f} s ago on",
+            record.writer,
+            record.address,
+            record.settled,
             boottime_clock() - self.host_lease.since,
         )
 
+    async def _mark_settled(self) -> None:
+        """Write that this process owns its shares once it does."""
+        while not self.host_lease.active:
+            await asyncio.sleep(SETTLED_CHECK_INTERVAL)
+        # All hosts may have started at once.
+        await asyncio.sleep(random.uniform(0.0, SETTLED_MAX_DELAY))
+        await self._peers.mark_settled(self._log, self._writer)
+
     def _owns_share(self, workspace: Workspace, share: int) -> bool:
         """Return whether this host owns a share by its view of the hosts."""
         owners = self._owners.of(workspace)
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -35,11 +35,15 @@
 
 
 class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Registration of a daemon: its address, data centre and process."""
+    """Registration of a daemon: its address, data centre and process.
+
+    `settled` tells that the process has waited until it owned its shares of limits.
+    """
 
     address: str
     data_centre: DataCentre
     writer: WriterId = WriterId("")
+    settled: bool = False
 
 
 class Peers:
@@ -70,10 +74,10 @@
         self.hosts_version = 0
         self._hosts_by_centre: dict[DataCentre, list[HostName]] = {}
         self._listed = asyncio.Event()
-        # Called with the writer in this host's registration, None without one, and
-        # whether it was read directly after the previous registration.
-        self.on_own_registration: Callable[[WriterId | None, bool], None] = _ignore
-        self._own_writer = WriterId("")
+        # Called with this host's registration, None without one, and whether it was
+        # read directly after the previous registration.
+        self.on_own_registration: Callable[[PeerRecord | None, bool], None] = _ignore
+        self._own_record: PeerRecord | None = None
         self._deprioritised_until: dict[str, float] = {}
         self._preferred: str | None = None
 
@@ -83,7 +87,7 @@
     def replace(self, records: Sequence[KeyedRecord]) -> None:
         """Replace all registrations by a complete list."""
         self._known.clear()
-        self._own_writer = WriterId("")
+        self._own_record = None
         for record in records:
             self._update_registration(record)
         self._notify_own_registration(ordered=False)
@@ -99,7 +103,11 @@
 
     def own_registration_is(self, writer: WriterId) -> bool:
         """Return whether this host's registration names a process."""
-        return self._own_writer == writer
+        return self._own_record is not None and self._own_record.writer == writer
+
+    def listens_at(self, record: PeerRecord) -> bool:
+        """Return whether this process has the address of a registration."""
+        return record.address == self._own_address
 
     def host_of(self, writer: WriterId) -> HostName | None:
         """Return the other host that a process runs on; None if unregistered."""
@@ -120,10 +128,7 @@
 
     async def register(self, keyed_log: KeyedLog, writer: WriterId) -> None:
         """Write this process's registration, retrying until the store accepts it."""
-        registration = PeerRecord(
-            address=self._own_address, data_centre=self._data_centre, writer=writer
-        )
-        record = KeyedRecord(key=self._own, value=msgspec.json.encode(registration))
+        record = self._registration(writer, settled=False)
         log_writer = Writer(name=f"peer-{writer}", epoch=1, sequence=0)
         # The previous registration tells whether this process replaces a lost one.
         with contextlib.suppress(TimeoutError):
@@ -135,24 +140,18 @@
                 return
             await asyncio.sleep(REGISTER_RETRY_INTERVAL)
 
-    async def unregister(self, keyed_log: KeyedLog, writer: str) -> None:
-        """Remove this process's registration; a failure is only logged.
+    async def mark_settled(self, keyed_log: KeyedLog, writer: WriterId) -> None:
+        """Write that this process owns its shares, retrying until it is stored."""
+        record = self._registration(writer, settled=True)
+        while isinstance(await self._replace_own(keyed_log, writer, record), Failure):
+            await asyncio.sleep(REGISTER_RETRY_INTERVAL)
 
-        The store may carry out a removal late, when the next process of this host has
-        registered. It is therefore bound to the end of the topic.
-        """
+    async def unregister(self, keyed_log: KeyedLog, writer: WriterId) -> None:
+        """Remove this process's registration; a failure is only logged."""
         removal = KeyedRecord(key=self._own, value=b"")
-        removed: bool | Failure = False
-        while not removed:
-            newest = await keyed_log.newest(PARTITION)
-            if isinstance(newest, Failure):
-                removed = newest
-                break
-            if not self._registers(newest.records, writer):
-                return
-            removed = await keyed_log.append_at(PARTITION, [removal], end=newest.resume)
-        if isinstance(removed, Failure):
-            log.warning("own registration was not removed: {}", removed.reason)
+        failure = await self._replace_own(keyed_log, writer, removal)
+        if failure is not None:
+            log.warning("own registration was not removed: {}", failure.reason)
 
     async def relay(self, call: StoreCall) -> StoreReply | Failure:
         """Relay a store call through a peer that reaches the store."""
@@ -183,16 +182,44 @@
         """Close all links."""
         self._links.close()
 
-    def _registers(self, records: Sequence[KeyedRecord], writer: str) -> bool:
-        """Return whether a list of registrations has this host's by a process."""
-        own = [_decode(record) for record in records if record.key == self._own]
-        return any(found is not None and found.writer == writer for found in own)
+    def _registration(self, writer: WriterId, *, settled: bool) -> KeyedRecord:
+        registration = PeerRecord(
+            address=self._own_address,
+            data_centre=self._data_centre,
+            writer=writer,
+            settled=settled,
+        )
+        return KeyedRecord(key=self._own, value=msgspec.json.encode(registration))
+
+    async def _replace_own(
+        self, keyed_log: KeyedLog, writer: WriterId, record: KeyedRecord
+    ) -> Failure | None:
+        """Replace this process's registration while it is this host's latest.
+
+        The store may carry out an append late, when the next process of this host has
+        registered. It is therefore bound to the end of the topic.
+        """
+        while True:
+            newest = await keyed_log.newest(PARTITION)
+            if isinstance(newest, Failure):
+                return newest
+            current = [found for found in newest.records if found.key == self._own]
+            registered = _decode(current[0]) if current else None
+            if registered is None or registered.writer != writer:
+                return None
+            if current[0].value == record.value:
+                return None
+            replaced = await keyed_log.append_at(PARTITION, [record], end=newest.resume)
+            if isinstance(replaced, Failure):
+                return replaced
+            if replaced:
+                return None
 
     def _update_registration(self, record: KeyedRecord) -> None:
         host = HostName(record.key)
         decoded = _decode(record)
         if host == self._own:
-            self._own_writer = decoded.writer if decoded else WriterId("")
+            self._own_record = decoded
         elif decoded is not None:
             self._known[host] = decoded
         elif not record.value:
@@ -212,14 +239,14 @@
         by_centre = defaultdict(list)
         for host, record in sorted(self._known.items()):
             by_centre[record.data_centre].append(host)
-        if self._own_writer:
+        if self._own_record is not None:
             by_centre[self._data_centre].append(self._own)
         if self._hosts_by_centre != by_centre:
             self._hosts_by_centre = dict(by_centre)
             self.hosts_version += 1
 
     def _notify_own_registration(self, *, ordered: bool) -> None:
-        self.on_own_registration(self._own_writer or None, ordered)
+        self.on_own_registration(self._own_record, ordered)
 
     def _relay_candidates(self) -> list[str]:
         """Return the addresses to try, in order.
@@ -305,7 +332,7 @@
         return None
 
 
-def _ignore(writer: WriterId | None, ordered: bool) -> None:
+def _ignore(record: PeerRecord | None, ordered: bool) -> None:
     """Ignore a change of this host's registration."""
 
 
--- a/sequoiaarch/fleet/registration_check.py
+++ b/sequoiaarch/fleet/registration_check.py
@@ -37,7 +37,7 @@
         """Ask repeatedly while this host waits to serve its shares."""
         while True:
             await asyncio.sleep(ASK_INTERVAL)
-            if self._host_lease.pending and await self._seen_by_all():
+            if self._host_lease.confirmable and await self._seen_by_all():
                 self._host_lease.activate()
 
     def answer(self, request: RegistrationSeenRequest) -> Reply:
--- a/sequoiaarch/tests/fleet/peers_tests.py
+++ b/sequoiaarch/tests/fleet/peers_tests.py
@@ -154,7 +154,7 @@
         self.assertEqual(len(other), 1)
         self.peers.replace(newest.records)
         self.assertEqual(len(self.peers), 0)
-        await self.peers.unregister(client, "writer")
+        await self.peers.unregister(client, WriterId("writer"))
         newest = store.newest(Partition(topic=TOPIC, number=0))
         self.assertEqual(newest.records, [])
 
@@ -165,7 +165,7 @@
         self.peers.replace([])
         await self.peers.register(first, WriterId("first"))
         first.faults.lost_replies, first.faults.append_delay = 1, 0.1
-        await self.peers.unregister(first, "first")
+        await self.peers.unregister(first, WriterId("first"))
         await self.peers.register(second, WriterId("second"))
         await asyncio.sleep(0.2)
         newest = store.newest(Partition(topic=TOPIC, number=0))
--- a/sequoiaarch/tests/fleet/registration_check_tests.py
+++ b/sequoiaarch/tests/fleet/registration_check_tests.py
@@ -16,7 +16,7 @@
 from ...storage.keyed import KeyedRecord
 from ...wire.links import Send
 from ...wire.messages import RegistrationSeenRequest, Reply, Request
-from ...workspaces.host_lease import HostLease
+from ...workspaces.host_lease import HostLease, Registration
 from .delegates_tests import FailingStoreClient
 
 LEASE = 4.0
@@ -75,7 +75,8 @@
         )
         for other in self.others:
             self.new.add_registration(other)
-        self.new.host_lease.registered(own=True, ordered=True)
+        registration = Registration(own=True, ended=True, settled=False)
+        self.new.host_lease.registered(registration, ordered=True)
         self.new.host_lease.renew(self.new.now)
         hosts = [self.new, *self.others]
         self.serving = [asyncio.create_task(host.server.run()) for host in hosts]
--- a/sequoiaarch/tests/workspaces/limiter_tests.py
+++ b/sequoiaarch/tests/workspaces/limiter_tests.py
@@ -9,7 +9,7 @@
 
 from ...ids import Workspace
 from ...workspaces.directory import RateLimit
-from ...workspaces.host_lease import HostLease
+from ...workspaces.host_lease import HostLease, Registration
 from ...workspaces.limiter import Limiter
 from ...workspaces.sliding_window import SHARES, TOKEN_LIFE, QuotaBounds
 
@@ -42,9 +42,14 @@
             rng=random.Random(1),
         )
         self.host_lease.renew(self.now)
-        self.host_lease.registered(own=True, ordered=True)
+        self.register(own=True)
         self.read_hosts_until(START + IDLE_SINCE_START)
 
+    def register(self, *, own: bool) -> None:
+        """Read a registration of this host."""
+        registration = Registration(own=own, ended=True, settled=True)
+        self.host_lease.registered(registration, ordered=True)
+
     def read_hosts_until(self, until: float) -> None:
         """Advance the clock, with a read of the hosts each second."""
         while self.now + RENEW_INTERVAL <= until:
@@ -102,9 +107,9 @@
     def test_registration_of_another_process(self) -> None:
         """Assume grants of another process that registered this host for a moment."""
         self.owner.now = START + 62.0
-        self.owner.host_lease.registered(own=False, ordered=True)
+        self.owner.register(own=False)
         self.owner.take_all()
-        self.owner.host_lease.registered(own=True, ordered=True)
+        self.owner.register(own=True)
         self.owner.read_hosts_until(START + 65.0)
         self.check_bursts()
 
--- a/sequoiaarch/tests/workspaces/simulation.py
+++ b/sequoiaarch/tests/workspaces/simulation.py
@@ -5,11 +5,11 @@
 import random
 from bisect import bisect_left
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ...ids import DataCentre, HostName, Workspace
 from ...workspaces.directory import RateLimit
-from ...workspaces.host_lease import HostLease
+from ...workspaces.host_lease import HostLease, Registration as HostRegistration
 from ...workspaces.limiter import Limiter, TokenGrant
 from ...workspaces.shares import ShareOwners
 from ...workspaces.sliding_window import SHARES, TOKEN_LIFE, QuotaBounds
@@ -29,7 +29,9 @@
     """Represent the registration of a host in the store."""
 
     process: int
+    address: int
     centre: DataCentre
+    settled: bool = False
 
 
 @dataclass(kw_only=True, eq=False)
@@ -52,6 +54,7 @@
     lease_never_expires: bool = False
     tokens_never_expire: bool = False
     new_owner_starts_full: bool = False
+    waiting_is_inherited: bool = False
 
 
 def centre_number(host: HostName) -> int:
@@ -62,10 +65,13 @@
 class Process:
     """Simulate one process of a host, with its registrations, shares and tokens."""
 
-    def __init__(self, *, fleet: Fleet, host: HostName, process_id: int) -> None:
+    def __init__(
+        self, *, fleet: Fleet, host: HostName, process_id: int, address: int
+    ) -> None:
         self.fleet = fleet
         self.host = host
         self.process_id = process_id
+        self.address = address
         self.frozen_until = 0.0
         self.partitioned_until = 0.0
         self.read_seconds = 0.0
@@ -146,8 +152,9 @@
             self._update_lease(ordered=False)
         self.version = max(self.version, read.version)
         self.host_lease.renew(read.began)
-        if self.host_lease.pending and all(map(self._seen_by, self.view)):
+        if self.host_lease.confirmable and all(map(self._seen_by, self.view)):
             self.host_lease.activate()
+        self._settle()
         self.limiter.drop_unowned()
 
     def take(self, requested_at: float, begins: bool) -> bool:
@@ -197,6 +204,15 @@
         if host == self.host and ordered:
             self._update_lease(ordered=True)
 
+    def _settle(self) -> None:
+        """Write at some time that this process owns its shares."""
+        own = self.view.get(self.host)
+        if own is None or own.process != self.process_id or own.settled:
+            return
+        if self.host_lease.active and self.fleet.rng.random() < 0.5:
+            own = replace(own, settled=True)
+            self.fleet.append_at(self.version, self.host, own)
+
     def _seen_by(self, host: HostName) -> bool:
         process = self.fleet.processes.get(host)
         if process is None or not process.runs:
@@ -209,11 +225,21 @@
         if own is None:
             self.host_lease.unregistered()
         else:
-            is_own = own.process == self.process_id
-            at_once = self.fleet.missing.lease_starts_at_once and is_own
-            if at_once:
-                self.host_lease.registered(own=False, ordered=True)
-            self.host_lease.registered(own=is_own, ordered=ordered or at_once)
+            registration = HostRegistration(
+                own=own.process == self.process_id,
+                ended=own.address == self.address,
+                settled=own.settled or self.fleet.missing.waiting_is_inherited,
+            )
+            if self.fleet.missing.lease_starts_at_once and registration.own:
+                self._inherit()
+            self.host_lease.registered(registration, ordered=ordered)
+
+    def _inherit(self) -> None:
+        """Act as if an earlier process of this host had ended and owned its shares."""
+        previous = HostRegistration(own=False, ended=True, settled=True)
+        self.host_lease.registered(previous, ordered=True)
+        own = HostRegistration(own=True, ended=True, settled=False)
+        self.host_lease.registered(own, ordered=True)
 
     def _centres(self) -> dict[DataCentre, list[HostName]]:
         hosts = defaultdict(list)
@@ -253,23 +279,35 @@
         """Return the simulated time, which includes pauses."""
         return self.now
 
-    def start(self, host: HostName) -> None:
+    def append_at(
+        self, end: int, host: HostName, registration: Registration | None
+    ) -> None:
+        """Append a change of registrations if there are `end` changes."""
+        if end == len(self.changes):
+            self.changes.append((host, registration))
+
+    def start(self, host: HostName, *, address: int = 0) -> None:
         """Start a process at a host; it registers after its first read."""
         self._started += 1
         process = self.processes[host] = Process(
-            fleet=self, host=host, process_id=self._started
+            fleet=self, host=host, process_id=self._started, address=address
         )
         process.read_registrations()
         process.read_registrations()
         centre = DataCentre(f"dc{centre_number(host)}")
         self.changes.append(
-            (host, Registration(process=process.process_id, centre=centre))
+            (
+                host,
+                Registration(
+                    process=process.process_id, address=address, centre=centre
+                ),
+            )
         )
 
     def replace(self, host: HostName) -> None:
-        """Start another process for a host whose process still runs."""
+        """Start a process at another address of a host whose process still runs."""
         self.replaced.append(self.processes[host])
-        self.start(host)
+        self.start(host, address=self._started + 1)
 
     def end_replaced(self) -> None:
         """Kill all processes that were replaced."""
--- a/sequoiaarch/tests/workspaces/windows_tests.py
+++ b/sequoiaarch/tests/workspaces/windows_tests.py
@@ -26,6 +26,8 @@
 )
 REAL_MACHINE_SEEDS = 12
 WORKSPACES = 6
+# All shares of this workspace go to spare hosts when they are added.
+OWNED_BY_SPARE_HOSTS = Workspace("w5")
 # Between bursts, shares fill up to what they may grant at once.
 BURST_PERIOD = 13.0
 BURST_SECONDS = 7.0
@@ -179,6 +181,13 @@
         exhaust_for(fleet, BOUNDS.window)
         self.check_within_bound(fleet)
 
+    def test_new_host_is_restarted_while_it_waits(self) -> None:
+        """Never own a share early because an earlier process had begun to wait."""
+        self.check_within_bound(restart_new_hosts(MissingSafeguards()))
+        self.check_exceeded(
+            restart_new_hosts(MissingSafeguards(waiting_is_inherited=True))
+        )
+
     def test_last_host_of_data_centre_leaves(self) -> None:
         """Never let two running hosts own a share that moves with the data centres."""
         for number in range(WORKSPACES):
@@ -274,6 +283,22 @@
     return fleet
 
 
+def restart_new_hosts(missing: MissingSafeguards) -> Fleet:
+    """Add hosts while the others can't reach the store, and restart them at once."""
+    fleet = idle_fleet(missing, OWNED_BY_SPARE_HOSTS)
+    for process in fleet.processes.values():
+        process.partitioned_until = fleet.now + 2 * LEASE
+    for host in SPARE:
+        fleet.start(host)
+    fleet.advance(0.5)
+    for host in SPARE:
+        fleet.kill(host)
+        fleet.start(host)
+    fleet.advance(LEASE - 1.0)
+    exhaust_for(fleet, 2 * LEASE)
+    return fleet
+
+
 def delay_sends(missing: MissingSafeguards) -> Fleet:
     """Delay all requests between taking their token and being sent."""
     fleet = idle_fleet(missing)
--- a/sequoiaarch/workspaces/host_lease.py
+++ b/sequoiaarch/workspaces/host_lease.py
@@ -4,10 +4,24 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 # Factor on the lease, as the clocks of two machines may drift apart.
 CLOCK_MARGIN = 1.05
 
 
+class Registration(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a registration of this host.
+
+    `own` tells that this process wrote it, `ended` that its process has ended, as
+    this one listens at its address, and `settled` that its process owned its shares.
+    """
+
+    own: bool
+    ended: bool
+    settled: bool
+
+
 class HostLease:
     """Ensure without a lock that at most one process acts on a share.
 
@@ -17,7 +31,8 @@
     that they see its registration: the previous owner has then seen it too, or its
     lease has ended. A process that stops releases its lease before it removes its
     registration, so that its successor need not wait. A process that replaces a lost
-    one of the same host need not wait either while that registration still exists.
+    one of the same host need not wait either while that registration still exists,
+    provided that the lost one has ended and had waited itself.
 
     `term` increases whenever another process may have acted in between.
     """
@@ -32,7 +47,8 @@
         self._clock = clock
         self._started_at = clock()
         self._active_from: float | None = None
-        self._predecessor = False
+        self._previous: Registration | None = None
+        self._was_registered = False
         self._released = False
         self.last_read = float("-inf")
         self._shares_changed_at = float("-inf")
@@ -52,39 +68,49 @@
             return False
         return now - self.last_read <= self._lease
 
-    def registered(self, *, own: bool, ordered: bool) -> None:
-        """Handle a registration of this host, by this process or an earlier one.
+    def registered(self, registration: Registration, *, ordered: bool) -> None:
+        """Handle a registration of this host, by this process or another one.
 
         `ordered` tells that no change between it and the previous one was missed.
         """
-        if not own:
-            self._predecessor = True
+        if not registration.own:
+            self._previous = registration
             self._active_from = None
             return
         if self._active_from is not None:
             return
+        inherits = ordered and not self._was_registered and self._previous_settled
+        self._was_registered = True
         now = self._clock()
-        # The previous process of this host had ended when this one started.
-        inherits = self._predecessor and ordered
         self._active_from = (
             self._started_at if inherits else now + self._lease * CLOCK_MARGIN
         )
 
     def activate(self) -> None:
         """Activate the lease, as all other hosts see this host's registration."""
-        if self._active_from is not None:
-            self._active_from = min(self._active_from, self._clock())
+        if self.confirmable and self._active_from is not None:
+            self._active_from = self._clock()
 
     @property
-    def pending(self) -> bool:
-        """Return whether this host is registered and may not act yet."""
-        return self._active_from is not None and self._clock() < self._active_from
+    def confirmable(self) -> bool:
+        """Return whether this host may act as soon as all other hosts see it.
+
+        They can't tell whether another process of this host still acts.
+        """
+        waits = self._active_from is not None and self._clock() < self._active_from
+        return waits and (self._previous is None or self._previous_settled)
 
     def unregistered(self) -> None:
         """Deactivate the lease, as this host is not registered."""
-        self._predecessor = False
+        self._previous = None
         self._active_from = None
 
+    @property
+    def _previous_settled(self) -> bool:
+        """Return whether the previous process has ended and owned its shares."""
+        previous = self._previous
+        return previous is not None and previous.ended and previous.settled
+
     def renew(self, since: float) -> None:
         """Renew the lease by a read of the registrations that began at `since`."""
         if since - self.last_read > self._lease:
