Wait before serving shares that moved between running hosts

A share goes to the hosts of one data centre, and which one depends on how many data centres have hosts. When the last host of a data centre left, or the first one came, shares moved between hosts that went on running, and the new owner served them at once.

A host now waits a lease for a share whose owner in an earlier view is another host that is still registered, and counts the share from then on. Shares of hosts that left in order are served at once as before, and so are shares that stay where they are.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -29,9 +29,9 @@
     TargetReport,
 )
 from ..workspaces.directory import RateLimit
-from ..workspaces.host_lease import HostLease, Registration
+from ..workspaces.host_lease import CLOCK_MARGIN, HostLease, Registration
 from ..workspaces.limiter import Limiter
-from ..workspaces.shares import ShareOwners
+from ..workspaces.shares import MovedShares, ShareOwners
 from ..workspaces.sliding_window import QuotaBounds
 from ..workspaces.token_cache import TokenCache
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
@@ -134,13 +134,20 @@
         self._owners = ShareOwners(
             hosts=peers.hosts_by_centre, version=lambda: peers.hosts_version
         )
+        self._moved_shares = MovedShares(
+            own=own,
+            wait=quota_options.lease * CLOCK_MARGIN,
+            registered=peers.registered,
+            clock=boottime_clock,
+        )
+        self._hosts = peers.hosts_by_centre()
         self.limiter = Limiter(
             bounds=quota_options.bounds,
             limits=quota_options.of,
             owns=self._owns_share,
             active=lambda: self.host_lease.active,
             term=lambda: self.host_lease.term,
-            since=lambda: self.host_lease.since,
+            since=self._shares_owned_since,
             clock=boottime_clock,
             rng=random.Random(),
         )
@@ -221,6 +228,8 @@
         if self._hosts_version_seen == self._peers.hosts_version:
             return
         self._hosts_version_seen = self._peers.hosts_version
+        before, self._hosts = self._hosts, self._peers.hosts_by_centre()
+        self._moved_shares.hosts_changed(before, self._hosts)
         self.host_lease.hosts_changed()
         self.limiter.drop_unowned()
 
@@ -271,4 +280,10 @@
     def _owns_share(self, workspace: Workspace, share: int) -> bool:
         """Return whether this host owns a share by its view of the hosts."""
         owners = self._owners.of(workspace)
-        return share < len(owners) and owners[share] == self._own
+        if share >= len(owners) or owners[share] != self._own:
+            return False
+        return self._moved_shares.owned_from(workspace, share) <= boottime_clock()
+
+    def _shares_owned_since(self, workspace: Workspace, share: int) -> float:
+        moved = self._moved_shares.owned_from(workspace, share)
+        return max(self.host_lease.since, moved)
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -122,6 +122,10 @@
         record = self._known.get(host)
         return record is not None and record.writer == writer
 
+    def registered(self, host: HostName) -> bool:
+        """Return whether another host is registered."""
+        return host in self._known
+
     def hosts(self) -> list[HostName]:
         """Return all other registered hosts."""
         return list(self._known)
--- a/sequoiaarch/tests/fleet/quotas_tests.py
+++ b/sequoiaarch/tests/fleet/quotas_tests.py
@@ -64,7 +64,7 @@
             owns=lambda name, share: self.owners.of(name)[share] == self.name,
             active=lambda: True,
             term=lambda: 1,
-            since=lambda: 0.0,
+            since=lambda name, share: 0.0,
             clock=lambda: self.now,
             rng=random.Random(1),
         )
--- a/sequoiaarch/tests/workspaces/limiter_tests.py
+++ b/sequoiaarch/tests/workspaces/limiter_tests.py
@@ -37,7 +37,7 @@
             owns=lambda workspace, share: self.ranked,
             active=lambda: self.host_lease.active,
             term=lambda: self.host_lease.term,
-            since=lambda: self.host_lease.since,
+            since=lambda workspace, share: self.host_lease.since,
             clock=lambda: self.now,
             rng=random.Random(1),
         )
--- a/sequoiaarch/tests/workspaces/simulation.py
+++ b/sequoiaarch/tests/workspaces/simulation.py
@@ -9,9 +9,13 @@
 
 from ...ids import DataCentre, HostName, Workspace
 from ...workspaces.directory import RateLimit
-from ...workspaces.host_lease import HostLease, Registration as HostRegistration
+from ...workspaces.host_lease import (
+    CLOCK_MARGIN,
+    HostLease,
+    Registration as HostRegistration,
+)
 from ...workspaces.limiter import Limiter, TokenGrant
-from ...workspaces.shares import ShareOwners
+from ...workspaces.shares import MovedShares, ShareOwners
 from ...workspaces.sliding_window import SHARES, TOKEN_LIFE, QuotaBounds
 from ...workspaces.token_cache import Token, TokenCache
 
@@ -84,13 +88,19 @@
         self.host_lease = HostLease(lease=LEASE, clock=fleet.clock)
         self.token_cache = TokenCache(clock=fleet.clock)
         self.owners = ShareOwners(hosts=self._centres, version=lambda: self.version)
+        self.moved_shares = MovedShares(
+            own=host,
+            wait=LEASE * CLOCK_MARGIN,
+            registered=lambda other: other in self.view,
+            clock=fleet.clock,
+        )
         self.limiter = Limiter(
             bounds=BOUNDS,
             limits=lambda name: fleet.limit,
             owns=self._owns,
             active=lambda: self.host_lease.active,
             term=lambda: self.host_lease.term,
-            since=lambda: self.host_lease.since,
+            since=self._owned_since,
             clock=fleet.clock,
             rng=fleet.rng,
         )
@@ -147,7 +157,10 @@
             self.host_lease.hosts_changed()
         self.read_at = read.began
         for host, registration in self.fleet.changes[self.version : read.version]:
+            before = self._centres()
             self._change(host, registration, ordered=not first)
+            if not first:
+                self.moved_shares.hosts_changed(before, self._centres())
         if first:
             self._update_lease(ordered=False)
         self.version = max(self.version, read.version)
@@ -249,7 +262,13 @@
 
     def _owns(self, workspace: Workspace, share: int) -> bool:
         owners = self.owners.of(workspace)
-        return bool(owners) and owners[share] == self.host
+        if not owners or owners[share] != self.host:
+            return False
+        return self.moved_shares.owned_from(workspace, share) <= self.fleet.now
+
+    def _owned_since(self, workspace: Workspace, share: int) -> float:
+        moved = self.moved_shares.owned_from(workspace, share)
+        return max(self.host_lease.since, moved)
 
 
 @dataclass(kw_only=True, eq=False)
--- a/sequoiaarch/workspaces/limiter.py
+++ b/sequoiaarch/workspaces/limiter.py
@@ -49,8 +49,8 @@
     Gateways take tokens here, as none of them sees all requests of a workspace.
     `owns` tells which shares this process owns by its view of the hosts, `active`
     whether that view is recent enough to act on, `since` the latest clock time from
-    which it owns them, and `term` increases when another process may have owned them
-    in between.
+    which it owns a share, and `term` increases when another process may have owned
+    them in between.
 
     While this process is not active, or the limit is unknown, a share keeps counting
     what it granted: only another owner makes that irrelevant.
@@ -64,7 +64,7 @@
         owns: Callable[[Workspace, int], bool],
         active: Callable[[], bool],
         term: Callable[[], int],
-        since: Callable[[], float],
+        since: Callable[[Workspace, int], float],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -112,15 +112,15 @@
         share_state = self._shares.get((workspace, share))
         if share_state is None or share_state.term != term:
             self._drop(workspace, share, reason="another process may have owned it")
-            window = ShareWindow(bounds=bounds, since=self._since())
+            since = self._since(workspace, share)
+            window = ShareWindow(bounds=bounds, since=since)
             share_state = _Share(window=window, term=term)
             self._shares[workspace, share] = share_state
-            age = self._clock() - self._since()
             log.info(
                 "share {} of {} is counted from {:.2f} s ago on, term {}",
                 share,
                 workspace,
-                age,
+                self._clock() - since,
                 term,
             )
         share_state.window.change(bounds)
--- a/sequoiaarch/workspaces/quotas.py
+++ b/sequoiaarch/workspaces/quotas.py
@@ -94,7 +94,7 @@
         owns=lambda workspace, share: True,
         active=lambda: True,
         term=lambda: 0,
-        since=lambda: started,
+        since=lambda workspace, share: started,
         clock=boottime_clock,
         rng=random.Random(),
     )
--- a/sequoiaarch/workspaces/shares.py
+++ b/sequoiaarch/workspaces/shares.py
@@ -11,6 +11,9 @@
 
 Hosts = Mapping[DataCentre, Sequence[HostName]]
 
+# How long to remember when a share moved: longer than any window. Seconds.
+KEEP_SECONDS = 60.0
+
 
 class ShareOwners:
     """Assign shares to hosts by rendezvous hashing, alike in every process.
@@ -53,5 +56,53 @@
         return tuple(owners)
 
 
+class MovedShares:
+    """Delay shares that moved between running hosts.
+
+    The number of data centres decides which of them has which share. When it changes,
+    the previous owner of a share may act on its older view of the hosts for a lease.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: HostName,
+        wait: float,
+        registered: Callable[[HostName], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        """Store how many seconds to wait for the views of other hosts."""
+        self._own = own
+        self._wait = wait
+        self._registered = registered
+        self._clock = clock
+        # Earlier owners, with the time until which they may act.
+        self._earlier: list[tuple[float, ShareOwners]] = []
+
+    def hosts_changed(self, before: Hosts, after: Hosts) -> None:
+        """Remember the owners of before if the set of data centres changed."""
+        if before.keys() == after.keys():
+            return
+        now = self._clock()
+        self._earlier = [
+            entry for entry in self._earlier if now < entry[0] + KEEP_SECONDS
+        ]
+        owners = ShareOwners(hosts=lambda: before, version=lambda: 0)
+        self._earlier.append((now + self._wait, owners))
+
+    def owned_from(self, workspace: Workspace, share: int) -> float:
+        """Return the time from which no earlier owner of a share may act."""
+        times = [
+            until
+            for until, owners in self._earlier
+            if self._may_act(owners.of(workspace)[share : share + 1])
+        ]
+        return max(times, default=float("-inf"))
+
+    def _may_act(self, earlier: Sequence[HostName]) -> bool:
+        """Return whether an earlier owner is another host that has not left."""
+        return any(host != self._own and self._registered(host) for host in earlier)
+
+
 def _score(name: str) -> int:
     return xxhash.xxh32_intdigest(name.encode())
