Count a view as renewed only when it was read to the end

A read returns at most a megabyte. Where more was waiting, the follower counted what it had of a topic as known as of the read's beginning, though newer records were still to be read: the age of keys and the lease of shares were taken as renewed by a view that lacked them.

test_page_ends_before_the_topic failed before: each page counted as a renewal.

--- a/sequoiaarch/routing/follower.py
+++ b/sequoiaarch/routing/follower.py
@@ -30,7 +30,8 @@
 
     Each read is followed by a delay of `batch_delay` seconds, so that frequent
     heartbeats don't cost a call each. A read waits up to `wait` seconds for a change.
-    After each successful read `on_read` is called with the time at which it began.
+    After each read up to the end of the topic `on_read` is called with the time at
+    which it began.
     """
 
     def __init__(
@@ -57,9 +58,10 @@
         self._on_read = on_read
         self._cursor: Offset | None = None
         self._unavailable = False
+        self._at_end = True
         self.read_at = float("-inf")
-        # Start of the last successful read, by boottime_clock: the topic is known as
-        # of this time.
+        # Start of the last read up to the end of the topic, by boottime_clock: the
+        # topic is known as of this time.
         self.as_of = float("-inf")
 
     @property
@@ -73,8 +75,9 @@
             started = boottime_clock()
             reason = await self._read_once()
             if reason is None:
-                self.as_of = started
-                self._on_read(started)
+                if self._at_end:
+                    self.as_of = started
+                    self._on_read(started)
                 self.read_at = asyncio.get_running_loop().time()
                 if self._unavailable:
                     self._unavailable = False
@@ -105,6 +108,7 @@
                 ListedRecord(key=record.key, value=record.value, offset=Offset(number))
             )
         self._cursor = page.next
+        self._at_end = page.next >= page.end
         return None
 
     async def _read_snapshot(self) -> str | None:
@@ -113,4 +117,5 @@
             return snapshot.reason
         self._replace(snapshot.records)
         self._cursor = snapshot.resume
+        self._at_end = True
         return None
