Confirm no registration while an earlier process of the host may still act

A new host serves its shares as soon as all others confirm that they see it. A process that had just replaced one of its host at another address confirmed it by its own view, while the process it replaced could still serve the same shares by an older one: two owners for up to a lease. Such a process now confirms nothing until it has waited a lease itself, and leaves its registration in place if it stops earlier, as a removal tells other hosts that they may take over at once.

Found while looking for the same cause elsewhere. test_host_was_replaced_while_it_ran failed before.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -207,9 +207,15 @@
         self._server.stopping = True
 
     async def leave(self) -> None:
-        """Remove the claims and the registration of this process."""
+        """Remove the claims and the registration of this process.
+
+        Other hosts take over the shares of a host that is not registered, which an
+        earlier process of it may still serve.
+        """
         await self._claimer.stop(self._log)
         self.host_lease.release()
+        if self.host_lease.earlier_may_act:
+            return
         await self._peers.unregister(self._log, self._writer)
 
     def _view_as_of(self) -> float:
--- a/sequoiaarch/fleet/registration_check.py
+++ b/sequoiaarch/fleet/registration_check.py
@@ -41,7 +41,9 @@
                 self._host_lease.activate()
 
     def answer(self, request: RegistrationSeenRequest) -> Reply:
-        """Confirm that another host's registration is seen here."""
+        """Confirm that all processes of this host see another host's registration."""
+        if self._host_lease.earlier_may_act:
+            return failure_reply("an earlier process of this host may still act")
         if self._peers.has_registration(request.host, request.writer):
             return Accepted()
         return failure_reply(f"registration of {request.host} is not seen here")
--- a/sequoiaarch/tests/fleet/registration_check_tests.py
+++ b/sequoiaarch/tests/fleet/registration_check_tests.py
@@ -111,6 +111,20 @@
         await self.wait_for_checks()
         self.assertTrue(self.new.host_lease.active)
 
+    async def test_host_was_replaced_while_it_ran(self) -> None:
+        """Wait for a host whose earlier process may still serve shares."""
+        for other in self.others:
+            other.add_registration(self.new)
+        earlier = Registration(own=False, ended=False, settled=True)
+        self.others[0].host_lease.registered(earlier, ordered=False)
+        await self.wait_for_checks()
+        self.assertFalse(self.new.host_lease.active)
+        own = Registration(own=True, ended=True, settled=False)
+        self.others[0].host_lease.registered(own, ordered=True)
+        self.others[0].now += 1.1 * LEASE
+        await self.wait_for_checks()
+        self.assertTrue(self.new.host_lease.active)
+
     async def test_host_does_not_answer(self) -> None:
         """Wait for the lease to expire if a host does not answer."""
         self.others[0].add_registration(self.new)
--- a/sequoiaarch/workspaces/host_lease.py
+++ b/sequoiaarch/workspaces/host_lease.py
@@ -98,7 +98,14 @@
         They can't tell whether another process of this host still acts.
         """
         waits = self._active_from is not None and self._clock() < self._active_from
-        return waits and (self._previous is None or self._previous_settled)
+        return waits and not self.earlier_may_act
+
+    @property
+    def earlier_may_act(self) -> bool:
+        """Return whether an earlier process of this host may still act on its view."""
+        if self._previous is None or self._previous_settled:
+            return False
+        return self._active_from is None or self._clock() < self._active_from
 
     def unregistered(self) -> None:
         """Deactivate the lease, as this host is not registered."""
