Add a soak of limits with the faults of real machines

A gateway of the soaks finds its own address in the store now, and the proxies of the others: it could not tell that an earlier process had its address.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: demo test bench soak soak-platform lint format
+.PHONY: demo test bench soak soak-platform soak-limits lint format
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -25,6 +25,9 @@
 soak-platform: $(STAMP)
 	$(BIN)/python -m sequoiaarch.tests.platform.soak --seeds 5
 
+soak-limits: $(STAMP)
+	$(BIN)/python -m sequoiaarch.tests.platform.soak.limits --seeds 5
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -11,6 +11,7 @@
 
 from ....standins.keyed_store import KeyedStore
 from ..http_store import HttpStore
+from .proxied_store import ProxiedStore
 from .proxy import LOOPBACK, FaultProxy
 
 MODULE = "sequoiaarch.platform"
@@ -69,14 +70,27 @@
     """
 
     def __init__(
-        self, *, number: int, zone: str, store: KeyedStore, folder: Path, module: str
+        self,
+        *,
+        number: int,
+        zone: str,
+        store: KeyedStore,
+        proxies: dict[str, str],
+        folder: Path,
+        module: str,
+        name: str | None = None,
     ) -> None:
-        name = f"gateway-{number}"
-        self.name = name
+        self.name = name or f"gateway-{number}"
         self._address = own_address(number)
         self.zone = zone
         self.control_port = free_port(self._address)
-        self.store_server = HttpStore(store=store)
+        self._proxies = proxies
+        self._inner_address = f"{self._address}:{self.control_port}"
+        self.store_server = HttpStore(
+            store=ProxiedStore(
+                shared=store, proxies=proxies, own_address=self._inner_address
+            )
+        )
         self.generation = 0
         # Loop time of the last fault that may break connections of this gateway.
         self.disturbed_at = 0.0
@@ -84,8 +98,8 @@
         self._ready_port = free_port(self._address)
         self._front_port = free_port(self._address)
         self._module = module
-        self._settings = folder / f"{name}.toml"
-        self._log = folder / f"{name}.log"
+        self._settings = folder / f"gateway-{number}.toml"
+        self._log = folder / f"gateway-{number}.log"
         self._process: asyncio.subprocess.Process | None = None
         self.caller_proxy = FaultProxy(target=(self._address, self._front_port))
         self.peer_proxy = FaultProxy(target=(self._address, self.control_port))
@@ -108,6 +122,7 @@
         await self.store_proxy.start()
         await self.caller_proxy.start()
         await self.peer_proxy.start()
+        self._proxies[self._inner_address] = self.peer_address
 
     def write_settings(self, seeds: list[str]) -> None:
         """Write the settings, with addresses of other gateways as seeds."""
--- a/sequoiaarch/tests/platform/soak/links.py
+++ b/sequoiaarch/tests/platform/soak/link_faults.py
@@ -6,13 +6,6 @@
 import random
 from collections import Counter
 
-import msgspec
-
-from ....errors import Failure
-from ....fleet.peers import TOPIC, PeerRecord
-from ....ids import Offset
-from ....standins.keyed_store import KeyedStore
-from ....storage.keyed import KeyedRecord, Partition, Writer
 from .gateways import Gateway
 from .proxy import ProxyFault
 
@@ -30,29 +23,6 @@
 }
 
 
-class ProxiedStore(KeyedStore):
-    """Store that replaces the addresses of gateways by those of their proxies."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.proxies: dict[str, str] = {}
-
-    async def append(
-        self, partition: Partition, records: list[KeyedRecord], writer: Writer
-    ) -> Offset | Failure:
-        """Append records, registrations of gateways with the address of the proxy."""
-        if partition.topic == TOPIC:
-            records = [self._via_proxy(record) for record in records]
-        return await super().append(partition, records, writer)
-
-    def _via_proxy(self, record: KeyedRecord) -> KeyedRecord:
-        if not record.value:
-            return record
-        peer = msgspec.json.decode(record.value, type=PeerRecord)
-        proxied = msgspec.structs.replace(peer, address=self.proxies[record.key])
-        return KeyedRecord(key=record.key, value=msgspec.json.encode(proxied))
-
-
 class LinkFaults:
     """Inject overlapping faults into the links from other gateways.
 
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -10,11 +10,12 @@
 
 import msgspec
 
+from ....standins.keyed_store import KeyedStore
 from ..deployment import ENGINES, ROUTES, TOOLS, config, route
 from .callers import Caller, Conversation, KeepAliveCaller
 from .faults import FaultInjector
 from .gateways import MODULE, START_SECONDS, Gateway
-from .links import LinkFaults, ProxiedStore
+from .link_faults import LinkFaults
 from .property_checker import Property, PropertyChecker
 from .small import SmallBudgetCaller
 from .targets import SoakTarget
@@ -65,7 +66,8 @@
         self._plan = plan
         self._folder = folder
         self._rng = random.Random(plan.seed)
-        self._store = ProxiedStore()
+        self._store = KeyedStore()
+        proxies: dict[str, str] = {}
         self._checker = PropertyChecker()
         self._version = 1
         self._workspaces = Workspaces(checker=self._checker)
@@ -74,6 +76,7 @@
                 number=number,
                 zone=ZONES[number % len(ZONES)],
                 store=self._store,
+                proxies=proxies,
                 folder=folder,
                 module=plan.module,
             )
@@ -184,7 +187,6 @@
             await target.start()
         for gateway in self._gateways:
             await gateway.listen()
-            self._store.proxies[gateway.name] = gateway.peer_address
         for gateway in self._gateways:
             others = [
                 other.peer_address
