--- a/sequoiaarch/tests/platform/soak/limit_callers.py
+++ b/sequoiaarch/tests/platform/soak/limit_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 from ....http1.client import ClientConnection, connect
@@ -17,18 +18,42 @@
 DEADLINE = 3.0
 # Seconds. Gateways may finish an answer after its deadline.
 ANSWER_TIMEOUT = DEADLINE + 2.0
-# Pairs are ranges: seconds of a burst and of the pause after it, and the load of a
+# Pairs are ranges: seconds of a burst and of the quiet time after it, and the load of a
 # burst as a multiple of what a window allows.
-BURST_SECONDS = (2.0, 9.0)
-PAUSE_SECONDS = (1.0, 7.0)
+BURST_SECONDS = (4.0, 8.0)
+QUIET_SECONDS = (2.0, 7.0)
 BURST_LOAD = (2.0, 3.0)
 MAX_OPEN_REQUESTS = 80
 IDLE_LIMIT = 12.0
 TURN_FRACTION = 0.3
 
 
+class Bursts:
+    """Times of the bursts, which all workspaces send together."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._started = asyncio.Condition()
+        self.until = 0.0
+
+    async def run(self, until: float) -> None:
+        """Start bursts until the loop time `until`."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            self.until = min(until, loop.time() + self._rng.uniform(*BURST_SECONDS))
+            async with self._started:
+                self._started.notify_all()
+            await asyncio.sleep(self.until - loop.time())
+            await asyncio.sleep(self._rng.uniform(*QUIET_SECONDS))
+
+    async def next(self) -> None:
+        """Wait until a burst starts."""
+        async with self._started:
+            await self._started.wait()
+
+
 class LimitCaller:
-    """Call through all gateways, on connections that stay open."""
+    """Call through all gateways in bursts, on connections that stay open."""
 
     def __init__(
         self,
@@ -36,12 +61,14 @@
         workspace: str,
         key: str,
         gateways: list[Gateway],
+        bursts: Bursts,
         windows: LimitWindows,
         rng: random.Random,
     ) -> None:
         self._workspace = workspace
         self._key = key
         self._gateways = gateways
+        self._bursts = bursts
         self._windows = windows
         self._rng = rng
         self._idle: IdleConnections[Gateway] = IdleConnections()
@@ -53,24 +80,23 @@
         """Send bursts until the loop time `until`."""
         loop = asyncio.get_running_loop()
         while loop.time() < until:
-            await self._burst(min(until, loop.time() + self._draw(BURST_SECONDS)))
-            await asyncio.sleep(self._draw(PAUSE_SECONDS))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(until):
+                    await self._bursts.next()
+                    await self._burst()
         for call in self._calls:
             call.cancel()
         await asyncio.gather(*self._calls, return_exceptions=True)
         self._idle.close()
 
-    def _draw(self, bounds: tuple[float, float]) -> float:
-        return self._rng.uniform(*bounds)
-
-    async def _burst(self, until: float) -> None:
+    async def _burst(self) -> None:
         bounds = self._windows.bounds
         allowed = bounds.allowed(self._windows.limits[self._workspace])
-        rate = self._draw(BURST_LOAD) * allowed / bounds.window
+        rate = self._rng.uniform(*BURST_LOAD) * allowed / bounds.window
         # Each burst goes to some gateways only, as callers keep their connections.
         share = self._rng.randint(1, len(self._gateways))
         chosen = self._rng.sample(self._gateways, share)
-        while asyncio.get_running_loop().time() < until:
+        while asyncio.get_running_loop().time() < self._bursts.until:
             if len(self._calls) < MAX_OPEN_REQUESTS:
                 call = asyncio.create_task(self._call(self._choose(chosen)))
                 self._calls.add(call)
--- a/sequoiaarch/tests/platform/soak/limit_faults.py
+++ b/sequoiaarch/tests/platform/soak/limit_faults.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 from .gateways import Gateway
+from .limit_callers import Bursts
 from .proxy import ProxyFault
 
 # Pairs are ranges of seconds.
@@ -21,6 +22,7 @@
 SLOW_READS_FOR = (2.0, 9.0)
 RESTART_DELAY = (0.0, 2.0)
 OVERLAP = (0.5, 7.0)
+AFTER_BURST = (0.2, 1.5)
 
 Action = Callable[[Gateway], Awaitable[None]]
 
@@ -28,7 +30,8 @@
 class LimitFaults:
     """Apply series of faults to gateways; one gateway may be in several series.
 
-    `replace` starts another process of a gateway's host and returns once it runs.
+    `replace` starts another process of a gateway's host and returns once it runs. Half
+    of the series start shortly after a burst.
     """
 
     def __init__(
@@ -37,15 +40,18 @@
         gateways: list[Gateway],
         replace: Callable[[Gateway], Awaitable[None]],
         publish: Callable[[], Awaitable[None]],
+        bursts: Bursts,
         rng: random.Random,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self._gateways = gateways
         self._replace_process = replace
         self._publish = publish
+        self._bursts = bursts
         self._rng = rng
         self._restarting: set[Gateway] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._waiting_for_burst: set[asyncio.Task[None]] = set()
         self._actions: list[tuple[Action, int]] = [
             (self._pause, 4),
             (self._hold_up, 4),
@@ -65,7 +71,9 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(self._draw(SERIES_INTERVAL))
-        await asyncio.gather(*self._tasks)
+        for task in self._waiting_for_burst:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _draw(self, bounds: tuple[float, float]) -> float:
         return self._rng.uniform(*bounds)
@@ -74,6 +82,8 @@
         """Apply one kind of fault to some gateways, shortly after each other."""
         actions, weights = zip(*self._actions, strict=True)
         action = self._rng.choices(actions, weights)[0]
+        if self._rng.random() < 0.5:
+            await self._wait_for_burst()
         most = max(1, len(self._gateways) // 2)
         affected = self._rng.sample(self._gateways, self._rng.randint(1, most))
         if self._rng.random() < 0.15:
@@ -82,12 +92,17 @@
         steps = []
         for gateway in affected:
             self.counts[action.__name__.strip("_")] += 1
-            steps.append(asyncio.create_task(self._apply(action, gateway)))
+            steps.append(asyncio.ensure_future(action(gateway)))
             await asyncio.sleep(self._draw(STEP_INTERVAL))
         await asyncio.gather(*steps)
 
-    async def _apply(self, action: Action, gateway: Gateway) -> None:
-        await action(gateway)
+    async def _wait_for_burst(self) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._waiting_for_burst.add(task)
+        await self._bursts.next()
+        self._waiting_for_burst.discard(task)
+        await asyncio.sleep(self._draw(AFTER_BURST))
 
     async def _pause(self, gateway: Gateway) -> None:
         gateway.signal(signal.SIGSTOP)
--- a/sequoiaarch/tests/platform/soak/limits.py
+++ b/sequoiaarch/tests/platform/soak/limits.py
@@ -28,7 +28,7 @@
     tool_answer,
 )
 from .gateways import MODULE, START_SECONDS, Gateway
-from .limit_callers import LimitCaller
+from .limit_callers import Bursts, LimitCaller
 from .limit_faults import LimitFaults
 from .limit_windows import LimitWindows
 from .link_faults import LinkFaults
@@ -82,6 +82,7 @@
             for number, rate in enumerate(RATES)
         }
         self._windows = LimitWindows(bounds=BOUNDS, limits=self._limits)
+        self._bursts = Bursts(rng=self._fresh_rng())
         self._gateways: list[Gateway] = []
         self._all_gateways: list[Gateway] = []
         self._targets: list[TargetStandIn] = []
@@ -92,12 +93,14 @@
             gateways=self._gateways,
             replace=self._replace,
             publish=self._publish,
+            bursts=self._bursts,
             rng=self._fresh_rng(),
         )
         try:
             await self._start()
             until = asyncio.get_running_loop().time() + self._plan.seconds
             await asyncio.gather(
+                self._bursts.run(until),
                 faults.run(until - FAULT_FREE_SECONDS),
                 self._harm_links(until - FAULT_FREE_SECONDS),
                 *(self._caller(name).run(until) for name in self._limits),
@@ -130,6 +133,7 @@
             workspace=workspace,
             key=f"key-of-{workspace}",
             gateways=self._gateways,
+            bursts=self._bursts,
             windows=self._windows,
             rng=self._fresh_rng(),
         )
