Spread the writes of settled hosts by the size of the fleet

Each such write excludes the others of its moment. With hundreds of hosts that start together, most would have been tried again at once, which the store's rate of calls does not bear. They are spread over 0.02 s for each host, and tried again after a short random delay.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -52,7 +52,8 @@
 CLAIMS_READ_WAIT = 10.0
 # In seconds.
 SETTLED_CHECK_INTERVAL = 0.1
-SETTLED_MAX_DELAY = 0.5
+SETTLED_DELAY = 0.5
+SETTLED_DELAY_PER_HOST = 0.02
 
 
 class QuotaOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -279,8 +280,9 @@
         """Write that this process owns its shares once it does."""
         while not self.host_lease.active:
             await asyncio.sleep(SETTLED_CHECK_INTERVAL)
-        # All hosts may have started at once.
-        await asyncio.sleep(random.uniform(0.0, SETTLED_MAX_DELAY))
+        # All hosts may have started at once, and each write excludes the others.
+        most = SETTLED_DELAY + SETTLED_DELAY_PER_HOST * len(self._peers)
+        await asyncio.sleep(random.uniform(0.0, most))
         await self._peers.mark_settled(self._log, self._writer)
 
     def _owns_share(self, workspace: Workspace, share: int) -> bool:
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -30,6 +30,8 @@
 PEER_TIMEOUT = 0.5
 PEER_SILENCE_LIMIT = 1.0
 REGISTER_RETRY_INTERVAL = 0.5
+# Delay before another try when another host was faster. Seconds.
+MAX_CONFLICT_DELAY = 0.1
 # How long registration waits for the first list of registrations. Seconds.
 FIRST_LIST_TIMEOUT = 1.0
 
@@ -218,6 +220,8 @@
                 return replaced
             if replaced:
                 return None
+            # Other hosts write at the same time.
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_CONFLICT_DELAY))
 
     def _update_registration(self, record: KeyedRecord) -> None:
         host = HostName(record.key)
--- a/sequoiaarch/tests/fleet/peers_tests.py
+++ b/sequoiaarch/tests/fleet/peers_tests.py
@@ -136,19 +136,23 @@
         """Fail when no peer is known."""
         self.assertIsInstance(await self.peers.relay(CALL), Failure)
 
-    async def test_registration(self) -> None:
-        """Write and remove a registration that other hosts read."""
-        store = KeyedStore()
-        client = store.client()
-        await self.peers.register(client, WriterId("writer"))
-        other = Peers(
+    def host(self, name: str) -> Peers:
+        """Return the peers of another host."""
+        return Peers(
             context=self.context,
-            own=HostName("other"),
-            own_address="127.0.0.1:2",
+            own=HostName(name),
+            own_address=f"127.0.0.1:{name}",
             data_centre=LOCAL_CENTRE,
             seeds=[],
             rng=random.Random(1),
         )
+
+    async def test_registration(self) -> None:
+        """Write and remove a registration that other hosts read."""
+        store = KeyedStore()
+        client = store.client()
+        await self.peers.register(client, WriterId("writer"))
+        other = self.host("other")
         newest = store.newest(Partition(topic=TOPIC, number=0))
         other.replace(newest.records)
         self.assertEqual(len(other), 1)
@@ -158,6 +162,25 @@
         newest = store.newest(Partition(topic=TOPIC, number=0))
         self.assertEqual(newest.records, [])
 
+    async def test_hosts_settle_at_once(self) -> None:
+        """Keep the registration of every host when all of them write at once."""
+        store = KeyedStore()
+        hosts = [self.host(f"h{number}") for number in range(20)]
+        writers = [WriterId(f"writer-{number}") for number in range(20)]
+        pairs = list(zip(hosts, writers, strict=True))
+        for host, writer in pairs:
+            host.replace([])
+            await host.register(store.client(), writer)
+        await asyncio.gather(
+            *(host.mark_settled(store.client(), writer) for host, writer in pairs)
+        )
+        newest = store.newest(Partition(topic=TOPIC, number=0)).records
+        settled = [
+            msgspec.json.decode(record.value, type=PeerRecord).settled
+            for record in newest
+        ]
+        self.assertEqual(settled, [True] * len(hosts))
+
     async def test_removal_is_carried_out_late(self) -> None:
         """Keep the registration of the next process of this host."""
         store = KeyedStore()
