--- a/sequoiaarch/tests/faults/scenario.py
+++ b/sequoiaarch/tests/faults/scenario.py
@@ -129,7 +129,6 @@
         self._tool_answer: Any = None
         self._tool_outcome: str | None = None
         self._leaving: dict[str, tuple[float, int]] = {}
-        self._stopped_gracefully: set[str] = set()
         self._published = 0
         self._seq = 0
 
--- a/sequoiaarch/tests/workspaces/simulation.py
+++ b/sequoiaarch/tests/workspaces/simulation.py
@@ -291,7 +291,6 @@
         self.changes: list[tuple[HostName, Registration | None]] = []
         self.ran: list[float] = []
         self.sending: list[tuple[float, Process]] = []
-        self.asked = 0
         self._started = 0
 
     def clock(self) -> float:
