Begin a new term when another process has registered this host

A process that read a registration of its host by another process, and then its own again, went on with its own count of the shares, without what the other may have granted. The term now tells that another process may have owned them.

--- a/sequoiaarch/tests/workspaces/limiter_tests.py
+++ b/sequoiaarch/tests/workspaces/limiter_tests.py
@@ -9,7 +9,7 @@
 
 from ...ids import Workspace
 from ...workspaces.directory import RateLimit
-from ...workspaces.host_lease import HostLease, Registration
+from ...workspaces.host_lease import CLOCK_MARGIN, HostLease, Registration
 from ...workspaces.limiter import Limiter
 from ...workspaces.sliding_window import SHARES, TOKEN_LIFE, QuotaBounds
 
@@ -113,6 +113,14 @@
         self.owner.read_hosts_until(START + 65.0)
         self.check_bursts()
 
+    def test_another_process_may_have_granted(self) -> None:
+        """Assume that another process granted everything until this one may act."""
+        self.owner.read_hosts_until(START + 62.0)
+        self.owner.register(own=False)
+        self.owner.register(own=True)
+        self.owner.read_hosts_until(START + 62.0 + CLOCK_MARGIN * LEASE + 0.05)
+        self.assertEqual(self.owner.take_all(), 0)
+
     def test_limit_missing_for_a_moment(self) -> None:
         """Keep counting while a configuration has no limit for the workspace."""
         self.owner.read_hosts_until(START + 62.0)
--- a/sequoiaarch/workspaces/host_lease.py
+++ b/sequoiaarch/workspaces/host_lease.py
@@ -76,6 +76,7 @@
         if not registration.own:
             self._previous = registration
             self._active_from = None
+            self.term += 1
             return
         if self._active_from is not None:
             return
