Put back the reasons behind constants that the wording took out

One or two sentences each, as the comments of before had them and as far as they still hold: what a number was made for, what would break without it, what bounds it. No code changes.

--- a/sequoiaarch/fleet/claims.py
+++ b/sequoiaarch/fleet/claims.py
@@ -16,7 +16,8 @@
 log = logbook.Logger("lenders")
 
 TOPIC = "keyed.lenders"
-# Programs are hashed into this many slots, each with its own lenders.
+# Programs are hashed into this many slots, each with its own lenders. With so many, 38
+# processes have about equal shares, and one record still names all slots of a process.
 SLOTS = 512
 # A process lends only if it saw its claim and its registration in the store within
 # this time. Exceeds the short store outages that loans cover. Seconds.
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -26,8 +26,9 @@
 # How long a failed peer is tried last. Seconds.
 DEPRIORITISE_SECONDS = 3.0
 MAX_PEERS_ASKED = 3
-# Seconds.
+# A frozen peer does not answer; the call then goes to the next one. Seconds.
 PEER_TIMEOUT = 0.5
+# Seconds.
 PEER_SILENCE_LIMIT = 1.0
 REGISTER_RETRY_INTERVAL = 0.5
 # Delay before another try when another host was faster. Seconds.
--- a/sequoiaarch/fleet/quotas.py
+++ b/sequoiaarch/fleet/quotas.py
@@ -12,7 +12,8 @@
 from .peer_health import PeerHealth
 from .peers import Peers
 
-# Timeout of requests to share owners, which answer from memory. Seconds.
+# Timeout of requests to share owners, which answer from memory: one that does not
+# answer by then is dead, frozen or overloaded. Seconds.
 ASK_TIMEOUT = 0.1
 
 
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -6,7 +6,8 @@
 import struct
 
 # A peer can vanish without a reset. These timeouts close such a connection within
-# about two seconds, instead of at the deadline of its request.
+# about two seconds, instead of at the deadline of its request. A stream that waits for
+# its next event would never end. No probe is sent while data flows.
 USER_TIMEOUT_MS = 2000
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -10,7 +10,8 @@
 from ..ids import InstanceId
 from ..policies.health import TargetHealth
 
-# Weight of a new observation in the moving average of waits.
+# Weight of a new observation in the moving average of waits. With about five answers a
+# second from each engine the average follows the load within half a second.
 SMOOTHING = 0.3
 # Seconds. Estimates decay without new observations, as a target that gets no
 # requests would otherwise never be seen to be free.
--- a/sequoiaarch/ingress/pool.py
+++ b/sequoiaarch/ingress/pool.py
@@ -10,7 +10,7 @@
 from ..routing.targets import TargetEntry
 
 # Seconds. Shorter than the retransmission timeout of a lost SYN, 1 s, so that
-# another target is tried first.
+# another target is tried first. An idle target of the region accepts within 2 ms.
 CONNECT_TIMEOUT = 0.4
 # Connections are closed this many seconds before the target would close them: a
 # non-idempotent request that races with the target's close can't be retried.
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -23,7 +23,8 @@
 
 log = logbook.Logger("ledger")
 
-# Memory for cached turns; evicted ones are read again from the store. Bytes.
+# Memory for cached turns, a tenth of the smallest host's; evicted ones are read again
+# from the store. Bytes.
 DEFAULT_TURN_BYTES = 12 * 1024 * 1024
 TRIM_INTERVAL = 1.0
 # Partitions used more recently than this are not trimmed, as their open turns would
--- a/sequoiaarch/ledger/sweeper.py
+++ b/sequoiaarch/ledger/sweeper.py
@@ -26,7 +26,8 @@
 log = logbook.Logger("sweeper")
 
 # Interval in which each partition is visited about once by some process; ended records
-# stay for up to three intervals. Seconds.
+# stay for up to three intervals, 450 s: at 1 MB a second of new turns the store can't
+# hold more. Seconds.
 ROUND_SECONDS = 150.0
 # Time beyond the retention in which a resumed program writes its next record. Seconds.
 EXPIRY_MARGIN = 30.0
--- a/sequoiaarch/observe/events.py
+++ b/sequoiaarch/observe/events.py
@@ -12,7 +12,8 @@
 import logbook
 import msgspec
 
-# Lines per second, and the burst in lines; lines beyond the rate are dropped.
+# Lines per second, and the burst in lines; lines beyond the rate are dropped. A gateway
+# answers about 100 requests a second at its peak, with a line each.
 LINE_RATE = 300.0
 LINE_BURST = 600.0
 # Bytes buffered for a slow reader before lines are dropped.
--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -18,7 +18,9 @@
 # other processes are part of the wait. Seconds.
 SECONDS_PER_REQUEST = 0.006
 # Cost of an engine in another data centre: more than the network delay, as traffic
-# between data centres is paid for. Seconds.
+# between data centres, which carries the whole prompt, is paid for. Four times the
+# delay halves this traffic and leaves waits as they are; with eight times requests wait
+# longer at full engines. Seconds.
 REMOTE_SECONDS = 0.015
 # Factor on the prefill time away from the home instance: moving also costs later
 # turns their cached prefix and evicts prefixes of other programs.
@@ -26,7 +28,8 @@
 # Prompt parts remembered for each instance.
 MAX_PARTS = 4096
 # An instance has capacity while this process uses a smaller fraction of its slots:
-# other processes use it too.
+# other processes use it too. With a few processes in each data centre it is then about
+# half full.
 FREE_LOAD = 0.4
 # Instances whose failure rate exceeds the lowest one by more than this are skipped.
 # The best one always remains.
@@ -170,6 +173,9 @@
     previous one ran. So each program has a home instance in the data centre, chosen
     by rendezvous hashing. A turn runs elsewhere only if the wait at home costs more
     than processing the prompt again.
+
+    Processing a long history again takes about 20 ms and evicts what others have
+    cached; waiting behind a full batch costs more.
     """
 
     def __init__(self, *, prefix_index: PrefixIndex, rng: random.Random) -> None:
--- a/sequoiaarch/policies/health.py
+++ b/sequoiaarch/policies/health.py
@@ -12,7 +12,8 @@
 log = logbook.Logger("health")
 
 # Weight of a new result in the moving average of the failure rate, and the half-life
-# of that average in seconds.
+# of that average in seconds. A target that fails part of its requests is noticed after
+# a few of them, and tried again when half of that average has faded.
 FAILURE_SMOOTHING = 0.15
 FAILURE_HALF_LIFE = 3.0
 # Number of hosts that must have seen a target fail: to a host with a broken network
@@ -21,13 +22,16 @@
 # Failures further apart than this count as sporadic. Seconds.
 REPORT_WINDOW = 1.5
 # Duration of an ejection, doubled up to the maximum each time that the target fails
-# again when it is probed. Seconds.
+# again when it is probed: most failures end within seconds, and the capacity of an
+# ejected target is missing. Seconds.
 EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 8.0
 # Delay between the hosts that may probe an ejected target, in an order that changes:
-# a target that still fails costs one request, not one of each host. Seconds.
+# a target that still fails costs one request, not one of each host. Short, as a host
+# with little traffic must not keep the others waiting. Seconds.
 PROBE_STAGGER = 0.2
-# No other request follows a probe within this time. Seconds.
+# No other request follows a probe within this time, in which it is answered or broken
+# off. Seconds.
 PROBE_INTERVAL = 0.5
 # Minimum interval between reports of the same target. Seconds.
 REPORT_INTERVAL = 0.2
@@ -41,7 +45,7 @@
 MAX_RECORDS = 4096
 # A target counts as silent without a first event after this many times the route's
 # latency target, plus this many times the longest recent wait, so that busy targets
-# are not ejected one after the other.
+# are not ejected one after the other. Callers wait twice as long.
 FIRST_EVENT_FACTOR = 4.0
 LONGEST_WAIT_FACTOR = 4.0
 # The same for each further event, as a multiple of the pause that the route allows:
--- a/sequoiaarch/policies/retries.py
+++ b/sequoiaarch/policies/retries.py
@@ -9,7 +9,7 @@
 RETRY_RATIO = 0.1
 RETRY_BURST = 10.0
 # An idempotent request without an answer after this many times the route's latency
-# target is sent to another target.
+# target is sent to another target, as the first one has likely lost it.
 ATTEMPT_TIMEOUT_FACTOR = 2.5
 
 
--- a/sequoiaarch/policies/starts.py
+++ b/sequoiaarch/policies/starts.py
@@ -11,7 +11,8 @@
 # not all return at once. Seconds.
 MIN_RETRY_DELAY = 0.3
 MAX_RETRY_DELAY = 0.9
-# A longer wait on each turn would make programs miss their deadlines. Seconds.
+# A longer wait on each turn would make programs miss their deadlines: they may take 1.2
+# to 1.6 times as long as on idle engines. Seconds.
 MAX_WAIT = 0.12
 # Time of a turn on an idle engine, and of the program until the next one. Seconds.
 TURN_SECONDS = 0.2
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -12,7 +12,8 @@
 
 log = logbook.Logger("targets")
 
-# Time after an outage of the store within which live targets register again.
+# Time after an outage of the store within which live targets register again: about two
+# seconds, and a tenth more for the read that shows it.
 LAPSE_GRACE_SECONDS = 2.2
 
 
