Let the planted early lease inherit once, and callers of the soak join the first burst

It tells it once now, as one earlier process would. The bursts of the soak of limits began before its callers waited for them, so that the first one was missed; beside a load of 22 a planted fault was then not seen in 8 s.

--- a/sequoiaarch/tests/platform/soak/limit_callers.py
+++ b/sequoiaarch/tests/platform/soak/limit_callers.py
@@ -23,6 +23,7 @@
 BURST_SECONDS = (4.0, 8.0)
 QUIET_SECONDS = (2.0, 7.0)
 BURST_LOAD = (2.0, 3.0)
+FIRST_BURST_DELAY = 0.1
 MAX_OPEN_REQUESTS = 80
 IDLE_LIMIT = 12.0
 TURN_FRACTION = 0.3
@@ -39,6 +40,8 @@
     async def run(self, until: float) -> None:
         """Start bursts until the loop time `until`."""
         loop = asyncio.get_running_loop()
+        # All callers wait for the first burst by then.
+        await asyncio.sleep(FIRST_BURST_DELAY)
         while loop.time() < until:
             self.until = min(until, loop.time() + self._rng.uniform(*BURST_SECONDS))
             async with self._started:
--- a/sequoiaarch/tests/workspaces/simulation.py
+++ b/sequoiaarch/tests/workspaces/simulation.py
@@ -85,6 +85,7 @@
         self.view: dict[HostName, Registration] = {}
         self.version = 0
         self.filled: set[int] = set()
+        self.inherited = False
         self.host_lease = HostLease(lease=LEASE, clock=fleet.clock)
         self.token_cache = TokenCache(clock=fleet.clock)
         self.owners = ShareOwners(hosts=self._centres, version=lambda: self.version)
@@ -249,6 +250,9 @@
 
     def _inherit(self) -> None:
         """Act as if an earlier process of this host had ended and owned its shares."""
+        if self.inherited:
+            return
+        self.inherited = True
         previous = HostRegistration(own=False, ended=True, settled=True)
         self.host_lease.registered(previous, ordered=True)
         own = HostRegistration(own=True, ended=True, settled=False)
