--- a/sequoiaarch/tests/fleet/target_reports_tests.py
+++ b/sequoiaarch/tests/fleet/target_reports_tests.py
@@ -121,6 +121,7 @@
         self.assertFalse(self.hosts["c"].avoids_target())
         self.hosts["b"].fail()
         await self.wait_until_received("c", 2)
+        await self.wait_until_received("b", 1)
         self.assertTrue(self.hosts["c"].avoids_target())
         self.assertTrue(self.hosts["b"].avoids_target())
         self.assertEqual(self.hosts["far"].reports_received, 0)
@@ -136,6 +137,7 @@
         self.hosts["a"].fail()
         self.hosts["b"].fail()
         await self.wait_until_received("c", 2)
+        await self.wait_until_received("a", 1)
         recovered = self.hosts["a"]
         later = asyncio.get_running_loop().time() + 60
         self.assertTrue(recovered.health.request_succeeded(TARGET, later))
