--- a/sequoiaarch/tests/platform/soak/limit_faults.py
+++ b/sequoiaarch/tests/platform/soak/limit_faults.py
@@ -50,7 +50,6 @@
         self._bursts = bursts
         self._rng = rng
         self._restarting: set[Gateway] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
         self._waiting_for_burst: set[asyncio.Task[None]] = set()
         self._actions: list[tuple[Action, int]] = [
             (self._pause, 4),
@@ -66,14 +65,12 @@
     async def run(self, until: float) -> None:
         """Start series until the loop time `until`, then wait until they have ended."""
         loop = asyncio.get_running_loop()
-        while loop.time() < until:
-            task = asyncio.create_task(self._series())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(self._draw(SERIES_INTERVAL))
-        for task in self._waiting_for_burst:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < until:
+                group.create_task(self._series())
+                await asyncio.sleep(self._draw(SERIES_INTERVAL))
+            for task in self._waiting_for_burst:
+                task.cancel()
 
     def _draw(self, bounds: tuple[float, float]) -> float:
         return self._rng.uniform(*bounds)
