--- /dev/null
+++ b/sequoiaarch/policies/pace.py
@@ -0,0 +1,151 @@
+"""Learn how fast targets generate events."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from ..ids import InstanceId
+
+# Time constant of the averages in seconds: long enough that a target which is slow for
+# half a second keeps most of its average, short enough to notice lasting slowness
+# within a few turns.
+AVERAGING_SECONDS = 3.0
+# Events after which the pace of a target is known.
+MIN_EVENTS = 4.0
+# Targets are uneven while the pace of one exceeds that of another by this factor.
+# Smaller differences follow from the lengths of prompts and batches.
+UNEVEN_FACTOR = 1.5
+# Targets that must be known before they count as uneven.
+MIN_TARGETS = 3
+MAX_EVENT_SECONDS = 10.0
+# Time constant with which the pace of an idle target approaches a higher one: an engine
+# that stays slower is a slower engine. Seconds.
+IDLE_SECONDS = 120.0
+# Events at the mean pace of all targets that are added to those of each. A target that
+# gets no requests as it was slow thereby approaches the mean, and is tried again.
+PRIOR_EVENTS = 2.0
+
+
+class PaceSample(msgspec.Struct, frozen=True, kw_only=True):
+    """Report the seconds that a target took for a number of events."""
+
+    instance: InstanceId
+    seconds: float
+    events: int
+    turns: int = 1
+
+    def plus(self, other: PaceSample) -> PaceSample:
+        """Return the sum of two samples of the same target."""
+        return PaceSample(
+            instance=self.instance,
+            seconds=self.seconds + other.seconds,
+            events=self.events + other.events,
+            turns=self.turns + other.turns,
+        )
+
+    @property
+    def valid(self) -> bool:
+        """Return whether the figures are possible."""
+        return (
+            self.events > 0
+            and math.isfinite(self.seconds)
+            and 0.0 < self.seconds <= MAX_EVENT_SECONDS * self.events
+        )
+
+
+@dataclass(kw_only=True)
+class _Average:
+    """Sums of seconds and events, which decay with time."""
+
+    seconds: float = 0.0
+    events: float = 0.0
+    turns: float = 0.0
+    updated: float = 0.0
+    idle_pace: float = math.inf
+
+
+class PaceTable:
+    """Average the seconds for each event of targets, weighting recent ones most."""
+
+    def __init__(self) -> None:
+        self._averages: dict[InstanceId, _Average] = {}
+
+    def add(self, sample: PaceSample, now: float) -> bool:
+        """Add a sample; return False if it is ignored because it is invalid."""
+        if not sample.valid:
+            return False
+        average = self._averages.setdefault(sample.instance, _Average(updated=now))
+        decay = math.exp(-max(0.0, now - average.updated) / AVERAGING_SECONDS)
+        average.seconds = average.seconds * decay + sample.seconds
+        average.events = average.events * decay + sample.events
+        average.turns = average.turns * decay + sample.turns
+        if average.events >= MIN_EVENTS:
+            self._update_idle(average, now - average.updated)
+        average.updated = now
+        return True
+
+    def _update_idle(self, average: _Average, elapsed: float) -> None:
+        pace = average.seconds / average.events
+        if pace < average.idle_pace:
+            average.idle_pace = pace
+        else:
+            part = min(1.0, elapsed / IDLE_SECONDS)
+            average.idle_pace += part * (pace - average.idle_pace)
+
+    def idle_pace(self, instance: InstanceId) -> float | None:
+        """Return the lowest pace of a target lately, as of one that is idle."""
+        average = self._averages.get(instance)
+        if average is None or math.isinf(average.idle_pace):
+            return None
+        return average.idle_pace
+
+    def paces(self, now: float) -> dict[InstanceId, float]:
+        """Return the seconds for each event of the targets that were used."""
+        mean = self._mean_pace
+        if mean is None:
+            return {}
+        paces = {}
+        for instance, average in self._averages.items():
+            decay = math.exp(-max(0.0, now - average.updated) / AVERAGING_SECONDS)
+            events = average.events * decay
+            seconds = average.seconds * decay + PRIOR_EVENTS * mean
+            paces[instance] = seconds / (events + PRIOR_EVENTS)
+        return paces
+
+    @property
+    def _mean_pace(self) -> float | None:
+        """Return the mean pace of the targets, None if no events were seen."""
+        paces = [
+            average.seconds / average.events
+            for average in self._averages.values()
+            if average.events >= MIN_EVENTS
+        ]
+        return sum(paces) / len(paces) if paces else None
+
+    def idle_paces(self) -> list[float]:
+        """Return the paces of all known targets when they are idle."""
+        known = (self.idle_pace(name) for name in self._averages)
+        return [pace for pace in known if pace is not None]
+
+    @property
+    def events_per_turn(self) -> float | None:
+        """Return the mean number of events of a turn; None if no turn was seen."""
+        turns = sum(average.turns for average in self._averages.values())
+        if turns <= 0:
+            return None
+        events = sum(average.events for average in self._averages.values())
+        return events / turns
+
+    def forget(self, instance: InstanceId) -> None:
+        """Drop a target that has left."""
+        self._averages.pop(instance, None)
+
+
+def uneven(paces: Iterable[float]) -> bool:
+    """Return whether targets differ so much that it matters which one is used."""
+    known = sorted(paces)
+    return len(known) >= MIN_TARGETS and known[-1] > UNEVEN_FACTOR * known[0]
