Assign programs to engines by an owner in each data centre

Change: a program is assigned to an engine when it begins, by the owner of the data centre's engines, and its turns stay there. Delegates report the programs in progress, so owners keep nothing that can't be rebuilt within a report interval. Takes effect where the settings list the contract, or engines differ in speed.

--- a/sequoiaarch/fleet/delegated_turn.py
+++ b/sequoiaarch/fleet/delegated_turn.py
@@ -7,13 +7,14 @@
 
 import msgspec
 
-from ..ids import HostName, Offset, OpeningId, TurnId
+from ..ids import HostName, InstanceId, Offset, OpeningId, TurnId
 from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, History, TurnContent, TurnStart
 from ..ledger.turns import (
     COVER_RETRY_INTERVAL,
     COVER_TIMEOUT,
     LocalTurn,
+    TurnEngine,
     turn_content,
 )
 from ..wire.links import Link
@@ -49,7 +50,13 @@
         """Record that a delegate failed while a turn was open."""
 
     def report_end(
-        self, link: Link, opening: OpeningId, lifetime: float, *, used: int
+        self,
+        link: Link,
+        opening: OpeningId,
+        lifetime: float,
+        *,
+        used: int,
+        ran_at: InstanceId | None = None,
     ) -> None:
         """Report the end of a turn to its delegate in the background."""
 
@@ -79,6 +86,7 @@
         self._host = host
         self._link = link
         self._turns = turns
+        self.engine = TurnEngine(home=opened.home)
         self._used = 0
         self._covered = opened.covered
         self._ended = False
@@ -234,13 +242,21 @@
             return
         self._end_reported = True
         self._turns.report_end(
-            self._link, self._opening, self._start.lifetime, used=self._used
+            self._link,
+            self._opening,
+            self._start.lifetime,
+            used=self._used,
+            ran_at=self.engine.ran_at,
         )
 
     async def _commit_at_delegate(self, content: TurnContent) -> None:
         terms = self._start.terms
         request = CommitTurnRequest(
-            opening=self._opening, terms=terms, handed=self._used, content=content
+            opening=self._opening,
+            terms=terms,
+            handed=self._used,
+            content=content,
+            ran_at=self.engine.ran_at,
         )
         reply = await call_delegate(self._link, request)
         if isinstance(reply, Accepted):
--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -7,15 +7,17 @@
 
 import logbook
 
-from ..ids import HostName, OpeningId, ProgramId, TurnId
+from ..ids import HostName, InstanceId, OpeningId, ProgramId, TurnId
 from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, LookupFailure, TurnStart
 from ..ledger.turns import (
     LocalTurn,
     LocalTurns,
     OpenTurn,
+    TurnOpener,
     TurnRefusal,
 )
+from ..policies.program_placement import ProgramDemand
 from ..wire.links import Link
 from ..wire.messages import (
     CloseTurnRequest,
@@ -30,6 +32,7 @@
 from .notifier import ATTEMPT_TIMEOUT, Notifier
 from .peer_health import PeerHealth
 from .peers import Peers
+from .placed_turns import no_room
 from .ranking import SlotRanking
 
 log = logbook.Logger("delegates")
@@ -83,20 +86,25 @@
         delegates: DelegateSelector,
         local: LocalTurns,
         ledger: Ledger,
+        placed: TurnOpener | None = None,
     ) -> None:
+        """Open turns locally through `placed`, which assigns programs to engines."""
         self._delegates = delegates
         self._local = local
+        self._placed = placed or local
         self._ledger = ledger
         self._notifier = Notifier(timeout=ATTEMPT_TIMEOUT)
         self._numbers = itertools.count(1)
 
-    async def open(self, start: TurnStart) -> OpenTurn | TurnRefusal:
+    async def open(
+        self, start: TurnStart, demand: ProgramDemand | None = None
+    ) -> OpenTurn | TurnRefusal:
         """Reserve a turn and load its history, or return why that is refused."""
         host = self._delegates.delegate_of(start.terms.program)
         if host is not None:
-            opened = await self._open_at(host, start)
+            opened = await self._open_at(host, start, demand)
             return await self._open_here(start) if opened is None else opened
-        return await self._local.open(start)
+        return await self._placed.open(start, demand)
 
     async def _open_here(self, start: TurnStart) -> LocalTurn | TurnRefusal:
         """Open a turn in this process after its delegate failed to.
@@ -113,7 +121,7 @@
             await asyncio.sleep(HELD_RETRY_INTERVAL)
 
     async def _open_at(
-        self, host: HostName, start: TurnStart
+        self, host: HostName, start: TurnStart, demand: ProgramDemand | None
     ) -> OpenTurn | TurnRefusal | None:
         """Open a turn at its delegate; None if this process has to open it."""
         link = self._delegates.link(host)
@@ -122,7 +130,7 @@
         opening = self._next_opening()
         try:
             reply = await call_delegate(
-                link, OpenTurnRequest(opening=opening, start=start)
+                link, OpenTurnRequest(opening=opening, start=start, demand=demand)
             )
         except asyncio.CancelledError:
             # The caller left; release what the delegate may have reserved.
@@ -140,6 +148,8 @@
             )
         if isinstance(reply, TurnRefused):
             self._delegates.peer_health.request_succeeded(host)
+            if reply.retry_after is not None:
+                raise no_room(reply.retry_after)
             return _definite_refusal(reply)
         # The delegate may still open the turn. Without this report it would hold the
         # tokens for the turn's lifetime and then count them as used.
@@ -161,13 +171,19 @@
         )
 
     def report_end(
-        self, link: Link, opening: OpeningId, lifetime: float, *, used: int
+        self,
+        link: Link,
+        opening: OpeningId,
+        lifetime: float,
+        *,
+        used: int,
+        ran_at: InstanceId | None = None,
     ) -> None:
         """Report the end of a turn to its delegate in the background.
 
         Retries for the turn's lifetime in seconds, as long as the delegate holds it.
         """
-        request = CloseTurnRequest(opening=opening, handed=used)
+        request = CloseTurnRequest(opening=opening, handed=used, ran_at=ran_at)
         self._notifier.notify(link, request, retry_for=lifetime)
 
     def _next_opening(self) -> OpeningId:
--- /dev/null
+++ b/sequoiaarch/fleet/engine_owner.py
@@ -0,0 +1,244 @@
+"""Assign programs to the engines of one data centre."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+
+import logbook
+import msgspec
+
+from ..ids import DataCentre, InstanceId, ProgramId, ServiceName
+from ..policies.pace import PaceTable
+from ..policies.program_placement import (
+    EngineState,
+    LeastExpectedTurn,
+    ProgramDemand,
+)
+from ..wire.messages import (
+    LoadReported,
+    LoadReportRequest,
+    PlaceProgramRequest,
+    ProgramPlaced,
+)
+from .placement_book import PlacementBook
+
+log = logbook.Logger("placement")
+
+# Seconds for which the free placements of another data centre are believed.
+FREE_LIFE = 0.6
+# Programs are sent to another data centre if their turns would wait longer than this
+# here: several times the network delay that each turn has there. Seconds.
+REDIRECT_WAIT = 0.02
+# Time from the end of prefill to the first event on an idle engine, in seconds.
+FIRST_EVENT_SECONDS = 0.05
+# First guesses of a turn on an idle engine and the pause after it, in seconds.
+INITIAL_TURN_SECONDS = 0.25
+INITIAL_PAUSE = 0.2
+# Fraction by which a tight deadline of a program exceeds its time on idle engines.
+SLACK_FRACTION = 0.2
+# The longest wait of a turn, whatever the deadline: engines that are as full have no
+# room for programs that arrive in bursts. Seconds.
+MAX_WAIT = 0.15
+# Fraction of the allowed wait for programs that have waited too long to end in time.
+LATE_FRACTION = 0.5
+# Interval of the log lines that describe the engines, in seconds.
+LOG_INTERVAL = 1.0
+
+
+class Engine(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe an engine that takes programs; `cache_tokens` is 0 if unknown."""
+
+    instance: InstanceId
+    data_centre: DataCentre
+    slots: int
+    cache_tokens: int
+
+
+class EngineOwner:
+    """Assign programs to engines by the reports of all hosts.
+
+    The owner has no authority. Two owners at once, or none, only place programs worse.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_centre: DataCentre,
+        engines: Callable[[ServiceName], list[Engine]],
+    ) -> None:
+        self._data_centre = data_centre
+        self._engines = engines
+        self.book = PlacementBook(policy=LeastExpectedTurn())
+        self.paces = PaceTable()
+        self._services: set[ServiceName] = set()
+        # Free placements of other data centres, with the time of the report.
+        self._elsewhere: dict[DataCentre, tuple[float, int]] = {}
+        self._logged_at = -math.inf
+        self.granted = 0
+        self.refused = 0
+        self.redirected = 0
+
+    def place(self, request: PlaceProgramRequest, now: float) -> ProgramPlaced:
+        """Return an engine, another data centre, or when to retry."""
+        service = request.demand.service
+        self._services.add(service)
+        states = self.states(service, now)
+        if not states:
+            return ProgramPlaced(centre=self._least_loaded_centre(request, now))
+        demand = self._with_allowed_wait(request.program, request.demand, now)
+        decision = self.book.decide(request.program, demand, states, now)
+        if decision is not None and decision.known:
+            return ProgramPlaced(instance=decision.instance)
+        if decision is None or decision.wait > REDIRECT_WAIT:
+            centre = self._least_loaded_centre(request, now)
+            if centre is not None:
+                self.redirected += 1
+                return ProgramPlaced(centre=centre)
+        if decision is None:
+            return self._refuse(request.program, demand, states, now)
+        self.granted += 1
+        self.book.grant(request.program, demand, decision.instance, now)
+        return ProgramPlaced(instance=decision.instance)
+
+    def report(self, request: LoadReportRequest, now: float) -> LoadReported:
+        """Apply the report of a host and return the pace of the engines."""
+        if request.centre is not None and request.centre != self._data_centre:
+            self._elsewhere[request.centre] = (now, request.free)
+            return LoadReported()
+        self.book.report(request.host, request.programs, request.pause, now)
+        for sample in request.paces:
+            if not self.paces.add(sample, now):
+                log.warning("{} reported an invalid pace: {}", request.host, sample)
+        return LoadReported(paces=self.paces.paces(now))
+
+    def free(self, now: float) -> int:
+        """Return how many programs the engines can take without waits."""
+        self.book.expire(now)
+        free = 0
+        for service in self._services:
+            demand = ProgramDemand(
+                service=service, max_wait=REDIRECT_WAIT, tokens=self.book.mean_tokens
+            )
+            free += self.book.free(self.states(service, now), demand)
+        return free
+
+    def states(self, service: ServiceName, now: float) -> list[EngineState]:
+        """Return the engines of this data centre with their load."""
+        paces = self.paces.paces(now)
+        return [
+            self._state(engine, paces)
+            for engine in self._engines(service)
+            if engine.data_centre == self._data_centre
+        ]
+
+    def log_load(self, now: float) -> None:
+        """Write a log line about the engines of each service, at most once a second."""
+        if now - self._logged_at < LOG_INTERVAL:
+            return
+        self._logged_at = now
+        for service in self._services:
+            states = self.states(service, now)
+            log.info(
+                "engines of {}: {} programs with {} tokens on {}; turns take {} ms,"
+                " {:.1f} programs end each second, {} are to retry; {} granted,"
+                " {} refused, {} redirected so far",
+                service,
+                [state.programs for state in states],
+                [state.tokens for state in states],
+                [state.instance for state in states],
+                [round(state.turn * 1000) for state in states],
+                self.book.rate(now),
+                len(self.book.returns),
+                self.granted,
+                self.refused,
+                self.redirected,
+            )
+
+    def _refuse(
+        self,
+        program: ProgramId,
+        demand: ProgramDemand,
+        states: list[EngineState],
+        now: float,
+    ) -> ProgramPlaced:
+        self.refused += 1
+        retry_after = self.book.refuse(program, demand, now)
+        log.info(
+            "program {} of workspace {} is refused: {} programs on {} engines,"
+            " allowed wait {:.0f} ms, {:.1f} programs end each second, {} are to"
+            " retry; retry in {:.2f} s",
+            program,
+            demand.workspace,
+            sum(state.programs for state in states),
+            len(states),
+            demand.max_wait * 1000,
+            self.book.rate(now),
+            len(self.book.returns),
+            retry_after,
+        )
+        return ProgramPlaced(retry_after=retry_after)
+
+    def _state(self, engine: Engine, paces: Mapping[InstanceId, float]) -> EngineState:
+        events = self.paces.events_per_turn
+        pace = paces.get(engine.instance)
+        idle = self.paces.idle_pace(engine.instance)
+        turn, slowdown = INITIAL_TURN_SECONDS, 0.0
+        if events is not None and pace is not None:
+            turn = FIRST_EVENT_SECONDS + events * pace
+            if idle is not None:
+                slowdown = max(0.0, events * (pace - idle))
+        return EngineState(
+            instance=engine.instance,
+            slots=engine.slots,
+            cache_tokens=engine.cache_tokens,
+            programs=self.book.programs(engine.instance),
+            tokens=self.book.tokens(engine.instance),
+            turn=turn,
+            pause=INITIAL_PAUSE if self.book.pause is None else self.book.pause,
+            slowdown=slowdown,
+        )
+
+    def _with_allowed_wait(
+        self, program: ProgramId, demand: ProgramDemand, now: float
+    ) -> ProgramDemand:
+        """Return a demand with the wait of each turn that its deadline allows.
+
+        The number of turns is estimated from the time to the deadline.
+        """
+        if not demand.left or demand.left <= 0:
+            return demand
+        idle = self._idle_cycle()
+        turns = max(1.0, demand.left / idle)
+        allowed = SLACK_FRACTION * idle + demand.latency_target / turns
+        allowed = min(MAX_WAIT, allowed)
+        if self.book.returns.is_late(program, now):
+            allowed *= LATE_FRACTION
+        slack = SLACK_FRACTION * demand.left + demand.latency_target
+        return msgspec.structs.replace(demand, max_wait=allowed, slack=slack)
+
+    def _idle_cycle(self) -> float:
+        """Return the seconds of a turn and a pause on idle engines."""
+        events = self.paces.events_per_turn
+        paces = self.paces.idle_paces()
+        pause = self.book.idle_pause
+        if events is None or not paces or math.isinf(pause):
+            return INITIAL_TURN_SECONDS + INITIAL_PAUSE
+        return FIRST_EVENT_SECONDS + events * sum(paces) / len(paces) + pause
+
+    def _least_loaded_centre(
+        self, request: PlaceProgramRequest, now: float
+    ) -> DataCentre | None:
+        """Return the data centre with the most free placements, and use up one."""
+        if request.redirected:
+            return None
+        free = {
+            centre: count
+            for centre, (at, count) in self._elsewhere.items()
+            if at > now - FREE_LIFE and count > 0
+        }
+        if not free:
+            return None
+        centre = max(free, key=free.__getitem__)
+        self._elsewhere[centre] = (self._elsewhere[centre][0], free[centre] - 1)
+        return centre
--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -10,7 +10,14 @@
 import logbook
 import msgspec
 
-from ..ids import HostName, Workspace, WriterId
+from ..ids import (
+    DataCentre,
+    HostName,
+    InstanceId,
+    ServiceName,
+    Workspace,
+    WriterId,
+)
 from ..ledger.ledger import Ledger
 from ..ledger.loans import LoanBook
 from ..ledger.split import BudgetSplit
@@ -21,6 +28,8 @@
 from ..wire.links import Send
 from ..wire.messages import (
     LendRequest,
+    LoadReportRequest,
+    PlaceProgramRequest,
     RegistrationSeenRequest,
     Reply,
     Request,
@@ -36,9 +45,13 @@
 from ..workspaces.token_cache import TokenCache
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
 from .delegates import DelegatedTurns, DelegateSelector
+from .engine_owner import Engine
 from .loan_service import LoanService
 from .peer_health import PeerHealth
 from .peers import TOPIC as PEERS_TOPIC, PeerRecord, Peers
+from .placed_turns import PlacedTurns
+from .placement_service import PlacementService
+from .program_table import ProgramTable
 from .quotas import FleetQuotas
 from .registration_check import RegistrationCheck
 from .slot_claimer import SlotClaimer
@@ -70,6 +83,18 @@
     wait: float
 
 
+class PlacementOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """The engines that this process knows, and whether owners always place programs.
+
+    Otherwise they do while engines differ in speed.
+    """
+
+    data_centre: DataCentre
+    engines: Callable[[ServiceName], list[Engine]]
+    centre_of: Callable[[InstanceId], DataCentre | None]
+    always: bool
+
+
 class Fleet:
     """One gateway's registration, budget accounts, loans and rate limits."""
 
@@ -84,6 +109,7 @@
         split: BudgetSplit,
         health: TargetHealth,
         quota_options: QuotaOptions,
+        placement_options: PlacementOptions,
     ) -> None:
         self._own = own
         self._writer = writer
@@ -111,10 +137,22 @@
             peer_health=peer_health,
         )
         local = LocalTurns(ledger=ledger, lender=self._loan_service)
-        self._server = TurnServer(local=local, ledger=ledger)
+        programs = ProgramTable()
+        self.placements = PlacementService(
+            own=own,
+            data_centre=placement_options.data_centre,
+            peers=peers,
+            programs=programs,
+            engines=placement_options.engines,
+            centre_of=placement_options.centre_of,
+            always=placement_options.always,
+        )
+        placed = PlacedTurns(local=local, programs=programs, placements=self.placements)
+        self._server = TurnServer(local=placed, ledger=ledger)
         self.turns = DelegatedTurns(
             delegates=DelegateSelector(own=own, peers=peers, peer_health=peer_health),
             local=local,
+            placed=placed,
             ledger=ledger,
         )
         self.reports = TargetReports(own=own, peers=peers, health=health)
@@ -189,6 +227,7 @@
             self._claimer.run(self._log, retention),
             self._registration_check.run(),
             self._mark_settled(),
+            self.placements.run(),
         ]
 
     async def answer(self, request: Request, send: Send) -> Reply:
@@ -199,6 +238,10 @@
             return self.reports.receive(request)
         if isinstance(request, TakeTokensRequest):
             return self.quotas.answer(request)
+        if isinstance(request, PlaceProgramRequest):
+            return self.placements.answer_place(request)
+        if isinstance(request, LoadReportRequest):
+            return self.placements.answer_report(request)
         if isinstance(request, RegistrationSeenRequest):
             return self._registration_check.answer(request)
         return await self._server.answer(request, send)
--- /dev/null
+++ b/sequoiaarch/fleet/placement_book.py
@@ -0,0 +1,270 @@
+"""Hold which programs run on the engines of a data centre, at their owner."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..ids import HostName, InstanceId, ProgramId, Workspace
+from ..policies.program_placement import (
+    EngineState,
+    ProgramDemand,
+    ProgramPlacement,
+    free_placements,
+)
+from ..policies.return_queue import ReturnQueue
+from ..wire.messages import ProgramReport
+
+# Seconds after which a host's report no longer counts: the host is lost, and its
+# programs continue through others.
+REPORT_LIFE = 1.0
+# Seconds within which a granted program must appear in a report.
+GRANT_LIFE = 0.6
+# Seconds for which the engine of a program is known after its last report, as the
+# program may go on through another host.
+HOME_LIFE = 2.0
+# Seconds after the first report within which nothing is refused: not all hosts have
+# reported their programs yet.
+WARM_UP = 0.4
+# Window of the rate at which programs end, in seconds.
+RATE_WINDOW = 1.0
+# Programs that end each second while none was seen to.
+INITIAL_RATE = 5.0
+# Weight of a host's report in the mean pause.
+SMOOTHING = 0.02
+MAX_PAUSE = 10.0
+
+
+@dataclass(kw_only=True)
+class _Entry:
+    """A program with the hosts that report it; `granted_at` until the first one."""
+
+    instance: InstanceId
+    tokens: int
+    workspace: Workspace | None
+    hosts: set[HostName] = field(default_factory=set)
+    granted_at: float | None = None
+
+
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
+    """The engine of a program with the expected wait of its turns, in seconds."""
+
+    instance: InstanceId
+    wait: float = 0.0
+    known: bool = False
+
+
+class PlacementBook:
+    """Assign programs to engines by the reports of all hosts and its own grants.
+
+    A grant counts at once, so that no two programs are given the same room.
+    """
+
+    def __init__(self, *, policy: ProgramPlacement) -> None:
+        self._policy = policy
+        self._entries: dict[ProgramId, _Entry] = {}
+        self._reported: dict[HostName, set[ProgramId]] = {}
+        self._reported_at: dict[HostName, float] = {}
+        self._grants: deque[tuple[float, ProgramId]] = deque()
+        self._homes: dict[ProgramId, tuple[float, InstanceId]] = {}
+        self._ended: deque[float] = deque()
+        self._programs: Counter[InstanceId] = Counter()
+        self._tokens: Counter[InstanceId] = Counter()
+        self._first_report = math.inf
+        self._last_report = -math.inf
+        self.returns = ReturnQueue()
+        self.pause: float | None = None
+        self.idle_pause = math.inf
+
+    def programs(self, instance: InstanceId) -> int:
+        """Return the number of programs on an engine."""
+        return self._programs[instance]
+
+    def tokens(self, instance: InstanceId) -> int:
+        """Return the prompt tokens of the programs on an engine."""
+        return self._tokens[instance]
+
+    @property
+    def mean_tokens(self) -> int:
+        """Return the mean prompt of the programs in progress, in tokens."""
+        return sum(self._tokens.values()) // max(1, len(self._entries))
+
+    def report(
+        self,
+        host: HostName,
+        programs: Sequence[ProgramReport],
+        pause: float | None,
+        now: float,
+    ) -> None:
+        """Replace what a host reported before."""
+        if now - self._last_report > REPORT_LIFE:
+            self._first_report = now
+        self._last_report = now
+        before = self._reported.pop(host, set())
+        names = set()
+        for program in programs:
+            names.add(program.program)
+            self._reported_by(host, program)
+        for name in before - names:
+            self._no_longer_reported(host, name, now)
+        if names:
+            self._reported[host] = names
+            self._reported_at[host] = now
+        if pause is not None and 0 <= pause <= MAX_PAUSE:
+            if self.pause is None:
+                self.pause = pause
+            self.pause += SMOOTHING * (pause - self.pause)
+            self.idle_pause = min(self.idle_pause, self.pause)
+
+    def warm(self, now: float) -> bool:
+        """Return whether all hosts have had time to report."""
+        return now - self._first_report >= WARM_UP
+
+    def decide(
+        self,
+        program: ProgramId,
+        demand: ProgramDemand,
+        engines: Sequence[EngineState],
+        now: float,
+    ) -> Decision | None:
+        """Return the engine for a program, or None if no engine has room.
+
+        A program that is known stays where it is.
+        """
+        self.expire(now)
+        known = self._known_home(program)
+        if any(engine.instance == known for engine in engines):
+            assert known is not None
+            return Decision(instance=known, known=True)
+        wanted = msgspec.structs.replace(
+            demand, tokens=max(demand.tokens, self.mean_tokens)
+        )
+        if not self.warm(now):
+            wanted = msgspec.structs.replace(wanted, max_wait=math.inf)
+        if demand.in_progress:
+            engine = self._policy.choose(engines, wanted)
+            return None if engine is None else Decision(instance=engine.instance)
+        reserved = self.returns.reserved(program, rank=demand.rank, now=now)
+        if reserved and self.free(engines, wanted) <= reserved:
+            return None
+        engine = self._policy.choose(engines, wanted)
+        if engine is None:
+            return None
+        wait = engine.wait_with(engine.programs + 1)
+        return Decision(instance=engine.instance, wait=wait)
+
+    def grant(
+        self,
+        program: ProgramId,
+        demand: ProgramDemand,
+        instance: InstanceId,
+        now: float,
+    ) -> None:
+        """Count a program on an engine until it is reported or its grant lapses."""
+        self.returns.admit(program)
+        self._remove(program)
+        self._add(
+            program,
+            _Entry(
+                instance=instance,
+                tokens=demand.tokens,
+                workspace=demand.workspace,
+                granted_at=now,
+            ),
+        )
+        self._grants.append((now, program))
+
+    def refuse(self, program: ProgramId, demand: ProgramDemand, now: float) -> float:
+        """Return after how many seconds a refused program should return."""
+        return self.returns.refuse(
+            program,
+            rank=demand.rank,
+            slack=demand.slack,
+            rate=self.rate(now),
+            now=now,
+        )
+
+    def free(self, engines: Sequence[EngineState], demand: ProgramDemand) -> int:
+        """Return how many more such programs the engines can take."""
+        return sum(free_placements(engine, demand) for engine in engines)
+
+    def rate(self, now: float) -> float:
+        """Return how many programs end each second."""
+        while self._ended and self._ended[0] < now - RATE_WINDOW:
+            self._ended.popleft()
+        return len(self._ended) / RATE_WINDOW or INITIAL_RATE
+
+    def expire(self, now: float) -> None:
+        """Drop lost hosts, unused grants and old homes."""
+        for host, reported_at in list(self._reported_at.items()):
+            if reported_at < now - REPORT_LIFE:
+                del self._reported_at[host]
+                for name in self._reported.pop(host, set()):
+                    self._no_longer_reported(host, name, now)
+        while self._grants and self._grants[0][0] < now - GRANT_LIFE:
+            granted_at, name = self._grants.popleft()
+            entry = self._entries.get(name)
+            if entry is not None and entry.granted_at == granted_at:
+                self._end(name, now)
+        while self._homes:
+            name, (ended_at, _) = next(iter(self._homes.items()))
+            if ended_at > now - HOME_LIFE:
+                break
+            del self._homes[name]
+
+    def _reported_by(self, host: HostName, program: ProgramReport) -> None:
+        entry = self._entries.get(program.program)
+        resumed = entry is None and self._homes.pop(program.program, None) is not None
+        if resumed and self._ended:
+            # It had not ended, but only paused for longer than usual.
+            self._ended.pop()
+        hosts = set() if entry is None else entry.hosts
+        hosts.add(host)
+        self._remove(program.program)
+        self._add(
+            program.program,
+            _Entry(
+                instance=program.instance,
+                tokens=max(0, program.tokens),
+                workspace=program.workspace,
+                hosts=hosts,
+            ),
+        )
+
+    def _no_longer_reported(self, host: HostName, name: ProgramId, now: float) -> None:
+        entry = self._entries.get(name)
+        if entry is None:
+            return
+        entry.hosts.discard(host)
+        if not entry.hosts and entry.granted_at is None:
+            self._end(name, now)
+
+    def _end(self, name: ProgramId, now: float) -> None:
+        entry = self._remove(name)
+        if entry is not None:
+            self._ended.append(now)
+            self._homes.pop(name, None)
+            self._homes[name] = (now, entry.instance)
+
+    def _known_home(self, program: ProgramId) -> InstanceId | None:
+        entry = self._entries.get(program)
+        if entry is not None:
+            return entry.instance
+        home = self._homes.get(program)
+        return home[1] if home is not None else None
+
+    def _add(self, name: ProgramId, entry: _Entry) -> None:
+        self._entries[name] = entry
+        self._programs[entry.instance] += 1
+        self._tokens[entry.instance] += entry.tokens
+
+    def _remove(self, name: ProgramId) -> _Entry | None:
+        entry = self._entries.pop(name, None)
+        if entry is not None:
+            self._programs[entry.instance] -= 1
+            self._tokens[entry.instance] -= entry.tokens
+        return entry
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -7,11 +7,11 @@
 
 import logbook
 
-from ..errors import ErrorKind, Failure
-from ..ids import OpeningId
+from ..errors import ErrorKind, Failure, FailureError
+from ..ids import InstanceId, OpeningId
 from ..ledger.ledger import Ledger
-from ..ledger.terms import BudgetVerdict, LookupFailure, TurnStart, TurnTerms
-from ..ledger.turns import LocalTurn, LocalTurns
+from ..ledger.terms import BudgetVerdict, LookupFailure, TurnTerms
+from ..ledger.turns import LocalTurn, TurnOpener
 from ..wire.links import Send
 from ..wire.messages import (
     Accepted,
@@ -43,7 +43,7 @@
 class TurnServer:
     """Keep the budget accounts of turns that run at other gateways."""
 
-    def __init__(self, *, local: LocalTurns, ledger: Ledger) -> None:
+    def __init__(self, *, local: TurnOpener, ledger: Ledger) -> None:
         self._local = local
         self._ledger = ledger
         self._open: dict[OpeningId, LocalTurn] = {}
@@ -59,7 +59,7 @@
     async def answer(self, request: Request, send: Send) -> Reply:
         """Handle a request about a turn."""
         if isinstance(request, CloseTurnRequest):
-            self._close(request.opening, request.handed)
+            self._close(request.opening, request.handed, ran_at=request.ran_at)
             return Accepted()
         work = asyncio.create_task(self._handle(request))
         try:
@@ -73,7 +73,7 @@
 
     async def _handle(self, request: Request) -> Reply:
         if isinstance(request, OpenTurnRequest):
-            return await self._open_turn(request.opening, request.start)
+            return await self._open_turn(request)
         if isinstance(request, ConfirmTurnRequest):
             return await self._confirm(request.opening)
         if isinstance(request, CoverTurnRequest):
@@ -83,13 +83,17 @@
             return Accepted()
         return failure_reply(f"unexpected request for a delegate: {request}")
 
-    async def _open_turn(self, opening: OpeningId, start: TurnStart) -> Reply:
+    async def _open_turn(self, request: OpenTurnRequest) -> Reply:
+        opening, start = request.opening, request.start
         if self.stopping:
             return failure_reply("stopping")
         # After a freeze, an opening and its end can be read in either order.
         if opening in self._early_ends:
             return failure_reply(CALLER_LEFT)
-        opened = await self._local.open(start)
+        try:
+            opened = await self._local.open(start, request.demand)
+        except FailureError as error:
+            return TurnRefused(retry_after=error.failure.retry_delay)
         if isinstance(opened, LookupFailure):
             return TurnRefused(lookup=opened)
         if isinstance(opened, BudgetVerdict):
@@ -105,6 +109,7 @@
             spent=opened.spent,
             granted=opened.is_granted,
             covered=opened.covered,
+            home=opened.engine.home,
         )
 
     async def _confirm(self, opening: OpeningId) -> Reply:
@@ -133,14 +138,18 @@
             await self._ledger.write(request.terms, request.content)
             return
         opened.record_total_usage(request.handed)
+        opened.engine.ran_at = request.ran_at
         await opened.commit_content(request.content)
 
-    def _close(self, opening: OpeningId, used: int) -> None:
+    def _close(
+        self, opening: OpeningId, used: int, *, ran_at: InstanceId | None = None
+    ) -> None:
         opened = self._open.pop(opening, None)
         if opened is None:
             self._record_early_end(opening)
             return
         opened.record_total_usage(used)
+        opened.engine.ran_at = ran_at
         opened.close()
 
     def _record_early_end(self, opening: OpeningId) -> None:
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -64,6 +64,10 @@
         self._tried: set[InstanceId] = set()
         self._send_count = 0
         self.body = message.body
+        self.home: InstanceId | None = None
+        self._first_event_at = 0.0
+        self._last_event_at = 0.0
+        self._events = 0
         self.budget_used = 0.0
         self.steps: list[str] = []
 
@@ -76,7 +80,9 @@
         """Send the request until a target runs it, and return its response."""
         refusals = 0
         while True:
-            target, why = self._dispatcher.choose(self._route, self._info, self._tried)
+            target, why = self._dispatcher.choose(
+                self._route, self._info, self._tried, self.home
+            )
             if target is None or refusals >= MAX_REFUSALS:
                 raise self._placement_failure(refusals)
             self._tried.add(target.incarnation)
@@ -92,6 +98,10 @@
         instance = response.target.incarnation
         load.discard(instance, self)
         load.request_ended(instance)
+        placements = self._dispatcher.placements
+        if placements is not None and self._events > 1:
+            seconds = self._last_event_at - self._first_event_at
+            placements.record_events(instance, seconds, self._events - 1)
         if complete:
             load.record_result(instance, ok=response.head.status < SERVER_ERROR)
             self._dispatcher.pool.release(
@@ -114,6 +124,14 @@
         """Record the first event of a response."""
         self._dispatcher.load.first_event_received(response.target.incarnation, self)
 
+    def event_received(self) -> None:
+        """Record the time of an event of the response."""
+        now = asyncio.get_running_loop().time()
+        if not self._events:
+            self._first_event_at = now
+        self._last_event_at = now
+        self._events += 1
+
     async def next_part(self, response: TargetResponse) -> bytes | None:
         """Return the next part of a stream, or None at its end.
 
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -12,7 +12,7 @@
 
 import logbook
 
-from ..fleet.fleet import Fleet, QuotaOptions
+from ..fleet.fleet import Fleet, PlacementOptions, QuotaOptions
 from ..fleet.peers import Peers
 from ..fleet.turn_server import failure_reply
 from ..http1.messages import RequestMessage
@@ -143,7 +143,14 @@
                     lease=options.key_age_limit or DEFAULT_LEASE,
                     wait=max_read_wait(options.key_age_limit),
                 ),
+                placement_options=PlacementOptions(
+                    data_centre=options.data_centre,
+                    engines=self.dispatcher.engines,
+                    centre_of=self.dispatcher.centre_of,
+                    always=options.place_programs,
+                ),
             )
+            self.dispatcher.placements = self._fleet.placements
             quotas = self._fleet.quotas
             turns = self._fleet.turns
             self.dispatcher.load.report = self._fleet.reports.broadcast
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -6,21 +6,27 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
+from ..fleet.engine_owner import Engine
+from ..fleet.placement_service import PlacementService
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import (
+    FAILURE_RATE_MARGIN,
     EngineCandidate,
     EnginePlacement,
     PrefixIndex,
     PromptShape,
 )
 from ..policies.health import TargetHealth, first_event_due
+from ..policies.program_placement import ProgramDemand
 from ..policies.retries import RetryBudget, RetryPolicy, attempt_timeout
-from ..policies.starts import DeadlineBoundedWait, Start, StartPolicy
+from ..policies.starts import DeadlineBoundedWait, Start, StartPolicy, max_turn_wait
 from ..policies.urgency import DeadlineUrgency, ProgramProgress, Urgency
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
 from ..storage.relayed import StorePath
-from ..workspaces.access import Access
+from ..workspaces.access import Access, Caller
 from .calls import CallCodec, RequestInfo
 from .load import LoadTracker
 from .pool import ConnectionPool
@@ -48,6 +54,7 @@
         self.load = LoadTracker(health=health)
         self.retries: RetryPolicy = RetryBudget()
         self.routes: RouteTable | None = None
+        self.placements: PlacementService | None = None
         self.targets_read_at: Callable[[], float] = lambda: 0.0
         self.store_path: Callable[[], StorePath] = lambda: StorePath.DIRECT
         self._data_centre = data_centre
@@ -63,9 +70,16 @@
         health.on_ejected = self.pool.forget
 
     def choose(
-        self, route: Route, info: RequestInfo, tried: set[InstanceId]
+        self,
+        route: Route,
+        info: RequestInfo,
+        tried: set[InstanceId],
+        home: InstanceId | None = None,
     ) -> tuple[TargetEntry | None, str]:
-        """Return an untried target for a request and the reason for the choice."""
+        """Return an untried target for a request and the reason for the choice.
+
+        `home` is the engine that the request's program was assigned to.
+        """
         service = self._pick_service(route)
         entries = [
             entry
@@ -75,8 +89,10 @@
         if not entries:
             return None, ""
         candidates = [self._engine_candidate(entry) for entry in entries]
+        if route.sticky and self.placements is not None and self.placements.uneven:
+            candidates = self._with_slowdowns(candidates)
         policy = self._engine_placement if route.sticky else self._service_placement
-        instance, reason = policy.choose(_prompt_shape(info), candidates)
+        instance, reason = policy.choose(_prompt_shape(info, home), candidates)
         chosen = next(entry for entry in entries if entry.incarnation == instance)
         return chosen, reason
 
@@ -151,6 +167,66 @@
         weights = [share.weight for share in route.services]
         return self._rng.choices(route.services, weights)[0].service
 
+    def demand(
+        self, route: Route, info: RequestInfo, caller: Caller
+    ) -> ProgramDemand | None:
+        """Return what a program that begins needs; None if no owner places it."""
+        placements = self.placements
+        if placements is None or not placements.active or not route.sticky:
+            return None
+        start = Start(
+            wait=0.0, left=info.program_deadline, latency_target=route.latency_target
+        )
+        rank = route.priority if caller.priority is None else caller.priority
+        return ProgramDemand(
+            service=self._pick_service(route),
+            max_wait=max_turn_wait(start),
+            tokens=info.prompt_tokens,
+            left=info.program_deadline,
+            latency_target=route.latency_target,
+            rank=rank,
+            workspace=caller.workspace,
+        )
+
+    def engines(self, service: ServiceName) -> list[Engine]:
+        """Return the engines of a service that take programs."""
+        settings = self.routes.services.get(service) if self.routes else None
+        if settings is None or settings.engine is None:
+            return []
+        entries = self._targets.of(service)
+        failing = {
+            entry.incarnation: self.load.failure_rate(entry.incarnation)
+            for entry in entries
+        }
+        least = min(failing.values(), default=0.0)
+        return [
+            Engine(
+                instance=entry.incarnation,
+                data_centre=entry.data_centre,
+                slots=max(1, entry.slots),
+                cache_tokens=max(0, settings.engine.cache_tokens),
+            )
+            for entry in entries
+            if failing[entry.incarnation] <= least + FAILURE_RATE_MARGIN
+        ]
+
+    def centre_of(self, instance: InstanceId) -> DataCentre | None:
+        """Return the data centre of an instance."""
+        return self._targets.centre_of(instance)
+
+    def _with_slowdowns(
+        self, candidates: list[EngineCandidate]
+    ) -> list[EngineCandidate]:
+        """Return the candidates with how much longer a turn takes there."""
+        assert self.placements is not None
+        slowdowns = self.placements.slowdowns()
+        return [
+            msgspec.structs.replace(
+                candidate, slowdown=slowdowns.get(candidate.instance, 0.0)
+            )
+            for candidate in candidates
+        ]
+
     def _engine_candidate(self, entry: TargetEntry) -> EngineCandidate:
         return EngineCandidate(
             instance=entry.incarnation,
@@ -162,7 +238,7 @@
         )
 
 
-def _prompt_shape(info: RequestInfo) -> PromptShape:
+def _prompt_shape(info: RequestInfo, home: InstanceId | None = None) -> PromptShape:
     parts = tuple((part.part, part.tokens) for part in info.prefix)
     last = parts[-1][0] if parts else ""
-    return PromptShape(parts=parts, owner=info.program or last)
+    return PromptShape(parts=parts, owner=info.program or last, home=home)
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -13,6 +13,7 @@
 from ..ledger.terms import BudgetVerdict, LookupFailure, TurnStart, TurnTerms
 from ..ledger.turns import OpenTurn, TurnRefusal, Turns
 from ..observe.request_metrics import RequestMetrics
+from ..policies.program_placement import ProgramDemand
 from ..policies.retries import attempt_timeout
 from ..routing.routes import Route, RouteKind
 from ..workspaces.access import Caller
@@ -103,8 +104,11 @@
 
     async def _run_turn(self, budget: int) -> None:
         """Run a turn of a program within its token budget."""
-        await self._check_admission()
-        turn = await self._open_turn(budget)
+        demand = self._dispatcher.demand(self._route, self._info, self._caller)
+        if demand is None:
+            await self._check_admission()
+        turn = await self._open_turn(budget, demand)
+        self._attempts.home = turn.engine.home
         self.steps.append(f"spent {turn.spent} of {budget} tokens, kept {turn.where}")
         self._attempts.budget_used = turn.spent / max(1, budget)
         self._request_token.begins = turn.spent == 0 and turn.history is None
@@ -117,7 +121,7 @@
         finally:
             output.close()
 
-    async def _open_turn(self, budget: int) -> OpenTurn:
+    async def _open_turn(self, budget: int, demand: ProgramDemand | None) -> OpenTurn:
         """Reserve tokens for the turn and load its history; raises FailureError."""
         route, info = self._route, self._info
         workspace = self._caller.workspace
@@ -135,7 +139,7 @@
             kept=route.retained,
             lifetime=remaining + TURN_LIFETIME_MARGIN,
         )
-        opened = await self._turns.open(start)
+        opened = await self._turns.open(start, demand)
         if isinstance(opened, LookupFailure | BudgetVerdict):
             raise _turn_failure(opened, info.previous)
         return opened
@@ -235,11 +239,14 @@
         self, response: TargetResponse, output: _TurnOutput | None
     ) -> bool:
         """Forward a stream and return True; raises ExchangeError or FailureError."""
+        if output is not None:
+            output.turn.engine.ran_at = response.target.incarnation
         if output is not None and self._route.retained:
             output.turn.write_index()
         splitter = EventSplitter()
         while (part := await self._attempts.next_part(response)) is not None:
             for event in splitter.feed(part):
+                self._attempts.event_received()
                 await self._forward_event(response, output, event)
         if splitter.pending:
             raise fail(ErrorKind.INTERRUPTED, "the stream ended inside an event")
--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -24,6 +24,7 @@
     of some of them, which may be unreachable. API keys are accepted for
     `key_age_limit` after the configuration was last confirmed, or without limit
     if it is None. `quota` bounds how far workspaces may exceed their limits.
+    With `place_programs`, programs are assigned to engines by the owners of these.
     """
 
     host: HostName
@@ -39,3 +40,4 @@
     store: StoreOptions
     key_age_limit: float | None = None
     quota: QuotaBounds | None = None
+    place_programs: bool = False
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
-from ..ids import Offset
+from ..ids import InstanceId, Offset
+from ..policies.program_placement import ProgramDemand
 from .holds import Hold, Lender, NoLender
 from .ledger import Ledger
 from .reservation import Reservation
@@ -32,9 +35,31 @@
 COVER_RETRY_INTERVAL = 0.25
 
 
+@dataclass(kw_only=True)
+class TurnEngine:
+    """Engine that a turn should run on, and the one that ran it.
+
+    `on_end` is called with the latter at the end of the turn.
+    """
+
+    home: InstanceId | None = None
+    ran_at: InstanceId | None = None
+    on_end: Callable[[InstanceId | None], None] | None = None
+
+    def end(self) -> None:
+        """Report the end of the turn; further calls do nothing."""
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(self.ran_at)
+
+
 class OpenTurn(Protocol):
     """A turn from its reservation to its end."""
 
+    @property
+    def engine(self) -> TurnEngine:
+        """Return where the turn should run and did run."""
+
     @property
     def history(self) -> History | None:
         """Return the history that the turn continues; None if it starts a new one."""
@@ -72,8 +97,23 @@
 class Turns(Protocol):
     """Open turns of programs, locally or through another process."""
 
-    async def open(self, start: TurnStart) -> OpenTurn | TurnRefusal:
-        """Reserve a turn and look up its history, or return why that is refused."""
+    async def open(
+        self, start: TurnStart, demand: ProgramDemand | None = None
+    ) -> OpenTurn | TurnRefusal:
+        """Reserve a turn and look up its history, or return why that is refused.
+
+        With a demand, a program that begins is also assigned to an engine; raises
+        FailureError if no engine has room.
+        """
+
+
+class TurnOpener(Protocol):
+    """Open turns on accounts of this process."""
+
+    async def open(
+        self, start: TurnStart, demand: ProgramDemand | None = None
+    ) -> LocalTurn | TurnRefusal:
+        """Reserve a turn and look up its history, as in `Turns`."""
 
 
 class LocalTurn:
@@ -93,6 +133,7 @@
         self._hold = hold
         self._ledger = ledger
         self._lender = lender
+        self.engine = TurnEngine()
         self._used = 0
         # Tokens used under earlier holds.
         self._used_before = 0
@@ -222,11 +263,13 @@
     async def commit_content(self, content: TurnContent) -> None:
         """Commit content relayed by another process, which writes the index record."""
         self._ended = True
+        self.engine.end()
         await self._ledger.commit(self._hold, content)
 
     def close(self) -> None:
         """Release what the turn did not use; further calls do nothing."""
         self._ended = True
+        self.engine.end()
         self._hold.close()
 
 
@@ -237,7 +280,9 @@
         self._ledger = ledger
         self._lender = lender or NoLender()
 
-    async def open(self, start: TurnStart) -> LocalTurn | TurnRefusal:
+    async def open(
+        self, start: TurnStart, demand: ProgramDemand | None = None
+    ) -> LocalTurn | TurnRefusal:
         """Reserve a turn and look up its history, or return why that is refused.
 
         A turn that is kept may begin while the store is unavailable. Its events reach
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -14,6 +14,8 @@
 
 SETTINGS_VARIABLE = "SEQUOIAARCH_SETTINGS"
 MIB = 1024 * 1024
+# Part of the rules for deployments whose callers compete for too little room.
+PRESSURE = "pressure"
 # Fraction of the platform's limit for the age of keys; the rest is a margin for clock
 # drift between hosts.
 KEY_AGE_FRACTION = 0.95
@@ -68,6 +70,7 @@
     zone: str
     internal_port_range: tuple[int, int]
     platform: _Platform
+    contracts: list[str] = []  # parts of the rules that are in force
     seeds: list[str] = []  # addresses of some daemons; may be outdated
     listen: _Listen = _Listen()
     limits: _Limits = _Limits()
@@ -95,6 +98,7 @@
         stop_timeout=settings.bounds.grace_s,
         key_age_limit=settings.bounds.key_age_limit,
         quota=settings.bounds.quota,
+        place_programs=PRESSURE in settings.contracts,
         store=StoreOptions(
             address=(store_host, store_port), partitions=settings.platform.parts
         ),
--- a/sequoiaarch/policies/engines.py
+++ b/sequoiaarch/policies/engines.py
@@ -41,7 +41,7 @@
 
     `running` counts this process's requests there, `wait` is the expected wait in
     seconds and `failing` the recent failure rate. `near` tells that it is in this
-    data centre.
+    data centre, `slowdown` how many seconds longer a turn takes there than elsewhere.
     """
 
     instance: InstanceId
@@ -50,17 +50,19 @@
     near: bool
     wait: float = 0.0
     failing: float = 0.0
+    slowdown: float = 0.0
 
 
 class PromptShape(msgspec.Struct, frozen=True, kw_only=True):
     """List the parts of a prompt with their tokens, in order.
 
     `owner` identifies prompts that share a long prefix, usually by the program; it is
-    empty if unknown.
+    empty if unknown. `home` is the engine that the program was assigned to.
     """
 
     parts: tuple[tuple[str, int], ...]
     owner: str = ""
+    home: InstanceId | None = None
 
 
 class EnginePlacement(Protocol):
@@ -187,7 +189,10 @@
     ) -> tuple[InstanceId, str]:
         """Return the instance with the lowest cost."""
         healthy = _healthy(candidates)
-        home = _home_instance(shape.owner, healthy)
+        if any(candidate.instance == shape.home for candidate in healthy):
+            assert shape.home is not None
+            return shape.home, "assigned"
+        home = _home_instance(shape, healthy)
         scored = [
             (self._cost(shape, candidate, home), self._rng.random(), candidate)
             for candidate in healthy
@@ -200,6 +205,7 @@
         self, shape: PromptShape, candidate: EngineCandidate, home: InstanceId | None
     ) -> float:
         cost = candidate.wait + candidate.running * SECONDS_PER_REQUEST
+        cost += candidate.slowdown
         if candidate.instance != home:
             factor = 1.0 if home is None else HOME_CACHE_FACTOR
             cost += factor * self._prefix_index.prefill_seconds(
@@ -208,8 +214,11 @@
         return cost if candidate.near else cost + REMOTE_SECONDS
 
 
-def _home_instance(owner: str, candidates: list[EngineCandidate]) -> InstanceId | None:
-    """Return the near instance with the highest rendezvous score for an owner."""
+def _home_instance(
+    shape: PromptShape, candidates: list[EngineCandidate]
+) -> InstanceId | None:
+    """Return the assigned instance, or the near one with the highest score."""
+    owner = shape.owner
     if not owner:
         return None
     near = [candidate for candidate in candidates if candidate.near] or candidates
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -150,6 +150,13 @@
         """Return the target with the given name, if it is registered."""
         return self._entries.get(instance)
 
+    def centre_of(self, incarnation: InstanceId) -> DataCentre | None:
+        """Return the data centre of a registered instance since its last start."""
+        for entry in self._entries.values():
+            if entry.incarnation == incarnation:
+                return entry.data_centre
+        return None
+
     def _drop_expired(self) -> None:
         if not self._lapsed:
             return
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -14,6 +14,7 @@
 from ..ids import (
     AttemptId,
     CallKey,
+    DataCentre,
     Epoch,
     HostName,
     InstanceId,
@@ -34,6 +35,8 @@
     TurnStart,
     TurnTerms,
 )
+from ..policies.pace import PaceSample
+from ..policies.program_placement import ProgramDemand
 from ..records.acceptance import Verdict
 from ..records.types import (
     CallAnswer,
@@ -250,6 +253,7 @@
 
     opening: OpeningId
     start: TurnStart
+    demand: ProgramDemand | None = None
 
 
 class ConfirmTurnRequest(Message, frozen=True, kw_only=True, tag="confirm"):
@@ -259,19 +263,63 @@
 
 
 class CommitTurnRequest(Message, frozen=True, kw_only=True, tag="commit_turn"):
-    """Ask to commit a turn that has used `handed` tokens."""
+    """Ask to commit a turn that has used `handed` tokens.
+
+    `ran_at` is the engine that ran it.
+    """
 
     opening: OpeningId
     terms: TurnTerms
     handed: int
     content: TurnContent
+    ran_at: InstanceId | None = None
 
 
 class CloseTurnRequest(Message, frozen=True, kw_only=True, tag="close_turn"):
-    """Report the end of an uncommitted turn that has used `handed` tokens."""
+    """Report the end of an uncommitted turn that has used `handed` tokens.
+
+    `ran_at` is the engine that ran it, if one did.
+    """
 
     opening: OpeningId
     handed: int
+    ran_at: InstanceId | None = None
+
+
+class PlaceProgramRequest(Message, frozen=True, kw_only=True, tag="place"):
+    """Ask the owner of a data centre's engines for a placement of a program.
+
+    `redirected` says that the owner must not name another data centre.
+    """
+
+    program: ProgramId
+    demand: ProgramDemand
+    redirected: bool = False
+
+
+class ProgramReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a program in progress: its engine and the tokens of its prompt."""
+
+    program: ProgramId
+    instance: InstanceId
+    tokens: int
+    workspace: Workspace | None = None
+
+
+class LoadReportRequest(Message, frozen=True, kw_only=True, tag="load_report"):
+    """Report to an owner what this host knows of the engines of a data centre.
+
+    `programs` are all programs in progress there whose account this host keeps,
+    `paces` the events since the last report, `pause` the mean pause between turns.
+    An owner reports the free placements of its own data centre, `centre`.
+    """
+
+    host: HostName
+    programs: list[ProgramReport]
+    paces: list[PaceSample] = []
+    pause: float | None = None
+    centre: DataCentre | None = None
+    free: int = 0
 
 
 class CoverTurnRequest(Message, frozen=True, kw_only=True, tag="cover"):
@@ -345,6 +393,8 @@
     | TakeTokensRequest
     | RegistrationSeenRequest
     | TargetReport
+    | PlaceProgramRequest
+    | LoadReportRequest
     | DispatchRequest
     | SubmitRequest
     | StateRequest
@@ -492,20 +542,43 @@
     """History that an opened turn continues, and tokens its program has used.
 
     `granted` says that the turn may begin without a ConfirmTurnRequest, and
-    `covered` how many tokens it may then use; None for no limit.
+    `covered` how many tokens it may then use; None for no limit. `home` is the
+    engine that has the program's prompt cached.
     """
 
     history: History | None
     spent: int
     granted: bool
     covered: int | None = None
+    home: InstanceId | None = None
 
 
 class TurnRefused(Message, frozen=True, kw_only=True, tag="turn_refused"):
-    """Report why a turn was not opened; exactly one of the fields is set."""
+    """Report why a turn was not opened; exactly one of the fields is set.
+
+    `retry_after` is set if no engine has room for the program.
+    """
 
     lookup: LookupFailure | None = None
     verdict: BudgetVerdict | None = None
+    retry_after: float | None = None
+
+
+class ProgramPlaced(Message, frozen=True, kw_only=True, tag="placed"):
+    """Name the engine for a program, or another data centre to ask.
+
+    With neither, no engine has room, and `retry_after` is set.
+    """
+
+    instance: InstanceId | None = None
+    centre: DataCentre | None = None
+    retry_after: float | None = None
+
+
+class LoadReported(Message, frozen=True, kw_only=True, tag="load_reported"):
+    """Return the pace of each engine of a data centre, in seconds for each event."""
+
+    paces: dict[InstanceId, float] = {}
 
 
 class TurnVerdict(Message, frozen=True, kw_only=True, tag="turn_verdict"):
@@ -548,6 +621,8 @@
     | TurnCovered
     | Lent
     | TokensTaken
+    | ProgramPlaced
+    | LoadReported
     | CallAdmitted
     | Done
     | Executed
