Count the bytes held for connections, and close the largest at a limit

Responses that a caller does not read, and requests that a target does not read, were bounded for each connection at best and not in total. A process above its memory limit is killed with all its requests.

Each caller connection now counts what is held for it: unread request bytes, the request body, unsent response bytes and the buffers of its target. At the limit the connections that hold most are closed, after buffers that drained in the meantime are counted again. A request whose body does not fit is refused from its declared length, with a time to retry.

The read-ahead of a target's response stops at 64 KiB in place of 256 KiB, and parsing yields to other tasks after 16 KiB: a backlog of one stream used to run without a break. A body is written in pieces of 64 KiB, as the transport copies what the socket does not accept.

--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from .memory import HeldBytes
 from .messages import (
     ExchangeError,
     ExchangeFault,
@@ -17,7 +18,11 @@
 from .sockets import detect_dead_peer
 
 MAX_INCOMPLETE_BYTES = 64 * 1024
-READ_BUFFER_BYTES = 256 * 1024
+# Bytes read ahead of the reader before reading from the target stops.
+READ_BUFFER_BYTES = 64 * 1024
+# Bytes passed to the parser at once; other tasks run after each full piece. A response
+# that piled up while its caller didn't read would otherwise block the event loop.
+PARSE_BYTES = 16 * 1024
 
 
 class ClientConnection(asyncio.Protocol):
@@ -35,6 +40,10 @@
         self._waiter: asyncio.Future[None] | None = None
         self._request: h11.Request | None = None
         self._received = bytearray()
+        # Bytes passed to the parser since it last needed more.
+        self._parsing = 0
+        self._held: HeldBytes | None = None
+        self._counted = 0
         self._eof = False
         self._error: Exception | None = None
         self._writable = asyncio.Event()
@@ -67,6 +76,7 @@
             self._transport.abort()
         if len(self._received) > READ_BUFFER_BYTES and self._transport is not None:
             self._transport.pause_reading()
+        self.count_buffers()
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -90,6 +100,30 @@
     def resume_writing(self) -> None:
         """Unblock senders."""
         self._writable.set()
+        self.count_buffers()
+
+    def count_for(self, held: HeldBytes | None) -> None:
+        """Count the buffers for a caller connection from now on, or for none."""
+        if self._held is not None:
+            self._held.add(-self._counted)
+            self._held.buffers.remove(self)
+        self._counted = 0
+        self._held = held
+        if held is not None:
+            held.buffers.append(self)
+            self.count_buffers()
+
+    def count_buffers(self) -> None:
+        """Update the number of bytes counted for the buffers."""
+        if self._held is None:
+            return
+        size = len(self._received) + self._parsing
+        if self._transport is not None:
+            size += self._transport.get_write_buffer_size()
+        change = size - self._counted
+        if change:
+            self._counted = size
+            self._held.add(change)
 
     async def send(self, message: RequestMessage) -> None:
         """Send a complete request; raise ExchangeError if the connection is closed."""
@@ -109,6 +143,9 @@
             raise ExchangeError(ExchangeFault.RESET, "before the request", sent=False)
         self._sent = True
         transport.write(data)
+        # The transport keeps its own copy of what the socket didn't accept.
+        del data
+        self.count_buffers()
         await self._writable.wait()
 
     async def read_head(self) -> ResponseHead:
@@ -145,6 +182,7 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
         )
+        self._parsing = 0
         assert self._request is not None
         stub = h11.Request(
             method=self._request.method,
@@ -165,6 +203,7 @@
         ):
             self._http.start_next_cycle()
             self._request = None
+            self.count_for(None)
             if self.usable:
                 return True
         self.abort()
@@ -172,6 +211,7 @@
 
     def abort(self) -> None:
         """Reset the connection, so that the target stops working on the request."""
+        self.count_for(None)
         if self._transport is not None:
             self._transport.abort()
 
@@ -191,6 +231,11 @@
 
     async def _feed_parser(self) -> None:
         """Wait for received bytes and feed them to the parser."""
+        full_piece = self._parsing >= PARSE_BYTES
+        self._parsing = 0
+        self.count_buffers()
+        if full_piece:
+            await asyncio.sleep(0)
         while not self._received:
             if self._error is not None:
                 raise ExchangeError(
@@ -204,10 +249,11 @@
                 await self._waiter
             finally:
                 self._waiter = None
-        data = bytes(self._received)
-        self._received.clear()
+        data = bytes(self._received[:PARSE_BYTES])
+        del self._received[:PARSE_BYTES]
+        self._parsing = len(data)
         self._http.receive_data(data)
-        if self._transport is not None:
+        if not self._received and self._transport is not None:
             self._transport.resume_reading()
 
     def _wake_reader(self) -> None:
--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -5,18 +5,26 @@
 import asyncio
 from collections.abc import Callable
 
+from .memory import HeldMemory
 from .server_connection import Handler, ServerConnection, ServerLimits
 
 
 class Server:
     """HTTP/1.1 server that passes each request to one handler."""
 
-    def __init__(self, *, handle: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self,
+        *,
+        handle: Handler,
+        limits: ServerLimits,
+        memory: HeldMemory | None = None,
+    ) -> None:
         self.handle = handle
         self.limits = limits
         self.connections: set[ServerConnection] = set()
         self.stopping = False
         self.held_bytes = 0
+        self.memory = memory or HeldMemory()
         self._listener: asyncio.Server | None = None
 
     @property
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -11,13 +11,20 @@
 import logbook
 import msgspec
 
-from .messages import Headers, RequestMessage, ResponseHead
+from .memory import HeldBytes, HeldMemory
+from .messages import Headers, RequestMessage, ResponseHead, find_header
 from .sockets import detect_dead_peer, reset_on_close
 
 log = logbook.Logger("http")
 
 READ_BUFFER_BYTES = 256 * 1024
+# Bytes of a response body that are written at once. The transport copies what the
+# socket doesn't accept, so a whole body would be held twice.
+WRITE_BYTES = 64 * 1024
 CLOSE_TIMEOUT = 1.0
+# Seconds after which to retry a request whose body can't be held. Most open requests
+# end sooner.
+MEMORY_RETRY_AFTER = 1.0
 
 
 class ServerLimits(msgspec.Struct, kw_only=True):
@@ -38,9 +45,12 @@
 class _RequestRejected(Exception):
     """Raised for a request that is rejected with a status before it is handled."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, retry_after: float | None = None
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.retry_after = retry_after
 
 
 class ClientGone(Exception):
@@ -57,15 +67,35 @@
         self.ended = False
         self.status = 0
 
+    @property
+    def held(self) -> HeldBytes:
+        """Return the count of bytes held for the connection."""
+        return self._connection.held
+
+    @property
+    def closed_for_memory(self) -> bool:
+        """Return whether the connection was closed at the memory limit."""
+        return self._connection.closed_for_memory
+
     async def send_response(
-        self, status: int, headers: Headers, body: bytes, reason: bytes = b""
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes | bytearray,
+        reason: bytes = b"",
     ) -> None:
         """Send a complete response with its length."""
         length = (b"Content-Length", str(len(body)).encode())
         head = ResponseHead(status=status, reason=reason, headers=[*headers, length])
         data = self._encode_head(head)
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
+        rest = memoryview(body)
+        while rest:
+            part = cast(bytes, rest[:WRITE_BYTES])
+            data += self._http.send(h11.Data(data=part)) or b""
+            rest = rest[WRITE_BYTES:]
+            if rest:
+                await self._connection.write(data)
+                data = b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self.ended = True
         await self._connection.write(data)
@@ -111,6 +141,7 @@
     connections: set[ServerConnection]
     stopping: bool
     held_bytes: int
+    memory: HeldMemory
 
     def close_excess_idle(self) -> None:
         """Close the idle connections if there are more than the limit."""
@@ -132,6 +163,11 @@
         self._client_gone = False
         self._request_open = False
         self._body_bytes = 0
+        self.held = HeldBytes(memory=server.memory, close=self._close_for_memory)
+        self.held.buffers.append(self)
+        self.closed_for_memory = False
+        self._counted_unsent = 0
+        self._counted_received = 0
         self._task: asyncio.Task[None] | None = None
         self._handling: asyncio.Task[None] | None = None
 
@@ -158,6 +194,7 @@
         self._received += data
         if len(self._received) > READ_BUFFER_BYTES and self._transport is not None:
             self._transport.pause_reading()
+        self._count_received()
         self._changed.set()
 
     def eof_received(self) -> bool:
@@ -169,6 +206,7 @@
         """Cancel the handling of the open request."""
         self._transport = None
         self._server.connections.discard(self)
+        self.held.release()
         self._writable.set()
         self._handle_client_gone()
 
@@ -179,6 +217,22 @@
     def resume_writing(self) -> None:
         """Unblock writers."""
         self._writable.set()
+        self.count_buffers()
+
+    def count_buffers(self) -> None:
+        """Update the number of bytes counted for the buffers."""
+        if self._transport is None:
+            return
+        size = self._transport.get_write_buffer_size()
+        change = size - self._counted_unsent
+        if change:
+            self._counted_unsent = size
+            self.held.add(change)
+
+    def _count_received(self) -> None:
+        size = len(self._received)
+        self.held.add_request(size - self._counted_received)
+        self._counted_received = size
 
     async def write(self, data: bytes) -> None:
         """Send bytes and wait while the write buffer is full; raise ClientGone."""
@@ -186,6 +240,7 @@
             raise ClientGone
         if data:
             self._transport.write(data)
+            self.count_buffers()
         await self._writable.wait()
 
     def abort(self) -> None:
@@ -194,6 +249,10 @@
             reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
 
+    def _close_for_memory(self) -> None:
+        self.closed_for_memory = True
+        self.abort()
+
     def close_idle(self) -> None:
         """Close the connection unless a request is open."""
         if not self.busy and self._transport is not None:
@@ -235,6 +294,7 @@
         finally:
             self._handling = None
             self._request_open = False
+            self.held.request = ""
             self._release_body()
         if not writer.ended:
             self.abort()
@@ -257,6 +317,7 @@
         if not isinstance(head, h11.Request):
             return None
         _check_framing(head)
+        self._check_declared_body(head, limits)
         body = await self._read_body(limits)
         return RequestMessage(
             method=bytes(head.method),
@@ -295,21 +356,35 @@
             if not isinstance(event, h11.Data):
                 raise ClientGone
             parts += event.data
-            self._count_body(len(event.data))
             if len(parts) > limits.body_bytes:
                 raise _RequestRejected(413, "request body is too large")
-            # A process above its memory limit is killed with all its requests;
-            # rejecting one request costs a single retry.
-            if self._server.held_bytes > limits.held_bytes:
-                raise _RequestRejected(
-                    503, "request bodies exceed the memory limit of the server"
-                )
+            if not self._count_body(len(event.data), limits):
+                raise _body_rejected()
+
+    def _check_declared_body(self, head: h11.Request, limits: ServerLimits) -> None:
+        """Reject a request at once if its body can't be held."""
+        length = find_header(list(head.headers), b"content-length")
+        size = int(length) if length is not None else 0
+        if not size or size > limits.body_bytes:
+            return
+        if not self._fits(size, limits):
+            raise _body_rejected()
+
+    def _fits(self, size: int, limits: ServerLimits) -> bool:
+        bodies = self._server.held_bytes + size
+        return bodies <= limits.held_bytes and self._server.memory.fits(size)
 
-    def _count_body(self, size: int) -> None:
+    def _count_body(self, size: int, limits: ServerLimits) -> bool:
+        """Count bytes of the body; return False if they can't be held."""
+        if not self._fits(size, limits):
+            return False
+        self.held.add_request(size)
         self._body_bytes += size
         self._server.held_bytes += size
+        return True
 
     def _release_body(self) -> None:
+        self.held.add_request(-self._body_bytes)
         self._server.held_bytes -= self._body_bytes
         self._body_bytes = 0
 
@@ -336,6 +411,7 @@
             await self._changed.wait()
         data = bytes(self._received)
         self._received.clear()
+        self._count_received()
         self._http.receive_data(data)
         if self._transport is not None:
             self._transport.resume_reading()
@@ -349,6 +425,8 @@
             (b"Content-Length", str(len(body)).encode()),
             (b"Connection", b"close"),
         ]
+        if error.retry_after is not None:
+            headers.append((b"Retry-After", f"{error.retry_after:.3f}".encode()))
         data = self._http.send(h11.Response(status_code=error.status, headers=headers))
         data = (data or b"") + (self._http.send(h11.Data(data=body)) or b"")
         data += self._http.send(h11.EndOfMessage()) or b""
@@ -369,6 +447,7 @@
             async with asyncio.timeout(CLOSE_TIMEOUT):
                 while not self._client_gone:
                     self._received.clear()
+                    self._count_received()
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
@@ -377,6 +456,19 @@
             self._transport.abort()
 
 
+def _body_rejected() -> _RequestRejected:
+    """Return the rejection of a request whose body can't be held.
+
+    A process above its memory limit is killed with all its requests; rejecting one
+    request costs a single retry.
+    """
+    return _RequestRejected(
+        503,
+        "request bodies exceed the memory limit of the server",
+        MEMORY_RETRY_AFTER,
+    )
+
+
 def _check_framing(head: h11.Request) -> None:
     """Reject a request with ambiguous framing (request smuggling)."""
     names = [name for name, _ in head.headers]
