Bound the memory that a gateway holds for slow callers and targets

The total of held bytes is limited to a fraction of the memory limit. Above half of that, response bodies are collected one at a time, the oldest first. A target is not expected to send while its response is not read, and the timeout of the attempt does not apply to it.

A response that refuses a stream was sent to the caller while its target still counted as busy and could be reported as silent. The target is now released before the response is sent.

The metrics show the bytes held in total and for the largest connection, and the connections closed. Each closed connection has a log line with the id of its request, its bytes, the total and the limit.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -7,6 +7,7 @@
 
 from ..errors import ErrorKind, FailureError, fail
 from ..http1.client import ClientConnection
+from ..http1.memory import HeldBytes
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
 from ..ids import InstanceId
 from ..policies.health import next_event_due
@@ -53,6 +54,7 @@
         route: Route,
         deadline: float,
         dispatcher: Dispatcher,
+        held: HeldBytes,
     ) -> None:
         self._message = message
         self._info = info
@@ -61,6 +63,7 @@
         self._route = route
         self._deadline = deadline
         self._dispatcher = dispatcher
+        self._held = held
         self._tried: set[InstanceId] = set()
         self._send_count = 0
         self.body = message.body
@@ -129,6 +132,10 @@
         load.data_received(instance, self)
         return part
 
+    def reading_paused(self, response: TargetResponse) -> None:
+        """Expect nothing of a target while its response is not read."""
+        self._dispatcher.load.discard(response.target.incarnation, self)
+
     def _placement_failure(self, refusals: int) -> FailureError:
         """Return the failure when no target is left to run the request."""
         if self._send_count:
@@ -151,6 +158,7 @@
         token: Token | None = None
         try:
             connection = await self._dispatcher.pool.acquire(target)
+            connection.count_for(self._held)
             await self._authorise_send()
             token = self._request_token.spend()
             if token is not None:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -15,6 +15,7 @@
 from ..fleet.fleet import Fleet, QuotaOptions
 from ..fleet.peers import Peers
 from ..fleet.turn_server import failure_reply
+from ..http1.memory import ClosedConnection, HeldMemory
 from ..http1.messages import RequestMessage
 from ..http1.server import Server
 from ..http1.server_connection import ResponseWriter, ServerLimits
@@ -59,6 +60,10 @@
 WRITER_BYTES = 6
 # Fraction of the memory for the bodies of open requests.
 BODY_MEMORY_FRACTION = 0.15
+# Fraction of the memory for all that is held for callers and targets, including the
+# bodies of open requests. Python, the settings and the programs need about 25 MB of
+# the smallest limit, 128 MB, and a body is copied while it is parsed or sent.
+HELD_MEMORY_FRACTION = 0.35
 # Fraction of the memory for the cache of committed turns.
 TURN_MEMORY_FRACTION = 0.1
 # Fraction of the file descriptors for connections of callers; targets, store and
@@ -155,8 +160,13 @@
             metrics=self._metrics,
             events=events,
         )
+        self._events = events
+        self.memory = HeldMemory(limit=held_limit(options))
+        self.memory.on_close = self._log_closed
         self.front = Server(
-            handle=handler.handle, limits=self._server_limits(ClientLimits())
+            handle=handler.handle,
+            limits=self._server_limits(ClientLimits()),
+            memory=self.memory,
         )
         self._ready = Server(handle=self._handle_ready, limits=ServerLimits())
         configuration = ConfigurationFollower(
@@ -227,6 +237,7 @@
         except (OSError, ValueError) as error:
             log.error("settings can't be read, keeping the previous ones: {}", error)
             return
+        self.memory.limit = held_limit(self._options)
         log.info("settings reloaded as {}", self._options.host)
 
     async def start(self) -> None:
@@ -304,7 +315,20 @@
         routes = self.dispatcher.routes
         return routes.longest_retention if routes is not None else math.inf
 
+    def _log_closed(self, closed: ClosedConnection) -> None:
+        if self._events is None:
+            return
+        self._events.emit(
+            "memory",
+            id=closed.request,
+            message="closed the caller connection that holds most",
+            held=closed.held,
+            total=closed.total,
+            limit=closed.limit,
+        )
+
     def _update_gauges(self) -> None:
+        self.memory.count_buffers()
         routes = self.dispatcher.routes
         state = {
             "ready": float(self.ready),
@@ -313,6 +337,9 @@
             "turns": float(self.ledger.turns),
             "connections": float(len(self.front.connections)),
             "target_connections_opened": float(self.dispatcher.pool.opened),
+            "held_bytes": float(self.memory.total),
+            "held_bytes_largest": float(self.memory.largest),
+            "closed_for_memory": float(self.memory.closed),
         }
         if self._fleet is not None:
             state["loans_lent"] = float(self._fleet.loans.loans_lent)
@@ -337,3 +364,8 @@
 
     def _forget_target(self, instance: InstanceId) -> None:
         self.dispatcher.forget(instance)
+
+
+def held_limit(options: IngressOptions) -> int:
+    """Return the limit of the bytes held for callers and targets."""
+    return int(options.memory_bytes * HELD_MEMORY_FRACTION)
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -33,6 +33,8 @@
 # Tokens; the budget of retained turns whose request sets none.
 UNLIMITED_BUDGET = 2**52
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Seconds between checks whether a paused response body may be read on.
+PAUSE_INTERVAL = 0.05
 OK = 200
 REDIRECT = 300
 
@@ -68,6 +70,10 @@
         self._ledger = ledger
         self._turns = turns
         self._deadline = deadline
+        # Bytes of the response and of the program's history, as counted.
+        self._held = writer.held
+        self._collected = 0
+        self._attempt_scope: asyncio.Timeout | None = None
         self._request_token = RequestToken(quotas=quotas, caller=caller)
         self._attempts = Attempts(
             message=message,
@@ -77,6 +83,7 @@
             route=route,
             deadline=deadline,
             dispatcher=dispatcher,
+            held=writer.held,
         )
 
     @property
@@ -89,8 +96,16 @@
         try:
             await self._run()
         finally:
+            self._count_collected(0)
             self._request_token.close()
 
+    def _count_collected(self, size: int) -> None:
+        """Set the number of bytes collected for the request."""
+        change = size - self._collected
+        if change:
+            self._collected = size
+            self._held.add(change)
+
     async def _run(self) -> None:
         if self._route.kind is not RouteKind.STREAM:
             await self._forward_whole()
@@ -110,6 +125,7 @@
         self._request_token.begins = turn.spent == 0 and turn.history is None
         if turn.history is not None:
             self._attempts.body = turn.history.prompt + self._message.body
+            self._count_collected(len(self._attempts.body))
             self.steps.append(f"history of {len(turn.history.prompt)} bytes")
         output = _TurnOutput(turn=turn)
         try:
@@ -157,7 +173,8 @@
         self._dispatcher.retries.request_started()
         while True:
             try:
-                async with asyncio.timeout(self._attempt_timeout()):
+                async with asyncio.timeout(self._attempt_timeout()) as scope:
+                    self._attempt_scope = scope
                     response, body = await self._whole_response()
             except ExchangeError as error:
                 self._check_retry(error)
@@ -165,10 +182,7 @@
             except TimeoutError:
                 self._check_retry(ExchangeError(ExchangeFault.TIMEOUT, sent=True))
                 continue
-            head = response.head
-            await self._writer.send_response(
-                head.status, response.info.headers, body, head.reason
-            )
+            await self._send_whole(response, body)
             return
 
     def _attempt_timeout(self) -> float | None:
@@ -181,8 +195,12 @@
             return None
         return attempt_timeout(self._route.latency_target)
 
-    async def _whole_response(self) -> tuple[TargetResponse, bytes]:
+    async def _whole_response(self) -> tuple[TargetResponse, bytearray]:
         response = await self._attempts.open()
+        return response, await self._collect(response)
+
+    async def _collect(self, response: TargetResponse) -> bytearray:
+        """Read the whole body of a response and release its target."""
         complete = False
         try:
             body = await self._read_body(response)
@@ -192,15 +210,45 @@
             raise
         finally:
             self._attempts.close(response, complete=complete)
-        return response, body
+        return body
+
+    async def _send_whole(self, response: TargetResponse, body: bytearray) -> None:
+        head = response.head
+        await self._writer.send_response(
+            head.status, response.info.headers, body, head.reason
+        )
 
-    async def _read_body(self, response: TargetResponse) -> bytes:
+    async def _read_body(self, response: TargetResponse) -> bytearray:
+        memory = self._held.memory
+        memory.collecting[self._held] = None
+        before = self._collected
         body = bytearray()
-        while (part := await response.connection.read_body_part()) is not None:
-            body += part
-            if len(body) > MAX_RESPONSE_BYTES:
-                raise fail(ErrorKind.TARGET_FAILED, "the response is too large")
-        return bytes(body)
+        try:
+            while (part := await response.connection.read_body_part()) is not None:
+                body += part
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise fail(ErrorKind.TARGET_FAILED, "the response is too large")
+                self._count_collected(before + len(body))
+                if memory.must_wait(self._held):
+                    await self._pause_reading(response)
+        except BaseException:
+            self._count_collected(before)
+            raise
+        finally:
+            memory.collecting.pop(self._held, None)
+        return body
+
+    async def _pause_reading(self, response: TargetResponse) -> None:
+        """Wait until there is memory to collect more of the response.
+
+        The timeout of the attempt would blame the target, and a retry would need as
+        much memory. The caller's deadline still applies.
+        """
+        self._attempts.reading_paused(response)
+        if self._attempt_scope is not None:
+            self._attempt_scope.reschedule(None)
+        while self._held.memory.must_wait(self._held):
+            await asyncio.sleep(PAUSE_INTERVAL)
 
     def _check_retry(self, error: ExchangeError) -> None:
         """Raise FailureError unless a request with a broken response may be retried."""
@@ -210,17 +258,11 @@
     async def _forward_stream(self, output: _TurnOutput | None) -> None:
         """Forward a stream of events as they arrive."""
         response = await self._attempts.open()
+        if not OK <= response.head.status < REDIRECT:
+            await self._forward_refusal(response)
+            return
         complete = False
         try:
-            if not OK <= response.head.status < REDIRECT:
-                body = await self._read_body(response)
-                complete = True
-                head = response.head
-                headers = response.info.headers
-                await self._writer.send_response(
-                    head.status, headers, body, head.reason
-                )
-                return
             complete = await self._forward_events(response, output)
         except ExchangeError as error:
             self._attempts.response_broken(response)
@@ -231,6 +273,19 @@
         finally:
             self._attempts.close(response, complete=complete)
 
+    async def _forward_refusal(self, response: TargetResponse) -> None:
+        """Forward the response of a target that did not start a stream.
+
+        The target is released first: while a caller doesn't read, it would count as
+        silent and its slot as used.
+        """
+        try:
+            body = await self._collect(response)
+        except ExchangeError as error:
+            self.steps.append(f"broken:{error.fault.name}")
+            raise fail(ErrorKind.INTERRUPTED, str(error)) from error
+        await self._send_whole(response, body)
+
     async def _forward_events(
         self, response: TargetResponse, output: _TurnOutput | None
     ) -> bool:
@@ -238,9 +293,12 @@
         if output is not None and self._route.retained:
             output.turn.write_index()
         splitter = EventSplitter()
+        history = self._collected
         while (part := await self._attempts.next_part(response)) is not None:
             for event in splitter.feed(part):
                 await self._forward_event(response, output, event)
+            produced = output.size if output is not None else 0
+            self._count_collected(history + produced + len(splitter.pending))
         if splitter.pending:
             raise fail(ErrorKind.INTERRUPTED, "the stream ended inside an event")
         if output is not None:
@@ -267,7 +325,7 @@
             if not await output.spend(tokens):
                 self.steps.append("budget: the turn's reserved tokens are used up")
                 raise fail(ErrorKind.INTERRUPTED, "the budget is used up")
-            output.produced.append(event_data(event) + b"\n")
+            output.append(event_data(event) + b"\n")
         if not self._writer.started:
             await self._start_response(response)
         await self._writer.send_part(event)
@@ -301,8 +359,14 @@
     def __init__(self, *, turn: OpenTurn) -> None:
         self.turn = turn
         self.produced: list[bytes] = []
+        self.size = 0
         self._pending_cover: asyncio.Task[bool] | None = None
 
+    def append(self, data: bytes) -> None:
+        """Append output to commit at the end of the turn."""
+        self.produced.append(data)
+        self.size += len(data)
+
     async def spend(self, tokens: int) -> bool:
         """Count tokens sent to the caller; return False if they aren't reserved.
 
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -28,6 +28,7 @@
 # Assumed network delay of a request, in seconds, which its deadline includes.
 CALLER_LATENCY = 0.004
 CALLER_LEFT = "caller left"
+CLOSED_FOR_MEMORY = "closed for memory"
 UNROUTED = "none"
 
 
@@ -74,7 +75,7 @@
         except FailureError as error:
             await self._send_failure(request, writer, error.failure)
         except (ClientGone, asyncio.CancelledError):
-            request.outcome = CALLER_LEFT
+            request.outcome = _lost_outcome(writer)
             raise
         except Exception as error:
             log.exception("unhandled exception in a request")
@@ -93,6 +94,7 @@
         self, message: RequestMessage, request: _RequestState, writer: ResponseWriter
     ) -> None:
         info = request.info = self._read(message)
+        writer.held.request = info.attempt
         routes = request.routes = self._dispatcher.routes
         if routes is None:
             raise fail(ErrorKind.STARTING, "the configuration was not yet read")
@@ -146,7 +148,7 @@
         try:
             await writer.send_response(failure.response.status, headers, body)
         except ClientGone:
-            request.outcome = CALLER_LEFT
+            request.outcome = _lost_outcome(writer)
 
     def _log_request(self, request: _RequestState, writer: ResponseWriter) -> None:
         """Count the request and write its log line."""
@@ -174,3 +176,8 @@
             milliseconds=round((now - request.started) * 1000, 1),
             steps=request.exchange.steps if request.exchange else [],
         )
+
+
+def _lost_outcome(writer: ResponseWriter) -> str:
+    """Return why the connection to the caller was lost."""
+    return CLOSED_FOR_MEMORY if writer.closed_for_memory else CALLER_LEFT
