Read less ahead of callers that do not read

An unread stream held one read of up to 256 KiB in addition to its buffers. Reads now fill a buffer of 4 KiB, or 64 KiB once a read filled it, and 16 KiB while memory is scarce. Responses wait once 16 KiB are unsent.

--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -20,12 +20,17 @@
 MAX_INCOMPLETE_BYTES = 64 * 1024
 # Bytes read ahead of the reader before reading from the target stops.
 READ_BUFFER_BYTES = 64 * 1024
+# Bytes of a read buffer: for events, and for the rest of longer responses, also while
+# memory is scarce. A response whose caller doesn't read is held with at least one read.
+READ_BYTES = 4 * 1024
+LONG_READ_BYTES = 64 * 1024
+SCARCE_READ_BYTES = 16 * 1024
 # Bytes passed to the parser at once; other tasks run after each full piece. A response
 # that piled up while its caller didn't read would otherwise block the event loop.
 PARSE_BYTES = 16 * 1024
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Client side of one HTTP/1.1 connection, with one exchange at a time.
 
     Bytes that arrive while no request is open belong to no response, so the
@@ -40,6 +45,8 @@
         self._waiter: asyncio.Future[None] | None = None
         self._request: h11.Request | None = None
         self._received = bytearray()
+        self._read_into = bytearray()
+        self._read_filled = False
         # Bytes passed to the parser since it last needed more.
         self._parsing = 0
         self._held: HeldBytes | None = None
@@ -52,6 +59,10 @@
         # Event loop time at which an idle connection is closed.
         self.idle_deadline = 0.0
 
+    @property
+    def _scarce(self) -> bool:
+        return self._held is not None and self._held.memory.scarce
+
     @property
     def usable(self) -> bool:
         """Return whether another request may be sent."""
@@ -69,12 +80,24 @@
         self._transport = cast(asyncio.Transport, transport)
         detect_dead_peer(transport.get_extra_info("socket"))
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer received bytes; reset the connection if no request is open."""
-        self._received += data
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return a buffer for the next read."""
+        size = READ_BYTES
+        if self._read_filled:
+            size = SCARCE_READ_BYTES if self._scarce else LONG_READ_BYTES
+        self._read_into = bytearray(size)
+        return self._read_into
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keep the bytes read; reset the connection if no request is open."""
+        self._read_filled = nbytes == len(self._read_into)
+        del self._read_into[nbytes:]
+        self._received += self._read_into
+        self._read_into = bytearray()
         if self._request is None and self._transport is not None:
             self._transport.abort()
-        if len(self._received) > READ_BUFFER_BYTES and self._transport is not None:
+        read_ahead = 0 if self._scarce else READ_BUFFER_BYTES
+        if len(self._received) > read_ahead and self._transport is not None:
             self._transport.pause_reading()
         self.count_buffers()
         self._wake_reader()
--- a/sequoiaarch/http1/memory.py
+++ b/sequoiaarch/http1/memory.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-# Fraction of the limit above which response bodies are collected one at a time. The
-# rest must hold the longest body and what is read ahead for those that wait.
+# Fraction of the limit above which response bodies are collected one at a time and less
+# is read ahead. The rest must hold the longest body and what is read ahead.
 SCARCE_FRACTION = 0.5
 
 
@@ -96,6 +96,11 @@
         self.on_close: Callable[[ClosedConnection], None] = lambda closed: None
         self._enforcing = False
 
+    @property
+    def scarce(self) -> bool:
+        """Return whether less than usual is to be read ahead."""
+        return self.total >= self.limit * SCARCE_FRACTION
+
     @property
     def largest(self) -> int:
         """Return the bytes held for the connection that holds most."""
@@ -113,7 +118,7 @@
 
         The oldest one goes on, as otherwise none would complete and free its bytes.
         """
-        if self.total < self.limit * SCARCE_FRACTION:
+        if not self.scarce:
             return False
         return next(iter(self.collecting), held) is not held
 
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -18,6 +18,8 @@
 log = logbook.Logger("http")
 
 READ_BUFFER_BYTES = 256 * 1024
+# Unsent bytes above which a response waits, in addition to the kernel's buffer.
+UNSENT_BYTES = 16 * 1024
 # Bytes of a response body that are written at once. The transport copies what the
 # socket doesn't accept, so a whole body would be held twice.
 WRITE_BYTES = 64 * 1024
@@ -184,6 +186,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=UNSENT_BYTES)
         detect_dead_peer(transport.get_extra_info("socket"))
         self._server.connections.add(self)
         self._server.close_excess_idle()
