--- a/sequoiaarch/tests/ingress/slow_readers_tests.py
+++ b/sequoiaarch/tests/ingress/slow_readers_tests.py
@@ -51,6 +51,7 @@
         self.lines: list[bytes] = []
         self.reported: list[bool] = []
         self.sent = 0
+        self.event_bytes = PIECE
 
     async def add_watched_daemon(self) -> IngressDaemon:
         """Start a daemon whose log lines and reports of targets are recorded."""
@@ -103,7 +104,7 @@
             await stream_answer(exchange)
             return
         exchange.send(stream_head((("X-Attempt-Id", attempt),)))
-        event = chunk(b"data: " + bytes(PIECE) + b"\n\n")
+        event = chunk(b"data: " + bytes(self.event_bytes) + b"\n\n")
         while not exchange.disconnected.is_set():
             exchange.send(event)
             await exchange.writer.drain()
@@ -136,6 +137,23 @@
         caller.close()
         await self.wait_until_released(daemon)
 
+    async def test_many_callers_that_never_read(self) -> None:
+        """Guards against closing callers where reading less ahead is enough."""
+        self.event_bytes = 4096
+        await self.add_target("i-1", ENGINES, self.stream_without_end)
+        daemon = await self.add_watched_daemon()
+        daemon.memory.limit = 5 * MIB // 2
+        for _ in range(24):
+            await self.call_without_reading(daemon, "/free/x")
+            for connection in daemon.front.connections:
+                assert connection._transport is not None
+                accepted = connection._transport.get_extra_info("socket")
+                accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER)
+        await asyncio.sleep(UNREAD_SECONDS / 2)
+        daemon.memory.count_buffers()
+        self.assertTrue(daemon.memory.scarce)
+        self.assertEqual(daemon.memory.closed, 0)
+
     async def test_slow_caller_beside_another(self) -> None:
         """Guards against a slow caller that delays another caller's responses."""
         await self.add_target("i-1", ENGINES, self.stream_without_end)
