--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from .memory import HeldBytes
 from .messages import (
     ExchangeError,
     ExchangeFault,
@@ -17,10 +18,19 @@
 from .sockets import detect_dead_peer
 
 MAX_INCOMPLETE_BYTES = 64 * 1024
-READ_BUFFER_BYTES = 256 * 1024
+# Bytes read ahead of the reader before reading from the target stops.
+READ_BUFFER_BYTES = 64 * 1024
+# Bytes of a read buffer: for events, and for the rest of longer responses, also while
+# memory is scarce. A response whose caller doesn't read is held with at least one read.
+READ_BYTES = 4 * 1024
+LONG_READ_BYTES = 64 * 1024
+SCARCE_READ_BYTES = 16 * 1024
+# Bytes passed to the parser at once; other tasks run after each full piece. A response
+# that piled up while its caller didn't read would otherwise block the event loop.
+PARSE_BYTES = 16 * 1024
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Client side of one HTTP/1.1 connection, with one exchange at a time.
 
     Bytes that arrive while no request is open belong to no response, so the
@@ -35,6 +45,12 @@
         self._waiter: asyncio.Future[None] | None = None
         self._request: h11.Request | None = None
         self._received = bytearray()
+        self._read_into = bytearray()
+        self._read_filled = False
+        # Bytes passed to the parser since it last needed more.
+        self._parsing = 0
+        self._held: HeldBytes | None = None
+        self._counted = 0
         self._eof = False
         self._error: Exception | None = None
         self._writable = asyncio.Event()
@@ -43,6 +59,10 @@
         # Event loop time at which an idle connection is closed.
         self.idle_deadline = 0.0
 
+    @property
+    def _scarce(self) -> bool:
+        return self._held is not None and self._held.memory.scarce
+
     @property
     def usable(self) -> bool:
         """Return whether another request may be sent."""
@@ -60,13 +80,26 @@
         self._transport = cast(asyncio.Transport, transport)
         detect_dead_peer(transport.get_extra_info("socket"))
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer received bytes; reset the connection if no request is open."""
-        self._received += data
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return a buffer for the next read."""
+        size = READ_BYTES
+        if self._read_filled:
+            size = SCARCE_READ_BYTES if self._scarce else LONG_READ_BYTES
+        self._read_into = bytearray(size)
+        return self._read_into
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keep the bytes read; reset the connection if no request is open."""
+        self._read_filled = nbytes == len(self._read_into)
+        del self._read_into[nbytes:]
+        self._received += self._read_into
+        self._read_into = bytearray()
         if self._request is None and self._transport is not None:
             self._transport.abort()
-        if len(self._received) > READ_BUFFER_BYTES and self._transport is not None:
+        read_ahead = 0 if self._scarce else READ_BUFFER_BYTES
+        if len(self._received) > read_ahead and self._transport is not None:
             self._transport.pause_reading()
+        self.count_buffers()
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -90,6 +123,31 @@
     def resume_writing(self) -> None:
         """Unblock senders."""
         self._writable.set()
+        self.count_buffers()
+
+    def count_for(self, held: HeldBytes | None) -> None:
+        """Count the buffers for a caller connection from now on, or for none."""
+        if self._held is not None:
+            self._held.add(-self._counted)
+            if self in self._held.buffers:
+                self._held.buffers.remove(self)
+        self._counted = 0
+        self._held = held
+        if held is not None:
+            held.buffers.append(self)
+            self.count_buffers()
+
+    def count_buffers(self) -> None:
+        """Update the number of bytes counted for the buffers."""
+        if self._held is None:
+            return
+        size = len(self._received) + self._parsing
+        if self._transport is not None:
+            size += self._transport.get_write_buffer_size()
+        change = size - self._counted
+        if change:
+            self._counted = size
+            self._held.add(change)
 
     async def send(self, message: RequestMessage) -> None:
         """Send a complete request; raise ExchangeError if the connection is closed."""
@@ -109,6 +167,9 @@
             raise ExchangeError(ExchangeFault.RESET, "before the request", sent=False)
         self._sent = True
         transport.write(data)
+        # The transport keeps its own copy of what the socket didn't accept.
+        del data
+        self.count_buffers()
         await self._writable.wait()
 
     async def read_head(self) -> ResponseHead:
@@ -145,6 +206,7 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
         )
+        self._parsing = 0
         assert self._request is not None
         stub = h11.Request(
             method=self._request.method,
@@ -165,6 +227,7 @@
         ):
             self._http.start_next_cycle()
             self._request = None
+            self.count_for(None)
             if self.usable:
                 return True
         self.abort()
@@ -172,6 +235,7 @@
 
     def abort(self) -> None:
         """Reset the connection, so that the target stops working on the request."""
+        self.count_for(None)
         if self._transport is not None:
             self._transport.abort()
 
@@ -191,6 +255,11 @@
 
     async def _feed_parser(self) -> None:
         """Wait for received bytes and feed them to the parser."""
+        full_piece = self._parsing >= PARSE_BYTES
+        self._parsing = 0
+        self.count_buffers()
+        if full_piece:
+            await asyncio.sleep(0)
         while not self._received:
             if self._error is not None:
                 raise ExchangeError(
@@ -204,10 +273,11 @@
                 await self._waiter
             finally:
                 self._waiter = None
-        data = bytes(self._received)
-        self._received.clear()
+        data = bytes(self._received[:PARSE_BYTES])
+        del self._received[:PARSE_BYTES]
+        self._parsing = len(data)
         self._http.receive_data(data)
-        if self._transport is not None:
+        if not self._received and self._transport is not None:
             self._transport.resume_reading()
 
     def _wake_reader(self) -> None:
