--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -80,7 +80,8 @@
 
         `home` is the engine that the request's program was assigned to.
         """
-        service = self._pick_service(route)
+        assigned = self._assigned_service(route, home)
+        service = assigned or self._pick_service(route)
         entries = [
             entry
             for entry in self._targets.of(service)
@@ -161,6 +162,22 @@
         )
         return self._urgency.of(progress)
 
+    def _assigned_service(
+        self, route: Route, home: InstanceId | None
+    ) -> ServiceName | None:
+        """Return the service of a program's engine if the route leads there.
+
+        Otherwise a route to several services would run turns away from the engine
+        that has their prompt.
+        """
+        if home is None:
+            return None
+        for share in route.services:
+            entries = self._targets.of(share.service)
+            if any(entry.incarnation == home for entry in entries):
+                return share.service
+        return None
+
     def _pick_service(self, route: Route) -> ServiceName:
         if len(route.services) == 1:
             return route.services[0].service
