Read the processor capacity of the host from the settings

Cause: hosts with 0.29 cores get as many duties as those with 2.15. Change: cpuShare times cores of the limits is one option, the capacity in cores. Invalid figures count as unknown and are logged; they do not prevent the start.

--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -25,6 +25,7 @@
     `key_age_limit` after the configuration was last confirmed, or without limit
     if it is None. `quota` bounds how far workspaces may exceed their limits.
     With `place_programs`, programs are assigned to engines by the owners of these.
+    `capacity` is the processor capacity of the host in cores, 0 if it is unknown.
     """
 
     host: HostName
@@ -41,3 +42,4 @@
     key_age_limit: float | None = None
     quota: QuotaBounds | None = None
     place_programs: bool = False
+    capacity: float = 0.0
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from pathlib import Path
+from typing import Any
 
+import logbook
 import msgspec
 
 from ..ids import DataCentre, HostName
@@ -12,6 +15,8 @@
 from ..workspaces.sliding_window import QuotaBounds
 from .structs import CamelStruct, split_address
 
+log = logbook.Logger("settings")
+
 SETTINGS_VARIABLE = "SEQUOIAARCH_SETTINGS"
 MIB = 1024 * 1024
 # Part of the rules for deployments whose callers compete for too little room.
@@ -19,6 +24,8 @@
 # Fraction of the platform's limit for the age of keys; the rest is a margin for clock
 # drift between hosts.
 KEY_AGE_FRACTION = 0.95
+# Digits of a capacity in cores: equal products of different factors stay equal.
+CAPACITY_DIGITS = 3
 
 
 class _Listen(CamelStruct, frozen=True):
@@ -30,6 +37,10 @@
 class _Limits(CamelStruct, frozen=True):
     memory_mb: int = 256
     max_fds: int = 4096
+    # Capacity of the host, unknown without both. Checked on use, since an invalid
+    # figure must not prevent the start.
+    cpu_share: Any = None  # share of the processor that this process may use
+    cores: Any = None
 
 
 class _Bounds(CamelStruct, frozen=True):
@@ -99,7 +110,44 @@
         key_age_limit=settings.bounds.key_age_limit,
         quota=settings.bounds.quota,
         place_programs=PRESSURE in settings.contracts,
+        capacity=_capacity(settings.limits),
         store=StoreOptions(
             address=(store_host, store_port), partitions=settings.platform.parts
         ),
     )
+
+
+def _capacity(limits: _Limits) -> float:
+    """Return the capacity of the host in cores; 0 if it is unknown or invalid."""
+    figures = {"cpuShare": limits.cpu_share, "cores": limits.cores}
+    if all(value is None for value in figures.values()):
+        return 0.0
+    for name, value in figures.items():
+        if value is None:
+            log.warning("capacity is unknown: limits.{} is missing", name)
+            return 0.0
+        if not _is_positive(value):
+            log.warning(
+                "capacity is unknown: limits.{} is {!r}, not a positive number",
+                name,
+                value,
+            )
+            return 0.0
+    capacity = round(
+        float(limits.cpu_share) * float(limits.cores), ndigits=CAPACITY_DIGITS
+    )
+    if not _is_positive(capacity):
+        log.warning(
+            "capacity is unknown: {} in limits give {} cores", figures, capacity
+        )
+        return 0.0
+    return capacity
+
+
+def _is_positive(value: object) -> bool:
+    """Return whether a value is a finite number above 0."""
+    try:
+        number = msgspec.convert(value, float, strict=False)
+    except msgspec.ValidationError:
+        return False
+    return math.isfinite(number) and number > 0
--- a/sequoiaarch/tests/platform/settings_tests.py
+++ b/sequoiaarch/tests/platform/settings_tests.py
@@ -11,6 +11,8 @@
 import unittest
 from pathlib import Path
 
+import logbook
+
 from ...ingress.options import IngressOptions
 from ...platform.settings import read_settings
 from .deployment import ENGINES, TOOLS, DeploymentTestCase, stream_answer, tool_answer
@@ -66,6 +68,46 @@
             with self.assertRaises(ValueError):
                 self.read(text)
 
+    def read_capacity(self, figures: str) -> tuple[float, list[str]]:
+        """Return the capacity with these lines in the limits, and the log lines."""
+        text = SETTINGS.format(control="").replace("[limits]", f"[limits]\n{figures}")
+        with logbook.TestHandler() as handler:
+            capacity = self.read(text).capacity
+        return capacity, [record.message for record in handler.records]
+
+    def test_capacity(self) -> None:
+        """Multiply share and cores; guards against a host without its capacity."""
+        self.assertEqual(self.read_capacity("cpuShare = 0.29\ncores = 4"), (1.16, []))
+        # The product of these floating point numbers is not exactly 0.3.
+        self.assertEqual(self.read_capacity("cpuShare = 0.1\ncores = 3"), (0.3, []))
+
+    def test_unknown_capacity(self) -> None:
+        """Log nothing where no figure is set, as in files of earlier deployments."""
+        self.assertEqual(self.read_capacity(""), (0.0, []))
+
+    def test_invalid_capacity(self) -> None:
+        """Start with unknown capacity; guards against weights from invalid figures."""
+        invalid = ("0", "-1", "0.0001", "nan", "inf", "1e308", "true", '"many"', "[]")
+        for value in invalid:
+            for figures in (
+                f"cpuShare = {value}\ncores = 2",
+                f"cores = {value}\ncpuShare = 2",
+            ):
+                with self.subTest(figures=figures):
+                    capacity, lines = self.read_capacity(figures)
+                    self.assertEqual(capacity, 0.0)
+                    self.assertEqual(len(lines), 1, lines)
+
+    def test_incomplete_capacity(self) -> None:
+        """Log the missing figure; guards against a silent lack of a capacity."""
+        for figures, missing in (
+            ("cpuShare = 0.5", "cores"),
+            ("cores = 2", "cpuShare"),
+        ):
+            capacity, lines = self.read_capacity(figures)
+            self.assertEqual(capacity, 0.0)
+            self.assertIn(missing, lines[0])
+
 
 # Runs the program and sends it SIGHUP while it is still importing its modules.
 SIGHUP_DURING_START = """
