Choose the delegates of programs by the capacity of hosts

Cause: a host with 0.29 cores keeps the accounts of as many programs as one with 2.15. Change: hosts register their capacity, and the ranking of delegates is weighted by it. While hosts of a data centre have the same capacity, or one of them none (an older build), ranks are as before. Lenders, shares of limits and target reports are not weighted.

The limits on the number of scores at 30, 100 and 540 hosts hold unchanged, and with capacities as well.

--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -46,6 +46,8 @@
 class DelegateSelector:
     """Choose the process that keeps a program's account, by rendezvous hashing.
 
+    Hosts get programs in proportion to their capacity, where all have registered it.
+
     Turns of one program arrive at all gateways of a data centre. The delegate keeps
     the history and the grants in memory, so that the others need not read the log
     and turns continue while the store is unavailable.
@@ -59,7 +61,10 @@
         self._peers = peers
         self.peer_health = peer_health
         self._ranking = SlotRanking(
-            own=own, hosts=peers.neighbours, version=lambda: peers.version
+            own=own,
+            hosts=peers.neighbours,
+            weights=peers.local_weights,
+            version=lambda: peers.version,
         )
 
     def delegate_of(self, program: ProgramId) -> HostName | None:
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import logbook
 import msgspec
@@ -18,6 +18,7 @@
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition, Writer
 from ..wire.links import Handler, Link, Links, Responder, Send
 from ..wire.messages import Failed, Reply, Request, StoreAnswer, StoreRequest
+from .ranking import known_weights
 
 log = logbook.Logger("peers")
 
@@ -41,12 +42,14 @@
     """Registration of a daemon: its address, data centre and process.
 
     `settled` tells that the process has waited until it owned its shares of limits.
+    `capacity` is that of the host in cores; 0 if it is unknown.
     """
 
     address: str
     data_centre: DataCentre
     writer: WriterId = WriterId("")
     settled: bool = False
+    capacity: float = 0.0
 
 
 class Peers:
@@ -61,8 +64,11 @@
         data_centre: DataCentre,
         seeds: list[str],
         rng: random.Random,
+        capacity: float = 0.0,
     ) -> None:
+        """Register with the `capacity` of this host in cores; 0 if it is unknown."""
         self._own = own
+        self._capacity = capacity
         self._data_centre = data_centre
         self._own_address = own_address
         self._seeds = [seed for seed in seeds if seed != own_address]
@@ -76,6 +82,8 @@
         # Incremented when the set of registered hosts changes.
         self.hosts_version = 0
         self._hosts_by_centre: dict[DataCentre, list[HostName]] = {}
+        self._weights: dict[DataCentre, Mapping[HostName, float]] = {}
+        self._local_weights: Mapping[HostName, float] = {}
         self._listed = asyncio.Event()
         # Called with this host's registration, None without one, and whether it was
         # read directly after the previous registration.
@@ -120,6 +128,17 @@
         """Return all registered hosts by data centre, this one included."""
         return self._hosts_by_centre
 
+    def weights(self, centre: DataCentre) -> Mapping[HostName, float]:
+        """Return the weights of a data centre's registered hosts, in cores.
+
+        Empty if they have the same capacity or one of them has none.
+        """
+        return self._weights.get(centre, {})
+
+    def local_weights(self) -> Mapping[HostName, float]:
+        """Return the weights of this host, registered or not, and its neighbours."""
+        return self._local_weights
+
     def has_registration(self, host: HostName, writer: WriterId) -> bool:
         """Return whether another host's registration names a process."""
         record = self._known.get(host)
@@ -195,6 +214,7 @@
             data_centre=self._data_centre,
             writer=writer,
             settled=settled,
+            capacity=self._capacity,
         )
         return KeyedRecord(key=self._own, value=msgspec.json.encode(registration))
 
@@ -227,6 +247,8 @@
     def _update_registration(self, record: KeyedRecord) -> None:
         host = HostName(record.key)
         decoded = _decode(record)
+        if decoded is not None and decoded.capacity < 0:
+            log.warning("capacity {} of {} is ignored", decoded.capacity, host)
         if host == self._own:
             self._own_record = decoded
         elif decoded is not None:
@@ -253,6 +275,21 @@
         if self._hosts_by_centre != by_centre:
             self._hosts_by_centre = dict(by_centre)
             self.hosts_version += 1
+        self._rebuild_weights()
+
+    def _rebuild_weights(self) -> None:
+        # The other hosts see the registration of this one and not its settings.
+        record = self._own_record
+        own_capacity = self._capacity if record is None else record.capacity
+        capacities = {host: record.capacity for host, record in self._known.items()}
+        capacities[self._own] = own_capacity
+        self._weights = {
+            centre: known_weights({host: capacities[host] for host in hosts})
+            for centre, hosts in self._hosts_by_centre.items()
+        }
+        self._local_weights = known_weights(
+            {host: capacities[host] for host in (self._own, *self._neighbours)}
+        )
 
     def _notify_own_registration(self, *, ordered: bool) -> None:
         self.on_own_registration(self._own_record, ordered)
--- a/sequoiaarch/fleet/ranking.py
+++ b/sequoiaarch/fleet/ranking.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Generic, TypeVar
 
 import xxhash
 
 from ..ids import HostName
 from .claims import slot_name
 
+Key = TypeVar("Key")
+
+# Number of different scores.
+SCORES = 2**32
+
 
 def score(name: str, host: HostName) -> int:
     """Return the rendezvous score of a host for a name; the highest ranks first."""
@@ -30,6 +37,60 @@
     return not any(score(name, host) > own_score for host in hosts)
 
 
+def known_weights(capacities: Mapping[HostName, float]) -> Mapping[HostName, float]:
+    """Return the capacities as weights; empty if they are equal or one is unknown.
+
+    Older builds register no capacity and rank without weights, so all must.
+    """
+    smallest = min(capacities.values(), default=0.0)
+    if smallest <= 0 or smallest == max(capacities.values()):
+        return {}
+    return capacities
+
+
+def ranked(
+    name: str, hosts: Iterable[HostName], weights: Mapping[HostName, float]
+) -> list[HostName]:
+    """Return the hosts by rank for a name, without weights by score alone.
+
+    A host ranks first with a probability proportional to its weight, and a change of
+    its weight does not change the order of the others.
+    """
+    if not weights:
+        return sorted(hosts, key=lambda host: score(name, host), reverse=True)
+
+    def rank(host: HostName) -> tuple[float, HostName]:
+        # Exponentially distributed with the weight as its rate: the probability that
+        # it is the smallest of all is the host's part of the sum of the weights.
+        uniform = (score(name, host) + 0.5) / SCORES
+        return -math.log(uniform) / weights[host], host
+
+    return sorted(hosts, key=rank)
+
+
+class RankingCache(Generic[Key]):
+    """Cache rankings until the registrations change."""
+
+    def __init__(
+        self, *, rank: Callable[[Key], list[HostName]], version: Callable[[], int]
+    ) -> None:
+        self._rank = rank
+        self._version = version
+        self._ranked_version: int | None = None
+        self._rankings: dict[Key, list[HostName]] = {}
+
+    def get(self, key: Key) -> Sequence[HostName]:
+        """Return the ranking for a key."""
+        version = self._version()
+        if version != self._ranked_version:
+            self._rankings.clear()
+            self._ranked_version = version
+        ranking = self._rankings.get(key)
+        if ranking is None:
+            ranking = self._rankings[key] = self._rank(key)
+        return ranking
+
+
 class SlotRanking:
     """Cache the ranking of a data centre's hosts for each program slot.
 
@@ -41,24 +102,18 @@
         *,
         own: HostName,
         hosts: Callable[[], list[HostName]],
+        weights: Callable[[], Mapping[HostName, float]],
         version: Callable[[], int],
     ) -> None:
+        """Rank by `weights` of this host and the others; empty: without weights."""
         self._own = own
         self._hosts = hosts
-        self._version = version
-        self._ranked_version: int | None = None
-        self._rankings: dict[int, list[HostName]] = {}
+        self._weights = weights
+        self._cache = RankingCache(rank=self._rank, version=version)
 
-    def hosts_for(self, slot: int) -> list[HostName]:
+    def hosts_for(self, slot: int) -> Sequence[HostName]:
         """Return this host and its neighbours, ranked for a slot."""
-        version = self._version()
-        if version != self._ranked_version:
-            self._rankings.clear()
-            self._ranked_version = version
-        ranking = self._rankings.get(slot)
-        if ranking is None:
-            name = slot_name(slot)
-            hosts = [self._own, *self._hosts()]
-            ranking = sorted(hosts, key=lambda host: score(name, host), reverse=True)
-            self._rankings[slot] = ranking
-        return ranking
+        return self._cache.get(slot)
+
+    def _rank(self, slot: int) -> list[HostName]:
+        return ranked(slot_name(slot), [self._own, *self._hosts()], self._weights())
--- a/sequoiaarch/platform/program.py
+++ b/sequoiaarch/platform/program.py
@@ -50,6 +50,7 @@
         data_centre=options.data_centre,
         seeds=options.seeds,
         rng=random.Random(),
+        capacity=options.capacity,
     )
     client = RelayedClient(
         direct=direct, relay=peers.relay, relay_delay=lambda: direct.relay_delay
--- a/sequoiaarch/tests/fleet/scaling_tests.py
+++ b/sequoiaarch/tests/fleet/scaling_tests.py
@@ -5,6 +5,7 @@
 import json
 import random
 import unittest
+from collections.abc import Sequence
 from functools import partial
 from unittest import mock
 
@@ -24,6 +25,8 @@
 SIZES = (30, 100, 540)
 DATA_CENTRES = 5
 OWN = HostName("h0")
+# Cores of different hosts.
+CAPACITIES = (0.29, 0.5, 1.0, 2.15)
 
 
 def writer_of(number: int) -> WriterId:
@@ -34,7 +37,9 @@
 class _Host:
     """One host's view of a fleet of `size` hosts."""
 
-    def __init__(self, *, size: int) -> None:
+    def __init__(self, *, size: int, capacities: Sequence[float] = ()) -> None:
+        """Register hosts that have one of the capacities each, or none at all."""
+        self.capacities = capacities
         context = mock.Mock(spec=zmq.asyncio.Context)
         self.peers = Peers(
             context=context,
@@ -58,11 +63,13 @@
         )
 
     def _record(self, number: int) -> KeyedRecord:
-        fields = {
+        fields: dict[str, object] = {
             "address": f"127.0.0.1:{1000 + number}",
             "data_centre": str(number % DATA_CENTRES),
             "writer": writer_of(number),
         }
+        if self.capacities:
+            fields["capacity"] = self.capacities[number % len(self.capacities)]
         return KeyedRecord(key=f"h{number}", value=json.dumps(fields).encode())
 
 
@@ -124,6 +131,33 @@
             )
             mock.patch.stopall()
 
+    async def test_weighted_delegates_are_ranked_once(self) -> None:
+        """Guards against scores for each turn, or more of them, with capacities."""
+        for size in SIZES:
+            host = _Host(size=size, capacities=CAPACITIES)
+            delegates = DelegateSelector(
+                own=OWN, peers=host.peers, peer_health=host.peer_health
+            )
+            programs = [ProgramId(f"p{number}") for number in range(2000)]
+            score_mock = self.count_scores()
+            for program in programs:
+                delegates.delegate_of(program)
+            first = score_mock.call_count
+            for program in programs:
+                delegates.delegate_of(program)
+            with self.subTest(size=size):
+                self.assertLessEqual(first, SLOTS * size // DATA_CENTRES)
+                self.assertEqual(score_mock.call_count, first)
+            mock.patch.stopall()
+
+    async def test_claims_ignore_capacities(self) -> None:
+        """Guards against slots of lenders that depend on capacities."""
+        for size in SIZES:
+            plain, weighted = _Host(size=size), _Host(size=size, capacities=CAPACITIES)
+            self.assertEqual(
+                plain.claimer._slots_to_claim(), weighted.claimer._slots_to_claim()
+            )
+
     async def test_lender_lookup_sorts_no_claims(self) -> None:
         """Find a slot's lenders without sorting all claims."""
         claims = Claims()
