Choose owners of engines among the large hosts of a data centre

Cause: the owner of a data centre's engines answers all its gateways, and a host with 0.29 cores could be chosen for it. Change: hosts with at least half of the largest capacity come first, by their weighted rank; then the others in the same way. The ranking is cached until registrations change, as it was computed for each report and placement.

The test of a small owner fails without the change.

--- a/sequoiaarch/fleet/placement_service.py
+++ b/sequoiaarch/fleet/placement_service.py
@@ -22,7 +22,7 @@
 from .peer_health import PeerHealth
 from .peers import Peers
 from .program_table import ProgramTable
-from .ranking import score
+from .ranking import RankingCache, ranked_by_size
 
 # Interval of reports to owners, in seconds: short against a program's duration.
 REPORT_INTERVAL = 0.2
@@ -37,6 +37,8 @@
 
     One host of each data centre, chosen by rendezvous hashing, is asked by all others
     and gets their reports. If it does not answer, the next one is asked after that.
+    Small hosts are chosen only if no larger one is usable: an owner has more to do
+    than the others.
     """
 
     def __init__(
@@ -61,6 +63,9 @@
         # Separate from the health of peers for other requests, as processes of an
         # older build are healthy but can't place programs.
         self._peer_health = PeerHealth()
+        self._owner_rankings = RankingCache(
+            rank=self._rank_owners, version=lambda: peers.version
+        )
         self.owner = EngineOwner(data_centre=data_centre, engines=engines)
         # Events seen by this host, and those of them that are not reported yet.
         self._paces = PaceTable()
@@ -245,7 +250,10 @@
 
     def _owner_of(self, centre: DataCentre) -> HostName | None:
         """Return the first usable host by rank for the engines of a data centre."""
-        name = f"engines/{centre}"
+        ranking = self._owner_rankings.get(centre)
+        usable = (host for host in ranking if self._peer_health.usable(host))
+        return next(usable, None)
+
+    def _rank_owners(self, centre: DataCentre) -> list[HostName]:
         hosts = self._peers.hosts_by_centre().get(centre, [])
-        usable = [host for host in hosts if self._peer_health.usable(host)]
-        return max(usable, key=lambda host: score(name, host), default=None)
+        return ranked_by_size(f"engines/{centre}", hosts, self._peers.weights(centre))
--- a/sequoiaarch/fleet/ranking.py
+++ b/sequoiaarch/fleet/ranking.py
@@ -15,6 +15,8 @@
 
 # Number of different scores.
 SCORES = 2**32
+# Hosts with at least this fraction of the largest capacity count as large.
+LARGE_FRACTION = 0.5
 
 
 def score(name: str, host: HostName) -> int:
@@ -68,6 +70,24 @@
     return sorted(hosts, key=rank)
 
 
+def ranked_by_size(
+    name: str, hosts: Iterable[HostName], weights: Mapping[HostName, float]
+) -> list[HostName]:
+    """Return the hosts by rank for a name, but the large ones before all others.
+
+    The others follow in the same way, the largest of them first.
+    """
+    remaining = ranked(name, hosts, weights)
+    if not weights:
+        return remaining
+    ranking: list[HostName] = []
+    while remaining:
+        limit = LARGE_FRACTION * max(weights[host] for host in remaining)
+        ranking += [host for host in remaining if weights[host] >= limit]
+        remaining = [host for host in remaining if weights[host] < limit]
+    return ranking
+
+
 class RankingCache(Generic[Key]):
     """Cache rankings until the registrations change."""
 
--- a/sequoiaarch/tests/fleet/ranking_tests.py
+++ b/sequoiaarch/tests/fleet/ranking_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 import unittest
@@ -16,7 +17,9 @@
 from ...fleet.delegates import DelegateSelector
 from ...fleet.peer_health import PeerHealth
 from ...fleet.peers import TOPIC, PeerRecord, Peers
-from ...fleet.ranking import known_weights, ranked, score
+from ...fleet.placement_service import PlacementService
+from ...fleet.program_table import ProgramTable
+from ...fleet.ranking import known_weights, ranked, ranked_by_size, score
 from ...fleet.target_reports import TargetReports
 from ...ids import DataCentre, HostName, ProgramId, WriterId
 from ...policies.health import TargetHealth
@@ -84,6 +87,19 @@
     return [selector.delegate_of(ProgramId(name)) or own for name in SAMPLE]
 
 
+def service_of(own: HostName, peers: Peers) -> PlacementService:
+    """Return the placement service of one host."""
+    return PlacementService(
+        own=own,
+        data_centre=CENTRE,
+        peers=peers,
+        programs=ProgramTable(),
+        engines=lambda service: [],
+        centre_of=lambda instance: None,
+        always=True,
+    )
+
+
 class RankedTests(unittest.TestCase):
     """Test weighted rendezvous hashing."""
 
@@ -139,6 +155,7 @@
             for name in SAMPLE:
                 before = ranked_as_before(name, hosts)
                 self.assertEqual(ranked(name, hosts, weights), before)
+                self.assertEqual(ranked_by_size(name, hosts, weights), before)
 
     def test_equal_weights_keep_the_order(self) -> None:
         """Guards against moves when the last host of another capacity leaves."""
@@ -159,6 +176,19 @@
             for hosts in (list(same), list(reversed(same))):
                 self.assertEqual(ranked("x", hosts, same), ["a", "b", "c"])
 
+    def test_large_hosts_first(self) -> None:
+        """Guards against a small owner of engines while a larger host is usable."""
+        hosts = list(CAPACITIES)
+        for name in SAMPLE:
+            ranking = ranked_by_size(name, hosts, CAPACITIES)
+            # Those with at least 2.15 / 2, then with at least 0.8 / 2, then the rest.
+            self.assertEqual(set(ranking[:3]), {"h3", "h4", "h5"})
+            self.assertEqual(set(ranking[3:5]), {"h1", "h2"})
+            order = ranked(name, hosts, CAPACITIES)
+            self.assertEqual(
+                ranking[:3], [host for host in order if host in ranking[:3]]
+            )
+
 
 class RegistrationTests(unittest.TestCase):
     """Test the capacity in registrations."""
@@ -295,3 +325,72 @@
             delegates_of(HostName("h0"), starting),
             delegates_of(HostName("h0"), registered),
         )
+
+
+class EngineOwnerTests(unittest.IsolatedAsyncioTestCase):
+    """Test the owners of engines by the capacity of hosts."""
+
+    async def test_same_owner_everywhere(self) -> None:
+        """Guards against two owners at once."""
+        owners = {
+            service_of(own, peers_of(own, CAPACITIES, own_capacity=99.0))._owner_of(
+                CENTRE
+            )
+            for own in CAPACITIES
+        }
+        self.assertEqual(len(owners), 1)
+
+    async def test_unregistered_host_changes_no_owner(self) -> None:
+        """Guards against another owner in the view of a host that starts."""
+        others = {host: CAPACITIES[host] for host in CAPACITIES if host != "h0"}
+        expected = service_of(HostName("h1"), peers_of(HostName("h1"), others))
+        for capacity in (0.0, 0.29, 8.0):
+            peers = peers_of(HostName("h0"), others, own_capacity=capacity)
+            self.assertEqual(
+                service_of(HostName("h0"), peers)._owner_of(CENTRE),
+                expected._owner_of(CENTRE),
+            )
+
+    async def test_owner_is_large(self) -> None:
+        """Guards against a small owner while a larger host is usable."""
+        hosts = list(CAPACITIES)
+        service = service_of(HostName("h0"), peers_of(HostName("h0"), CAPACITIES))
+        expected = ranked_by_size(f"engines/{CENTRE}", hosts, CAPACITIES)
+        sizes = []
+        for host in expected:
+            owner = service._owner_of(CENTRE)
+            self.assertEqual(owner, host)
+            sizes.append(CAPACITIES[host])
+            service._peer_health.request_failed(host, "test")
+        self.assertGreaterEqual(min(sizes[:3]), max(sizes[3:]))
+        self.assertIsNone(service._owner_of(CENTRE))
+
+    async def test_owner_without_capacities(self) -> None:
+        """Guards against another owner than that of older builds."""
+        hosts = list(CAPACITIES)
+        expected = ranked_as_before(f"engines/{CENTRE}", hosts)
+        for capacities in (
+            dict.fromkeys(hosts, 2.0),
+            CAPACITIES | {HostName("h5"): None},
+        ):
+            peers = peers_of(HostName("h0"), capacities)
+            service = service_of(HostName("h0"), peers)
+            for host in expected:
+                self.assertEqual(service._owner_of(CENTRE), host)
+                service._peer_health.request_failed(host, "test")
+
+    async def test_owner_recovers(self) -> None:
+        """Guards against a cached owner that stays after the health changed."""
+        service = service_of(HostName("h0"), peers_of(HostName("h0"), CAPACITIES))
+        first = service._owner_of(CENTRE)
+        assert first is not None
+        service._peer_health.request_failed(first, "test")
+        self.assertNotEqual(service._owner_of(CENTRE), first)
+        later = asyncio.get_running_loop().time() + 100
+        with mock.patch.object(asyncio.get_running_loop(), "time", lambda: later):
+            self.assertEqual(service._owner_of(CENTRE), first)
+
+    async def test_unknown_data_centre(self) -> None:
+        """Guards against an error for a data centre without hosts."""
+        service = service_of(HostName("h0"), peers_of(HostName("h0"), CAPACITIES))
+        self.assertIsNone(service._owner_of(DataCentre("none")))
--- a/sequoiaarch/tests/fleet/scaling_tests.py
+++ b/sequoiaarch/tests/fleet/scaling_tests.py
@@ -16,6 +16,8 @@
 from ...fleet.delegates import DelegateSelector
 from ...fleet.peer_health import PeerHealth
 from ...fleet.peers import PeerRecord, Peers
+from ...fleet.placement_service import PlacementService
+from ...fleet.program_table import ProgramTable
 from ...fleet.slot_claimer import SlotClaimer
 from ...ids import DataCentre, HostName, Offset, ProgramId, WriterId
 from ...ledger.loans import LoanBook
@@ -150,6 +152,28 @@
                 self.assertEqual(score_mock.call_count, first)
             mock.patch.stopall()
 
+    async def test_owners_are_ranked_once(self) -> None:
+        """Guards against scores of all hosts for each report and placement."""
+        for size in SIZES:
+            for capacities in ((), CAPACITIES):
+                host = _Host(size=size, capacities=capacities)
+                service = PlacementService(
+                    own=OWN,
+                    data_centre=DataCentre("0"),
+                    peers=host.peers,
+                    programs=ProgramTable(),
+                    engines=lambda name: [],
+                    centre_of=lambda instance: None,
+                    always=True,
+                )
+                score_mock = self.count_scores()
+                for _ in range(100):
+                    for centre in host.peers.hosts_by_centre():
+                        service._owner_of(centre)
+                with self.subTest(size=size, capacities=capacities):
+                    self.assertEqual(score_mock.call_count, size)
+                mock.patch.stopall()
+
     async def test_claims_ignore_capacities(self) -> None:
         """Guards against slots of lenders that depend on capacities."""
         for size in SIZES:
