--- a/sequoiaarch/tests/platform/settings_tests.py
+++ b/sequoiaarch/tests/platform/settings_tests.py
@@ -10,10 +10,13 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import logbook
 
 from ...ingress.options import IngressOptions
+from ...observe.events import EventLog
+from ...platform import program
 from ...platform.settings import read_settings
 from .deployment import ENGINES, TOOLS, DeploymentTestCase, stream_answer, tool_answer
 
@@ -141,6 +144,26 @@
         self.assertEqual(process.returncode, EXIT_INVALID, process.stderr)
 
 
+class CapacityTests(unittest.IsolatedAsyncioTestCase):
+    """Pass the capacity on to the registration."""
+
+    async def test_capacity_is_registered(self) -> None:
+        """Guards against a capacity that is read but not registered."""
+        text = SETTINGS.format(control=CONTROL)
+        text = text.replace("[limits]", "[limits]\ncpuShare = 0.5\ncores = 4")
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            path.write_text(text)
+            # The start ends where the peers are created.
+            with (
+                mock.patch("zmq.asyncio.Context"),
+                mock.patch.object(program, "Peers", side_effect=ValueError) as peers,
+                self.assertRaises(ValueError),
+            ):
+                await program._run_gateway(path, mock.Mock(spec=EventLog))
+        self.assertEqual(peers.call_args.kwargs["capacity"], 2.0)
+
+
 class SignalTests(DeploymentTestCase):
     """Send signals to a running daemon."""
 
