Discount this process's lag in the timeouts of links

A request to a healthy peer failed if the event loop was blocked while its reply was due: the timeout of the call, the limit for connecting or the silence limit expired before the reply was read. They now count only the time in which this process could receive a reply. A timeout that is a caller's deadline stays a wall-clock limit. A message that leaves at once no longer needs a timer.

--- a/sequoiaarch/reply_timeout.py
+++ b/sequoiaarch/reply_timeout.py
@@ -39,10 +39,11 @@
 class LagMeter:
     """Add up the time by which a periodic tick is late.
 
-    All times are in seconds on the clock of the event loop.
+    All times are in seconds on the clock of the event loop, also the `interval`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, interval: float) -> None:
+        self._interval = interval
         self.lost = 0.0
         self._due = math.inf
         self._overdue = False
@@ -50,10 +51,10 @@
         self._resumed = -math.inf
 
     def tick(self, now: float) -> None:
-        """Measure until now, and expect the next tick after `TICK_INTERVAL`."""
+        """Measure until now, and expect the next tick after the interval."""
         self.observe(now)
         self._overdue = False
-        self._due = now + TICK_INTERVAL
+        self._due = now + self._interval
 
     def stop(self) -> None:
         """Expect no further tick."""
@@ -97,7 +98,7 @@
     """Measure the lag of one event loop while something waits for a reply."""
 
     def __init__(self) -> None:
-        self._meter = LagMeter()
+        self._meter = LagMeter(interval=TICK_INTERVAL)
         self._users = 0
         self._ticking = False
 
--- a/sequoiaarch/shards/client.py
+++ b/sequoiaarch/shards/client.py
@@ -126,7 +126,8 @@
         for name in self.keepers(shard):
             if name == self._own_target:
                 break
-            reply = await self._links.to(peers[name]).call(request, timeout=limit)
+            link = self._links.to(peers[name])
+            reply = await link.call(request, timeout=limit, wall_clock=True)
             if isinstance(reply, VerdictReply):
                 return reply
             if not isinstance(reply, Failed) or _is_final(reply.failure):
--- /dev/null
+++ b/sequoiaarch/tests/hold_up.py
@@ -0,0 +1,38 @@
+"""Hold up the event loop in tests, as a busy machine does."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator
+
+# Seconds between two repeated hold-ups, in which the event loop runs. Short, so that
+# not all requests of a test end in the first gap.
+MIN_GAP = 0.001
+MAX_GAP = 0.01
+
+
+def hold_up(seconds: float, *, after: float = 0.0) -> None:
+    """Block the event loop for `seconds` once it has run for `after` seconds."""
+    asyncio.get_running_loop().call_later(after, time.sleep, seconds)
+
+
+@contextlib.asynccontextmanager
+async def held_up_repeatedly(
+    *, seed: int, least: float, most: float
+) -> AsyncIterator[None]:
+    """Block the event loop again and again for `least` to `most` seconds."""
+    rng = random.Random(seed)
+
+    async def repeat() -> None:
+        while True:
+            await asyncio.sleep(rng.uniform(MIN_GAP, MAX_GAP))
+            time.sleep(rng.uniform(least, most))
+
+    repeating = asyncio.create_task(repeat())
+    try:
+        yield
+    finally:
+        repeating.cancel()
--- a/sequoiaarch/tests/reply_timeout_tests.py
+++ b/sequoiaarch/tests/reply_timeout_tests.py
@@ -27,7 +27,7 @@
 
     def setUp(self) -> None:
         """Create a meter whose first tick has run."""
-        self.meter = LagMeter()
+        self.meter = LagMeter(interval=TICK_INTERVAL)
         self.now = 100.0
         self.meter.tick(self.now)
 
@@ -162,10 +162,10 @@
         started = loop.time()
         self.block(0.4, after=0.01)
         with self.assertRaises(TimeoutError):
-            async with asyncio.timeout_at(started + 0.2):
-                async with reply_timeout(LIMIT):
+            async with asyncio.timeout_at(started + 0.5):
+                async with reply_timeout(1.0):
                     await asyncio.Event().wait()
-        self.assertLess(loop.time() - started, 0.4 + LIMIT - TICK_INTERVAL)
+        self.assertLess(loop.time() - started, 1.0)
 
     async def test_restart(self) -> None:
         """Count from the last restart."""
--- a/sequoiaarch/tests/wire/links_tests.py
+++ b/sequoiaarch/tests/wire/links_tests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import threading
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -28,6 +30,7 @@
     decode_request,
     encode,
 )
+from ..hold_up import held_up_repeatedly, hold_up
 
 SILENCE_LIMIT = 0.6
 Handler = Callable[[Request, Send], Awaitable[Reply]]
@@ -83,6 +86,90 @@
 
     def test_concurrent_requests(self) -> None:
         """Each of many concurrent requests gets its own reply."""
+        self.check_concurrent_requests()
+
+    def test_concurrent_requests_while_held_up(self) -> None:
+        """Requests get their replies although the event loop is blocked.
+
+        The peer used to count as silent, or as not connected, after 0.6 s in which
+        this process could not receive anything.
+        """
+        self.check_concurrent_requests(hold_ups=((0.0, 0.7), (0.75, 1.5)))
+
+    def test_concurrent_requests_while_held_up_repeatedly(self) -> None:
+        """Requests get their replies although the event loop is blocked repeatedly."""
+        self.check_concurrent_requests(seed=1)
+
+    def test_reply_that_waits_in_the_socket(self) -> None:
+        """A reply that arrives while the event loop is blocked is received.
+
+        The peer runs on a thread of its own, so that it answers meanwhile.
+        """
+        started = threading.Event()
+        stopping = threading.Event()
+        address = f"tcp://127.0.0.1:{free_port()}"
+
+        async def serve() -> None:
+            context = zmq.asyncio.Context()
+            responder = Responder(
+                context=context, address=address, handler=reply_in_chunks
+            )
+            responder_task = asyncio.create_task(responder.run())
+            started.set()
+            while not stopping.is_set():
+                await asyncio.sleep(0.01)
+            responder_task.cancel()
+            responder.close()
+            context.destroy(linger=0)
+
+        async def run() -> list[Reply]:
+            context = zmq.asyncio.Context()
+            link = Link(context=context, address=address)
+            try:
+                await link.call(LoadRequest())
+                replies = []
+                for seconds in (0.15, 0.7, 3.0):
+                    hold_up(seconds)
+                    replies.append(await link.call(LoadRequest(), timeout=0.1))
+                return replies
+            finally:
+                link.close()
+                context.destroy(linger=0)
+
+        peer = threading.Thread(target=asyncio.run, args=(serve(),))
+        peer.start()
+        try:
+            started.wait()
+            replies = asyncio.run(run())
+        finally:
+            stopping.set()
+            peer.join()
+        self.assertEqual([type(reply) for reply in replies], [LoadReply] * 3)
+
+    def test_deadline_of_the_caller(self) -> None:
+        """A wall-clock timeout is not extended while the event loop is blocked."""
+
+        async def hang(request: Request, send: Send) -> Reply:
+            await asyncio.Event().wait()
+            raise AssertionError
+
+        async def work(link: Link, _: Responder, address: str) -> tuple[Reply, float]:
+            started = time.monotonic()
+            hold_up(0.45, after=0.01)
+            reply = await link.call(LoadRequest(), timeout=0.5, wall_clock=True)
+            return reply, time.monotonic() - started
+
+        reply, elapsed = self.run_with_link(hang, work)
+        self.assertIsInstance(reply, Failed)
+        self.assertLess(elapsed, 0.8)
+
+    def check_concurrent_requests(
+        self,
+        *,
+        hold_ups: tuple[tuple[float, float], ...] = (),
+        seed: int | None = None,
+    ) -> None:
+        """Send many concurrent requests while the event loop may be blocked."""
 
         async def echo(request: Request, send: Send) -> Reply:
             assert isinstance(request, DrainRequest)
@@ -91,8 +178,13 @@
             return Accepted(load=load)
 
         async def work(link: Link, _: Responder, address: str) -> list[Reply]:
+            for after, seconds in hold_ups:
+                hold_up(seconds, after=after)
             calls = [link.call(DrainRequest(drain=n % 3 == 0)) for n in range(300)]
-            return list(await asyncio.gather(*calls))
+            if seed is None:
+                return list(await asyncio.gather(*calls))
+            async with held_up_repeatedly(seed=seed, least=0.3, most=1.5):
+                return list(await asyncio.gather(*calls))
 
         replies = self.run_with_link(echo, work)
         self.assertEqual(
--- a/sequoiaarch/wire/links.py
+++ b/sequoiaarch/wire/links.py
@@ -15,6 +15,7 @@
 from zmq.utils.monitor import recv_monitor_message
 
 from ..errors import ErrorKind, Failure, NotRun
+from ..reply_timeout import reply_clock, reply_timeout
 from .messages import (
     Accepted,
     Failed,
@@ -179,7 +180,8 @@
         self._silence_limit = silence_limit
         self._ids = itertools.count(1)
         self._pending: dict[bytes, asyncio.Queue[tuple[bytes, Reply]]] = {}
-        self._last_received = 0.0
+        self._clock = reply_clock()
+        self._last_received = self._clock.mark()
         self._disconnected = False
         self._socket = self._connect()
         self._tasks = self._start_tasks()
@@ -221,8 +223,9 @@
         request_id = next(self._ids).to_bytes(ID_BYTES, "big")
         replies: asyncio.Queue[tuple[bytes, Reply]] = asyncio.Queue()
         if not self._pending:
-            self._last_received = asyncio.get_running_loop().time()
+            self._last_received = self._clock.mark()
         self._pending[request_id] = replies
+        self._clock.acquire()
         try:
             if not await self._send([request_id, encode(request)]):
                 yield Failed(failure=self._interrupted("no connection", NotRun.YES))
@@ -233,13 +236,19 @@
                 yield reply
         finally:
             self._pending.pop(request_id, None)
+            self._clock.release()
 
     async def _send(self, frames: list[bytes]) -> bool:
         """Send frames; return False if they have not left this process."""
+        sent = asyncio.ensure_future(self._socket.send_multipart(frames))
+        # Without a full queue or a lost connection the message has left already.
+        if sent.done():
+            sent.result()
+            return True
         limit = RECONNECT_TIMEOUT if self._disconnected else self._silence_limit
         try:
-            async with asyncio.timeout(limit):
-                await self._socket.send_multipart(frames)
+            async with reply_timeout(limit):
+                await sent
         except TimeoutError:
             return False
         except asyncio.CancelledError:
@@ -250,11 +259,18 @@
             return False
         return True
 
-    async def call(self, request: Message, *, timeout: float = 30.0) -> Reply:
-        """Send a request; return its last reply, or Failed after `timeout` seconds."""
+    async def call(
+        self, request: Message, *, timeout: float = 30.0, wall_clock: bool = False
+    ) -> Reply:
+        """Send a request; return its last reply, or Failed after `timeout` seconds.
+
+        Time in which this process could not receive a reply does not count, unless
+        the timeout is a caller's deadline (`wall_clock`).
+        """
         last: Reply = Failed(failure=self._interrupted("no reply"))
         try:
-            async with asyncio.timeout(timeout):
+            limit = asyncio.timeout(timeout) if wall_clock else reply_timeout(timeout)
+            async with limit:
                 async for reply in self.stream(request):
                     last = reply
         except TimeoutError:
@@ -271,7 +287,7 @@
     async def _receive(self) -> None:
         while True:
             frames = await self._socket.recv_multipart()
-            self._last_received = asyncio.get_running_loop().time()
+            self._last_received = self._clock.mark()
             for index in range(0, len(frames) - 2, FRAMES_PER_REPLY):
                 self._deliver(*frames[index : index + FRAMES_PER_REPLY])
 
@@ -293,12 +309,11 @@
                 self._fail_pending("disconnected")
 
     async def _ping_while_pending(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(PING_INTERVAL)
             if not self._pending:
                 continue
-            if loop.time() - self._last_received > self._silence_limit:
+            if self._clock.remaining(self._silence_limit, self._last_received) <= 0:
                 self._fail_pending("silent")
                 continue
             with contextlib.suppress(zmq.Again):
