Discount this process's lag while delegates, lenders and the log are awaited

With the event loop blocked for 0.15 s as a turn was asked for, a gateway took its delegate for lost and opened the turn itself. With 0.06 to 0.2 s it found no lender, and with 0.7 s it asked lenders although the log answered. Requests to lenders and share owners use the timeout of the link; the first reply of a delegate and the wait for the log now use the same one.

--- a/sequoiaarch/fleet/delegate_calls.py
+++ b/sequoiaarch/fleet/delegate_calls.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
-
+from ..reply_timeout import reply_timeout
 from ..wire.links import Link
 from ..wire.messages import (
     CommitTurnRequest,
@@ -34,10 +33,10 @@
     replies = link.stream(request)
     last: Reply = failure_reply("no reply")
     try:
-        async with asyncio.timeout(first_reply_timeout) as limit:
+        async with reply_timeout(first_reply_timeout) as limit:
             async for reply in replies:
                 last = reply
-                limit.reschedule(asyncio.get_running_loop().time() + NEXT_REPLY_TIMEOUT)
+                limit.restart(NEXT_REPLY_TIMEOUT)
     except TimeoutError:
         return failure_reply("no reply in time")
     return last
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Protocol
 
 from ..ids import Offset
+from ..reply_timeout import reply_timeout
 from .holds import Hold, Lender, NoLender
 from .ledger import Ledger
 from .reservation import Reservation
@@ -129,7 +131,7 @@
     async def verdict(self) -> BudgetVerdict:
         """Wait until it is known whether the turn is granted; borrow if it is late."""
         try:
-            async with asyncio.timeout(LOG_TIMEOUT):
+            async with reply_timeout(LOG_TIMEOUT):
                 verdict = await self._hold.verdict()
         except TimeoutError:
             verdict = BudgetVerdict.UNCERTAIN
@@ -167,7 +169,7 @@
 
     async def _cover_in_time(self, total: int) -> bool:
         try:
-            async with asyncio.timeout(LOG_TIMEOUT):
+            async with reply_timeout(LOG_TIMEOUT):
                 return await self._hold.cover(total - self._used_before)
         except TimeoutError:
             return False
@@ -270,7 +272,9 @@
         """Obtain a hold from the log, or else from a lender."""
         reserving = asyncio.create_task(self._ledger.reserve(terms))
         try:
-            await asyncio.wait([reserving], timeout=LOG_TIMEOUT)
+            with contextlib.suppress(TimeoutError):
+                async with reply_timeout(LOG_TIMEOUT):
+                    await asyncio.wait([reserving])
             if reserving.done() and reserving.result() not in LENDABLE_VERDICTS:
                 return reserving.result()
             verdict = (
--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -48,6 +48,7 @@
     decode_request,
     encode,
 )
+from ..hold_up import hold_up
 
 LOCAL_CENTRE = DataCentre("here")
 PROGRAM = ProgramId("program")
@@ -424,6 +425,19 @@
         turn.close()
         await self.assert_grant_released()
 
+    async def test_caller_leaves_during_fallback_while_held_up(self) -> None:
+        """Ask the delegate also if the event loop is blocked while it answers.
+
+        The gateway used to open the turn itself, so that there was nothing to fall
+        back from.
+        """
+        hold_up(0.15)
+        turn, pending = await self.start_fallback()
+        pending.cancel()
+        await asyncio.wait([pending])
+        turn.close()
+        await self.assert_grant_released()
+
     async def test_turn_ends_during_fallback(self) -> None:
         """Release a local reservation whose turn ends before it is granted."""
         turn, pending = await self.start_fallback()
@@ -715,6 +729,19 @@
         turn = await self.opened(self.other, self.small_start("t2"))
         self.assertIsInstance(turn, DelegatedTurn)
 
+    async def test_caller_comes_back_while_held_up(self) -> None:
+        """Serve a caller through the delegate although the event loop is blocked.
+
+        The gateway used to take the delegate for lost after 0.1 s in which it could
+        not have received the reply.
+        """
+        hold_up(0.15)
+        first = await self.opened(self.other, self.small_start("t1"))
+        self.assertIsInstance(first, DelegatedTurn)
+        hold_up(0.7)
+        second = await self.opened(self.other, self.small_start("t2"))
+        self.assertIsInstance(second, DelegatedTurn)
+
     async def test_caller_comes_back_through_the_delegate(self) -> None:
         """Serve a caller that returns to the delegate itself at once."""
         await self.opened(self.other, self.small_start("t1"))
--- a/sequoiaarch/tests/fleet/loan_service_tests.py
+++ b/sequoiaarch/tests/fleet/loan_service_tests.py
@@ -48,6 +48,7 @@
     SettleRequest,
     TurnOpened,
 )
+from ..hold_up import hold_up
 from .delegates_tests import FailingStoreClient
 
 PROGRAM = ProgramId("program")
@@ -175,6 +176,8 @@
         self.lend_delay = 0.0
         # Delay before the reply to a loan request. Seconds.
         self.answer_delay = 0.0
+        # How long the event loop is blocked after a loan was lent. Seconds.
+        self.hold_up = 0.0
         # Number of settlements that are dropped.
         self.settlements_lost = 0
         self.settlements = 0
@@ -184,6 +187,8 @@
         if isinstance(request, LendRequest):
             await asyncio.sleep(self.lend_delay)
             reply = self._process.loan_service.answer(request)
+            if self.hold_up:
+                hold_up(self.hold_up)
             await asyncio.sleep(self.answer_delay)
             return reply
         if isinstance(request, SettleRequest):
@@ -284,6 +289,20 @@
         self.assertIs(await turn.verdict(), BudgetVerdict.FITS)
         self.assertEqual(turn.covered, 300)
 
+    async def test_log_answers_while_held_up(self) -> None:
+        """Wait for the log, not for a lender, if the event loop is blocked.
+
+        The log used to count as unavailable after 0.3 s.
+        """
+        self.other.client.faults.delay = 0.05
+        hold_up(0.7, after=0.01)
+        turn = await self.other.turns.open(start("turn-1"))
+        assert isinstance(turn, LocalTurn)
+        hold_up(0.7, after=0.01)
+        self.assertIs(await turn.verdict(), BudgetVerdict.FITS)
+        self.assertNotIn("lent", turn.where)
+        self.assertFalse(self._has_open_loans())
+
     async def test_looping_program_is_limited(self) -> None:
         """Limit a looping program to its lendable part over all gateways."""
         self.make_store_unavailable()
@@ -547,6 +566,19 @@
 
     async def test_lost_reply_to_increase(self) -> None:
         """Keep the tokens of a loan if the reply to an increase is lost."""
+        await self.check_lost_reply_to_increase(UnreliableLender(self.lender))
+
+    async def test_lost_reply_to_increase_while_held_up(self) -> None:
+        """Borrow although the event loop is blocked while the lender answers.
+
+        The lender used to count as lost after 0.15 s, and no other one had tokens.
+        """
+        lender_link = UnreliableLender(self.lender)
+        lender_link.hold_up = 0.2
+        await self.check_lost_reply_to_increase(lender_link)
+
+    async def check_lost_reply_to_increase(self, lender_link: UnreliableLender) -> None:
+        """Borrow for two turns and lose the reply to an increase."""
         self.make_store_unavailable()
         first = await self.open_on_loan(self.other, "turn-1", most=200)
         second = await self.open_on_loan(self.other, "turn-2", most=300)
@@ -555,7 +587,6 @@
         await self.wait_until(
             lambda: self.lender.book.available(PROGRAM, BUDGET, 0) > 150
         )
-        lender_link = UnreliableLender(self.lender)
         lender_link.answer_delay = 2 * LOG_TIMEOUT
         self.assertFalse(await second._cover_in_time(180))
         self.assertEqual(self.lender.book.totals(), {PROGRAM: 300})
@@ -605,8 +636,23 @@
 
     async def test_caller_leaves_during_borrow(self) -> None:
         """Settle a loan whose caller leaves at any time before it is granted."""
+        await self.check_caller_leaves_during_borrow(UnreliableLender(self.lender))
+
+    async def test_caller_leaves_during_borrow_while_held_up(self) -> None:
+        """Settle such a loan also if the event loop is blocked before the reply.
+
+        The gateway used to give up and refuse the turn before its caller left.
+        """
+        for seconds in (0.06, 0.2):
+            lender_link = UnreliableLender(self.lender)
+            lender_link.hold_up = seconds
+            await self.check_caller_leaves_during_borrow(lender_link)
+
+    async def check_caller_leaves_during_borrow(
+        self, lender_link: UnreliableLender
+    ) -> None:
+        """Open turns whose callers leave at different times."""
         self.make_store_unavailable()
-        lender_link = UnreliableLender(self.lender)
         lender_link.answer_delay = ASK_TIMEOUT / 2
         for number in range(6):
             opening = asyncio.create_task(
--- a/sequoiaarch/tests/fleet/quotas_tests.py
+++ b/sequoiaarch/tests/fleet/quotas_tests.py
@@ -25,6 +25,7 @@
 from ...workspaces.shares import ShareOwners
 from ...workspaces.sliding_window import QuotaBounds
 from ...workspaces.token_cache import Token, TokenCache
+from ..hold_up import hold_up
 from .delegates_tests import FailingStoreClient
 
 WORKSPACE = Workspace("w")
@@ -128,6 +129,16 @@
         self.assertEqual(len(result), 1)
         self.assertEqual({other.data_centre for other in self.owners()}, set(CENTRES))
 
+    async def test_owner_is_asked_while_held_up(self) -> None:
+        """Take a token from the owner although the event loop is blocked.
+
+        The owner used to count as failed, so that another one was asked.
+        """
+        host = next(host for host in self.hosts if host not in self.owners())
+        hold_up(0.3)
+        self.assertIsInstance(await host.take(), Token)
+        self.assertEqual(sum(owner.asked for owner in self.owners()), 1)
+
     async def test_total_stays_within_limit(self) -> None:
         """Serve most of the limit and never more, through one host or all."""
         for hosts in (self.hosts[:1], self.hosts):
