Discount this process's lag in attempts at targets and in connecting

With the event loop blocked for 0.7 s before an answer, a gateway gave up the attempt after 0.6 s and answered 502, and a target whose connection it could not see in time counted as failed. The watch for silent targets measures its lag with the same meter. It now also discounts lags of 5 to 50 ms.

--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from ..reply_timeout import reply_timeout
 from .messages import (
     ExchangeError,
     ExchangeFault,
@@ -219,7 +220,7 @@
     """Connect within `timeout` seconds; raise ExchangeError on failure."""
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout):
+        async with reply_timeout(timeout):
             _, connection = await loop.create_connection(ClientConnection, *address)
     except TimeoutError:
         raise ExchangeError(ExchangeFault.TIMEOUT, "connecting", sent=False) from None
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -14,6 +14,7 @@
 from ..ledger.turns import OpenTurn, TurnRefusal, Turns
 from ..observe.request_metrics import RequestMetrics
 from ..policies.retries import attempt_timeout
+from ..reply_timeout import reply_timeout
 from ..routing.routes import Route, RouteKind
 from ..workspaces.access import Caller
 from ..workspaces.directory import scoped
@@ -157,7 +158,7 @@
         self._dispatcher.retries.request_started()
         while True:
             try:
-                async with asyncio.timeout(self._attempt_timeout()):
+                async with reply_timeout(self._attempt_timeout()):
                     response, body = await self._whole_response()
             except ExchangeError as error:
                 self._check_retry(error)
--- a/sequoiaarch/ingress/load.py
+++ b/sequoiaarch/ingress/load.py
@@ -9,6 +9,7 @@
 
 from ..ids import InstanceId
 from ..policies.health import TargetHealth
+from ..reply_timeout import LagMeter
 
 # Weight of a new observation in the moving average of waits. With about five answers a
 # second from each engine the average follows the load within half a second.
@@ -118,16 +119,19 @@
         otherwise only the callers' deadlines would reveal it.
         """
         loop = asyncio.get_running_loop()
+        # Its own meter, as the shared clock would have to tick all the time.
+        meter = LagMeter(interval=SILENCE_CHECK_INTERVAL)
         while True:
-            started_at = loop.time()
+            lost = meter.lost
+            meter.tick(loop.time())
             await asyncio.sleep(SILENCE_CHECK_INTERVAL)
-            # The lag is time in which this process could not receive anything.
-            self._report_silent(loop.time() - started_at - SILENCE_CHECK_INTERVAL)
+            meter.observe(loop.time())
+            self._report_silent(meter.lost - lost)
 
     def _report_silent(self, lag: float) -> None:
         now = asyncio.get_running_loop().time()
         for instance, load in list(self._loads.items()):
-            if lag > SILENCE_CHECK_INTERVAL:
+            if lag > 0:
                 load.deadlines = {
                     request: deadline + lag
                     for request, deadline in load.deadlines.items()
--- a/sequoiaarch/tests/http1/exchange_tests.py
+++ b/sequoiaarch/tests/http1/exchange_tests.py
@@ -20,6 +20,7 @@
     stream_head,
     whole_answer,
 )
+from ..hold_up import hold_up
 
 TIMEOUT = 10.0
 ATTEMPT_HEADER = "Attempt"
@@ -70,6 +71,17 @@
         self.assertTrue(caught.exception.sent)
         return caught.exception.fault
 
+    async def test_connect_while_held_up(self) -> None:
+        """Connect to a target that accepts while the event loop is blocked.
+
+        Connecting used to time out, and the target counted as failed.
+        """
+        await self.serve()
+        for seconds in (0.15, 0.7):
+            hold_up(seconds)
+            connection = await connect(("127.0.0.1", self.target.port), timeout=0.1)
+            connection.abort()
+
     async def test_connection_is_reused(self) -> None:
         """A connection is reusable after a complete response."""
         connection = await self.serve(whole_answer(b"answer"))
--- a/sequoiaarch/tests/ingress/load_tests.py
+++ b/sequoiaarch/tests/ingress/load_tests.py
@@ -9,6 +9,7 @@
 from ...ids import HostName, InstanceId
 from ...ingress.load import SILENCE_CHECK_INTERVAL, LoadTracker
 from ...policies.health import EJECTED_FAILURE_RATE, TargetHealth, first_event_due
+from ..hold_up import hold_up
 
 TARGET = InstanceId("target")
 OTHER = HostName("other")
@@ -92,6 +93,33 @@
             self.assertEqual(self.tracker.failure_rate(TARGET), 0.0)
 
 
+class WatchTests(unittest.IsolatedAsyncioTestCase):
+    """Watch targets on the clock of the event loop."""
+
+    async def asyncSetUp(self) -> None:
+        """Watch a target whose next data is due."""
+        self.tracker = LoadTracker(health=TargetHealth(own=HostName("own")))
+        self.reported: list[bool] = []
+        self.tracker.report = lambda instance, ok: self.reported.append(ok)
+        watching = asyncio.create_task(self.tracker.watch())
+        self.addCleanup(watching.cancel)
+        self.tracker.expect_within(TARGET, "request", 0.25)
+
+    async def test_blocked_event_loop(self) -> None:
+        """Report no target whose data could not be received in time."""
+        hold_up(0.4, after=0.02)
+        await asyncio.sleep(0.15)
+        self.tracker.data_received(TARGET, "request")
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.reported, [])
+
+    async def test_silence_after_blocked_event_loop(self) -> None:
+        """Report a target that stays silent after the event loop was blocked."""
+        hold_up(0.4, after=0.02)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.reported, [False])
+
+
 class LowerQuartileWaitTests(unittest.IsolatedAsyncioTestCase):
     """Estimate whether all targets are full from recent waits."""
 
--- a/sequoiaarch/tests/platform/quotas_tests.py
+++ b/sequoiaarch/tests/platform/quotas_tests.py
@@ -7,6 +7,7 @@
 
 from ...standins.target import TargetExchange
 from ...workspaces.sliding_window import QuotaBounds
+from ..hold_up import hold_up
 from .deployment import (
     ENGINES,
     ROUTES,
@@ -38,6 +39,8 @@
         """Start a gateway with two targets."""
         await super().asyncSetUp()
         self.executed = 0
+        # Numbers of the requests whose answer the event loop holds up.
+        self.held_up: set[int] = set()
         document = config(2, ROUTES, tenants=WORKSPACES)
         await self.store.put("keyed.op", "config", document)
         await self.add_target("engine", ENGINES, self.count_stream)
@@ -54,6 +57,9 @@
     async def count_tool(self, exchange: TargetExchange) -> None:
         """Count a request and answer with a body."""
         self.executed += 1
+        if self.executed in self.held_up:
+            hold_up(0.7)
+            await asyncio.sleep(0.01)
         await tool_answer(exchange)
 
     async def tool(self, key: str) -> Answer:
@@ -64,6 +70,18 @@
 
     async def test_workspace_over_limit(self) -> None:
         """Refuse requests over the limit as not run, with a retry time."""
+        await self.check_workspace_over_limit()
+
+    async def test_workspace_over_limit_while_held_up(self) -> None:
+        """Give up no attempt while the event loop is blocked before its answer.
+
+        The gateway used to answer 502, as it took the request for lost after 0.6 s.
+        """
+        self.held_up = {1, 2, 5}
+        await self.check_workspace_over_limit()
+
+    async def check_workspace_over_limit(self) -> None:
+        """Send more requests than the limit allows."""
         started = time.monotonic()
         answers = [await self.tool(LIMITED_KEY) for _ in range(5 * MAX_REQUESTS)]
         windows = 1 + (time.monotonic() - started)
