Count the delays of late replies in tests as reply timeouts count them

A delay in wall-clock time may end before a reply timeout if the event loop is held up meanwhile: the reply that the test means to be late then arrives in time. The stand-ins now delay replies by time in which the event loop runs. On an idle machine the delays are the same.

--- a/sequoiaarch/tests/fleet/delegates_tests.py
+++ b/sequoiaarch/tests/fleet/delegates_tests.py
@@ -48,7 +48,7 @@
     decode_request,
     encode,
 )
-from ..hold_up import hold_up
+from ..hold_up import hold_up, sleep_running
 
 LOCAL_CENTRE = DataCentre("here")
 PROGRAM = ProgramId("program")
@@ -590,7 +590,7 @@
             if not isinstance(request, kind):
                 return await original_handler(request, send)
             work = asyncio.create_task(original_handler(request, discard_reply))
-            await asyncio.sleep(LATE_REPLY_DELAY)
+            await sleep_running(LATE_REPLY_DELAY)
             return await work
 
         self.set_delegate_handler(answer)
--- a/sequoiaarch/tests/fleet/loan_service_tests.py
+++ b/sequoiaarch/tests/fleet/loan_service_tests.py
@@ -48,7 +48,7 @@
     SettleRequest,
     TurnOpened,
 )
-from ..hold_up import hold_up
+from ..hold_up import hold_up, sleep_running
 from .delegates_tests import FailingStoreClient
 
 PROGRAM = ProgramId("program")
@@ -185,11 +185,13 @@
 
     async def _answer(self, request: Request, send: Send) -> Reply:
         if isinstance(request, LendRequest):
-            await asyncio.sleep(self.lend_delay)
+            if self.lend_delay:
+                await sleep_running(self.lend_delay)
             reply = self._process.loan_service.answer(request)
             if self.hold_up:
                 hold_up(self.hold_up)
-            await asyncio.sleep(self.answer_delay)
+            if self.answer_delay:
+                await sleep_running(self.answer_delay)
             return reply
         if isinstance(request, SettleRequest):
             self.settlements += 1
@@ -542,7 +544,7 @@
         refused = await self.other.turns.open(start("turn-1", most=300))
         self.assertIs(refused, BudgetVerdict.UNCERTAIN)
         await self.wait_until(lambda: lender_link.settlements > 0)
-        await asyncio.sleep(3 * ASK_TIMEOUT)
+        await sleep_running(3 * ASK_TIMEOUT)
         self.assertEqual(self.lender.book.totals(), {})
 
     async def test_turn_ends_during_borrow(self) -> None:
