--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -15,6 +15,7 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.program_placement import ProgramDemand
 from ..policies.retries import attempt_timeout
+from ..reply_timeout import ReplyTimeout, reply_timeout
 from ..routing.routes import Route, RouteKind
 from ..workspaces.access import Caller
 from ..workspaces.directory import scoped
@@ -74,7 +75,7 @@
         # Bytes of the response and of the program's history, as counted.
         self._held = writer.held
         self._collected = 0
-        self._attempt_scope: asyncio.Timeout | None = None
+        self._attempt_scope: ReplyTimeout | None = None
         self._request_token = RequestToken(quotas=quotas, caller=caller)
         self._attempts = Attempts(
             message=message,
@@ -177,7 +178,7 @@
         self._dispatcher.retries.request_started()
         while True:
             try:
-                async with asyncio.timeout(self._attempt_timeout()) as scope:
+                async with reply_timeout(self._attempt_timeout()) as scope:
                     self._attempt_scope = scope
                     response, body = await self._whole_response()
             except ExchangeError as error:
@@ -250,7 +251,7 @@
         """
         self._attempts.reading_paused(response)
         if self._attempt_scope is not None:
-            self._attempt_scope.reschedule(None)
+            self._attempt_scope.cancel()
         while self._held.memory.must_wait(self._held):
             await asyncio.sleep(PAUSE_INTERVAL)
 
