Mend counts of the placement book that drift or refuse too early

Cause, by reading and by a test with random events: a grant that nobody used counted as the end of a program and gave it a home, so that it came back without being judged; a program that came back after a pause did not count until its next report; a report from before a grant undid it; taking back one end removed that of another program; an owner refused in its first 0.4 s if caches were full or retries due; counters of engines that left stayed; negative prompt sizes made room. Change: unused grants are dropped without a trace; grants stand until a report agrees or they lapse; counters end with their last program. Reports count for each process, so that two processes of one host don't replace each other's programs.

--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..ids import HostName, InstanceId, ProgramId, Workspace
+from ..ids import HostName, InstanceId, ProgramId, Workspace, WriterId
 from ..policies.program_placement import (
     EngineState,
     ProgramDemand,
@@ -19,15 +19,19 @@
 from ..policies.return_queue import ReturnQueue
 from ..wire.messages import ProgramReport
 
-# Seconds after which a host's report no longer counts: the host is lost, and its
-# programs continue through others.
+# A process that reports, or its host if it is of a build that doesn't name its process.
+# Two processes of one host may report while one replaces the other.
+Reporter = HostName | WriterId
+
+# Seconds after which a report no longer counts: its process is lost, and its programs
+# continue through others.
 REPORT_LIFE = 1.0
 # Seconds within which a granted program must appear in a report.
 GRANT_LIFE = 0.6
 # Seconds for which the engine of a program is known after its last report, as the
 # program may go on through another host.
 HOME_LIFE = 2.0
-# Seconds after the first report within which nothing is refused: not all hosts have
+# Seconds after the first report within which nothing is refused: not all processes have
 # reported their programs yet.
 WARM_UP = 0.4
 # Window of the rate at which programs end, in seconds.
@@ -41,12 +45,15 @@
 
 @dataclass(kw_only=True)
 class _Entry:
-    """A program with the hosts that report it; `granted_at` until the first one."""
+    """A program with the processes that report it.
+
+    `granted_at` is set until the first report that agrees with the grant.
+    """
 
     instance: InstanceId
     tokens: int
     workspace: Workspace | None
-    hosts: set[HostName] = field(default_factory=set)
+    reporters: set[Reporter] = field(default_factory=set)
     granted_at: float | None = None
 
 
@@ -67,8 +74,8 @@
     def __init__(self, *, policy: ProgramPlacement) -> None:
         self._policy = policy
         self._entries: dict[ProgramId, _Entry] = {}
-        self._reported: dict[HostName, set[ProgramId]] = {}
-        self._reported_at: dict[HostName, float] = {}
+        self._reported: dict[Reporter, set[ProgramId]] = {}
+        self._reported_at: dict[Reporter, float] = {}
         self._grants: deque[tuple[float, ProgramId]] = deque()
         self._homes: dict[ProgramId, tuple[float, InstanceId]] = {}
         self._ended: deque[float] = deque()
@@ -95,25 +102,26 @@
 
     def report(
         self,
-        host: HostName,
+        reporter: Reporter,
         programs: Sequence[ProgramReport],
         pause: float | None,
         now: float,
     ) -> None:
-        """Replace what a host reported before."""
+        """Replace what a process reported before."""
         if now - self._last_report > REPORT_LIFE:
             self._first_report = now
         self._last_report = now
-        before = self._reported.pop(host, set())
+        before = self._reported.pop(reporter, set())
+        self._reported_at.pop(reporter, None)
         names = set()
         for program in programs:
             names.add(program.program)
-            self._reported_by(host, program)
+            self._reported_by(reporter, program, now)
         for name in before - names:
-            self._no_longer_reported(host, name, now)
+            self._no_longer_reported(reporter, name, now)
         if names:
-            self._reported[host] = names
-            self._reported_at[host] = now
+            self._reported[reporter] = names
+            self._reported_at[reporter] = now
         if pause is not None and 0 <= pause <= MAX_PAUSE:
             if self.pause is None:
                 self.pause = pause
@@ -133,7 +141,8 @@
     ) -> Decision | None:
         """Return the engine for a program, or None if no engine has room.
 
-        A program that is known stays where it is.
+        A program that is known stays where it is. Nothing is refused until all hosts
+        have had time to report.
         """
         self.expire(now)
         known = self._known_home(program)
@@ -144,8 +153,8 @@
             demand, tokens=max(demand.tokens, self.mean_tokens)
         )
         if not self.warm(now):
-            wanted = msgspec.structs.replace(wanted, max_wait=math.inf)
-        if demand.in_progress:
+            wanted = msgspec.structs.replace(wanted, in_progress=True)
+        if wanted.in_progress:
             engine = self._policy.choose(engines, wanted)
             return None if engine is None else Decision(instance=engine.instance)
         reserved = self.returns.reserved(program, rank=demand.rank, now=now)
@@ -166,18 +175,24 @@
     ) -> None:
         """Count a program on an engine until it is reported or its grant lapses."""
         self.returns.admit(program)
-        self._remove(program)
+        self._resume(program, now)
+        earlier = self._remove(program)
         self._add(
             program,
             _Entry(
                 instance=instance,
-                tokens=demand.tokens,
+                tokens=max(0, demand.tokens),
                 workspace=demand.workspace,
+                reporters=set() if earlier is None else earlier.reporters,
                 granted_at=now,
             ),
         )
         self._grants.append((now, program))
 
+    def counts(self, program: ProgramId) -> bool:
+        """Return whether a program counts on an engine."""
+        return program in self._entries
+
     def refuse(self, program: ProgramId, demand: ProgramDemand, now: float) -> float:
         """Return after how many seconds a refused program should return."""
         return self.returns.refuse(
@@ -194,36 +209,54 @@
 
     def rate(self, now: float) -> float:
         """Return how many programs end each second."""
-        while self._ended and self._ended[0] < now - RATE_WINDOW:
-            self._ended.popleft()
-        return len(self._ended) / RATE_WINDOW or INITIAL_RATE
+        recent = sum(ended_at >= now - RATE_WINDOW for ended_at in self._ended)
+        return recent / RATE_WINDOW or INITIAL_RATE
 
     def expire(self, now: float) -> None:
-        """Drop lost hosts, unused grants and old homes."""
-        for host, reported_at in list(self._reported_at.items()):
+        """Drop lost processes, unused grants, old homes and old ends."""
+        for reporter, reported_at in list(self._reported_at.items()):
             if reported_at < now - REPORT_LIFE:
-                del self._reported_at[host]
-                for name in self._reported.pop(host, set()):
-                    self._no_longer_reported(host, name, now)
+                del self._reported_at[reporter]
+                for name in self._reported.pop(reporter, set()):
+                    self._no_longer_reported(reporter, name, now)
         while self._grants and self._grants[0][0] < now - GRANT_LIFE:
             granted_at, name = self._grants.popleft()
             entry = self._entries.get(name)
             if entry is not None and entry.granted_at == granted_at:
-                self._end(name, now)
+                self._lapse(name, entry)
         while self._homes:
             name, (ended_at, _) = next(iter(self._homes.items()))
             if ended_at > now - HOME_LIFE:
                 break
             del self._homes[name]
+        while self._ended and self._ended[0] < now - RATE_WINDOW:
+            self._ended.popleft()
 
-    def _reported_by(self, host: HostName, program: ProgramReport) -> None:
+    def _lapse(self, name: ProgramId, entry: _Entry) -> None:
+        """Drop a grant that no report agreed with.
+
+        No turn was opened with it, so no engine has the prompt, and it does not count
+        as the end of a program.
+        """
+        if entry.reporters:
+            entry.granted_at = None
+        else:
+            self._remove(name)
+
+    def _reported_by(
+        self, reporter: Reporter, program: ProgramReport, now: float
+    ) -> None:
+        self._resume(program.program, now)
         entry = self._entries.get(program.program)
-        resumed = entry is None and self._homes.pop(program.program, None) is not None
-        if resumed and self._ended:
-            # It had not ended, but only paused for longer than usual.
-            self._ended.pop()
-        hosts = set() if entry is None else entry.hosts
-        hosts.add(host)
+        reporters = set() if entry is None else entry.reporters
+        reporters.add(reporter)
+        if (
+            entry is not None
+            and entry.granted_at is not None
+            and entry.instance != program.instance
+        ):
+            # The report may be older than the grant, which moves the program.
+            return
         self._remove(program.program)
         self._add(
             program.program,
@@ -231,16 +264,18 @@
                 instance=program.instance,
                 tokens=max(0, program.tokens),
                 workspace=program.workspace,
-                hosts=hosts,
+                reporters=reporters,
             ),
         )
 
-    def _no_longer_reported(self, host: HostName, name: ProgramId, now: float) -> None:
+    def _no_longer_reported(
+        self, reporter: Reporter, name: ProgramId, now: float
+    ) -> None:
         entry = self._entries.get(name)
         if entry is None:
             return
-        entry.hosts.discard(host)
-        if not entry.hosts and entry.granted_at is None:
+        entry.reporters.discard(reporter)
+        if not entry.reporters and entry.granted_at is None:
             self._end(name, now)
 
     def _end(self, name: ProgramId, now: float) -> None:
@@ -250,6 +285,12 @@
             self._homes.pop(name, None)
             self._homes[name] = (now, entry.instance)
 
+    def _resume(self, name: ProgramId, now: float) -> None:
+        """Take back the end of a program that only paused for longer than usual."""
+        ended_at, _ = self._homes.pop(name, (-math.inf, None))
+        if ended_at >= now - RATE_WINDOW and ended_at in self._ended:
+            self._ended.remove(ended_at)
+
     def _known_home(self, program: ProgramId) -> InstanceId | None:
         entry = self._entries.get(program)
         if entry is not None:
@@ -267,4 +308,8 @@
         if entry is not None:
             self._programs[entry.instance] -= 1
             self._tokens[entry.instance] -= entry.tokens
+            if not self._programs[entry.instance]:
+                # Engines that leave must not stay in the counters.
+                del self._programs[entry.instance]
+                del self._tokens[entry.instance]
         return entry
