--- a/sequoiaarch/fleet/delegated_turn.py
+++ b/sequoiaarch/fleet/delegated_turn.py
@@ -86,7 +86,7 @@
         self._host = host
         self._link = link
         self._turns = turns
-        self.engine = TurnEngine(home=opened.home)
+        self.engine = TurnEngine(home=opened.home, placed_by=opened.placed_by)
         self._used = 0
         self._covered = opened.covered
         self._ended = False
--- a/sequoiaarch/fleet/delegates.py
+++ b/sequoiaarch/fleet/delegates.py
@@ -32,7 +32,7 @@
 from .notifier import ATTEMPT_TIMEOUT, Notifier
 from .peer_health import PeerHealth
 from .peers import Peers
-from .placed_turns import no_room
+from .placed_turns import check_estimate, overloaded
 from .ranking import SlotRanking
 
 log = logbook.Logger("delegates")
@@ -93,6 +93,8 @@
         self._local = local
         self._placed = placed or local
         self._ledger = ledger
+        # Delegates of an older build, which place no programs.
+        self._older: set[HostName] = set()
         self._notifier = Notifier(timeout=ATTEMPT_TIMEOUT)
         self._numbers = itertools.count(1)
 
@@ -103,10 +105,12 @@
         host = self._delegates.delegate_of(start.terms.program)
         if host is not None:
             opened = await self._open_at(host, start, demand)
-            return await self._open_here(start) if opened is None else opened
+            return await self._open_here(start, demand) if opened is None else opened
         return await self._placed.open(start, demand)
 
-    async def _open_here(self, start: TurnStart) -> LocalTurn | TurnRefusal:
+    async def _open_here(
+        self, start: TurnStart, demand: ProgramDemand | None
+    ) -> LocalTurn | TurnRefusal:
         """Open a turn in this process after its delegate failed to.
 
         Retries for a moment while the budget is held: a delegate that was only late
@@ -114,7 +118,7 @@
         """
         deadline = asyncio.get_running_loop().time() + HELD_RETRY_PERIOD
         while True:
-            opened = await self._local.open(start)
+            opened = await self._placed.open(start, demand)
             expired = asyncio.get_running_loop().time() >= deadline
             if opened is not BudgetVerdict.HELD or expired:
                 return opened
@@ -127,6 +131,8 @@
         link = self._delegates.link(host)
         if link is None:
             return None
+        if demand is not None and host in self._older:
+            await check_estimate(start, self._ledger)
         opening = self._next_opening()
         try:
             reply = await call_delegate(
@@ -138,6 +144,7 @@
             raise
         if isinstance(reply, TurnOpened):
             self._delegates.peer_health.request_succeeded(host)
+            self._record_build(host, demand, judged=reply.judged)
             return DelegatedTurn(
                 opening=opening,
                 start=start,
@@ -149,7 +156,7 @@
         if isinstance(reply, TurnRefused):
             self._delegates.peer_health.request_succeeded(host)
             if reply.retry_after is not None:
-                raise no_room(reply.retry_after)
+                raise overloaded(reply.reason, reply.retry_after)
             return _definite_refusal(reply)
         # The delegate may still open the turn. Without this report it would hold the
         # tokens for the turn's lifetime and then count them as used.
@@ -157,6 +164,15 @@
         self._record_open_failure(host, start, reply)
         return None
 
+    def _record_build(
+        self, host: HostName, demand: ProgramDemand | None, *, judged: bool
+    ) -> None:
+        """Record whether a delegate places programs."""
+        if judged:
+            self._older.discard(host)
+        elif demand is not None:
+            self._older.add(host)
+
     def _record_open_failure(
         self, host: HostName, start: TurnStart, reply: Reply
     ) -> None:
--- a/sequoiaarch/fleet/engine_owner.py
+++ b/sequoiaarch/fleet/engine_owner.py
@@ -55,6 +55,15 @@
     cache_tokens: int
 
 
+class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Load of an engine, for metrics; `pace` in seconds for each event, if known."""
+
+    instance: InstanceId
+    programs: int
+    free: int
+    pace: float | None
+
+
 class EngineOwner:
     """Assign programs to engines by the reports of all hosts.
 
@@ -82,13 +91,16 @@
     def place(self, request: PlaceProgramRequest, now: float) -> ProgramPlaced:
         """Return an engine, another data centre, or when to retry."""
         service = request.demand.service
-        self._services.add(service)
         states = self.states(service, now)
         if not states:
             return ProgramPlaced(centre=self._least_loaded_centre(request, now))
-        demand = self._with_allowed_wait(request.program, request.demand, now)
+        self._services.add(service)
+        demand = _plausible(request.program, request.demand)
+        demand = self._with_allowed_wait(request.program, demand, now)
         decision = self.book.decide(request.program, demand, states, now)
         if decision is not None and decision.known:
+            if not self.book.counts(request.program):
+                self.book.grant(request.program, demand, decision.instance, now)
             return ProgramPlaced(instance=decision.instance)
         if decision is None or decision.wait > REDIRECT_WAIT:
             centre = self._least_loaded_centre(request, now)
@@ -96,7 +108,7 @@
                 self.redirected += 1
                 return ProgramPlaced(centre=centre)
         if decision is None:
-            return self._refuse(request.program, demand, states, now)
+            return self._refuse(request, demand, states, now)
         self.granted += 1
         self.book.grant(request.program, demand, decision.instance, now)
         return ProgramPlaced(instance=decision.instance)
@@ -106,28 +118,47 @@
         if request.centre is not None and request.centre != self._data_centre:
             self._elsewhere[request.centre] = (now, request.free)
             return LoadReported()
-        self.book.report(request.host, request.programs, request.pause, now)
+        reporter = request.process or request.host
+        self.book.report(reporter, request.programs, request.pause, now)
         for sample in request.paces:
             if not self.paces.add(sample, now):
                 log.warning("{} reported an invalid pace: {}", request.host, sample)
         return LoadReported(paces=self.paces.paces(now))
 
+    def expire(self, now: float) -> None:
+        """Drop what no report confirms, also while this host is not the owner."""
+        self.book.expire(now)
+
     def free(self, now: float) -> int:
         """Return how many programs the engines can take without waits."""
+        return sum(load.free for load in self.loads(now))
+
+    def loads(self, now: float) -> list[EngineLoad]:
+        """Return the load of the engines of all services that programs asked for."""
         self.book.expire(now)
-        free = 0
-        for service in self._services:
+        paces = self.paces.paces(now)
+        loads = []
+        for service in sorted(self._services):
             demand = ProgramDemand(
                 service=service, max_wait=REDIRECT_WAIT, tokens=self.book.mean_tokens
             )
-            free += self.book.free(self.states(service, now), demand)
-        return free
+            loads += [
+                EngineLoad(
+                    instance=state.instance,
+                    programs=state.programs,
+                    free=self.book.free([state], demand),
+                    pace=paces.get(state.instance),
+                )
+                for state in self.states(service, now)
+            ]
+        return loads
 
     def states(self, service: ServiceName, now: float) -> list[EngineState]:
         """Return the engines of this data centre with their load."""
         paces = self.paces.paces(now)
+        events = self.paces.events_per_turn
         return [
-            self._state(engine, paces)
+            self._state(engine, paces, events)
             for engine in self._engines(service)
             if engine.data_centre == self._data_centre
         ]
@@ -157,30 +188,35 @@
 
     def _refuse(
         self,
-        program: ProgramId,
+        request: PlaceProgramRequest,
         demand: ProgramDemand,
         states: list[EngineState],
         now: float,
     ) -> ProgramPlaced:
+        if request.sent_from is not None and request.sent_from != self._data_centre:
+            # The owner that sent it decides when it may retry.
+            return ProgramPlaced()
         self.refused += 1
-        retry_after = self.book.refuse(program, demand, now)
+        retry_after = self.book.refuse(request.program, demand, now)
+        reason = (
+            f"{sum(state.programs for state in states)} programs on"
+            f" {len(states)} engines, allowed wait {demand.max_wait * 1000:.0f} ms,"
+            f" {len(self.book.returns)} are to retry"
+        )
         log.info(
-            "program {} of workspace {} is refused: {} programs on {} engines,"
-            " allowed wait {:.0f} ms, {:.1f} programs end each second, {} are to"
-            " retry; retry in {:.2f} s",
-            program,
+            "program {} of workspace {} is refused: {}, {:.1f} programs end each"
+            " second; retry in {:.2f} s",
+            request.program,
             demand.workspace,
-            sum(state.programs for state in states),
-            len(states),
-            demand.max_wait * 1000,
+            reason,
             self.book.rate(now),
-            len(self.book.returns),
             retry_after,
         )
-        return ProgramPlaced(retry_after=retry_after)
+        return ProgramPlaced(retry_after=retry_after, reason=reason)
 
-    def _state(self, engine: Engine, paces: Mapping[InstanceId, float]) -> EngineState:
-        events = self.paces.events_per_turn
+    def _state(
+        self, engine: Engine, paces: Mapping[InstanceId, float], events: float | None
+    ) -> EngineState:
         pace = paces.get(engine.instance)
         idle = self.paces.idle_pace(engine.instance)
         turn, slowdown = INITIAL_TURN_SECONDS, 0.0
@@ -242,3 +278,19 @@
         centre = max(free, key=free.__getitem__)
         self._elsewhere[centre] = (self._elsewhere[centre][0], free[centre] - 1)
         return centre
+
+
+def _plausible(program: ProgramId, demand: ProgramDemand) -> ProgramDemand:
+    """Return a demand with defaults in place of values that make no sense."""
+    left, target, wait = demand.left, demand.latency_target, demand.max_wait
+    plausible = msgspec.structs.replace(
+        demand,
+        left=left if left is None or math.isfinite(left) else None,
+        latency_target=target if math.isfinite(target) and target >= 0 else 0.0,
+        max_wait=wait if math.isfinite(wait) and wait >= 0 else MAX_WAIT,
+        tokens=max(0, demand.tokens),
+        rank=max(0, demand.rank),
+    )
+    if plausible != demand:
+        log.warning("program {} comes with an invalid demand: {}", program, demand)
+    return plausible
--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -86,12 +86,14 @@
 class PlacementOptions(msgspec.Struct, frozen=True, kw_only=True):
     """The engines that this process knows, and whether owners always place programs.
 
-    Otherwise they do while engines differ in speed.
+    Otherwise they do while engines differ in speed. `service_of` returns the service of
+    a registered engine.
     """
 
     data_centre: DataCentre
     engines: Callable[[ServiceName], list[Engine]]
     centre_of: Callable[[InstanceId], DataCentre | None]
+    service_of: Callable[[InstanceId], ServiceName | None]
     always: bool
 
 
@@ -145,9 +147,13 @@
             programs=programs,
             engines=placement_options.engines,
             centre_of=placement_options.centre_of,
+            service_of=placement_options.service_of,
             always=placement_options.always,
+            process=writer,
+        )
+        placed = PlacedTurns(
+            local=local, ledger=ledger, programs=programs, placements=self.placements
         )
-        placed = PlacedTurns(local=local, programs=programs, placements=self.placements)
         self._server = TurnServer(local=placed, ledger=ledger)
         self.turns = DelegatedTurns(
             delegates=DelegateSelector(own=own, peers=peers, peer_health=peer_health),
--- a/sequoiaarch/fleet/placed_turns.py
+++ b/sequoiaarch/fleet/placed_turns.py
@@ -9,11 +9,16 @@
 
 from ..errors import ErrorKind, FailureError, fail
 from ..ids import InstanceId, ProgramId
+from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, LookupFailure, TurnStart, TurnTerms
-from ..ledger.turns import LocalTurn, LocalTurns, TurnRefusal
-from ..policies.program_placement import PlacementRefused, ProgramDemand
-from .placement_service import PlacementService
-from .program_table import LINE_SEPARATOR, ProgramTable
+from ..ledger.turns import LocalTurn, LocalTurns, TurnEngine, TurnRefusal
+from ..policies.program_placement import ProgramDemand
+from .placement_service import Placement, PlacementService, RefusedBy
+from .program_table import ProgramTable
+
+# Separates the name of a program and that of one of its lines of turns.
+LINE_SEPARATOR = "#"
+ENGINES_FULL = "all engines are full"
 
 
 def line_of(terms: TurnTerms) -> ProgramId:
@@ -24,12 +29,22 @@
     return ProgramId(f"{terms.program}{LINE_SEPARATOR}{terms.session}")
 
 
-def no_room(retry_after: float) -> FailureError:
-    """Return the failure of a program that no engine has room for."""
-    reason = "no engine has room for the program"
+def overloaded(reason: str, retry_after: float) -> FailureError:
+    """Return the failure of a program that was refused before anything was reserved."""
     return fail(ErrorKind.OVERLOADED, reason, retry_after=retry_after)
 
 
+async def check_estimate(start: TurnStart, ledger: Ledger) -> None:
+    """Refuse a program that no owner judged, by the gateway's estimate of the engines.
+
+    Raises FailureError. Programs that may be in progress are not refused.
+    """
+    if start.retry_if_full is None or start.previous is not None:
+        return
+    if not await ledger.may_know_program(start.terms.program):
+        raise overloaded(ENGINES_FULL, start.retry_if_full)
+
+
 class PlacedTurns:
     """Open turns in this process, with a placement for programs that begin."""
 
@@ -37,10 +52,12 @@
         self,
         *,
         local: LocalTurns,
+        ledger: Ledger,
         programs: ProgramTable,
         placements: PlacementService,
     ) -> None:
         self._local = local
+        self._ledger = ledger
         self._programs = programs
         self._placements = placements
 
@@ -51,46 +68,61 @@
         if demand is None:
             return await self._local.open(start)
         line = line_of(start.terms)
-        home = await self._home(line, start, demand)
-        if isinstance(home, PlacementRefused):
-            raise no_room(home.retry_after)
+        engine = await self._engine(line, start, demand)
         opened = await self._local.open(start)
         if isinstance(opened, LookupFailure | BudgetVerdict):
             return opened
-        self._track(opened, line, demand, home)
+        self._track(opened, line, start.terms.program, demand, engine)
         return opened
 
-    async def _home(
+    async def _engine(
         self, line: ProgramId, start: TurnStart, demand: ProgramDemand
-    ) -> InstanceId | PlacementRefused | None:
-        """Return the engine of a line of turns, None if unknown."""
+    ) -> TurnEngine:
+        """Return the engine of a line of turns; raises FailureError if refused."""
         known = self._programs.get(line)
         if known is not None and self._placements.usable(known.home, demand.service):
-            return known.home
-        home = self._programs.home_of(start.terms.program)
-        if known is not None or home is not None or start.previous is not None:
+            return TurnEngine(home=known.home)
+        program = start.terms.program
+        home = self._programs.home_of(program)
+        in_progress = (
+            known is not None
+            or home is not None
+            or start.previous is not None
+            or self._ledger.spent(start.terms) > 0
+        )
+        if in_progress:
             demand = msgspec.structs.replace(demand, in_progress=True, home=home)
-        return await self._placements.place(line, demand)
+        placed = await self._placements.place(line, demand)
+        if isinstance(placed, Placement):
+            return TurnEngine(home=placed.instance, placed_by=placed.owner)
+        if isinstance(placed, RefusedBy):
+            reason = f"{placed.owner} has no room for the program: {placed.reason}"
+            raise overloaded(reason, placed.retry_after)
+        if not in_progress:
+            await check_estimate(start, self._ledger)
+        return TurnEngine()
 
     def _track(
         self,
         turn: LocalTurn,
         line: ProgramId,
+        program: ProgramId,
         demand: ProgramDemand,
-        home: InstanceId | None,
+        engine: TurnEngine,
     ) -> None:
         """Count the turn until it ends."""
         now = asyncio.get_running_loop().time()
         self._programs.turn_opened(
             line,
+            root=program,
             workspace=demand.workspace,
             service=demand.service,
-            home=home,
+            home=engine.home,
             tokens=demand.tokens,
             now=now,
         )
-        turn.engine.home = home
-        turn.engine.on_end = functools.partial(self._turn_ended, line)
+        engine.on_end = functools.partial(self._turn_ended, line)
+        turn.engine = engine
 
     def _turn_ended(self, program: ProgramId, ran_at: InstanceId | None) -> None:
         now = asyncio.get_running_loop().time()
--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -53,6 +53,7 @@
     instance: InstanceId
     tokens: int
     workspace: Workspace | None
+    ran: bool = False
     reporters: set[Reporter] = field(default_factory=set)
     granted_at: float | None = None
 
@@ -184,6 +185,7 @@
                 tokens=max(0, demand.tokens),
                 workspace=demand.workspace,
                 reporters=set() if earlier is None else earlier.reporters,
+                ran=earlier is not None and earlier.ran,
                 granted_at=now,
             ),
         )
@@ -264,6 +266,7 @@
                 instance=program.instance,
                 tokens=max(0, program.tokens),
                 workspace=program.workspace,
+                ran=program.ran or (entry is not None and entry.ran),
                 reporters=reporters,
             ),
         )
@@ -280,7 +283,9 @@
 
     def _end(self, name: ProgramId, now: float) -> None:
         entry = self._remove(name)
-        if entry is not None:
+        # No engine has the prompt of a program that ran nothing, as its caller left or
+        # a quota refused it, and it did not make room by its end.
+        if entry is not None and entry.ran:
             self._ended.append(now)
             self._homes.pop(name, None)
             self._homes[name] = (now, entry.instance)
--- a/sequoiaarch/fleet/placement_service.py
+++ b/sequoiaarch/fleet/placement_service.py
@@ -8,7 +8,16 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from ..ids import DataCentre, HostName, InstanceId, ProgramId, ServiceName
+import msgspec
+
+from ..ids import (
+    DataCentre,
+    HostName,
+    InstanceId,
+    ProgramId,
+    ServiceName,
+    WriterId,
+)
 from ..policies.pace import PaceSample, PaceTable, uneven
 from ..policies.program_placement import PlacementRefused, ProgramDemand
 from ..wire.messages import (
@@ -28,10 +37,37 @@
 REPORT_INTERVAL = 0.2
 # Timeout of requests to owners, which answer from memory. Seconds.
 ASK_TIMEOUT = 0.1
+# Timeout of all requests for one program. With that for a lost delegate, turns still
+# open within 0.3 s. Seconds.
+PLACE_TIMEOUT = 0.15
+# Seconds for which the paces that an owner returned are used. Without reports none
+# are returned, and this host's own measurements are newer.
+OWNER_PACES_LIFE = 1.0
 # Seconds for which engines count as uneven after they were last seen to be.
 UNEVEN_HOLD = 10.0
 
 
+class Placement(msgspec.Struct, frozen=True, kw_only=True):
+    """The engine for a program and the owner that named it."""
+
+    instance: InstanceId
+    owner: HostName
+
+
+class RefusedBy(PlacementRefused, frozen=True, kw_only=True):
+    """Returned if an owner has no room for a program, with its reason."""
+
+    owner: HostName
+    reason: str = ""
+
+
+class _OwnerPace(msgspec.Struct, frozen=True, kw_only=True):
+    """Pace of an engine as returned by an owner, with the time of the reply."""
+
+    pace: float
+    at: float
+
+
 class PlacementService:
     """Find engines for programs through the owner of each data centre's engines.
 
@@ -48,15 +84,22 @@
         programs: ProgramTable,
         engines: Callable[[ServiceName], list[Engine]],
         centre_of: Callable[[InstanceId], DataCentre | None],
+        service_of: Callable[[InstanceId], ServiceName | None],
         always: bool,
+        process: WriterId | None = None,
     ) -> None:
-        """Place programs `always`, or only while engines are uneven."""
+        """Place programs `always`, or only while engines are uneven.
+
+        `service_of` returns the service of a registered engine.
+        """
         self._own = own
+        self._process = process
         self._data_centre = data_centre
         self._peers = peers
         self._programs = programs
         self._engines = engines
         self._centre_of = centre_of
+        self._service_of = service_of
         self._always = always
         # Separate from the health of peers for other requests, as processes of an
         # older build are healthy but can't place programs.
@@ -65,10 +108,14 @@
         # Events seen by this host, and those of them that are not reported yet.
         self._paces = PaceTable()
         self._samples: dict[InstanceId, PaceSample] = {}
-        # Paces as returned by the owners.
-        self._fleet_paces: dict[InstanceId, float] = {}
+        self._owner_paces: dict[InstanceId, _OwnerPace] = {}
         self._uneven_until = -math.inf
+        self._slowdowns: dict[InstanceId, float] = {}
+        self._slowdowns_until = -math.inf
         self._reported_centres: set[DataCentre] = set()
+        # Hosts by rank for the engines of each data centre.
+        self._ranked_version: int | None = None
+        self._ranked: dict[DataCentre, list[HostName]] = {}
 
     @property
     def active(self) -> bool:
@@ -82,6 +129,9 @@
 
     def record_events(self, instance: InstanceId, seconds: float, events: int) -> None:
         """Record the seconds in which an engine sent a number of events."""
+        if self._service_of(instance) is None:
+            # It has left, or it is no engine.
+            return
         sample = PaceSample(instance=instance, seconds=seconds, events=events)
         if not self._paces.add(sample, asyncio.get_running_loop().time()):
             return
@@ -89,13 +139,27 @@
         self._samples[instance] = sample if earlier is None else earlier.plus(sample)
 
     def slowdowns(self) -> dict[InstanceId, float]:
-        """Return how many seconds longer a turn takes than on the fastest engine."""
-        paces = self._known_paces(asyncio.get_running_loop().time())
-        if not paces:
-            return {}
-        fastest = min(paces.values())
-        events = self._paces.events_per_turn or 0.0
-        return {instance: events * (pace - fastest) for instance, pace in paces.items()}
+        """Return how many seconds longer a turn takes than on the fastest engine.
+
+        Each request needs this, so it is computed once in each report interval.
+        """
+        now = asyncio.get_running_loop().time()
+        if now >= self._slowdowns_until:
+            self._slowdowns_until = now + REPORT_INTERVAL
+            events = self._paces.events_per_turn or 0.0
+            self._slowdowns = {
+                instance: events * (pace - min(paces.values()))
+                for paces in self._paces_by_service(now).values()
+                for instance, pace in paces.items()
+            }
+        return self._slowdowns
+
+    def forget(self, instance: InstanceId) -> None:
+        """Discard what is known of the pace of an engine that has left."""
+        self._paces.forget(instance)
+        self._samples.pop(instance, None)
+        self._owner_paces.pop(instance, None)
+        self.owner.paces.forget(instance)
 
     def usable(self, instance: InstanceId | None, service: ServiceName) -> bool:
         """Return whether an engine still takes work."""
@@ -103,23 +167,29 @@
 
     async def place(
         self, program: ProgramId, demand: ProgramDemand
-    ) -> InstanceId | PlacementRefused | None:
-        """Return the engine for a program; None if no owner answers."""
+    ) -> Placement | RefusedBy | None:
+        """Return the engine for a program; None if no owner answers in time."""
+        deadline = asyncio.get_running_loop().time() + PLACE_TIMEOUT
+        centre = self._data_centre
         request = PlaceProgramRequest(program=program, demand=demand)
-        placed = await self._ask(self._data_centre, request)
+        owner, placed = await self._ask(centre, request, deadline)
         if placed is not None and placed.centre is not None:
-            request = PlaceProgramRequest(
-                program=program, demand=demand, redirected=True
-            )
-            elsewhere = await self._ask(placed.centre, request)
-            if elsewhere is not None and elsewhere.instance is not None:
-                return elsewhere.instance
-            placed = await self._ask(self._data_centre, request)
-        if placed is None:
+            request = msgspec.structs.replace(request, redirected=True)
+            sent = msgspec.structs.replace(request, sent_from=centre)
+            owner, elsewhere = await self._ask(placed.centre, sent, deadline)
+            if elsewhere is None or elsewhere.instance is None:
+                owner, placed = await self._ask(centre, request, deadline)
+            else:
+                placed = elsewhere
+        if owner is None or placed is None:
             return None
-        if placed.instance is None and placed.retry_after is not None:
-            return PlacementRefused(retry_after=placed.retry_after)
-        return placed.instance
+        if placed.instance is not None:
+            return Placement(instance=placed.instance, owner=owner)
+        if placed.retry_after is not None:
+            return RefusedBy(
+                retry_after=placed.retry_after, owner=owner, reason=placed.reason
+            )
+        return None
 
     def answer_place(self, request: PlaceProgramRequest) -> ProgramPlaced:
         """Place a program of any host as the owner."""
@@ -127,6 +197,15 @@
 
     def answer_report(self, request: LoadReportRequest) -> LoadReported:
         """Apply the report of any host as the owner."""
+        known = [
+            sample
+            for sample in request.paces
+            if self._centre_of(sample.instance) is not None
+        ]
+        if len(known) < len(request.paces):
+            # Engines that have left must not come back by the report of a host that
+            # does not know it yet.
+            request = msgspec.structs.replace(request, paces=known)
         return self.owner.report(request, asyncio.get_running_loop().time())
 
     async def run(self) -> None:
@@ -135,13 +214,42 @@
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
             now = loop.time()
-            if uneven(self._known_paces(now).values()):
+            self.owner.expire(now)
+            if any(
+                uneven(paces.values()) for paces in self._paces_by_service(now).values()
+            ):
                 self._uneven_until = now + UNEVEN_HOLD
             if self.active:
                 await self._report(now)
+            else:
+                # The first report must tell the present pace, not that of hours.
+                self._samples.clear()
+
+    def _paces_by_service(
+        self, now: float
+    ) -> dict[ServiceName, dict[InstanceId, float]]:
+        """Return the paces of the engines of each service.
+
+        Engines of different services run different models.
+        """
+        paces = self._paces.paces(now)
+        paces.update(
+            (instance, known.pace)
+            for instance, known in self._owner_paces.items()
+            if known.at > now - OWNER_PACES_LIFE
+        )
+        by_service: dict[ServiceName, dict[InstanceId, float]] = defaultdict(dict)
+        for instance, pace in paces.items():
+            service = self._service_of(instance)
+            if service is not None:
+                by_service[service][instance] = pace
+        return by_service
 
-    def _known_paces(self, now: float) -> dict[InstanceId, float]:
-        return {**self._paces.paces(now), **self._fleet_paces}
+    def _record_owner_paces(self, reported: LoadReported) -> None:
+        now = asyncio.get_running_loop().time()
+        for instance, pace in reported.paces.items():
+            if self._service_of(instance) is not None and 0 < pace < math.inf:
+                self._owner_paces[instance] = _OwnerPace(pace=pace, at=now)
 
     async def _report(self, now: float) -> None:
         programs = self._programs_by_centre(now)
@@ -154,6 +262,7 @@
                 centre,
                 LoadReportRequest(
                     host=self._own,
+                    process=self._process,
                     programs=programs.get(centre, []),
                     paces=samples.get(centre, []),
                     pause=self._programs.pause,
@@ -161,7 +270,7 @@
             )
             for centre in centres
         ]
-        if self._owner_of(self._data_centre) == self._own:
+        if self.is_owner:
             reports += self._owner_reports(now)
             self.owner.log_load(now)
         await asyncio.gather(*reports)
@@ -170,6 +279,7 @@
         """Report the free placements of this data centre to the other owners."""
         report = LoadReportRequest(
             host=self._own,
+            process=self._process,
             programs=[],
             centre=self._data_centre,
             free=self.owner.free(now),
@@ -194,6 +304,7 @@
                     instance=program.home,
                     tokens=program.tokens,
                     workspace=program.workspace,
+                    ran=program.ran,
                 )
             )
         return reports
@@ -208,11 +319,11 @@
         return by_centre
 
     async def _send_report(self, centre: DataCentre, report: LoadReportRequest) -> None:
-        owner = self._owner_of(centre)
+        owner = self.owner_of(centre)
         if owner is None:
             return
         if owner == self._own:
-            self._fleet_paces.update(self.answer_report(report).paces)
+            self._record_owner_paces(self.answer_report(report))
             return
         link = self._peers.link(owner)
         if link is None:
@@ -220,32 +331,45 @@
         reply = await link.call(report, timeout=ASK_TIMEOUT)
         if isinstance(reply, LoadReported):
             self._peer_health.request_succeeded(owner)
-            self._fleet_paces.update(reply.paces)
+            self._record_owner_paces(reply)
         else:
             self._peer_health.request_failed(owner, str(reply))
 
     async def _ask(
-        self, centre: DataCentre, request: PlaceProgramRequest
-    ) -> ProgramPlaced | None:
-        """Ask the owner of a data centre's engines; None if it doesn't answer."""
-        owner = self._owner_of(centre)
+        self, centre: DataCentre, request: PlaceProgramRequest, deadline: float
+    ) -> tuple[HostName | None, ProgramPlaced | None]:
+        """Ask the owner of a data centre's engines; no reply if it doesn't answer."""
+        owner = self.owner_of(centre)
         if owner is None:
-            return None
+            return None, None
         if owner == self._own:
-            return self.answer_place(request)
+            return owner, self.answer_place(request)
         link = self._peers.link(owner)
-        if link is None:
-            return None
-        reply = await link.call(request, timeout=ASK_TIMEOUT)
+        remaining = deadline - asyncio.get_running_loop().time()
+        if link is None or remaining <= 0:
+            return owner, None
+        reply = await link.call(request, timeout=min(ASK_TIMEOUT, remaining))
         if isinstance(reply, ProgramPlaced):
             self._peer_health.request_succeeded(owner)
-            return reply
-        self._peer_health.request_failed(owner, str(reply))
-        return None
+            return owner, reply
+        if remaining >= ASK_TIMEOUT:
+            self._peer_health.request_failed(owner, str(reply))
+        return owner, None
+
+    @property
+    def is_owner(self) -> bool:
+        """Return whether this host owns the engines of its data centre."""
+        return self.owner_of(self._data_centre) == self._own
 
-    def _owner_of(self, centre: DataCentre) -> HostName | None:
+    def owner_of(self, centre: DataCentre) -> HostName | None:
         """Return the first usable host by rank for the engines of a data centre."""
-        name = f"engines/{centre}"
-        hosts = self._peers.hosts_by_centre().get(centre, [])
-        usable = [host for host in hosts if self._peer_health.usable(host)]
-        return max(usable, key=lambda host: score(name, host), default=None)
+        if self._ranked_version != self._peers.hosts_version:
+            self._ranked_version = self._peers.hosts_version
+            self._ranked.clear()
+        ranked = self._ranked.get(centre)
+        if ranked is None:
+            name = f"engines/{centre}"
+            hosts = self._peers.hosts_by_centre().get(centre, [])
+            ranked = sorted(hosts, key=lambda host: (-score(name, host), host))
+            self._ranked[centre] = ranked
+        return next((host for host in ranked if self._peer_health.usable(host)), None)
--- a/sequoiaarch/fleet/program_table.py
+++ b/sequoiaarch/fleet/program_table.py
@@ -17,8 +17,6 @@
 MAX_LINGER = 1.5
 # Step of the estimate for each pause that is longer, in seconds.
 LINGER_STEP = 0.02
-# Separates the name of a program and that of one of its lines of turns.
-LINE_SEPARATOR = "#"
 # Weight of a new pause in the moving average.
 SMOOTHING = 0.05
 # Pauses longer than this are breaks of the user, not of the program. Seconds.
@@ -30,8 +28,9 @@
 
 @dataclass(kw_only=True)
 class Program:
-    """A program with its open turns and the engine that has its prompt."""
+    """A line of turns of a program and the engine that has its prompt."""
 
+    root: ProgramId
     workspace: Workspace | None
     service: ServiceName
     home: InstanceId | None = None
@@ -67,16 +66,17 @@
         self,
         name: ProgramId,
         *,
+        root: ProgramId,
         workspace: Workspace | None,
         service: ServiceName,
         home: InstanceId | None,
         tokens: int,
         now: float,
     ) -> Program:
-        """Record that a turn of a program begins."""
+        """Record that a turn of a line of turns of the program `root` begins."""
         program = self._programs.get(name)
         if program is None:
-            program = Program(workspace=workspace, service=service)
+            program = Program(root=root, workspace=workspace, service=service)
             self._programs[name] = program
             if len(self._programs) > MAX_PROGRAMS:
                 self._programs.popitem(last=False)
@@ -101,14 +101,15 @@
         if ran_at is not None:
             program.home = ran_at
             program.ran = True
-            root = ProgramId(name.split(LINE_SEPARATOR, 1)[0])
-            self._homes[root] = ran_at
-            self._homes.move_to_end(root)
+            self._homes[program.root] = ran_at
+            self._homes.move_to_end(program.root)
             if len(self._homes) > MAX_PROGRAMS:
                 self._homes.popitem(last=False)
         if not program.ran and not program.open_turns:
             # Its place is free again, as no engine has run anything of it.
             del self._programs[name]
+        else:
+            self._programs.move_to_end(name)
 
     def _record_pause(self, pause: float) -> None:
         """Update the mean pause, and the quantile by stochastic approximation."""
@@ -123,11 +124,15 @@
 
     def active(self, now: float) -> dict[ProgramId, Program]:
         """Return the programs under way, and forget those that ended long ago."""
-        while self._programs:
+        for _ in range(len(self._programs)):
             name, oldest = next(iter(self._programs.items()))
-            if oldest.open_turns or now - oldest.last_end < REMEMBERED:
+            if oldest.open_turns:
+                # A long turn must not keep those behind it from being forgotten.
+                self._programs.move_to_end(name)
+            elif now - oldest.last_end < REMEMBERED:
                 break
-            del self._programs[name]
+            else:
+                del self._programs[name]
         return {
             name: program
             for name, program in self._programs.items()
--- a/sequoiaarch/fleet/turn_server.py
+++ b/sequoiaarch/fleet/turn_server.py
@@ -93,7 +93,11 @@
         try:
             opened = await self._local.open(start, request.demand)
         except FailureError as error:
-            return TurnRefused(retry_after=error.failure.retry_delay)
+            if error.failure.kind is not ErrorKind.OVERLOADED:
+                return Failed(failure=error.failure)
+            return TurnRefused(
+                retry_after=error.failure.retry_delay, reason=error.failure.reason
+            )
         if isinstance(opened, LookupFailure):
             return TurnRefused(lookup=opened)
         if isinstance(opened, BudgetVerdict):
@@ -110,6 +114,8 @@
             granted=opened.is_granted,
             covered=opened.covered,
             home=opened.engine.home,
+            placed_by=opened.engine.placed_by,
+            judged=request.demand is not None,
         )
 
     async def _confirm(self, opening: OpeningId) -> Reply:
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -23,6 +23,9 @@
 # Seconds after which callers of an overloaded service should retry.
 BUSY_RETRY_AFTER = 0.25
 SERVER_ERROR = 500
+# The pace of a target is learned from streams of which this process spent at least this
+# fraction waiting for the target.
+MIN_WAITED_FRACTION = 0.5
 
 
 @dataclass(kw_only=True, eq=False)
@@ -68,6 +71,9 @@
         self._first_event_at = 0.0
         self._last_event_at = 0.0
         self._events = 0
+        # Seconds between the first and last event in which the target was waited for.
+        self._waited = 0.0
+        self._waited_since_event = 0.0
         self.budget_used = 0.0
         self.steps: list[str] = []
 
@@ -101,7 +107,9 @@
         placements = self._dispatcher.placements
         if placements is not None and self._events > 1:
             seconds = self._last_event_at - self._first_event_at
-            placements.record_events(instance, seconds, self._events - 1)
+            # The rest is the time of a slow caller or of the store.
+            if self._waited >= MIN_WAITED_FRACTION * seconds:
+                placements.record_events(instance, seconds, self._events - 1)
         if complete:
             load.record_result(instance, ok=response.head.status < SERVER_ERROR)
             self._dispatcher.pool.release(
@@ -129,6 +137,9 @@
         now = asyncio.get_running_loop().time()
         if not self._events:
             self._first_event_at = now
+        else:
+            self._waited += self._waited_since_event
+        self._waited_since_event = 0.0
         self._last_event_at = now
         self._events += 1
 
@@ -142,7 +153,9 @@
         instance = response.target.incarnation
         if response.body_started and self._route.event_pause:
             load.expect_within(instance, self, next_event_due(self._route.event_pause))
+        started_at = asyncio.get_running_loop().time()
         part = await response.connection.read_body_part()
+        self._waited_since_event += asyncio.get_running_loop().time() - started_at
         response.body_started = True
         load.data_received(instance, self)
         return part
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -147,6 +147,7 @@
                     data_centre=options.data_centre,
                     engines=self.dispatcher.engines,
                     centre_of=self.dispatcher.centre_of,
+                    service_of=self.dispatcher.service_of,
                     always=options.place_programs,
                 ),
             )
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
 import msgspec
+import xxhash
 
 from ..fleet.engine_owner import Engine
 from ..fleet.placement_service import PlacementService
@@ -31,6 +33,9 @@
 from .load import LoadTracker
 from .pool import ConnectionPool
 
+# Seconds for which the list of engines that take programs is kept.
+ENGINES_LIFE = 0.1
+
 
 class Dispatcher:
     """Select targets by their load, health and cached prompt prefixes."""
@@ -65,6 +70,9 @@
         self._urgency: Urgency = DeadlineUrgency()
         self._starts: StartPolicy = DeadlineBoundedWait(rng=rng)
         self._rng = rng
+        self._engines: dict[ServiceName, list[Engine]] = {}
+        self._engines_until = -math.inf
+        self._engines_version: tuple[int, RouteTable | None] = (-1, None)
         # Requests on pooled connections to an unhealthy target would be lost. If a
         # new connection fails, the request moves on to the next target.
         health.on_ejected = self.pool.forget
@@ -80,7 +88,10 @@
 
         `home` is the engine that the request's program was assigned to.
         """
-        service = self._pick_service(route)
+        service = None if home is None else self._targets.service_of(home)
+        if service not in [share.service for share in route.services]:
+            service = self._pick_service(route)
+        assert service is not None
         entries = [
             entry
             for entry in self._targets.of(service)
@@ -134,6 +145,8 @@
         self.load.forget(instance)
         self.pool.forget(instance)
         self._prefix_index.forget(instance)
+        if self.placements is not None:
+            self.placements.forget(instance)
 
     def store_reachable(self) -> bool:
         """Return whether the store is reachable, directly or through a peer."""
@@ -167,6 +180,19 @@
         weights = [share.weight for share in route.services]
         return self._rng.choices(route.services, weights)[0].service
 
+    def _service_of_program(self, route: Route, info: RequestInfo) -> ServiceName:
+        """Return the service for a program, in proportion to the weights.
+
+        A program that changed its service with each turn would change its engine.
+        """
+        total = sum(share.weight for share in route.services)
+        point = xxhash.xxh32_intdigest(info.program.encode()) / 2**32 * total
+        for share in route.services:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return route.services[-1].service
+
     def demand(
         self, route: Route, info: RequestInfo, caller: Caller
     ) -> ProgramDemand | None:
@@ -179,7 +205,7 @@
         )
         rank = route.priority if caller.priority is None else caller.priority
         return ProgramDemand(
-            service=self._pick_service(route),
+            service=self._service_of_program(route, info),
             max_wait=max_turn_wait(start),
             tokens=info.prompt_tokens,
             left=info.program_deadline,
@@ -189,7 +215,22 @@
         )
 
     def engines(self, service: ServiceName) -> list[Engine]:
-        """Return the engines of a service that take programs."""
+        """Return the engines of a service that take programs.
+
+        Each turn asks for them. The list is kept for a moment, as the failure rates
+        change with time.
+        """
+        now = asyncio.get_running_loop().time()
+        version = self._targets.version, self.routes
+        if now >= self._engines_until or version != self._engines_version:
+            self._engines.clear()
+            self._engines_until = now + ENGINES_LIFE
+            self._engines_version = version
+        if service not in self._engines:
+            self._engines[service] = self._engines_now(service)
+        return self._engines[service]
+
+    def _engines_now(self, service: ServiceName) -> list[Engine]:
         settings = self.routes.services.get(service) if self.routes else None
         if settings is None or settings.engine is None:
             return []
@@ -210,6 +251,14 @@
             if failing[entry.incarnation] <= least + FAILURE_RATE_MARGIN
         ]
 
+    def service_of(self, instance: InstanceId) -> ServiceName | None:
+        """Return the service of a registered engine; None for other targets."""
+        service = self._targets.service_of(instance)
+        if service is None or self.routes is None:
+            return None
+        settings = self.routes.services.get(service)
+        return service if settings is not None and settings.engine else None
+
     def centre_of(self, instance: InstanceId) -> DataCentre | None:
         """Return the data centre of an instance."""
         return self._targets.centre_of(instance)
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -5,13 +5,14 @@
 import asyncio
 
 from ..errors import ErrorKind, FailureError, fail
+from ..fleet.placed_turns import ENGINES_FULL
 from ..http1.events import EventSplitter, event_data
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
 from ..http1.server_connection import ResponseWriter
 from ..ids import TurnId
 from ..ledger.ledger import Ledger
 from ..ledger.terms import BudgetVerdict, LookupFailure, TurnStart, TurnTerms
-from ..ledger.turns import OpenTurn, TurnRefusal, Turns
+from ..ledger.turns import OpenTurn, TurnEngine, TurnRefusal, Turns
 from ..observe.request_metrics import RequestMetrics
 from ..policies.program_placement import ProgramDemand
 from ..policies.retries import attempt_timeout
@@ -109,6 +110,8 @@
             await self._check_admission()
         turn = await self._open_turn(budget, demand)
         self._attempts.home = turn.engine.home
+        if demand is not None:
+            self.steps.append(_placement_step(turn.engine))
         self.steps.append(f"spent {turn.spent} of {budget} tokens, kept {turn.where}")
         self._attempts.budget_used = turn.spent / max(1, budget)
         self._request_token.begins = turn.spent == 0 and turn.history is None
@@ -138,12 +141,19 @@
             previous=info.previous and scoped(workspace, info.previous),
             kept=route.retained,
             lifetime=remaining + TURN_LIFETIME_MARGIN,
+            retry_if_full=self._retry_if_full(demand),
         )
         opened = await self._turns.open(start, demand)
         if isinstance(opened, LookupFailure | BudgetVerdict):
             raise _turn_failure(opened, info.previous)
         return opened
 
+    def _retry_if_full(self, demand: ProgramDemand | None) -> float | None:
+        """Return when a new program should retry if no owner can be asked."""
+        if demand is None or self._info.previous is not None:
+            return None
+        return self._dispatcher.start_retry_after(self._route, self._info)
+
     async def _check_admission(self) -> None:
         """Refuse the first request of a new program while all engines are full."""
         info = self._info
@@ -152,9 +162,7 @@
         retry_after = self._dispatcher.start_retry_after(self._route, info)
         if retry_after is None or await self._ledger.may_know_program(self._program):
             return
-        raise fail(
-            ErrorKind.OVERLOADED, "all engines are full", retry_after=retry_after
-        )
+        raise fail(ErrorKind.OVERLOADED, ENGINES_FULL, retry_after=retry_after)
 
     async def _forward_whole(self) -> None:
         """Forward a response once it is complete, and retry it where allowed."""
@@ -344,6 +352,15 @@
         self.turn.close()
 
 
+def _placement_step(engine: TurnEngine) -> str:
+    """Return where a program was placed, for the request log."""
+    if engine.home is None:
+        return "not placed, no owner of engines answered"
+    if engine.placed_by is None:
+        return f"stays on {engine.home}"
+    return f"placed on {engine.home} by {engine.placed_by}"
+
+
 def _turn_failure(refusal: TurnRefusal, previous: TurnId | None) -> FailureError:
     if refusal is BudgetVerdict.EXCEEDED:
         return fail(ErrorKind.BUDGET_EXHAUSTED, "the budget of the program is used up")
--- a/sequoiaarch/ledger/terms.py
+++ b/sequoiaarch/ledger/terms.py
@@ -54,13 +54,16 @@
 class TurnStart(msgspec.Struct, frozen=True, kw_only=True):
     """A turn that begins; `kept` is set if it joins the history.
 
-    What it has not released after `lifetime` seconds counts as used.
+    What it has not released after `lifetime` seconds counts as used. `retry_if_full` is
+    set while all engines seem full to the gateway: a program that begins and that no
+    owner of engines judges is refused, to retry after these seconds.
     """
 
     terms: TurnTerms
     previous: TurnId | None
     kept: bool
     lifetime: float
+    retry_if_full: float | None = None
 
 
 class TurnContent(msgspec.Struct, frozen=True, kw_only=True):
--- a/sequoiaarch/ledger/turns.py
+++ b/sequoiaarch/ledger/turns.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..ids import InstanceId, Offset
+from ..ids import HostName, InstanceId, Offset
 from ..policies.program_placement import ProgramDemand
 from .holds import Hold, Lender, NoLender
 from .ledger import Ledger
@@ -39,10 +39,12 @@
 class TurnEngine:
     """Engine that a turn should run on, and the one that ran it.
 
-    `on_end` is called with the latter at the end of the turn.
+    `placed_by` is the owner that assigned the turn's program to `home`, None if that
+    was done earlier. `on_end` is called with `ran_at` at the end of the turn.
     """
 
     home: InstanceId | None = None
+    placed_by: HostName | None = None
     ran_at: InstanceId | None = None
     on_end: Callable[[InstanceId | None], None] | None = None
 
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -67,6 +67,9 @@
         self._clock = clock
         self._dropped = dropped
         self._entries: dict[InstanceId, TargetEntry] = {}
+        self._by_incarnation: dict[InstanceId, TargetEntry] = {}
+        # Incremented when a target is added, changed or removed.
+        self.version = 0
         self._lapsed: dict[InstanceId, float] = {}
         self._grace_until = 0.0
         self._store_unavailable = False
@@ -103,7 +106,12 @@
             self._drop(entry.instance, "it has restarted")
             previous = None
         self._lapsed.pop(entry.instance, None)
+        if previous is not None:
+            self._by_incarnation.pop(previous.incarnation, None)
         self._entries[entry.instance] = entry
+        self._by_incarnation[entry.incarnation] = entry
+        if previous != entry:
+            self.version += 1
         if previous is None or previous.draining != entry.draining:
             log.info(
                 "target {} of {} {}",
@@ -152,10 +160,13 @@
 
     def centre_of(self, incarnation: InstanceId) -> DataCentre | None:
         """Return the data centre of a registered instance since its last start."""
-        for entry in self._entries.values():
-            if entry.incarnation == incarnation:
-                return entry.data_centre
-        return None
+        entry = self._by_incarnation.get(incarnation)
+        return None if entry is None else entry.data_centre
+
+    def service_of(self, incarnation: InstanceId) -> ServiceName | None:
+        """Return the service of a registered instance since its last start."""
+        entry = self._by_incarnation.get(incarnation)
+        return None if entry is None else entry.service
 
     def _drop_expired(self) -> None:
         if not self._lapsed:
@@ -169,5 +180,7 @@
         self._lapsed.pop(instance, None)
         entry = self._entries.pop(instance, None)
         if entry is not None:
+            self._by_incarnation.pop(entry.incarnation, None)
+            self.version += 1
             log.info("target {} of {} left: {}", instance, entry.service, reason)
             self._dropped(entry.incarnation)
--- a/sequoiaarch/tests/fleet/placement_book_tests.py
+++ b/sequoiaarch/tests/fleet/placement_book_tests.py
@@ -190,6 +190,23 @@
         assert decision is not None
         self.assertFalse(decision.known)
 
+    def test_program_that_ran_nothing(self) -> None:
+        """Judge a program anew that a quota refused after its grant.
+
+        Programs of a workspace at its limit would otherwise start on full engines.
+        """
+        self.warm_up()
+        self.grant("p")
+        opened = ProgramReport(
+            program=ProgramId("p"), instance=FIRST, tokens=TOKENS, ran=False
+        )
+        self.report([opened])
+        self.report([])
+        self.assertEqual(self.book.programs(FIRST), 0)
+        decision = self.decide("p")
+        assert decision is not None
+        self.assertFalse(decision.known)
+
     def test_report_older_than_the_grant(self) -> None:
         """Keep a grant that moves a program, as reports still name its old engine.
 
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -289,21 +289,28 @@
 class PlaceProgramRequest(Message, frozen=True, kw_only=True, tag="place"):
     """Ask the owner of a data centre's engines for a placement of a program.
 
-    `redirected` says that the owner must not name another data centre.
+    `redirected` says that the owner must not name another data centre. `sent_from` is
+    the data centre whose owner named this one; a program that is refused then keeps its
+    place among the retries there.
     """
 
     program: ProgramId
     demand: ProgramDemand
     redirected: bool = False
+    sent_from: DataCentre | None = None
 
 
 class ProgramReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe a program in progress: its engine and the tokens of its prompt."""
+    """Describe a program in progress: its engine and the tokens of its prompt.
+
+    `ran` says that an engine has run a turn of it.
+    """
 
     program: ProgramId
     instance: InstanceId
     tokens: int
     workspace: Workspace | None = None
+    ran: bool = True
 
 
 class LoadReportRequest(Message, frozen=True, kw_only=True, tag="load_report"):
@@ -311,10 +318,12 @@
 
     `programs` are all programs in progress there whose account this host keeps,
     `paces` the events since the last report, `pause` the mean pause between turns.
-    An owner reports the free placements of its own data centre, `centre`.
+    An owner reports the free placements of its own data centre, `centre`. A report
+    replaces the previous one of the same `process`.
     """
 
     host: HostName
+    process: WriterId | None = None
     programs: list[ProgramReport]
     paces: list[PaceSample] = []
     pause: float | None = None
@@ -543,7 +552,9 @@
 
     `granted` says that the turn may begin without a ConfirmTurnRequest, and
     `covered` how many tokens it may then use; None for no limit. `home` is the
-    engine that has the program's prompt cached.
+    engine that has the program's prompt cached, `placed_by` the owner that assigned the
+    program to it for this turn. `judged` says that the delegate applied the demand of
+    the request, which older builds ignore.
     """
 
     history: History | None
@@ -551,28 +562,33 @@
     granted: bool
     covered: int | None = None
     home: InstanceId | None = None
+    placed_by: HostName | None = None
+    judged: bool = False
 
 
 class TurnRefused(Message, frozen=True, kw_only=True, tag="turn_refused"):
-    """Report why a turn was not opened; exactly one of the fields is set.
+    """Report why a turn was not opened: a lookup, a verdict or the time to retry.
 
-    `retry_after` is set if no engine has room for the program.
+    `retry_after` is set if no engine has room for the program, for the given reason.
     """
 
     lookup: LookupFailure | None = None
     verdict: BudgetVerdict | None = None
     retry_after: float | None = None
+    reason: str = ""
 
 
 class ProgramPlaced(Message, frozen=True, kw_only=True, tag="placed"):
     """Name the engine for a program, or another data centre to ask.
 
-    With neither, no engine has room, and `retry_after` is set.
+    With neither, no engine has room for the given reason, and `retry_after` is set
+    unless the program was sent from another data centre.
     """
 
     instance: InstanceId | None = None
     centre: DataCentre | None = None
     retry_after: float | None = None
+    reason: str = ""
 
 
 class LoadReported(Message, frozen=True, kw_only=True, tag="load_reported"):
