Show placements in the metrics, and test settings and the choice of engines

Metrics: programs, free placements and pace of each engine that this host owns, the owner of its data centre, placements by result, programs that are to retry. Engines that left and former owners are dropped, as engines get a new name with each start. An owner forgets refused programs that don't return, also when nobody asks it any more.

--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -16,7 +16,7 @@
     ProgramPlacement,
     free_placements,
 )
-from ..policies.return_queue import ReturnQueue
+from ..policies.return_queue import MAX_RETURN, REMEMBERED, ReturnQueue
 from ..wire.messages import ProgramReport
 
 # A process that reports, or its host if it is of a build that doesn't name its process.
@@ -85,6 +85,7 @@
         self._first_report = math.inf
         self._last_report = -math.inf
         self.returns = ReturnQueue()
+        self._last_refusal = -math.inf
         self.pause: float | None = None
         self.idle_pause = math.inf
 
@@ -197,6 +198,7 @@
 
     def refuse(self, program: ProgramId, demand: ProgramDemand, now: float) -> float:
         """Return after how many seconds a refused program should return."""
+        self._last_refusal = now
         return self.returns.refuse(
             program,
             rank=demand.rank,
@@ -233,6 +235,9 @@
             del self._homes[name]
         while self._ended and self._ended[0] < now - RATE_WINDOW:
             self._ended.popleft()
+        if len(self.returns) and now - self._last_refusal > MAX_RETURN + REMEMBERED:
+            # The queue drops programs only when it is asked. These don't return.
+            self.returns = ReturnQueue()
 
     def _lapse(self, name: ProgramId, entry: _Entry) -> None:
         """Drop a grant that no report agreed with.
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -14,6 +14,7 @@
 
 from ..fleet.fleet import Fleet, PlacementOptions, QuotaOptions
 from ..fleet.peers import Peers
+from ..fleet.placement_service import PlacementService
 from ..fleet.turn_server import failure_reply
 from ..http1.messages import RequestMessage
 from ..http1.server import Server
@@ -326,9 +327,32 @@
             state["loans_lent"] = float(self._fleet.loans.loans_lent)
             state["loans_refused"] = float(self._fleet.loans.loans_refused)
             self._metrics.set_shares(self._fleet.limiter.free())
+            self._update_placement_gauges(self._fleet.placements)
+            state["programs_to_retry"] = float(
+                len(self._fleet.placements.owner.book.returns)
+            )
         for name, value in state.items():
             self._metrics.set_state(name, value)
 
+    def _update_placement_gauges(self, placements: PlacementService) -> None:
+        owner = placements.owner
+        now = asyncio.get_running_loop().time()
+        active = placements.active
+        self._metrics.set_engines(
+            owner.loads(now) if active and placements.is_owner else []
+        )
+        centre = self._options.data_centre
+        self._metrics.set_engine_owner(
+            centre, placements.owner_of(centre) if active else None
+        )
+        self._metrics.set_placements(
+            {
+                "granted": owner.granted,
+                "refused": owner.refused,
+                "redirected": owner.redirected,
+            }
+        )
+
     def _apply_routes(self, routes: RouteTable) -> None:
         self.dispatcher.routes = routes
         self.front.limits = self._server_limits(routes.limits)
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from ..ids import Workspace
+from ..fleet.engine_owner import EngineLoad
+from ..ids import DataCentre, HostName, Workspace
 
 SECONDS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
 
@@ -28,6 +29,21 @@
             "Tokens left of the shares of limits that are kept here.",
             registry=self._registry,
         )
+        self._engine_programs = self._gauge(
+            "engine_programs", "Programs on each engine that this host owns."
+        )
+        self._engine_free = self._gauge(
+            "engine_free_placements", "Programs that each owned engine can still take."
+        )
+        self._engine_pace = self._gauge(
+            "engine_event_seconds", "Seconds for each event of each owned engine."
+        )
+        self._engine_owner = self._gauge(
+            "engine_owner", "The owner of this data centre's engines as seen here."
+        )
+        self._placements = self._counter(
+            "placements_total", "Placements decided here by result, since the start."
+        )
         self._duration = self._histogram("request_seconds", "Time to the last byte.")
         self._first_event = self._histogram(
             "first_event_seconds", "Time to the first event."
@@ -62,6 +78,33 @@
             self._shares.set({"workspace": workspace, "share": str(share)}, tokens)
         self._reported_shares = set(free)
 
+    def set_engines(self, loads: Iterable[EngineLoad]) -> None:
+        """Set the load of the engines owned here, and drop those that are not any more.
+
+        Engines get a new name with each start.
+        """
+        gauges = self._engine_programs, self._engine_free, self._engine_pace
+        for gauge in gauges:
+            gauge.values.clear()
+        for load in loads:
+            labels = {"engine": str(load.instance)}
+            self._engine_programs.set(labels, load.programs)
+            self._engine_free.set(labels, load.free)
+            if load.pace is not None:
+                self._engine_pace.set(labels, load.pace)
+
+    def set_engine_owner(self, centre: DataCentre, owner: HostName | None) -> None:
+        """Set the owner of a data centre's engines, in place of the previous one."""
+        self._engine_owner.values.clear()
+        if owner is not None:
+            labels = {"data_centre": str(centre), "owner": str(owner)}
+            self._engine_owner.set(labels, 1)
+
+    def set_placements(self, counts: Mapping[str, int]) -> None:
+        """Set how many placements this host decided, by result."""
+        for result, count in counts.items():
+            self._placements.set({"result": result}, count)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return render(self._registry, ["text/plain"])[0]
@@ -69,6 +112,9 @@
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(f"sequoiaarch_{name}", text, registry=self._registry)
 
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"sequoiaarch_{name}", text, registry=self._registry)
+
     def _histogram(self, name: str, text: str) -> Histogram:
         return Histogram(
             f"sequoiaarch_{name}", text, buckets=SECONDS, registry=self._registry
--- a/sequoiaarch/tests/fleet/placement_book_tests.py
+++ b/sequoiaarch/tests/fleet/placement_book_tests.py
@@ -18,6 +18,7 @@
 )
 from ...ids import HostName, InstanceId, ProgramId, ServiceName
 from ...policies.program_placement import EngineState, LeastExpectedTurn, ProgramDemand
+from ...policies.return_queue import MAX_RETURN, REMEMBERED
 from ...wire.messages import ProgramReport
 
 SERVICE = ServiceName("engines")
@@ -248,6 +249,20 @@
         self.assertEqual(self.book.rate(self.now), 2 / RATE_WINDOW)
 
 
+class ReturnTests(BookTestCase):
+    """Test the programs that are to retry."""
+
+    def test_programs_that_never_return(self) -> None:
+        """Forget refused programs that don't return, also when nobody asks any more."""
+        self.book.refuse(ProgramId("p"), demand(), self.now)
+        self.now += 5.0
+        self.book.expire(self.now)
+        self.assertEqual(len(self.book.returns), 1)
+        self.now += MAX_RETURN + REMEMBERED
+        self.book.expire(self.now)
+        self.assertEqual(len(self.book.returns), 0)
+
+
 class ReporterTests(BookTestCase):
     """Test hosts that are lost, replaced or disagree."""
 
--- a/sequoiaarch/tests/platform/settings_tests.py
+++ b/sequoiaarch/tests/platform/settings_tests.py
@@ -21,6 +21,7 @@
 zone = "here"
 internalPortRange = [7000, 7015]
 seeds = ["127.0.0.1:8144"]
+{contracts}
 aFieldOfNextYear = {{ x = 1 }}
 [listen]
 front = "127.0.0.1:8149"
@@ -37,6 +38,11 @@
 CONTROL = 'control = "127.0.0.1:8144"'
 
 
+def settings(*, control: str = "", contracts: str = "") -> str:
+    """Return the text of a settings file."""
+    return SETTINGS.format(control=control, contracts=contracts)
+
+
 class SettingsTests(unittest.TestCase):
     """Read settings files."""
 
@@ -49,7 +55,7 @@
 
     def test_known_fields(self) -> None:
         """Read known fields and ignore unknown ones."""
-        options = self.read(SETTINGS.format(control=CONTROL))
+        options = self.read(settings(control=CONTROL))
         self.assertEqual(options.front, ("127.0.0.1", 8149))
         self.assertEqual(options.inner, "127.0.0.1:8144")
         self.assertEqual(options.stop_timeout, 6)
@@ -57,9 +63,34 @@
 
     def test_no_control_address(self) -> None:
         """Use the first internal port if no control address is set."""
-        options = self.read(SETTINGS.format(control=""))
+        options = self.read(settings())
         self.assertEqual(options.inner, "127.0.0.1:7000")
 
+    def test_contracts(self) -> None:
+        """Place programs by owners only where the settings list that contract."""
+        for contracts, expected in (
+            ("", False),
+            ("contracts = []", False),
+            ('contracts = ["quotas"]', False),
+            ('contracts = ["quotas", "pressure", "aContractOfNextYear"]', True),
+        ):
+            options = self.read(settings(contracts=contracts))
+            self.assertIs(options.place_programs, expected, contracts)
+
+    def test_contracts_of_a_wrong_type(self) -> None:
+        """Name the field if the contracts are no list of names.
+
+        Ignoring it would silently serve a deployment without its contract.
+        """
+        for contracts in (
+            'contracts = "pressure"',
+            "contracts = { pressure = true }",
+            "contracts = 3",
+            "contracts = [3]",
+        ):
+            with self.assertRaisesRegex(ValueError, r"\$\.contracts"):
+                self.read(settings(contracts=contracts))
+
     def test_bad_file(self) -> None:
         """Raise ValueError for an invalid file."""
         for text in ("not = [toml", "nodeName = 3"):
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -10,7 +10,7 @@
 SERVICE = ServiceName("engines")
 
 
-def entry(name: str, *, draining: bool = False) -> TargetEntry:
+def entry(name: str, *, draining: bool = False, born: int = 0) -> TargetEntry:
     """Return a registered target."""
     return TargetEntry(
         instance=InstanceId(name),
@@ -20,6 +20,7 @@
         data_centre=DataCentre("here"),
         slots=8,
         draining=draining,
+        born=born,
     )
 
 
@@ -71,3 +72,19 @@
         self.targets.store_lost()
         self.targets.put(entry("i-1", draining=True))
         self.assertEqual(self.usable(), ["i-2"])
+
+    def test_restarted_target(self) -> None:
+        """Find a target by its last start only, and count each change."""
+        self.targets.put(entry("i-1", born=1))
+        restarted = self.targets.version
+        self.targets.put(entry("i-1", born=2))
+        self.assertGreater(self.targets.version, restarted)
+        self.assertIsNone(self.targets.service_of(InstanceId("i-1@1")))
+        self.assertEqual(self.targets.service_of(InstanceId("i-1@2")), SERVICE)
+        self.assertEqual(self.targets.centre_of(InstanceId("i-1@2")), "here")
+        renewed = self.targets.version
+        self.targets.put(entry("i-1", born=2))
+        self.assertEqual(self.targets.version, renewed)
+        self.targets.remove(InstanceId("i-1"))
+        self.assertIsNone(self.targets.centre_of(InstanceId("i-1@2")))
+        self.assertEqual(len(self.targets._by_incarnation), len(self.targets))
