--- a/sequoiaarch/tests/platform/placements_tests.py
+++ b/sequoiaarch/tests/platform/placements_tests.py
@@ -8,6 +8,7 @@
 import re
 from typing import Any
 
+import logbook
 import zmq.asyncio
 
 from ...fleet.peers import Peers
@@ -118,8 +119,19 @@
         daemon = await self.start()
         await self.fill(daemon)
         sent = sum(len(target.exchanges) for target in self.targets.values())
-        answer = await self.turn(daemon, b"a", attempt="t1", program="new")
+        logs = logbook.TestHandler()
+        with logs.applicationbound():
+            answer = await self.turn(daemon, b"a", attempt="t1", program="new")
         self.assertEqual(answer.status, 429)
+        # Operators search the owner's log by the program.
+        self.assertTrue(
+            any(
+                record.channel == "placement"
+                and re.match(r"program [^ ]*new[^ ]* of workspace", record.message)
+                for record in logs.records
+            ),
+            logs.formatted_records,
+        )
         self.assertTrue(
             any(name in answer.headers for name in RETRY_HEADERS), answer.headers
         )
