--- a/sequoiaarch/tests/fleet/ranking_tests.py
+++ b/sequoiaarch/tests/fleet/ranking_tests.py
@@ -96,6 +96,7 @@
         programs=ProgramTable(),
         engines=lambda service: [],
         centre_of=lambda instance: None,
+        service_of=lambda instance: None,
         always=True,
     )
 
@@ -333,7 +334,7 @@
     async def test_same_owner_everywhere(self) -> None:
         """Guards against two owners at once."""
         owners = {
-            service_of(own, peers_of(own, CAPACITIES, own_capacity=99.0))._owner_of(
+            service_of(own, peers_of(own, CAPACITIES, own_capacity=99.0)).owner_of(
                 CENTRE
             )
             for own in CAPACITIES
@@ -347,8 +348,8 @@
         for capacity in (0.0, 0.29, 8.0):
             peers = peers_of(HostName("h0"), others, own_capacity=capacity)
             self.assertEqual(
-                service_of(HostName("h0"), peers)._owner_of(CENTRE),
-                expected._owner_of(CENTRE),
+                service_of(HostName("h0"), peers).owner_of(CENTRE),
+                expected.owner_of(CENTRE),
             )
 
     async def test_owner_is_large(self) -> None:
@@ -358,12 +359,12 @@
         expected = ranked_by_size(f"engines/{CENTRE}", hosts, CAPACITIES)
         sizes = []
         for host in expected:
-            owner = service._owner_of(CENTRE)
+            owner = service.owner_of(CENTRE)
             self.assertEqual(owner, host)
             sizes.append(CAPACITIES[host])
             service._peer_health.request_failed(host, "test")
         self.assertGreaterEqual(min(sizes[:3]), max(sizes[3:]))
-        self.assertIsNone(service._owner_of(CENTRE))
+        self.assertIsNone(service.owner_of(CENTRE))
 
     async def test_owner_without_capacities(self) -> None:
         """Guards against another owner than that of older builds."""
@@ -376,21 +377,21 @@
             peers = peers_of(HostName("h0"), capacities)
             service = service_of(HostName("h0"), peers)
             for host in expected:
-                self.assertEqual(service._owner_of(CENTRE), host)
+                self.assertEqual(service.owner_of(CENTRE), host)
                 service._peer_health.request_failed(host, "test")
 
     async def test_owner_recovers(self) -> None:
         """Guards against a cached owner that stays after the health changed."""
         service = service_of(HostName("h0"), peers_of(HostName("h0"), CAPACITIES))
-        first = service._owner_of(CENTRE)
+        first = service.owner_of(CENTRE)
         assert first is not None
         service._peer_health.request_failed(first, "test")
-        self.assertNotEqual(service._owner_of(CENTRE), first)
+        self.assertNotEqual(service.owner_of(CENTRE), first)
         later = asyncio.get_running_loop().time() + 100
         with mock.patch.object(asyncio.get_running_loop(), "time", lambda: later):
-            self.assertEqual(service._owner_of(CENTRE), first)
+            self.assertEqual(service.owner_of(CENTRE), first)
 
     async def test_unknown_data_centre(self) -> None:
         """Guards against an error for a data centre without hosts."""
         service = service_of(HostName("h0"), peers_of(HostName("h0"), CAPACITIES))
-        self.assertIsNone(service._owner_of(DataCentre("none")))
+        self.assertIsNone(service.owner_of(DataCentre("none")))
--- a/sequoiaarch/tests/fleet/scaling_tests.py
+++ b/sequoiaarch/tests/fleet/scaling_tests.py
@@ -164,12 +164,13 @@
                     programs=ProgramTable(),
                     engines=lambda name: [],
                     centre_of=lambda instance: None,
+                    service_of=lambda instance: None,
                     always=True,
                 )
                 score_mock = self.count_scores()
                 for _ in range(100):
                     for centre in host.peers.hosts_by_centre():
-                        service._owner_of(centre)
+                        service.owner_of(centre)
                 with self.subTest(size=size, capacities=capacities):
                     self.assertEqual(score_mock.call_count, size)
                 mock.patch.stopall()
