Share scarce placements between workspaces and ranks

Cause: a busy workspace took the places that became free, and the least urgent rank got none of them while more urgent ones asked. Change: the queue orders programs by rank, by whether their workspace has its share of the placements in progress, and by first refusal. Shares count for 1 s after a refusal.

--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -4,19 +4,20 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ..ids import HostName, InstanceId, ProgramId, Workspace
+from ..policies.fair_share import max_min_shares
 from ..policies.program_placement import (
     EngineState,
     ProgramDemand,
     ProgramPlacement,
     free_placements,
 )
-from ..policies.return_queue import ReturnQueue
+from ..policies.return_queue import NO_WORKSPACES, ReturnQueue
 from ..wire.messages import ProgramReport
 
 # Seconds after which a host's report no longer counts: the host is lost, and its
@@ -34,6 +35,9 @@
 RATE_WINDOW = 1.0
 # Programs that end each second while none was seen to.
 INITIAL_RATE = 5.0
+# Placements count as scarce for this time after a refusal, in seconds: programs refused
+# before it have returned or given up, as far as fair shares go.
+SCARCE_SECONDS = 1.0
 # Weight of a host's report in the mean pause.
 SMOOTHING = 0.02
 MAX_PAUSE = 10.0
@@ -74,6 +78,8 @@
         self._ended: deque[float] = deque()
         self._programs: Counter[InstanceId] = Counter()
         self._tokens: Counter[InstanceId] = Counter()
+        self._workspaces: Counter[Workspace | None] = Counter()
+        self._refused_at = -math.inf
         self._first_report = math.inf
         self._last_report = -math.inf
         self.returns = ReturnQueue()
@@ -148,8 +154,14 @@
         if demand.in_progress:
             engine = self._policy.choose(engines, wanted)
             return None if engine is None else Decision(instance=engine.instance)
-        reserved = self.returns.reserved(program, rank=demand.rank, now=now)
-        if reserved and self.free(engines, wanted) <= reserved:
+        reserved = self.returns.reserved(
+            program,
+            rank=demand.rank,
+            workspace=demand.workspace,
+            busy=self.busy_workspaces(now),
+            now=now,
+        )
+        if reserved and self.free(engines, wanted, reserved + 1) <= reserved:
             return None
         engine = self._policy.choose(engines, wanted)
         if engine is None:
@@ -165,7 +177,7 @@
         now: float,
     ) -> None:
         """Count a program on an engine until it is reported or its grant lapses."""
-        self.returns.admit(program)
+        self.returns.admit(program, rank=demand.rank)
         self._remove(program)
         self._add(
             program,
@@ -180,17 +192,52 @@
 
     def refuse(self, program: ProgramId, demand: ProgramDemand, now: float) -> float:
         """Return after how many seconds a refused program should return."""
+        busy = self.busy_workspaces(now)
+        self._refused_at = now
         return self.returns.refuse(
             program,
             rank=demand.rank,
+            workspace=demand.workspace,
+            busy=busy,
             slack=demand.slack,
             rate=self.rate(now),
             now=now,
         )
 
-    def free(self, engines: Sequence[EngineState], demand: ProgramDemand) -> int:
-        """Return how many more such programs the engines can take."""
-        return sum(free_placements(engine, demand) for engine in engines)
+    def busy_workspaces(self, now: float) -> Set[Workspace | None]:
+        """Return the workspaces that have their share of scarce placements.
+
+        A workspace may ask for one placement more than its programs in progress and
+        those that are to retry. Its share is at least one.
+        """
+        if now - self._refused_at > SCARCE_SECONDS:
+            return NO_WORKSPACES
+        self.returns.advance(now)
+        waiting = self.returns.waiting
+        demands = {
+            workspace: self._workspaces[workspace] + waiting[workspace] + 1
+            for workspace in self._workspaces.keys() | waiting.keys()
+        }
+        shares = max_min_shares(demands, len(self._entries))
+        return {
+            workspace
+            for workspace, programs in self._workspaces.items()
+            if programs >= max(1.0, shares[workspace])
+        }
+
+    def free(
+        self,
+        engines: Sequence[EngineState],
+        demand: ProgramDemand,
+        limit: int | None = None,
+    ) -> int:
+        """Return how many more such programs the engines can take, up to a limit."""
+        free = 0
+        for engine in engines:
+            free += free_placements(engine, demand)
+            if limit is not None and free >= limit:
+                return limit
+        return free
 
     def rate(self, now: float) -> float:
         """Return how many programs end each second."""
@@ -261,10 +308,14 @@
         self._entries[name] = entry
         self._programs[entry.instance] += 1
         self._tokens[entry.instance] += entry.tokens
+        self._workspaces[entry.workspace] += 1
 
     def _remove(self, name: ProgramId) -> _Entry | None:
         entry = self._entries.pop(name, None)
         if entry is not None:
             self._programs[entry.instance] -= 1
             self._tokens[entry.instance] -= entry.tokens
+            self._workspaces[entry.workspace] -= 1
+            if not self._workspaces[entry.workspace]:
+                del self._workspaces[entry.workspace]
         return entry
--- a/sequoiaarch/tests/policies/overload_replay.py
+++ b/sequoiaarch/tests/policies/overload_replay.py
@@ -136,8 +136,8 @@
 
     def after(self, delay: float, event: Callable[..., None], *args: object) -> None:
         """Call a function later."""
-        entry = (self.now + delay, self.rng.random(), functools.partial(event, *args))
-        heapq.heappush(self.events, entry)
+        call: Callable[[], None] = functools.partial(event, *args)
+        heapq.heappush(self.events, (self.now + delay, self.rng.random(), call))
 
     def report(self, gateway: int) -> None:
         """Send the load report of a gateway."""
--- a/sequoiaarch/tests/policies/overload_replay_tests.py
+++ b/sequoiaarch/tests/policies/overload_replay_tests.py
@@ -4,10 +4,16 @@
 
 import functools
 import unittest
+from collections import Counter
 
+from ...policies.fair_share import max_min_shares
+from ...policies.return_queue import MIN_RANK_SHARE
 from .overload_replay import (
     CAPACITY,
     END,
+    RANKS,
+    WORKSPACE_WEIGHTS,
+    WORKSPACES,
     Program,
     Replay,
 )
@@ -95,3 +101,28 @@
         """Fails if an engine gets more programs than its cache holds."""
         for replay in steady(OVERLOAD) + burst():
             self.assertEqual(replay.overfilled, 0)
+
+    def test_workspaces(self) -> None:
+        """Fails if a workspace gets less than half of its max-min share in time."""
+        demands = {
+            workspace: OVERLOAD * weight / sum(WORKSPACE_WEIGHTS)
+            for workspace, weight in zip(WORKSPACES, WORKSPACE_WEIGHTS, strict=True)
+        }
+        shares = max_min_shares(demands, goodput(steady(OVERLOAD), WARM_UP, END))
+        programs = arrived(steady(OVERLOAD), WARM_UP, END)
+        in_time = Counter(p.workspace for p in programs if p.in_time)
+        for workspace, share in shares.items():
+            with self.subTest(workspace=workspace):
+                rate = in_time[workspace] / (END - WARM_UP) / len(SEEDS)
+                self.assertGreaterEqual(rate, 0.5 * share)
+
+    def test_ranks(self) -> None:
+        """Fails if a rank starves, or a less urgent one goes first."""
+        programs = arrived(steady(OVERLOAD), WARM_UP, END)
+        in_time = Counter(p.rank for p in programs if p.in_time)
+        for rank in RANKS:
+            with self.subTest(rank=rank):
+                share = in_time[rank] / in_time.total()
+                self.assertGreaterEqual(share, 0.5 * MIN_RANK_SHARE)
+        self.assertGreater(in_time[0], in_time[1])
+        self.assertGreater(in_time[1], in_time[2])
