Keep places for all programs that go first, not only those that are due

Cause: programs of a busy workspace ask all the time, and took the places that became free between the returns of programs that go before them. Change: a program leaves places for all that wait before it in rank or share. The replay has six seeds in place of three: with three, one of them had by chance 0.93 of what the engines carry after the burst, and the test measured that.

--- a/sequoiaarch/policies/return_queue.py
+++ b/sequoiaarch/policies/return_queue.py
@@ -190,8 +190,9 @@
     ) -> int:
         """Return how many places are kept for others when a program asks.
 
-        Those are the places of the programs before it that are due. A program that
-        can't end in time leaves places for all that still can.
+        Those are the programs of its rank before it that are due, and all that wait
+        of a more urgent rank or, if its workspace has its share, of workspaces that
+        don't. A program that can't end in time leaves places for all that still can.
         """
         self.advance(now)
         refused = self._refused.get(program)
@@ -203,8 +204,11 @@
         own = self._order(rank, workspace, busy)
         kept = 0
         for key, group in self._groups.items():
-            if group.due:
-                kept += _count_before(group.due, self._order(*key, busy), own, number)
+            order = self._order(*key, busy)
+            if order < own:
+                kept += len(group.waiting)
+            elif order == own:
+                kept += bisect_left(group.due, number)
         return kept
 
     def advance(self, now: float) -> None:
@@ -217,10 +221,14 @@
     def _before(self, refused: _Refused, busy: Set[Workspace | None]) -> int:
         """Return how many programs that can end in time return earlier."""
         own = self._order(refused.rank, refused.workspace, busy)
-        return sum(
-            _count_before(group.waiting, self._order(*key, busy), own, refused.number)
-            for key, group in self._groups.items()
-        )
+        before = 0
+        for key, group in self._groups.items():
+            order = self._order(*key, busy)
+            if order < own:
+                before += len(group.waiting)
+            elif order == own:
+                before += bisect_left(group.waiting, refused.number)
+        return before
 
     def _order(
         self, rank: int, workspace: Workspace | None, busy: Set[Workspace | None]
@@ -270,15 +278,3 @@
 
 def _return_time(seconds: float) -> float:
     return min(max(seconds, MIN_RETURN), MAX_RETURN)
-
-
-def _count_before(
-    numbers: list[int],
-    order: tuple[bool, int, bool],
-    own: tuple[bool, int, bool],
-    number: int,
-) -> int:
-    """Return how many of a group's programs go before a program."""
-    if order == own:
-        return bisect_left(numbers, number)
-    return len(numbers) if order < own else 0
--- a/sequoiaarch/tests/policies/overload_replay_tests.py
+++ b/sequoiaarch/tests/policies/overload_replay_tests.py
@@ -18,7 +18,8 @@
     Replay,
 )
 
-SEEDS = (1, 2, 3)
+# Arrivals differ between seeds by more than a tenth for some seconds.
+SEEDS = range(1, 7)
 # Programs per second.
 BELOW, OVERLOAD, USUAL = 0.95 * CAPACITY, 2 * CAPACITY, 0.8 * CAPACITY
 # Start and end of the burst, in seconds, and the time to recover from it.
