Count free placements by bisection, and within the cache of an idle engine

Cause: an engine without programs seemed to have a free placement for each slot, whatever its cache holds. An engine with 0 slots was an error, and one with a cache of negative size took nothing. The count took a step for each slot. Failing tests: program_placement_tests.test_no_slots (ZeroDivisionError), test_cache_of_idle_engine (6 in place of 2), test_unknown_cache (0 in place of 6). test_many_slots was not run on the earlier code, where it takes a step for each slot. Change: the cache gives a number of programs, and the wait is searched by bisection. Engines without slots are never chosen.

--- a/sequoiaarch/policies/program_placement.py
+++ b/sequoiaarch/policies/program_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -10,8 +11,8 @@
 from ..ids import InstanceId, ServiceName, Workspace
 from .queueing import expected_wait
 
-# Prompt tokens that an engine processes per second while others wait for it, as a
-# guess: engines differ.
+# Prompt tokens that an engine processes per second, as a guess: engines differ, and it
+# only has to make the engine that has the prompt the better one of two similar ones.
 PREFILL_RATE = 80_000.0
 # Fraction of an engine's cache that the prompts of its programs may fill; answers
 # in progress and shared prompt parts need the rest.
@@ -42,19 +43,26 @@
             programs=programs, slots=self.slots, turn=self.turn, pause=self.pause
         )
 
-    def fits(self, tokens: int) -> bool:
-        """Return whether the cache holds another program with that many tokens."""
-        if not self.cache_tokens or not self.programs:
-            return True
-        return self.tokens + tokens <= CACHE_FRACTION * self.cache_tokens
+    def cache_room(self, tokens: int) -> float:
+        """Return how many more programs with that many tokens the cache holds.
+
+        An engine without programs takes one of any size.
+        """
+        if self.cache_tokens <= 0:
+            return math.inf
+        left = CACHE_FRACTION * self.cache_tokens - self.tokens
+        room = left // max(1, tokens) if left > 0 else 0
+        return max(room, 0 if self.programs > 0 else 1)
 
 
 class ProgramDemand(msgspec.Struct, frozen=True, kw_only=True):
     """Describe a program that begins.
 
     `max_wait` is the wait in seconds that each of its turns may have, and `tokens`
-    the expected size of its prompt. Rank 0 is the most urgent. A program in progress
-    that begins a further line of turns is not refused; its prompt is cached at `home`.
+    the expected size of its prompt. `left` is the time to its deadline, if it has one,
+    and `slack` the part of it that turns on idle engines do not need, in seconds.
+    Rank 0 is the most urgent. A program in progress that begins a further line of turns
+    is not refused; its prompt is cached at `home`.
     """
 
     service: ServiceName
@@ -92,7 +100,9 @@
     ) -> EngineState | None:
         """Return the engine with the fewest programs."""
         return min(
-            engines, key=lambda engine: engine.programs / engine.slots, default=None
+            _with_slots(engines),
+            key=lambda engine: engine.programs / engine.slots,
+            default=None,
         )
 
 
@@ -108,35 +118,47 @@
         self, engines: Sequence[EngineState], demand: ProgramDemand
     ) -> EngineState | None:
         """Return the engine with the shortest turn and wait, if there is room."""
-        if demand.in_progress:
-            fitting = list(engines)
-        else:
-            fitting = [engine for engine in engines if _has_room(engine, demand)]
+        fitting = _with_slots(engines)
+        if not demand.in_progress:
+            fitting = [engine for engine in fitting if _has_room(engine, demand)]
         return min(
             fitting, key=lambda engine: _expected_turn(engine, demand), default=None
         )
 
 
+def _with_slots(engines: Sequence[EngineState]) -> list[EngineState]:
+    return [engine for engine in engines if engine.slots > 0]
+
+
 def _has_room(engine: EngineState, demand: ProgramDemand) -> bool:
-    wait = engine.slowdown + engine.wait_with(engine.programs + 1)
-    return wait <= demand.max_wait and engine.fits(demand.tokens)
+    return engine.cache_room(demand.tokens) >= 1 and _may_wait(engine, demand, 1)
+
+
+def _may_wait(engine: EngineState, demand: ProgramDemand, programs: int) -> bool:
+    """Return whether the wait is allowed with that many more programs."""
+    wait = engine.slowdown + engine.wait_with(engine.programs + programs)
+    return wait <= demand.max_wait
 
 
 def _expected_turn(engine: EngineState, demand: ProgramDemand) -> tuple[float, float]:
     turn = engine.turn + engine.wait_with(engine.programs + 1)
     if demand.home is not None and engine.instance != demand.home:
-        turn += demand.tokens / PREFILL_RATE
+        turn += max(0, demand.tokens) / PREFILL_RATE
     return round(turn, 3), engine.programs / engine.slots
 
 
 def free_placements(engine: EngineState, demand: ProgramDemand) -> int:
-    """Return how many more such programs an engine can take."""
-    free = 0
-    while (
-        engine.slowdown + engine.wait_with(engine.programs + free + 1)
-        <= demand.max_wait
-        and free < engine.slots
-        and engine.fits(demand.tokens * (free + 1))
-    ):
-        free += 1
+    """Return how many more such programs an engine can take, at most one for each slot.
+
+    The wait grows with the programs, so the number is found by bisection.
+    """
+    if engine.slots < 1:
+        return 0
+    free, limit = 0, int(min(engine.slots, engine.cache_room(demand.tokens)))
+    while free < limit:
+        middle = (free + limit + 1) // 2
+        if _may_wait(engine, demand, middle):
+            free = middle
+        else:
+            limit = middle - 1
     return free
