Ignore impossible paces and forget targets that left

Cause: a sample without turns, or with more turns than events, changed the mean turn; a tiny duration became the idle pace; an integer beyond floats was an error; an earlier time moved the idle pace to -11,568 s. An undefined pace made targets uneven. Targets that left stayed in the table. Failing tests: pace_tests, 4 of 10 (12 assertions with their subtests). Change: bounds for samples and paces. Targets without events for 600 s are dropped when a new one appears.

pace_tests: 10 pass.

--- a/sequoiaarch/policies/pace.py
+++ b/sequoiaarch/policies/pace.py
@@ -21,7 +21,15 @@
 UNEVEN_FACTOR = 1.5
 # Targets that must be known before they count as uneven.
 MIN_TARGETS = 3
+# Bounds of a possible pace in seconds: an event that takes longer is a target that
+# hangs, and no target generates events faster.
+MIN_EVENT_SECONDS = 1e-5
 MAX_EVENT_SECONDS = 10.0
+# More events than a host receives from a target between two reports.
+MAX_EVENTS = 10_000_000
+# Seconds without events after which a target is dropped: it has left, or its pace is
+# no longer known.
+FORGET_SECONDS = 600.0
 # Time constant with which the pace of an idle target approaches a higher one: an engine
 # that stays slower is a slower engine. Seconds.
 IDLE_SECONDS = 120.0
@@ -49,12 +57,12 @@
 
     @property
     def valid(self) -> bool:
-        """Return whether the figures are possible."""
-        return (
-            self.events > 0
-            and math.isfinite(self.seconds)
-            and 0.0 < self.seconds <= MAX_EVENT_SECONDS * self.events
-        )
+        """Return whether the figures are possible; each turn has an event."""
+        if not 1 <= self.turns <= self.events <= MAX_EVENTS:
+            return False
+        # A comparison with NaN is false.
+        pace = self.seconds / self.events
+        return MIN_EVENT_SECONDS <= pace <= MAX_EVENT_SECONDS
 
 
 @dataclass(kw_only=True)
@@ -78,14 +86,17 @@
         """Add a sample; return False if it is ignored because it is invalid."""
         if not sample.valid:
             return False
-        average = self._averages.setdefault(sample.instance, _Average(updated=now))
+        average = self._averages.get(sample.instance)
+        if average is None:
+            self._drop_unused(now)
+            average = self._averages[sample.instance] = _Average(updated=now)
         decay = math.exp(-max(0.0, now - average.updated) / AVERAGING_SECONDS)
         average.seconds = average.seconds * decay + sample.seconds
         average.events = average.events * decay + sample.events
         average.turns = average.turns * decay + sample.turns
         if average.events >= MIN_EVENTS:
-            self._update_idle(average, now - average.updated)
-        average.updated = now
+            self._update_idle(average, max(0.0, now - average.updated))
+        average.updated = max(average.updated, now)
         return True
 
     def _update_idle(self, average: _Average, elapsed: float) -> None:
@@ -140,12 +151,26 @@
         events = sum(average.events for average in self._averages.values())
         return events / turns
 
+    def _drop_unused(self, now: float) -> None:
+        unused = [
+            instance
+            for instance, average in self._averages.items()
+            if average.updated < now - FORGET_SECONDS
+        ]
+        for instance in unused:
+            self.forget(instance)
+
     def forget(self, instance: InstanceId) -> None:
         """Drop a target that has left."""
         self._averages.pop(instance, None)
 
 
 def uneven(paces: Iterable[float]) -> bool:
-    """Return whether targets differ so much that it matters which one is used."""
-    known = sorted(paces)
+    """Return whether targets differ so much that it matters which one is used.
+
+    Impossible paces are ignored.
+    """
+    known = sorted(
+        pace for pace in paces if MIN_EVENT_SECONDS <= pace <= MAX_EVENT_SECONDS
+    )
     return len(known) >= MIN_TARGETS and known[-1] > UNEVEN_FACTOR * known[0]
