Ignore impossible figures of peers, and log each kind once

Cause: a wait that was not a number refused all programs, an infinite one admitted all, a negative rank went before urgent ones, a negative number of tokens replaced the known one, and an unlimited number of free placements drew programs to another data centre. Invalid paces were logged for each message, others not at all. The mean turn was computed again for each engine of a decision. Change: such a figure counts as absent, or leaves the known one. Engines without slots are left out.

--- a/sequoiaarch/fleet/engine_owner.py
+++ b/sequoiaarch/fleet/engine_owner.py
@@ -11,9 +11,11 @@
 from ..ids import DataCentre, InstanceId, ProgramId, ServiceName
 from ..policies.pace import PaceTable
 from ..policies.program_placement import (
+    LEAST_URGENT,
     EngineState,
     LeastExpectedTurn,
     ProgramDemand,
+    possible_tokens,
 )
 from ..wire.messages import (
     LoadReported,
@@ -21,7 +23,8 @@
     PlaceProgramRequest,
     ProgramPlaced,
 )
-from .placement_book import PlacementBook
+from .impossible_figures import ImpossibleFigures
+from .placement_book import PlacementBook, possible_pause
 
 log = logbook.Logger("placement")
 
@@ -44,6 +47,8 @@
 # They get engines whose turns hardly wait, so that there is room after a burst for
 # programs that can still end in time.
 LATE_FRACTION = 0.1
+# More free placements than the engines of a data centre have.
+MAX_FREE = 1_000_000
 # Interval of the log lines that describe the engines, in seconds.
 LOG_INTERVAL = 1.0
 
@@ -76,6 +81,7 @@
         self._services: set[ServiceName] = set()
         # Free placements of other data centres, with the time of the report.
         self._elsewhere: dict[DataCentre, tuple[float, int]] = {}
+        self._impossible = ImpossibleFigures()
         self._logged_at = -math.inf
         self.granted = 0
         self.refused = 0
@@ -88,7 +94,8 @@
         states = self.states(service, now)
         if not states:
             return ProgramPlaced(centre=self._least_loaded_centre(request, now))
-        demand = self._with_allowed_wait(request.program, request.demand, now)
+        demand = self._possible(request.demand)
+        demand = self._with_allowed_wait(request.program, demand, now)
         decision = self.book.decide(request.program, demand, states, now)
         if decision is not None and decision.known:
             return ProgramPlaced(instance=decision.instance)
@@ -106,12 +113,24 @@
     def report(self, request: LoadReportRequest, now: float) -> LoadReported:
         """Apply the report of a host and return the pace of the engines."""
         if request.centre is not None and request.centre != self._data_centre:
-            self._elsewhere[request.centre] = (now, request.free)
+            if 0 <= request.free <= MAX_FREE:
+                self._elsewhere[request.centre] = (now, request.free)
+            else:
+                self._impossible.ignore(
+                    request.host, "number of free placements", request.free
+                )
             return LoadReported()
         self.book.report(request.host, request.programs, request.pause, now)
         for sample in request.paces:
             if not self.paces.add(sample, now):
-                log.warning("{} reported an invalid pace: {}", request.host, sample)
+                self._impossible.ignore(request.host, "pace", sample)
+        if request.pause is not None and not possible_pause(request.pause):
+            self._impossible.ignore(request.host, "pause", request.pause)
+        for program in request.programs:
+            if not possible_tokens(program.tokens):
+                self._impossible.ignore(
+                    request.host, "number of tokens", program.tokens
+                )
         return LoadReported(paces=self.paces.paces(now))
 
     def free(self, now: float) -> int:
@@ -128,11 +147,18 @@
     def states(self, service: ServiceName, now: float) -> list[EngineState]:
         """Return the engines of this data centre with their load."""
         paces = self.paces.paces(now)
-        return [
-            self._state(engine, paces)
-            for engine in self._engines(service)
-            if engine.data_centre == self._data_centre
-        ]
+        events = self.paces.events_per_turn
+        states = []
+        for engine in self._engines(service):
+            if engine.data_centre != self._data_centre:
+                continue
+            if engine.slots < 1:
+                self._impossible.ignore(
+                    engine.instance, "number of slots", engine.slots
+                )
+                continue
+            states.append(self._state(engine, paces, events))
+        return states
 
     def log_load(self, now: float) -> None:
         """Write a log line about the engines of each service, at most once a second."""
@@ -181,8 +207,30 @@
         )
         return ProgramPlaced(retry_after=retry_after)
 
-    def _state(self, engine: Engine, paces: Mapping[InstanceId, float]) -> EngineState:
-        events = self.paces.events_per_turn
+    def _possible(self, demand: ProgramDemand) -> ProgramDemand:
+        """Return a demand in which impossible figures count as absent."""
+        impossible = demand.impossible()
+        for figure, value in impossible.items():
+            self._impossible.ignore(
+                f"a caller of service {demand.service}", figure, value
+            )
+        if demand.rank > LEAST_URGENT or "rank" in impossible:
+            demand = msgspec.structs.replace(demand, rank=LEAST_URGENT)
+        absent: dict[str, float | None] = {
+            "max_wait": MAX_WAIT,
+            "tokens": 0,
+            "left": None,
+            "latency_target": 0.0,
+        }
+        changes = {name: absent[name] for name in impossible if name in absent}
+        return msgspec.structs.replace(demand, **changes) if changes else demand
+
+    def _state(
+        self,
+        engine: Engine,
+        paces: Mapping[InstanceId, float],
+        events: float | None,
+    ) -> EngineState:
         pace = paces.get(engine.instance)
         idle = self.paces.idle_pace(engine.instance)
         turn, slowdown = INITIAL_TURN_SECONDS, 0.0
--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -16,6 +16,7 @@
     ProgramDemand,
     ProgramPlacement,
     free_placements,
+    possible_tokens,
 )
 from ..policies.return_queue import NO_WORKSPACES, ReturnQueue
 from ..wire.messages import ProgramReport
@@ -40,9 +41,15 @@
 SCARCE_SECONDS = 1.0
 # Weight of a host's report in the mean pause.
 SMOOTHING = 0.02
+# Longer pauses are breaks of the user, not of the program. Seconds.
 MAX_PAUSE = 10.0
 
 
+def possible_pause(pause: float) -> bool:
+    """Return whether a mean pause between turns, in seconds, is possible."""
+    return 0 <= pause <= MAX_PAUSE
+
+
 @dataclass(kw_only=True)
 class _Entry:
     """A program with the hosts that report it; `granted_at` until the first one."""
@@ -120,7 +127,7 @@
         if names:
             self._reported[host] = names
             self._reported_at[host] = now
-        if pause is not None and 0 <= pause <= MAX_PAUSE:
+        if pause is not None and possible_pause(pause):
             if self.pause is None:
                 self.pause = pause
             self.pause += SMOOTHING * (pause - self.pause)
@@ -271,12 +278,15 @@
             self._ended.pop()
         hosts = set() if entry is None else entry.hosts
         hosts.add(host)
+        tokens = 0 if entry is None else entry.tokens
+        if possible_tokens(program.tokens):
+            tokens = program.tokens
         self._remove(program.program)
         self._add(
             program.program,
             _Entry(
                 instance=program.instance,
-                tokens=max(0, program.tokens),
+                tokens=tokens,
                 workspace=program.workspace,
                 hosts=hosts,
             ),
--- a/sequoiaarch/policies/program_placement.py
+++ b/sequoiaarch/policies/program_placement.py
@@ -55,6 +55,19 @@
         return max(room, 0 if self.programs > 0 else 1)
 
 
+# The least urgent rank; ranks beyond it count as it.
+LEAST_URGENT = 9
+# More tokens than the prompt of any model holds.
+MAX_TOKENS = 100_000_000
+# More seconds than any deadline, latency target or wait, and any program takes.
+MAX_SECONDS = 86_400.0
+
+
+def possible_tokens(tokens: int) -> bool:
+    """Return whether a number of tokens is possible."""
+    return 0 <= tokens <= MAX_TOKENS
+
+
 class ProgramDemand(msgspec.Struct, frozen=True, kw_only=True):
     """Describe a program that begins.
 
@@ -76,6 +89,22 @@
     in_progress: bool = False
     home: InstanceId | None = None
 
+    def impossible(self) -> dict[str, float]:
+        """Return the figures that are impossible, by name."""
+        figures: dict[str, float] = {}
+        # A comparison with NaN is false.
+        if not 0 <= self.max_wait <= MAX_SECONDS:
+            figures["max_wait"] = self.max_wait
+        if not possible_tokens(self.tokens):
+            figures["tokens"] = self.tokens
+        if self.left is not None and not -MAX_SECONDS <= self.left <= MAX_SECONDS:
+            figures["left"] = self.left
+        if not 0 <= self.latency_target <= MAX_SECONDS:
+            figures["latency_target"] = self.latency_target
+        if self.rank < 0:
+            figures["rank"] = self.rank
+        return figures
+
 
 class PlacementRefused(msgspec.Struct, frozen=True, kw_only=True):
     """Returned if no engine has room; the caller may retry after some seconds."""
