--- a/sequoiaarch/fleet/engine_owner.py
+++ b/sequoiaarch/fleet/engine_owner.py
@@ -11,9 +11,11 @@
 from ..ids import DataCentre, InstanceId, ProgramId, ServiceName
 from ..policies.pace import PaceTable
 from ..policies.program_placement import (
+    LEAST_URGENT,
     EngineState,
     LeastExpectedTurn,
     ProgramDemand,
+    possible_tokens,
 )
 from ..wire.messages import (
     LoadReported,
@@ -21,7 +23,8 @@
     PlaceProgramRequest,
     ProgramPlaced,
 )
-from .placement_book import PlacementBook
+from .impossible_figures import ImpossibleFigures
+from .placement_book import PlacementBook, possible_pause
 
 log = logbook.Logger("placement")
 
@@ -41,7 +44,11 @@
 # room for programs that arrive in bursts. Seconds.
 MAX_WAIT = 0.15
 # Fraction of the allowed wait for programs that have waited too long to end in time.
-LATE_FRACTION = 0.5
+# They get engines whose turns hardly wait, so that there is room after a burst for
+# programs that can still end in time.
+LATE_FRACTION = 0.1
+# More free placements than the engines of a data centre have.
+MAX_FREE = 1_000_000
 # Interval of the log lines that describe the engines, in seconds.
 LOG_INTERVAL = 1.0
 
@@ -83,6 +90,7 @@
         self._services: set[ServiceName] = set()
         # Free placements of other data centres, with the time of the report.
         self._elsewhere: dict[DataCentre, tuple[float, int]] = {}
+        self._impossible = ImpossibleFigures()
         self._logged_at = -math.inf
         self.granted = 0
         self.refused = 0
@@ -95,7 +103,7 @@
         if not states:
             return ProgramPlaced(centre=self._least_loaded_centre(request, now))
         self._services.add(service)
-        demand = _plausible(request.program, request.demand)
+        demand = self._possible(request.demand)
         demand = self._with_allowed_wait(request.program, demand, now)
         decision = self.book.decide(request.program, demand, states, now)
         if decision is not None and decision.known:
@@ -116,13 +124,25 @@
     def report(self, request: LoadReportRequest, now: float) -> LoadReported:
         """Apply the report of a host and return the pace of the engines."""
         if request.centre is not None and request.centre != self._data_centre:
-            self._elsewhere[request.centre] = (now, request.free)
+            if 0 <= request.free <= MAX_FREE:
+                self._elsewhere[request.centre] = (now, request.free)
+            else:
+                self._impossible.ignore(
+                    request.host, "number of free placements", request.free
+                )
             return LoadReported()
         reporter = request.process or request.host
         self.book.report(reporter, request.programs, request.pause, now)
         for sample in request.paces:
             if not self.paces.add(sample, now):
-                log.warning("{} reported an invalid pace: {}", request.host, sample)
+                self._impossible.ignore(request.host, "pace", sample)
+        if request.pause is not None and not possible_pause(request.pause):
+            self._impossible.ignore(request.host, "pause", request.pause)
+        for program in request.programs:
+            if not possible_tokens(program.tokens):
+                self._impossible.ignore(
+                    request.host, "number of tokens", program.tokens
+                )
         return LoadReported(paces=self.paces.paces(now))
 
     def expire(self, now: float) -> None:
@@ -157,11 +177,17 @@
         """Return the engines of this data centre with their load."""
         paces = self.paces.paces(now)
         events = self.paces.events_per_turn
-        return [
-            self._state(engine, paces, events)
-            for engine in self._engines(service)
-            if engine.data_centre == self._data_centre
-        ]
+        states = []
+        for engine in self._engines(service):
+            if engine.data_centre != self._data_centre:
+                continue
+            if engine.slots < 1:
+                self._impossible.ignore(
+                    engine.instance, "number of slots", engine.slots
+                )
+                continue
+            states.append(self._state(engine, paces, events))
+        return states
 
     def log_load(self, now: float) -> None:
         """Write a log line about the engines of each service, at most once a second."""
@@ -214,8 +240,29 @@
         )
         return ProgramPlaced(retry_after=retry_after, reason=reason)
 
+    def _possible(self, demand: ProgramDemand) -> ProgramDemand:
+        """Return a demand in which impossible figures count as absent."""
+        impossible = demand.impossible()
+        for figure, value in impossible.items():
+            self._impossible.ignore(
+                f"a caller of service {demand.service}", figure, value
+            )
+        if demand.rank > LEAST_URGENT or "rank" in impossible:
+            demand = msgspec.structs.replace(demand, rank=LEAST_URGENT)
+        absent: dict[str, float | None] = {
+            "max_wait": MAX_WAIT,
+            "tokens": 0,
+            "left": None,
+            "latency_target": 0.0,
+        }
+        changes = {name: absent[name] for name in impossible if name in absent}
+        return msgspec.structs.replace(demand, **changes) if changes else demand
+
     def _state(
-        self, engine: Engine, paces: Mapping[InstanceId, float], events: float | None
+        self,
+        engine: Engine,
+        paces: Mapping[InstanceId, float],
+        events: float | None,
     ) -> EngineState:
         pace = paces.get(engine.instance)
         idle = self.paces.idle_pace(engine.instance)
@@ -242,15 +289,17 @@
 
         The number of turns is estimated from the time to the deadline.
         """
-        if not demand.left or demand.left <= 0:
-            return demand
+        if demand.left is None:
+            return msgspec.structs.replace(demand, slack=math.inf)
+        left = max(0.0, demand.left)
         idle = self._idle_cycle()
-        turns = max(1.0, demand.left / idle)
+        turns = max(1.0, left / idle)
         allowed = SLACK_FRACTION * idle + demand.latency_target / turns
         allowed = min(MAX_WAIT, allowed)
-        if self.book.returns.is_late(program, now):
+        if not left or self.book.returns.is_late(program, now):
             allowed *= LATE_FRACTION
-        slack = SLACK_FRACTION * demand.left + demand.latency_target
+        idle_time = max(0.0, left - demand.latency_target) / (1 + SLACK_FRACTION)
+        slack = left - idle_time
         return msgspec.structs.replace(demand, max_wait=allowed, slack=slack)
 
     def _idle_cycle(self) -> float:
@@ -278,19 +327,3 @@
         centre = max(free, key=free.__getitem__)
         self._elsewhere[centre] = (self._elsewhere[centre][0], free[centre] - 1)
         return centre
-
-
-def _plausible(program: ProgramId, demand: ProgramDemand) -> ProgramDemand:
-    """Return a demand with defaults in place of values that make no sense."""
-    left, target, wait = demand.left, demand.latency_target, demand.max_wait
-    plausible = msgspec.structs.replace(
-        demand,
-        left=left if left is None or math.isfinite(left) else None,
-        latency_target=target if math.isfinite(target) and target >= 0 else 0.0,
-        max_wait=wait if math.isfinite(wait) and wait >= 0 else MAX_WAIT,
-        tokens=max(0, demand.tokens),
-        rank=max(0, demand.rank),
-    )
-    if plausible != demand:
-        log.warning("program {} comes with an invalid demand: {}", program, demand)
-    return plausible
--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -4,19 +4,21 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass, field
 
 import msgspec
 
 from ..ids import HostName, InstanceId, ProgramId, Workspace, WriterId
+from ..policies.fair_share import max_min_shares
 from ..policies.program_placement import (
     EngineState,
     ProgramDemand,
     ProgramPlacement,
     free_placements,
+    possible_tokens,
 )
-from ..policies.return_queue import MAX_RETURN, REMEMBERED, ReturnQueue
+from ..policies.return_queue import NO_WORKSPACES, ReturnQueue
 from ..wire.messages import ProgramReport
 
 # A process that reports, or its host if it is of a build that doesn't name its process.
@@ -38,11 +40,20 @@
 RATE_WINDOW = 1.0
 # Programs that end each second while none was seen to.
 INITIAL_RATE = 5.0
+# Placements count as scarce for this time after a refusal, in seconds: programs refused
+# before it have returned or given up, as far as fair shares go.
+SCARCE_SECONDS = 1.0
 # Weight of a host's report in the mean pause.
 SMOOTHING = 0.02
+# Longer pauses are breaks of the user, not of the program. Seconds.
 MAX_PAUSE = 10.0
 
 
+def possible_pause(pause: float) -> bool:
+    """Return whether a mean pause between turns, in seconds, is possible."""
+    return 0 <= pause <= MAX_PAUSE
+
+
 @dataclass(kw_only=True)
 class _Entry:
     """A program with the processes that report it.
@@ -82,10 +93,11 @@
         self._ended: deque[float] = deque()
         self._programs: Counter[InstanceId] = Counter()
         self._tokens: Counter[InstanceId] = Counter()
+        self._workspaces: Counter[Workspace | None] = Counter()
+        self._refused_at = -math.inf
         self._first_report = math.inf
         self._last_report = -math.inf
         self.returns = ReturnQueue()
-        self._last_refusal = -math.inf
         self.pause: float | None = None
         self.idle_pause = math.inf
 
@@ -124,7 +136,7 @@
         if names:
             self._reported[reporter] = names
             self._reported_at[reporter] = now
-        if pause is not None and 0 <= pause <= MAX_PAUSE:
+        if pause is not None and possible_pause(pause):
             if self.pause is None:
                 self.pause = pause
             self.pause += SMOOTHING * (pause - self.pause)
@@ -159,8 +171,14 @@
         if wanted.in_progress:
             engine = self._policy.choose(engines, wanted)
             return None if engine is None else Decision(instance=engine.instance)
-        reserved = self.returns.reserved(program, rank=demand.rank, now=now)
-        if reserved and self.free(engines, wanted) <= reserved:
+        reserved = self.returns.reserved(
+            program,
+            rank=demand.rank,
+            workspace=demand.workspace,
+            busy=self.busy_workspaces(now),
+            now=now,
+        )
+        if reserved and self.free(engines, wanted, reserved + 1) <= reserved:
             return None
         engine = self._policy.choose(engines, wanted)
         if engine is None:
@@ -176,7 +194,7 @@
         now: float,
     ) -> None:
         """Count a program on an engine until it is reported or its grant lapses."""
-        self.returns.admit(program)
+        self.returns.admit(program, rank=demand.rank)
         self._resume(program, now)
         earlier = self._remove(program)
         self._add(
@@ -198,18 +216,52 @@
 
     def refuse(self, program: ProgramId, demand: ProgramDemand, now: float) -> float:
         """Return after how many seconds a refused program should return."""
-        self._last_refusal = now
+        busy = self.busy_workspaces(now)
+        self._refused_at = now
         return self.returns.refuse(
             program,
             rank=demand.rank,
+            workspace=demand.workspace,
+            busy=busy,
             slack=demand.slack,
             rate=self.rate(now),
             now=now,
         )
 
-    def free(self, engines: Sequence[EngineState], demand: ProgramDemand) -> int:
-        """Return how many more such programs the engines can take."""
-        return sum(free_placements(engine, demand) for engine in engines)
+    def busy_workspaces(self, now: float) -> Set[Workspace | None]:
+        """Return the workspaces that have their share of scarce placements.
+
+        A workspace may ask for one placement more than its programs in progress and
+        those that are to retry. Its share is at least one.
+        """
+        if now - self._refused_at > SCARCE_SECONDS:
+            return NO_WORKSPACES
+        self.returns.advance(now)
+        waiting = self.returns.waiting
+        demands = {
+            workspace: self._workspaces[workspace] + waiting[workspace] + 1
+            for workspace in self._workspaces.keys() | waiting.keys()
+        }
+        shares = max_min_shares(demands, len(self._entries))
+        return {
+            workspace
+            for workspace, programs in self._workspaces.items()
+            if programs >= max(1.0, shares[workspace])
+        }
+
+    def free(
+        self,
+        engines: Sequence[EngineState],
+        demand: ProgramDemand,
+        limit: int | None = None,
+    ) -> int:
+        """Return how many more such programs the engines can take, up to a limit."""
+        free = 0
+        for engine in engines:
+            free += free_placements(engine, demand)
+            if limit is not None and free >= limit:
+                return limit
+        return free
 
     def rate(self, now: float) -> float:
         """Return how many programs end each second."""
@@ -235,9 +287,7 @@
             del self._homes[name]
         while self._ended and self._ended[0] < now - RATE_WINDOW:
             self._ended.popleft()
-        if len(self.returns) and now - self._last_refusal > MAX_RETURN + REMEMBERED:
-            # The queue drops programs only when it is asked. These don't return.
-            self.returns = ReturnQueue()
+        self.returns.advance(now)
 
     def _lapse(self, name: ProgramId, entry: _Entry) -> None:
         """Drop a grant that no report agreed with.
@@ -264,12 +314,15 @@
         ):
             # The report may be older than the grant, which moves the program.
             return
+        tokens = 0 if entry is None else entry.tokens
+        if possible_tokens(program.tokens):
+            tokens = program.tokens
         self._remove(program.program)
         self._add(
             program.program,
             _Entry(
                 instance=program.instance,
-                tokens=max(0, program.tokens),
+                tokens=tokens,
                 workspace=program.workspace,
                 ran=program.ran or (entry is not None and entry.ran),
                 reporters=reporters,
@@ -312,12 +365,16 @@
         self._entries[name] = entry
         self._programs[entry.instance] += 1
         self._tokens[entry.instance] += entry.tokens
+        self._workspaces[entry.workspace] += 1
 
     def _remove(self, name: ProgramId) -> _Entry | None:
         entry = self._entries.pop(name, None)
         if entry is not None:
             self._programs[entry.instance] -= 1
             self._tokens[entry.instance] -= entry.tokens
+            self._workspaces[entry.workspace] -= 1
+            if not self._workspaces[entry.workspace]:
+                del self._workspaces[entry.workspace]
             if not self._programs[entry.instance]:
                 # Engines that leave must not stay in the counters.
                 del self._programs[entry.instance]
