Count paused programs by the probability that they go on

Cause: programs that had ended counted on their engine until a long pause showed it, which took a third of the room, and retry times came from the rate at which lines of turns ended, several times that of programs, as sub-agents run lines of their own. Change: a paused program counts by the learned probability that it goes on, and retry times follow the rate at which programs get placements.

--- a/sequoiaarch/fleet/engine_owner.py
+++ b/sequoiaarch/fleet/engine_owner.py
@@ -108,7 +108,8 @@
         decision = self.book.decide(request.program, demand, states, now)
         if decision is not None and decision.known:
             if not self.book.counts(request.program):
-                self.book.grant(request.program, demand, decision.instance, now)
+                resumed = msgspec.structs.replace(demand, in_progress=True)
+                self.book.grant(request.program, resumed, decision.instance, now)
             return ProgramPlaced(instance=decision.instance)
         if decision is None or decision.wait > REDIRECT_WAIT:
             centre = self._least_loaded_centre(request, now)
@@ -198,7 +199,7 @@
             states = self.states(service, now)
             log.info(
                 "engines of {}: {} programs with {} tokens on {}; turns take {} ms,"
-                " {:.1f} programs end each second, {} are to retry; {} granted,"
+                " {:.1f} programs begin each second, {} are to retry; {} granted,"
                 " {} refused, {} redirected so far",
                 service,
                 [state.programs for state in states],
@@ -230,7 +231,7 @@
             f" {len(self.book.returns)} are to retry"
         )
         log.info(
-            "program {} of workspace {} is refused: {}, {:.1f} programs end each"
+            "program {} of workspace {} is refused: {}, {:.1f} programs begin each"
             " second; retry in {:.2f} s",
             request.program,
             demand.workspace,
--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Sequence, Set
 from dataclasses import dataclass, field
 
@@ -36,10 +36,8 @@
 # Seconds after the first report within which nothing is refused: not all processes have
 # reported their programs yet.
 WARM_UP = 0.4
-# Window of the rate at which programs end, in seconds.
-RATE_WINDOW = 1.0
-# Programs that end each second while none was seen to.
-INITIAL_RATE = 5.0
+# Window of the rate at which programs get placements, in seconds.
+RATE_WINDOW = 2.0
 # Placements count as scarce for this time after a refusal, in seconds: programs refused
 # before it have returned or given up, as far as fair shares go.
 SCARCE_SECONDS = 1.0
@@ -58,16 +56,23 @@
 class _Entry:
     """A program with the processes that report it.
 
+    `weight` is the probability that it is still in progress.
     `granted_at` is set until the first report that agrees with the grant.
     """
 
     instance: InstanceId
     tokens: int
     workspace: Workspace | None
+    weight: float = 1.0
     ran: bool = False
     reporters: set[Reporter] = field(default_factory=set)
     granted_at: float | None = None
 
+    @property
+    def expected_tokens(self) -> int:
+        """Return the expected tokens of the prompt while in progress."""
+        return round(self.weight * self.tokens)
+
 
 class Decision(msgspec.Struct, frozen=True, kw_only=True):
     """The engine of a program with the expected wait of its turns, in seconds."""
@@ -90,8 +95,11 @@
         self._reported_at: dict[Reporter, float] = {}
         self._grants: deque[tuple[float, ProgramId]] = deque()
         self._homes: dict[ProgramId, tuple[float, InstanceId]] = {}
-        self._ended: deque[float] = deque()
+        # Times at which programs got a placement to begin.
+        self._begun: deque[float] = deque()
         self._programs: Counter[InstanceId] = Counter()
+        # Sums of the weights of programs.
+        self._expected: defaultdict[InstanceId, float] = defaultdict(float)
         self._tokens: Counter[InstanceId] = Counter()
         self._workspaces: Counter[Workspace | None] = Counter()
         self._refused_at = -math.inf
@@ -102,8 +110,8 @@
         self.idle_pause = math.inf
 
     def programs(self, instance: InstanceId) -> int:
-        """Return the number of programs on an engine."""
-        return self._programs[instance]
+        """Return the expected number of programs in progress on an engine."""
+        return round(self._expected.get(instance, 0.0))
 
     def tokens(self, instance: InstanceId) -> int:
         """Return the prompt tokens of the programs on an engine."""
@@ -195,7 +203,7 @@
     ) -> None:
         """Count a program on an engine until it is reported or its grant lapses."""
         self.returns.admit(program, rank=demand.rank)
-        self._resume(program, now)
+        self._homes.pop(program, None)
         earlier = self._remove(program)
         self._add(
             program,
@@ -209,6 +217,8 @@
             ),
         )
         self._grants.append((now, program))
+        if not demand.in_progress:
+            self._begun.append(now)
 
     def counts(self, program: ProgramId) -> bool:
         """Return whether a program counts on an engine."""
@@ -264,9 +274,12 @@
         return free
 
     def rate(self, now: float) -> float:
-        """Return how many programs end each second."""
-        recent = sum(ended_at >= now - RATE_WINDOW for ended_at in self._ended)
-        return recent / RATE_WINDOW or INITIAL_RATE
+        """Return how many programs get a placement each second.
+
+        More lines of turns than that end, as sub-agents run lines of their own.
+        """
+        recent = sum(begun_at >= now - RATE_WINDOW for begun_at in self._begun)
+        return recent / RATE_WINDOW
 
     def expire(self, now: float) -> None:
         """Drop lost processes, unused grants, old homes and old ends."""
@@ -285,8 +298,8 @@
             if ended_at > now - HOME_LIFE:
                 break
             del self._homes[name]
-        while self._ended and self._ended[0] < now - RATE_WINDOW:
-            self._ended.popleft()
+        while self._begun and self._begun[0] < now - RATE_WINDOW:
+            self._begun.popleft()
         self.returns.advance(now)
 
     def _lapse(self, name: ProgramId, entry: _Entry) -> None:
@@ -295,6 +308,8 @@
         No turn was opened with it, so no engine has the prompt, and it does not count
         as the end of a program.
         """
+        if entry.granted_at is not None and entry.granted_at in self._begun:
+            self._begun.remove(entry.granted_at)
         if entry.reporters:
             entry.granted_at = None
         else:
@@ -303,7 +318,7 @@
     def _reported_by(
         self, reporter: Reporter, program: ProgramReport, now: float
     ) -> None:
-        self._resume(program.program, now)
+        self._homes.pop(program.program, None)
         entry = self._entries.get(program.program)
         reporters = set() if entry is None else entry.reporters
         reporters.add(reporter)
@@ -324,6 +339,7 @@
                 instance=program.instance,
                 tokens=tokens,
                 workspace=program.workspace,
+                weight=program.weight if 0 <= program.weight <= 1 else 1.0,
                 ran=program.ran or (entry is not None and entry.ran),
                 reporters=reporters,
             ),
@@ -344,16 +360,9 @@
         # No engine has the prompt of a program that ran nothing, as its caller left or
         # a quota refused it, and it did not make room by its end.
         if entry is not None and entry.ran:
-            self._ended.append(now)
             self._homes.pop(name, None)
             self._homes[name] = (now, entry.instance)
 
-    def _resume(self, name: ProgramId, now: float) -> None:
-        """Take back the end of a program that only paused for longer than usual."""
-        ended_at, _ = self._homes.pop(name, (-math.inf, None))
-        if ended_at >= now - RATE_WINDOW and ended_at in self._ended:
-            self._ended.remove(ended_at)
-
     def _known_home(self, program: ProgramId) -> InstanceId | None:
         entry = self._entries.get(program)
         if entry is not None:
@@ -364,19 +373,22 @@
     def _add(self, name: ProgramId, entry: _Entry) -> None:
         self._entries[name] = entry
         self._programs[entry.instance] += 1
-        self._tokens[entry.instance] += entry.tokens
+        self._expected[entry.instance] += entry.weight
+        self._tokens[entry.instance] += entry.expected_tokens
         self._workspaces[entry.workspace] += 1
 
     def _remove(self, name: ProgramId) -> _Entry | None:
         entry = self._entries.pop(name, None)
         if entry is not None:
             self._programs[entry.instance] -= 1
-            self._tokens[entry.instance] -= entry.tokens
+            self._expected[entry.instance] -= entry.weight
+            self._tokens[entry.instance] -= entry.expected_tokens
             self._workspaces[entry.workspace] -= 1
             if not self._workspaces[entry.workspace]:
                 del self._workspaces[entry.workspace]
             if not self._programs[entry.instance]:
                 # Engines that leave must not stay in the counters.
                 del self._programs[entry.instance]
+                del self._expected[entry.instance]
                 del self._tokens[entry.instance]
         return entry
--- a/sequoiaarch/fleet/placement_service.py
+++ b/sequoiaarch/fleet/placement_service.py
@@ -306,6 +306,7 @@
                     instance=program.home,
                     tokens=program.tokens,
                     workspace=program.workspace,
+                    weight=self._programs.weight(program),
                     ran=program.ran,
                 )
             )
--- a/sequoiaarch/fleet/program_table.py
+++ b/sequoiaarch/fleet/program_table.py
@@ -19,6 +19,12 @@
 LINGER_STEP = 0.02
 # Weight of a new pause in the moving average.
 SMOOTHING = 0.05
+# Factor on earlier pauses for each new one, in the probability that a paused program
+# goes on: about the last 50 pauses count.
+PAUSE_DECAY = 0.98
+# First guesses of the seconds of pauses after which programs went on, and did not.
+INITIAL_RESUMED_SECONDS = 1.0
+INITIAL_ENDED_SECONDS = 0.5
 # Pauses longer than this are breaks of the user, not of the program. Seconds.
 LONGEST_PAUSE = 3.0
 # Programs whose home is remembered, and for how long. Seconds.
@@ -38,10 +44,11 @@
     open_turns: int = 0
     ran: bool = False
     last_end: float = 0.0
+    presumed_ended: bool = False
 
 
 class ProgramTable:
-    """Hold the programs under way and those that paused a moment ago.
+    """Hold the programs in progress and those that paused a moment ago.
 
     Programs don't announce their end, so one that pauses for longer than usual
     counts as ended.
@@ -53,6 +60,8 @@
         self._homes: OrderedDict[ProgramId, InstanceId] = OrderedDict()
         self.pause: float | None = None
         self.linger = INITIAL_LINGER
+        self._resumed_seconds = INITIAL_RESUMED_SECONDS
+        self._ended_seconds = INITIAL_ENDED_SECONDS
 
     def home_of(self, program: ProgramId) -> InstanceId | None:
         """Return the engine that last ran a turn of a program."""
@@ -83,6 +92,7 @@
         elif not program.open_turns and now - program.last_end < LONGEST_PAUSE:
             self._record_pause(now - program.last_end)
         self._programs.move_to_end(name)
+        program.presumed_ended = False
         program.open_turns += 1
         program.tokens = max(program.tokens, tokens)
         if home is not None:
@@ -121,9 +131,32 @@
         else:
             self.linger -= LINGER_STEP * (1 - LINGER_QUANTILE)
         self.linger = min(max(self.linger, MIN_LINGER), MAX_LINGER)
+        resumed = min(pause, self.linger)
+        self._resumed_seconds = self._resumed_seconds * PAUSE_DECAY + resumed
+        self._ended_seconds *= PAUSE_DECAY
+
+    def _presume_ended(self, now: float) -> None:
+        """Record the programs whose pause has become too long to be one."""
+        for program in self._programs.values():
+            if program.open_turns or program.presumed_ended:
+                continue
+            if now - program.last_end >= self.linger:
+                program.presumed_ended = True
+                self._ended_seconds = self._ended_seconds * PAUSE_DECAY + self.linger
+                self._resumed_seconds *= PAUSE_DECAY
+
+    def weight(self, program: Program) -> float:
+        """Return the probability that a program is still in progress.
+
+        Without it, programs that ended a moment ago would take room on their engines.
+        """
+        if program.open_turns:
+            return 1.0
+        return self._resumed_seconds / (self._resumed_seconds + self._ended_seconds)
 
     def active(self, now: float) -> dict[ProgramId, Program]:
-        """Return the programs under way, and forget those that ended long ago."""
+        """Return the programs in progress, and forget those that ended long ago."""
+        self._presume_ended(now)
         for _ in range(len(self._programs)):
             name, oldest = next(iter(self._programs.items()))
             if oldest.open_turns:
--- a/sequoiaarch/tests/fleet/program_table_tests.py
+++ b/sequoiaarch/tests/fleet/program_table_tests.py
@@ -101,6 +101,29 @@
         self.assertEqual(self.active(), [])
         self.assertIsNotNone(self.table.get(LINE))
 
+    def test_weight_of_a_pause(self) -> None:
+        """Guards against programs that end often and count in full while they pause.
+
+        Where nearly all pauses end with a turn, a pause counts nearly in full.
+        """
+        self.open()
+        program = self.table.get(ProgramId(LINE))
+        assert program is not None
+        self.assertEqual(self.table.weight(program), 1.0)
+        self.end()
+        for _ in range(100):
+            self.now += 0.1
+            self.open()
+            self.end()
+        self.assertGreater(self.table.weight(program), 0.9)
+        for number in range(100):
+            name = f"short{number}#s"
+            self.open(name, root=f"short{number}")
+            self.end(name)
+            self.now += 1.01 * self.table.linger
+            self.active()
+        self.assertLess(self.table.weight(program), 0.2)
+
     def test_ended_programs_are_forgotten(self) -> None:
         """Forget programs that ended long ago, also behind a long turn.
 
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -303,7 +303,8 @@
 class ProgramReport(msgspec.Struct, frozen=True, kw_only=True):
     """Describe a program in progress: its engine and the tokens of its prompt.
 
-    `ran` says that an engine has run a turn of it.
+    `ran` says that an engine has run a turn of it, and `weight` is the probability
+    that it goes on, which is 1 while a turn is open.
     """
 
     program: ProgramId
@@ -311,6 +312,7 @@
     tokens: int
     workspace: Workspace | None = None
     ran: bool = True
+    weight: float = 1.0
 
 
 class LoadReportRequest(Message, frozen=True, kw_only=True, tag="load_report"):
