--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -202,7 +202,7 @@
         now: float,
     ) -> None:
         """Count a program on an engine until it is reported or its grant lapses."""
-        self.returns.admit(program, rank=demand.rank)
+        self.returns.admit(program, rank=None if demand.in_progress else demand.rank)
         self._homes.pop(program, None)
         earlier = self._remove(program)
         self._add(
--- a/sequoiaarch/policies/return_queue.py
+++ b/sequoiaarch/policies/return_queue.py
@@ -164,11 +164,16 @@
         self._update(program, refused, now)
         return refused.due - now
 
-    def admit(self, program: ProgramId, *, rank: int) -> None:
-        """Remove a program that got a place, and count the grant for its rank."""
+    def admit(self, program: ProgramId, *, rank: int | None) -> None:
+        """Remove a program that got a place, and count the grant for its rank.
+
+        Without a rank it is a program in progress, which takes no turn of others.
+        """
         refused = self._refused.pop(program, None)
         if refused is not None:
             self._move(refused, _State.FORGOTTEN)
+        if rank is None:
+            return
         self._granted_ranks.append(rank)
         self._rank_grants[rank] += 1
         if len(self._granted_ranks) > GRANT_WINDOW:
