Move programs off engines that have become slow

Cause: turns stay on the assigned engine, so programs of an engine that became three times slower ended late, 12 to 60 of them in a burst. Failing test: placement_failures_tests.SlowEngineTests.test_program_leaves_slow_engine. Change: the delegate asks the owner again for a program whose engine takes 0.1 s more for a turn than the fastest; the owner counts the cost of processing the prompt again.

--- a/sequoiaarch/fleet/placed_turns.py
+++ b/sequoiaarch/fleet/placed_turns.py
@@ -81,7 +81,9 @@
         """Return the engine of a line of turns; raises FailureError if refused."""
         known = self._programs.get(line)
         if known is not None and self._placements.usable(known.home, demand.service):
-            return TurnEngine(home=known.home)
+            if not self._placements.is_slow(known.home):
+                return TurnEngine(home=known.home)
+            return await self._move(line, demand, known.home)
         program = start.terms.program
         home = self._programs.home_of(program)
         in_progress = (
@@ -102,6 +104,18 @@
             await check_estimate(start, self._ledger)
         return TurnEngine()
 
+    async def _move(
+        self, line: ProgramId, demand: ProgramDemand, home: InstanceId | None
+    ) -> TurnEngine:
+        """Return the engine of a program whose home engine is slow."""
+        demand = msgspec.structs.replace(
+            demand, in_progress=True, home=home, moves=True
+        )
+        placed = await self._placements.place(line, demand)
+        if isinstance(placed, Placement):
+            return TurnEngine(home=placed.instance, placed_by=placed.owner)
+        return TurnEngine(home=home)
+
     def _track(
         self,
         turn: LocalTurn,
--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -168,7 +168,8 @@
         """
         self.expire(now)
         known = self._known_home(program)
-        if any(engine.instance == known for engine in engines):
+        stays = not demand.moves
+        if stays and any(engine.instance == known for engine in engines):
             assert known is not None
             return Decision(instance=known, known=True)
         wanted = msgspec.structs.replace(
@@ -178,7 +179,10 @@
             wanted = msgspec.structs.replace(wanted, in_progress=True)
         if wanted.in_progress:
             engine = self._policy.choose(engines, wanted)
-            return None if engine is None else Decision(instance=engine.instance)
+            if engine is None:
+                return None
+            same = demand.moves and engine.instance == known
+            return Decision(instance=engine.instance, known=same)
         reserved = self.returns.reserved(
             program,
             rank=demand.rank,
--- a/sequoiaarch/fleet/placement_service.py
+++ b/sequoiaarch/fleet/placement_service.py
@@ -43,6 +43,10 @@
 # Seconds for which the paces that an owner returned are used. Without reports none
 # are returned, and this host's own measurements are newer.
 OWNER_PACES_LIFE = 1.0
+# Programs leave an engine on which a turn takes this much longer than on the fastest
+# one. Moving costs a program the processing of its prompt, and the other engine room in
+# its cache, which pays after a turn or two. Seconds.
+MOVE_SECONDS = 0.1
 # Seconds for which engines count as uneven after they were last seen to be.
 UNEVEN_HOLD = 10.0
 
@@ -156,6 +160,12 @@
             }
         return self._slowdowns
 
+    def is_slow(self, instance: InstanceId | None) -> bool:
+        """Return whether programs gain by leaving an engine, if another has room."""
+        if instance is None or not self.uneven:
+            return False
+        return self.slowdowns().get(instance, 0.0) > MOVE_SECONDS
+
     def forget(self, instance: InstanceId) -> None:
         """Discard what is known of the pace of an engine that has left."""
         self._paces.forget(instance)
--- a/sequoiaarch/policies/program_placement.py
+++ b/sequoiaarch/policies/program_placement.py
@@ -75,7 +75,8 @@
     the expected size of its prompt. `left` is the time to its deadline, if it has one,
     and `slack` the part of it that turns on idle engines do not need, in seconds.
     Rank 0 is the most urgent. A program in progress that begins a further line of turns
-    is not refused; its prompt is cached at `home`.
+    is not refused; its prompt is cached at `home`. With `moves` it may leave its home
+    engine, which is slow.
     """
 
     service: ServiceName
@@ -88,6 +89,7 @@
     workspace: Workspace | None = None
     in_progress: bool = False
     home: InstanceId | None = None
+    moves: bool = False
 
     def impossible(self) -> dict[str, float]:
         """Return the figures that are impossible, by name."""
@@ -169,11 +171,16 @@
     return wait <= demand.max_wait
 
 
-def _expected_turn(engine: EngineState, demand: ProgramDemand) -> tuple[float, float]:
-    turn = engine.turn + engine.wait_with(engine.programs + 1)
+def _expected_turn(
+    engine: EngineState, demand: ProgramDemand
+) -> tuple[float, bool, float]:
+    # A program that moves is among the programs of its home engine already.
+    stays = demand.moves and engine.instance == demand.home
+    turn = engine.turn + engine.wait_with(engine.programs + (0 if stays else 1))
     if demand.home is not None and engine.instance != demand.home:
         turn += max(0, demand.tokens) / PREFILL_RATE
-    return round(turn, 3), engine.programs / engine.slots
+    leaves = demand.moves and engine.instance != demand.home
+    return round(turn, 3), leaves, engine.programs / engine.slots
 
 
 def free_placements(engine: EngineState, demand: ProgramDemand) -> int:
--- a/sequoiaarch/tests/fleet/placement_failures_tests.py
+++ b/sequoiaarch/tests/fleet/placement_failures_tests.py
@@ -22,6 +22,7 @@
 from ...ledger.partition_map import PartitionMap
 from ...ledger.terms import BudgetVerdict, LookupFailure
 from ...ledger.turns import OpenTurn
+from ...policies.pace import PaceSample
 from ...wire.links import Send
 from ...wire.messages import (
     CloseTurnRequest,
@@ -324,6 +325,57 @@
         self.assertEqual(again, moved)
 
 
+class SlowEngineTests(TurnsTestCase):
+    """Test programs whose home engine has become slow."""
+
+    async def run_first_turn(self) -> tuple[PlacementHost, PlacementHost, str]:
+        """Run a turn and slow its engine down; return gateway, owner and program."""
+        await self.connect()
+        owner = self.owner()
+        gateway, delegate = self.others(owner)
+        program = self.program(gateway, delegate)
+        self.home = await self.run_turn(gateway, program)
+        await self.until_reported(owner, program)
+        mock.patch.object(
+            delegate.placements, "is_slow", lambda instance: instance == self.home
+        ).start()
+        self.addCleanup(mock.patch.stopall)
+        return gateway, owner, program
+
+    async def test_program_leaves_slow_engine(self) -> None:
+        """Guards against programs that end late as their engine has become slow."""
+        gateway, owner, program = await self.run_first_turn()
+        assert self.home is not None
+        owner.placements.owner.paces.add(
+            PaceSample(instance=self.home, seconds=5.0, events=10),
+            asyncio.get_running_loop().time(),
+        )
+        for other in self.engines:
+            if other.instance != self.home:
+                owner.placements.owner.paces.add(
+                    PaceSample(instance=other.instance, seconds=0.1, events=10),
+                    asyncio.get_running_loop().time(),
+                )
+        moved = await self.run_turn(gateway, program, "t2", previous="t1")
+        self.assertIsNotNone(moved)
+        self.assertNotEqual(moved, self.home)
+        again = await self.run_turn(gateway, program, "t3", previous="t2")
+        self.assertEqual(again, moved)
+
+    async def test_program_stays_without_better_engine(self) -> None:
+        """Guards against prompts that are processed again without a gain."""
+        gateway, _, program = await self.run_first_turn()
+        stays = await self.run_turn(gateway, program, "t2", previous="t1")
+        self.assertEqual(stays, self.home)
+
+    async def test_owner_is_lost(self) -> None:
+        """Guards against turns of programs in progress that fail with the owner."""
+        gateway, owner, program = await self.run_first_turn()
+        owner.handler = owner.freeze
+        stays = await self.run_turn(gateway, program, "t2", previous="t1")
+        self.assertEqual(stays, self.home)
+
+
 class CallerLeavesTests(TurnsTestCase):
     """Test callers that leave around a placement."""
 
