Log owners' decisions about programs without a placement as fields

Cause: a refusal was a sentence without the age of the reports that it was based on, and a redirection or the refusal of a program that another owner sent left no line, so that no program could tell from the logs why a program waited. Failing tests: placement_events_tests, new with the event that they need. Change: the owner passes each such decision to the daemon, which writes one `placement` line with the program, the decision, its inputs and the age of the oldest report that counts. Grants write none. The sentence about a refusal stays as its message.

placements_tests.test_refused_program looked for the sentence among the records of the logger, where it no longer is. It now looks for it in the written line, as operators do, and checks the owner and the retry time too.

--- a/sequoiaarch/fleet/engine_owner.py
+++ b/sequoiaarch/fleet/engine_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 from collections.abc import Callable, Mapping
 
@@ -71,6 +72,49 @@
     pace: float | None
 
 
+class Outcome(enum.Enum):
+    """What an owner decided about a program that it gave no placement.
+
+    Another owner had sent a declined program, and decides when it may retry.
+    """
+
+    REFUSED = "refused"
+    REDIRECTED = "redirected"
+    DECLINED = "declined"
+
+
+class OwnerDecision(msgspec.Struct, frozen=True, kw_only=True):
+    """A decision about a program that got no placement, with what it was based on.
+
+    `demand` has the allowed wait of each turn, `programs` and `engines` are those of
+    the service, and `age` is that of the oldest report that counted, if any did.
+    `rate` is the number of programs that begin each second, and `to_retry` of those
+    that are to retry. A redirected program is sent to `centre`, which had
+    `centre_free` free placements by a report of the age `centre_age`. In seconds.
+    """
+
+    request: PlaceProgramRequest
+    demand: ProgramDemand
+    outcome: Outcome
+    programs: int
+    engines: int
+    to_retry: int
+    rate: float
+    age: float | None
+    retry_after: float | None = None
+    centre: DataCentre | None = None
+    centre_free: int | None = None
+    centre_age: float | None = None
+
+    @property
+    def reason(self) -> str:
+        """Return why there was no room, as callers are told."""
+        return (
+            f"{self.programs} programs on {self.engines} engines, allowed wait"
+            f" {self.demand.max_wait * 1000:.0f} ms, {self.to_retry} are to retry"
+        )
+
+
 class EngineOwner:
     """Assign programs to engines by the reports of all hosts.
 
@@ -95,13 +139,19 @@
         self.granted = 0
         self.refused = 0
         self.redirected = 0
+        # Called with each decision about a program that got no placement here.
+        self.on_decision: Callable[[OwnerDecision], None] | None = None
 
     def place(self, request: PlaceProgramRequest, now: float) -> ProgramPlaced:
         """Return an engine, another data centre, or when to retry."""
         service = request.demand.service
         states = self.states(service, now)
         if not states:
-            return ProgramPlaced(centre=self._least_loaded_centre(request, now))
+            centre = self._least_loaded_centre(request, now)
+            if centre is not None:
+                demand = self._possible(request.demand)
+                self._redirect(request, demand, states, centre, now)
+            return ProgramPlaced(centre=centre)
         self._services.add(service)
         demand = self._possible(request.demand)
         demand = self._with_allowed_wait(request.program, demand, now)
@@ -115,6 +165,7 @@
             centre = self._least_loaded_centre(request, now)
             if centre is not None:
                 self.redirected += 1
+                self._redirect(request, demand, states, centre, now)
                 return ProgramPlaced(centre=centre)
         if decision is None:
             return self._refuse(request, demand, states, now)
@@ -222,24 +273,60 @@
     ) -> ProgramPlaced:
         if request.sent_from is not None and request.sent_from != self._data_centre:
             # The owner that sent it decides when it may retry.
+            if self.on_decision is not None:
+                self.on_decision(
+                    self._decision(request, demand, states, Outcome.DECLINED, now)
+                )
             return ProgramPlaced()
         self.refused += 1
         retry_after = self.book.refuse(request.program, demand, now)
-        reason = (
-            f"{sum(state.programs for state in states)} programs on"
-            f" {len(states)} engines, allowed wait {demand.max_wait * 1000:.0f} ms,"
-            f" {len(self.book.returns)} are to retry"
+        decision = self._decision(request, demand, states, Outcome.REFUSED, now)
+        decision = msgspec.structs.replace(decision, retry_after=retry_after)
+        if self.on_decision is not None:
+            self.on_decision(decision)
+        return ProgramPlaced(retry_after=retry_after, reason=decision.reason)
+
+    def _redirect(
+        self,
+        request: PlaceProgramRequest,
+        demand: ProgramDemand,
+        states: list[EngineState],
+        centre: DataCentre,
+        now: float,
+    ) -> None:
+        """Pass on that a program was sent to another data centre."""
+        if self.on_decision is None:
+            return
+        decision = self._decision(request, demand, states, Outcome.REDIRECTED, now)
+        reported_at, free = self._elsewhere[centre]
+        self.on_decision(
+            msgspec.structs.replace(
+                decision,
+                centre=centre,
+                # The one that this program uses is already taken off.
+                centre_free=free + 1,
+                centre_age=now - reported_at,
+            )
         )
-        log.info(
-            "program {} of workspace {} is refused: {}, {:.1f} programs begin each"
-            " second; retry in {:.2f} s",
-            request.program,
-            demand.workspace,
-            reason,
-            self.book.rate(now),
-            retry_after,
+
+    def _decision(
+        self,
+        request: PlaceProgramRequest,
+        demand: ProgramDemand,
+        states: list[EngineState],
+        outcome: Outcome,
+        now: float,
+    ) -> OwnerDecision:
+        return OwnerDecision(
+            request=request,
+            demand=demand,
+            outcome=outcome,
+            programs=sum(state.programs for state in states),
+            engines=len(states),
+            to_retry=len(self.book.returns),
+            rate=self.book.rate(now),
+            age=self.book.report_age(now),
         )
-        return ProgramPlaced(retry_after=retry_after, reason=reason)
 
     def _possible(self, demand: ProgramDemand) -> ProgramDemand:
         """Return a demand in which impossible figures count as absent."""
--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -150,6 +150,12 @@
             self.pause += SMOOTHING * (pause - self.pause)
             self.idle_pause = min(self.idle_pause, self.pause)
 
+    def report_age(self, now: float) -> float | None:
+        """Return the seconds since the oldest report that counts, if any does."""
+        if not self._reported_at:
+            return None
+        return now - min(self._reported_at.values())
+
     def warm(self, now: float) -> bool:
         """Return whether all hosts have had time to report."""
         return now - self._first_report >= WARM_UP
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 import random
 import secrets
@@ -27,6 +28,7 @@
 from ..ledger.sweeper import Sweeper
 from ..ledger.turns import LocalTurns, Turns
 from ..observe.events import EventLog
+from ..observe.placement_events import log_decision
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixIndex, PrefixPlacement
 from ..policies.health import TargetHealth
@@ -158,6 +160,10 @@
                 ),
             )
             self.dispatcher.placements = self._fleet.placements
+            if events is not None:
+                self._fleet.placements.owner.on_decision = functools.partial(
+                    log_decision, events, options.host
+                )
             quotas = self._fleet.quotas
             turns = self._fleet.turns
             self.dispatcher.load.report = self._fleet.reports.broadcast
