Add a command that shows engines from the metrics of gateways

Cause: the load of engines and the decisions of their owners were only in the metrics of each gateway, of which just the owner shows them.

--- a/sequoiaarch/__main__.py
+++ b/sequoiaarch/__main__.py
@@ -7,6 +7,7 @@
 from .commands.base import Connection
 from .commands.config import config
 from .commands.drain import drain
+from .commands.engines import engines
 from .commands.failures import failures
 from .commands.program import program
 from .commands.run import run
@@ -30,13 +31,15 @@
 def cli(context: click.Context, url: str, key: str, as_json: bool) -> None:
     """Operate sequoiaarch and run sample programs.
 
-    Exit codes: 0 done, 1 refused, 2 invalid input, 3 gateway not reachable.
+    Exit codes: 0 done, 1 refused or incomplete, 2 invalid input, 3 gateway not
+    reachable.
     """
     context.obj = Connection(url=url, key=key, as_json=as_json)
 
 
 cli.add_command(config)
 cli.add_command(drain)
+cli.add_command(engines)
 cli.add_command(failures)
 cli.add_command(program)
 cli.add_command(run)
--- a/sequoiaarch/commands/base.py
+++ b/sequoiaarch/commands/base.py
@@ -20,10 +20,11 @@
 
 
 class ExitCode(IntEnum):
-    """Exit codes of all commands."""
+    """Exit codes of all commands; INCOMPLETE has the value of REFUSED."""
 
     DONE = 0
     REFUSED = 1
+    INCOMPLETE = 1
     INVALID = 2
     UNREACHABLE = 3
 
