Add a command that tells from logs why programs waited or were refused

Cause: the way of a refused program had to be pieced together with grep from the lines of its requests and of the owners, and the line of a request did not say when its caller was to retry. Change: `sequoiaarch placements LOG...` shows a table of placements and refusals by workspace, or with `--program` the requests of a program and the owners' decisions about it by time. The line of a request has `retry_after` if the caller was told one.

--- a/sequoiaarch/__main__.py
+++ b/sequoiaarch/__main__.py
@@ -9,6 +9,7 @@
 from .commands.drain import drain
 from .commands.engines import engines
 from .commands.failures import failures
+from .commands.placements import placements
 from .commands.program import program
 from .commands.run import run
 from .commands.status import status
@@ -41,6 +42,7 @@
 cli.add_command(drain)
 cli.add_command(engines)
 cli.add_command(failures)
+cli.add_command(placements)
 cli.add_command(program)
 cli.add_command(run)
 cli.add_command(status)
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -44,6 +44,7 @@
     exchange: Exchange | None = None
     outcome: str = "answered"
     reason: str = ""
+    retry_after: float | None = None
     steps: list[str] = field(default_factory=list)
 
 
@@ -136,6 +137,7 @@
         if writer.started:
             writer.abort()
             return
+        request.retry_after = failure.retry_delay
         body = msgspec.json.encode(
             {
                 "kind": failure.kind.value,
@@ -173,11 +175,17 @@
             status=writer.status,
             outcome=request.outcome,
             reason=request.reason,
+            **_retry_field(request.retry_after),
             milliseconds=round((now - request.started) * 1000, 1),
             steps=request.exchange.steps if request.exchange else [],
         )
 
 
+def _retry_field(retry_after: float | None) -> dict[str, float]:
+    """Return the field with the retry time that the caller was told, if any."""
+    return {} if retry_after is None else {"retry_after": round(retry_after, 3)}
+
+
 def _lost_outcome(writer: ResponseWriter) -> str:
     """Return why the connection to the caller was lost."""
     return CLOSED_FOR_MEMORY if writer.closed_for_memory else CALLER_LEFT
