--- a/sequoiaarch/tests/platform/placements_tests.py
+++ b/sequoiaarch/tests/platform/placements_tests.py
@@ -4,101 +4,16 @@
 
 import asyncio
 import json
-import random
 import re
-from typing import Any
 
-import logbook
-import zmq.asyncio
+from ...ids import ProgramId
+from .placing_gateway import PlacingGatewayTestCase
 
-from ...fleet.peers import Peers
-from ...fleet.placement_book import WARM_UP
-from ...fleet.placement_service import REPORT_INTERVAL
-from ...ids import DataCentre, HostName, InstanceId, ProgramId
-from ...ingress.daemon import IngressDaemon
-from ...observe.events import EventLog
-from ...wire.messages import LoadReportRequest, ProgramReport
-from .deployment import ENGINES, LOOPBACK, DeploymentTestCase, stream_answer
-
-SLOTS = 8
-FULL = 40
 RETRY_HEADERS = ("retry-after", "retry-after-ms", "x-retry-after-ms")
 
 
-class PlacementsTests(DeploymentTestCase):
-    """Run one gateway, which owns its engines, and two targets."""
-
-    async def asyncSetUp(self) -> None:
-        """Start the targets and prepare the peers of the gateway."""
-        await super().asyncSetUp()
-        self.context = zmq.asyncio.Context()
-        self.peers = Peers(
-            context=self.context,
-            own=HostName("one"),
-            own_address=f"{LOOPBACK}:1",
-            data_centre=DataCentre("here"),
-            seeds=[],
-            rng=random.Random(1),
-        )
-        self.lines: list[bytes] = []
-        for name in ("i-1", "i-2"):
-            await self.add_target(name, ENGINES, stream_answer)
-
-    async def asyncTearDown(self) -> None:
-        """Stop the gateway and its peer connections."""
-        await super().asyncTearDown()
-        self.peers.close()
-        self.context.destroy(linger=0)
-
-    async def start(self, *, place_programs: bool = True) -> IngressDaemon:
-        """Start the gateway and wait until it knows that it is registered."""
-
-        def write(line: bytes) -> int:
-            self.lines.append(line)
-            return len(line)
-
-        daemon = await self.add_daemon(
-            "one",
-            peers=self.peers,
-            events=EventLog(write=write),
-            place_programs=place_programs,
-        )
-        async with asyncio.timeout(10.0):
-            while not self.peers.hosts_by_centre():
-                await asyncio.sleep(0.01)
-        return daemon
-
-    def placements(self, daemon: IngressDaemon) -> Any:
-        """Return the placements of the gateway."""
-        assert daemon._fleet is not None
-        return daemon._fleet.placements
-
-    async def fill(self, daemon: IngressDaemon) -> None:
-        """Report so many programs that no engine has room."""
-        placements = self.placements(daemon)
-        for _ in range(round(WARM_UP / REPORT_INTERVAL) + 2):
-            for name in ("i-1", "i-2"):
-                reports = [
-                    ProgramReport(
-                        program=ProgramId(f"{name}-{number}"),
-                        instance=InstanceId(name),
-                        tokens=10,
-                    )
-                    for number in range(FULL)
-                ]
-                report = LoadReportRequest(host=HostName(name), programs=reports)
-                placements.answer_report(report)
-            await asyncio.sleep(REPORT_INTERVAL)
-
-    async def logged(self, attempt: str) -> dict[str, Any]:
-        """Return the request log's line of an attempt."""
-        async with asyncio.timeout(10.0):
-            while True:
-                for line in b"".join(self.lines).splitlines():
-                    if f'"id":"{attempt}"'.encode() in line:
-                        fields: dict[str, Any] = json.loads(line)
-                        return fields
-                await asyncio.sleep(0.02)
+class PlacementsTests(PlacingGatewayTestCase):
+    """Send requests to one gateway, which owns its engines, and two targets."""
 
     async def test_program_stays_on_its_engine(self) -> None:
         """Log where a program was placed, and run all its turns there."""
@@ -119,19 +34,8 @@
         daemon = await self.start()
         await self.fill(daemon)
         sent = sum(len(target.exchanges) for target in self.targets.values())
-        logs = logbook.TestHandler()
-        with logs.applicationbound():
-            answer = await self.turn(daemon, b"a", attempt="t1", program="new")
+        answer = await self.turn(daemon, b"a", attempt="t1", program="new")
         self.assertEqual(answer.status, 429)
-        # Operators search the owner's log by the program.
-        self.assertTrue(
-            any(
-                record.channel == "placement"
-                and re.match(r"program [^ ]*new[^ ]* of workspace", record.message)
-                for record in logs.records
-            ),
-            logs.formatted_records,
-        )
         self.assertTrue(
             any(name in answer.headers for name in RETRY_HEADERS), answer.headers
         )
@@ -141,6 +45,15 @@
         self.assertRegex(
             line["reason"], r"^one has no room for the program: \d+ programs on 2"
         )
+        # Operators search the owner's log by the program.
+        decisions = [one for one in self.logged_lines() if "decision" in one]
+        self.assertEqual([one["event"] for one in decisions], ["placement"])
+        self.assertRegex(
+            decisions[0]["message"],
+            r"^program [^ ]*new[^ ]* of workspace .*; retry in \d",
+        )
+        self.assertEqual(decisions[0]["owner"], "one")
+        self.assertGreater(decisions[0]["retry_after"], 0.0)
         self.assertFalse(await daemon.ledger.may_know_program(ProgramId("new")))
         after = sum(len(target.exchanges) for target in self.targets.values())
         self.assertEqual(after, sent)
