Let owners refuse only where the settings ask for it, and compare idle engines

Change: engines are uneven by their idle paces; without the setting owners choose engines, and programs start by the gateway's own estimate as before.

--- a/sequoiaarch/fleet/placement_book.py
+++ b/sequoiaarch/fleet/placement_book.py
@@ -189,6 +189,8 @@
                 return None
             same = demand.moves and engine.instance == known
             return Decision(instance=engine.instance, known=same)
+        if not wanted.refusable:
+            return self._choose(engines, wanted)
         reserved = self.returns.reserved(
             program,
             rank=demand.rank,
@@ -198,7 +200,12 @@
         )
         if reserved and self.free(engines, wanted, reserved + 1) <= reserved:
             return None
-        engine = self._policy.choose(engines, wanted)
+        return self._choose(engines, wanted)
+
+    def _choose(
+        self, engines: Sequence[EngineState], demand: ProgramDemand
+    ) -> Decision | None:
+        engine = self._policy.choose(engines, demand)
         if engine is None:
             return None
         wait = engine.wait_with(engine.programs + 1)
--- a/sequoiaarch/fleet/placement_service.py
+++ b/sequoiaarch/fleet/placement_service.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import defaultdict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import msgspec
@@ -128,6 +128,14 @@
         """Return whether programs are placed by owners."""
         return self._always or self.uneven
 
+    @property
+    def refuses(self) -> bool:
+        """Return whether owners refuse programs that no engine has room for.
+
+        Without the setting they only choose the engines.
+        """
+        return self._always
+
     @property
     def uneven(self) -> bool:
         """Return whether engines differ in speed."""
@@ -155,14 +163,14 @@
             events = self._paces.events_per_turn or 0.0
             self._slowdowns = {
                 instance: events * (pace - min(paces.values()))
-                for paces in self._paces_by_service(now).values()
+                for paces in self._by_service(self._known_paces(now)).values()
                 for instance, pace in paces.items()
             }
         return self._slowdowns
 
     def is_slow(self, instance: InstanceId | None) -> bool:
         """Return whether programs gain by leaving an engine, if another has room."""
-        if instance is None or not self.uneven:
+        if instance is None or not self.active:
             return False
         return self.slowdowns().get(instance, 0.0) > MOVE_SECONDS
 
@@ -227,9 +235,8 @@
             await asyncio.sleep(REPORT_INTERVAL)
             now = loop.time()
             self.owner.expire(now)
-            if any(
-                uneven(paces.values()) for paces in self._paces_by_service(now).values()
-            ):
+            speeds = self._by_service(self._paces.speeds())
+            if any(uneven(paces.values()) for paces in speeds.values()):
                 self._uneven_until = now + UNEVEN_HOLD
             if self.active:
                 await self._report(now)
@@ -237,19 +244,20 @@
                 # The first report must tell the present pace, not that of hours.
                 self._samples.clear()
 
-    def _paces_by_service(
-        self, now: float
-    ) -> dict[ServiceName, dict[InstanceId, float]]:
-        """Return the paces of the engines of each service.
-
-        Engines of different services run different models.
-        """
+    def _known_paces(self, now: float) -> dict[InstanceId, float]:
+        """Return the paces of engines, as all hosts saw them if their owner told."""
         paces = self._paces.paces(now)
         paces.update(
             (instance, known.pace)
             for instance, known in self._owner_paces.items()
             if known.at > now - OWNER_PACES_LIFE
         )
+        return paces
+
+    def _by_service(
+        self, paces: Mapping[InstanceId, float]
+    ) -> dict[ServiceName, dict[InstanceId, float]]:
+        """Return the paces of the engines of each service, as their models differ."""
         by_service: dict[ServiceName, dict[InstanceId, float]] = defaultdict(dict)
         for instance, pace in paces.items():
             service = self._service_of(instance)
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -212,6 +212,7 @@
             latency_target=route.latency_target,
             rank=rank,
             workspace=caller.workspace,
+            refusable=placements.refuses,
         )
 
     def engines(self, service: ServiceName) -> list[Engine]:
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -122,7 +122,7 @@
     async def _run_turn(self, budget: int) -> None:
         """Run a turn of a program within its token budget."""
         demand = self._dispatcher.demand(self._route, self._info, self._caller)
-        if demand is None:
+        if demand is None or not demand.refusable:
             await self._check_admission()
         turn = await self._open_turn(budget, demand)
         self._attempts.home = turn.engine.home
@@ -167,7 +167,7 @@
 
     def _retry_if_full(self, demand: ProgramDemand | None) -> float | None:
         """Return when a new program should retry if no owner can be asked."""
-        if demand is None or self._info.previous is not None:
+        if demand is None or not demand.refusable or self._info.previous is not None:
             return None
         return self._dispatcher.start_retry_after(self._route, self._info)
 
--- a/sequoiaarch/policies/pace.py
+++ b/sequoiaarch/policies/pace.py
@@ -16,9 +16,12 @@
 AVERAGING_SECONDS = 3.0
 # Events after which the pace of a target is known.
 MIN_EVENTS = 4.0
-# Targets are uneven while the pace of one exceeds that of another by this factor.
-# Smaller differences follow from the lengths of prompts and batches.
+# Targets are uneven while the idle pace of one exceeds that of another by this factor.
+# Smaller differences follow from the lengths of prompts.
 UNEVEN_FACTOR = 1.5
+# Events after which the idle pace of a target tells its speed. A single turn may fall
+# into a moment in which the target is slow.
+MIN_IDLE_EVENTS = 10
 # Targets that must be known before they count as uneven.
 MIN_TARGETS = 3
 # Bounds of a possible pace in seconds: an event that takes longer is a target that
@@ -74,6 +77,8 @@
     turns: float = 0.0
     updated: float = 0.0
     idle_pace: float = math.inf
+    # Events since the target is known, without decay.
+    all_events: int = 0
 
 
 class PaceTable:
@@ -94,6 +99,7 @@
         average.seconds = average.seconds * decay + sample.seconds
         average.events = average.events * decay + sample.events
         average.turns = average.turns * decay + sample.turns
+        average.all_events += sample.events
         if average.events >= MIN_EVENTS:
             self._update_idle(average, max(0.0, now - average.updated))
         average.updated = max(average.updated, now)
@@ -137,6 +143,17 @@
         ]
         return sum(paces) / len(paces) if paces else None
 
+    def speeds(self) -> dict[InstanceId, float]:
+        """Return the idle paces of the targets that were seen often enough.
+
+        They differ between targets of different speed, whatever their present load.
+        """
+        return {
+            instance: average.idle_pace
+            for instance, average in self._averages.items()
+            if average.all_events >= MIN_IDLE_EVENTS
+        }
+
     def idle_paces(self) -> list[float]:
         """Return the paces of all known targets when they are idle."""
         known = (self.idle_pace(name) for name in self._averages)
--- a/sequoiaarch/policies/program_placement.py
+++ b/sequoiaarch/policies/program_placement.py
@@ -76,7 +76,8 @@
     and `slack` the part of it that turns on idle engines do not need, in seconds.
     Rank 0 is the most urgent. A program in progress that begins a further line of turns
     is not refused; its prompt is cached at `home`. With `moves` it may leave its home
-    engine, which is slow.
+    engine, which is slow. A program that is not `refusable` gets the best engine, also
+    if it is full.
     """
 
     service: ServiceName
@@ -90,6 +91,7 @@
     in_progress: bool = False
     home: InstanceId | None = None
     moves: bool = False
+    refusable: bool = True
 
     def impossible(self) -> dict[str, float]:
         """Return the figures that are impossible, by name."""
@@ -150,7 +152,7 @@
     ) -> EngineState | None:
         """Return the engine with the shortest turn and wait, if there is room."""
         fitting = _with_slots(engines)
-        if not demand.in_progress:
+        if demand.refusable and not demand.in_progress:
             fitting = [engine for engine in fitting if _has_room(engine, demand)]
         return min(
             fitting, key=lambda engine: _expected_turn(engine, demand), default=None
--- a/sequoiaarch/tests/fleet/placement_book_tests.py
+++ b/sequoiaarch/tests/fleet/placement_book_tests.py
@@ -271,6 +271,24 @@
             self.assertEqual(self.book.programs(FIRST), 1)
 
 
+class NotRefusableTests(BookTestCase):
+    """Test programs that owners place but don't refuse."""
+
+    def test_full_engines(self) -> None:
+        """Guards against refusals where the settings ask only for placements."""
+        self.warm_up()
+        self.report(reported(*(f"p{number}" for number in range(20))))
+        self.report(
+            reported(*(f"q{number}" for number in range(21)), at=SECOND), OTHER_HOST
+        )
+        self.assertIsNone(self.decide("new"))
+        self.book.refuse(ProgramId("other"), demand(), self.now)
+        decision = self.decide("new", refusable=False)
+        assert decision is not None
+        self.assertEqual(decision.instance, FIRST)
+        self.assertGreater(decision.wait, 0.0)
+
+
 class ReturnTests(BookTestCase):
     """Test the programs that are to retry."""
 
--- a/sequoiaarch/tests/policies/pace_tests.py
+++ b/sequoiaarch/tests/policies/pace_tests.py
@@ -107,6 +107,15 @@
                 self.assertEqual(self.table.events_per_turn, events)
                 self.assertEqual(self.table.idle_pace(FAST), idle)
 
+    def test_speeds(self) -> None:
+        """Fails if load, or a moment of slowness, changes the speed of a target."""
+        self.table.add(sample(FAST, seconds=0.04, events=4), 0.0)
+        self.assertEqual(self.table.speeds(), {})
+        self.table.add(sample(FAST, seconds=0.1, events=10), 1.0)
+        speed = self.table.speeds()[FAST]
+        self.run_turns(FAST, 0.03, 2.0, 4.0)
+        self.assertLess(self.table.speeds()[FAST], 1.1 * speed)
+
     def test_earlier_time(self) -> None:
         """Fails if a sample with an earlier time moves the idle pace past a mean."""
         self.run_turns(FAST, 0.01, 0.0, 6.0)
