Run soak seeds with placements by owners, and check their refusals

Every second seed runs gateways with the contract pressure, small engines and a burst of two workspaces. New checks: a refusal comes within 1 s and says when to retry, no workspace and no route is starved, and owners count no programs after all have ended. A fault for each check can be planted; several can be planted at once.

--- a/sequoiaarch/tests/platform/deployment.py
+++ b/sequoiaarch/tests/platform/deployment.py
@@ -73,9 +73,11 @@
     return {"name": name, "apiKeys": list(keys), "priority": 1, **extra}
 
 
-def config(version: int, routes: list[dict[str, Any]], **extra: Any) -> bytes:
-    """Return an encoded configuration document."""
-    engine = {"slots": 8, "kvCapacityTokens": 90000, "chunkTokens": EVENT_TOKENS}
+def config(
+    version: int, routes: list[dict[str, Any]], *, cache: int = 90000, **extra: Any
+) -> bytes:
+    """Return an encoded configuration document, with the engines' cache in tokens."""
+    engine = {"slots": 8, "kvCapacityTokens": cache, "chunkTokens": EVENT_TOKENS}
     services = [
         {"name": ENGINES, "healthPath": "/h", "maxConns": 100, "runtime": engine},
         {"name": TOOLS, "healthPath": "/h", "maxConns": 100},
--- a/sequoiaarch/tests/platform/soak/__main__.py
+++ b/sequoiaarch/tests/platform/soak/__main__.py
@@ -56,6 +56,7 @@
             link_seconds=link_seconds,
             gateways=gateways,
             module=module,
+            placements=number % 2 == 0 and not regressions,
         )
         seed_folder = folder / f"seed-{number}"
         shutil.rmtree(seed_folder, ignore_errors=True)
--- a/sequoiaarch/tests/platform/soak/callers.py
+++ b/sequoiaarch/tests/platform/soak/callers.py
@@ -12,6 +12,7 @@
 from .gateways import Gateway
 from .property_checker import (
     NOT_RUN_STATUSES,
+    OVERLOAD_STATUSES,
     UNLIMITED_KEY,
     Property,
     PropertyChecker,
@@ -63,6 +64,8 @@
     tokens: int = 0
     # Like `tokens`, but a turn without a complete answer counts with its maximum.
     counted: int = 0
+    # Loop time of the program's deadline, if it has one.
+    ends_at: float | None = None
 
 
 class Caller:
@@ -76,9 +79,11 @@
         checker: PropertyChecker,
         rng: random.Random,
         deadline: float = DEADLINE,
+        key: str = UNLIMITED_KEY,
     ) -> None:
         self.conversations: list[Conversation] = []
         self._deadline = deadline
+        self._key = key
         self._name = name
         self._gateways = gateways
         self._checker = checker
@@ -176,7 +181,11 @@
             "X-Token-Budget": str(conversation.budget),
             "X-Token-Usage": f"10,{MAX_TOKENS}",
             "X-Deadline-Ms": str(int(self._deadline * 1000)),
+            "Api-Key": self._key,
         }
+        if conversation.ends_at is not None:
+            left = conversation.ends_at - asyncio.get_running_loop().time()
+            headers["X-Program-Deadline-Ms"] = str(max(1, int(left * 1000)))
         prompt = new_input
         if conversation.retained:
             prompt = conversation.prompt + new_input
@@ -249,7 +258,7 @@
             return Answer(attempt=attempt)
         try:
             return await exchange(
-                connection, path, attempt, body, headers, self._checker
+                connection, gateway, path, attempt, body, headers, self._checker
             )
         finally:
             connection.abort()
@@ -257,6 +266,7 @@
 
 async def exchange(
     connection: ClientConnection,
+    gateway: Gateway,
     path: str,
     attempt: str,
     body: bytes,
@@ -280,11 +290,13 @@
         body=body,
     )
     answer = Answer(attempt=attempt)
+    disturbed_at, seconds = gateway.disturbed_at, 0.0
     try:
         async with asyncio.timeout(ANSWER_TIMEOUT):
             await connection.send(message)
             answer.sent = True
             head = await connection.read_head()
+            seconds = asyncio.get_running_loop().time() - now
             answer.status = head.status
             answer.headers = {
                 name.decode().lower(): value.decode() for name, value in head.headers
@@ -295,6 +307,10 @@
     except (ExchangeError, TimeoutError):
         checker.counts["cut"] += 1
     checker.record_status(attempt, answer.status)
+    if answer.status in OVERLOAD_STATUSES:
+        undisturbed = disturbed_at == gateway.disturbed_at
+        retry_after = answer.headers.get("retry-after")
+        checker.check_refusal(attempt, retry_after, seconds if undisturbed else None)
     return answer
 
 
@@ -337,7 +353,9 @@
             version = self._rng.randint(1, max(1, self.newest_version))
             path = f"/added-{version}/x" if version > 1 else "/safe/x"
             last_fault = self._gateway.disturbed_at
-            answer = await exchange(connection, path, attempt, b"", {}, self._checker)
+            answer = await exchange(
+                connection, self._gateway, path, attempt, b"", {}, self._checker
+            )
             same_process = generation == self._gateway.generation
             if same_process:
                 self._check_route(version, generation, answer)
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -23,6 +23,7 @@
 nodeName = "{name}"
 ip = "{ip}"
 zone = "{zone}"
+contracts = {contracts}
 internalPortRange = [{control}, {control}]
 seeds = {seeds}
 [listen]
@@ -79,6 +80,7 @@
         folder: Path,
         module: str,
         name: str | None = None,
+        contracts: tuple[str, ...] = (),
     ) -> None:
         self.name = name or f"gateway-{number}"
         self._address = own_address(number)
@@ -98,6 +100,7 @@
         self._ready_port = free_port(self._address)
         self._front_port = free_port(self._address)
         self._module = module
+        self._contracts = list(contracts)
         self._settings = folder / f"gateway-{number}.toml"
         self._log = folder / f"gateway-{number}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -132,6 +135,7 @@
             store_ip=LOOPBACK,
             zone=self.zone,
             seeds=seeds,
+            contracts=self._contracts,
             front=self._front_port,
             ready=self._ready_port,
             control=self.control_port,
@@ -156,17 +160,33 @@
 
     async def ready(self) -> bool:
         """Return whether the readiness endpoint answers 200."""
+        return await self._get("/-/readyz") is not None
+
+    async def programs_on_engines(self) -> float | None:
+        """Return the programs on all owned engines; None if no metrics are served."""
+        text = await self._get("/metrics")
+        if text is None:
+            return None
+        return sum(
+            float(line.split()[-1])
+            for line in text.splitlines()
+            if line.startswith(b"sequoiaarch_engine_programs{")
+        )
+
+    async def _get(self, path: str) -> bytes | None:
+        """Return the answer of the ready address; None unless its status is 200."""
+        request = f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
         try:
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(
                     self._address, self._ready_port
                 )
-                writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-                line = await reader.readline()
+                writer.write(request.encode())
+                text = await reader.read()
                 writer.close()
         except (OSError, TimeoutError):
-            return False
-        return b" 200 " in line
+            return None
+        return text if b" 200 " in text.split(b"\n", 1)[0] else None
 
     @property
     def process_state(self) -> str:
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -1,4 +1,4 @@
-"""Run a gateway with one planted fault, which the soak must detect."""
+"""Run a gateway with planted faults, which the soak must detect."""
 
 from __future__ import annotations
 
@@ -11,6 +11,9 @@
 from ....errors import ErrorKind, fail
 from ....fleet.delegated_turn import DelegatedTurn
 from ....fleet.delegates import DelegatedTurns
+from ....fleet.engine_owner import EngineOwner
+from ....fleet.placement_service import PlacementService, RefusedBy
+from ....fleet.program_table import ProgramTable
 from ....http1.messages import ExchangeError
 from ....ids import LoanId
 from ....ingress.attempts import Attempts
@@ -22,10 +25,14 @@
 from ....ledger.reservation import Reservation
 from ....ledger.terms import BudgetVerdict, TurnTerms
 from ....platform.__main__ import main
+from ....platform.headers import PlatformCallCodec
 from ....routing.routes import RouteTable
 from ....routing.targets import Targets
+from ....wire.messages import PlaceProgramRequest, ProgramPlaced
 from ....workspaces.access import Access, Caller
 from ....workspaces.sliding_window import ShareWindow
+from .burst_callers import BURST_CALLERS
+from .property_checker import MAX_REFUSAL_SECONDS
 
 FAULT_VARIABLE = "SOAK_PLANTED"
 
@@ -157,6 +164,53 @@
     setattr(ShareWindow, "grant", grant)  # noqa: B010
 
 
+def refuses_late() -> None:
+    """Return the refusals of owners only after some time."""
+    place = PlacementService.place
+
+    async def place_late(self: PlacementService, *args: Any) -> Any:
+        placed = await place(self, *args)
+        if isinstance(placed, RefusedBy):
+            await asyncio.sleep(1.5 * MAX_REFUSAL_SECONDS)
+        return placed
+
+    setattr(PlacementService, "place", place_late)  # noqa: B010
+
+
+def refuses_without_time() -> None:
+    """Leave Retry-After out of refusals."""
+    headers = PlatformCallCodec.failure_headers
+
+    def without_time(self: PlatformCallCodec, attempt: Any, _: Any) -> Any:
+        return headers(self, attempt, None)
+
+    setattr(PlatformCallCodec, "failure_headers", without_time)  # noqa: B010
+
+
+def starves_workspace() -> None:
+    """Refuse all programs of one workspace of the burst."""
+    place = EngineOwner.place
+    starved = min(BURST_CALLERS, key=BURST_CALLERS.__getitem__)
+
+    def refuse(
+        self: EngineOwner, request: PlaceProgramRequest, now: float
+    ) -> ProgramPlaced:
+        if request.demand.workspace == starved:
+            return ProgramPlaced(retry_after=0.5, reason="starved")
+        return place(self, request, now)
+
+    setattr(EngineOwner, "place", refuse)  # noqa: B010
+
+
+def frees_nothing() -> None:
+    """Count programs as in progress after their last turn."""
+
+    def turn_ended(self: ProgramTable, *_: Any, **__: Any) -> None:
+        pass
+
+    setattr(ProgramTable, "turn_ended", turn_ended)  # noqa: B010
+
+
 PLANTED_FAULTS: dict[str, Callable[[], None]] = {
     fault.__name__: fault
     for fault in (
@@ -171,9 +225,14 @@
         stops_at_once,
         keeps_keys,
         hands_out_everything,
+        refuses_late,
+        refuses_without_time,
+        starves_workspace,
+        frees_nothing,
     )
 }
 
 if __name__ == "__main__":
-    PLANTED_FAULTS[os.environ[FAULT_VARIABLE]]()
+    for name in os.environ[FAULT_VARIABLE].split(","):
+        PLANTED_FAULTS[name]()
     sys.exit(main())
--- a/sequoiaarch/tests/platform/soak/property_checker.py
+++ b/sequoiaarch/tests/platform/soak/property_checker.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+import math
 from bisect import bisect_left
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ....policies.fair_share import max_min_shares
 from ....workspaces.directory import RateLimit
 from ....workspaces.sliding_window import QuotaBounds
 
@@ -26,11 +29,23 @@
     WORKSPACE = "a target is told the workspace of the key, and never the key"
     REVOKED = "a key that was taken away runs nothing after the bound"
     QUOTA = "no window holds more of a workspace than its limit allows"
+    PROMPT = "a refusal comes at once"
+    RETRY_AFTER = "a refusal says when to retry"
+    SHARE = "no workspace and no route is starved"
+    FREED = "engines have no programs after all have ended"
     BACK = "all is served again when the faults are over"
 
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({402, 404, 408, 421, 429, 503})
+OVERLOAD_STATUSES = frozenset({429, 503})
+# Seconds. A turn opens within 0.3 s also if its delegate and the owner of the engines
+# are lost; the rest allows for delayed links and a busy machine. It is a third of the
+# deadline of requests.
+MAX_REFUSAL_SECONDS = 1.0
+# Fraction of the max-min fair share of the programs served that each group must get:
+# a burst is short, and programs in progress keep their engines.
+SHARE_FRACTION = 0.25
 
 UNLIMITED_KEY = "key-of-open"
 UNLIMITED_WORKSPACE = "open"
@@ -70,6 +85,13 @@
     # Loop times at which the store accepted a configuration without the key.
     revoked_at: dict[str, float] = field(default_factory=dict)
     limits: dict[str, tuple[RateLimit, QuotaBounds]] = field(default_factory=dict)
+    # Programs of a burst that began and that were served, by kind and name of a group.
+    begun: defaultdict[str, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    served: defaultdict[str, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
     counts: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
 
@@ -111,8 +133,37 @@
         if status in NOT_RUN_STATUSES:
             self.refused_statuses[attempt] = status
 
+    def check_refusal(
+        self, attempt: str, retry_after: str | None, seconds: float | None
+    ) -> None:
+        """Check a 429 or 503 and the seconds until it came, if those are known."""
+        delay = math.nan
+        with contextlib.suppress(ValueError):
+            delay = float(retry_after or "")
+        if not 0 < delay < math.inf:
+            text = f"{attempt} is to retry after {retry_after!r}"
+            self.report_violation(Property.RETRY_AFTER, text)
+        if seconds is None:
+            return
+        slowest = "slowest refusal in ms"
+        self.counts[slowest] = max(self.counts[slowest], round(seconds * 1000))
+        if seconds > MAX_REFUSAL_SECONDS:
+            text = f"{attempt} was refused after {seconds:.2f} s"
+            self.report_violation(Property.PROMPT, text)
+
+    def _check_shares(self) -> None:
+        for kind, begun in self.begun.items():
+            served = self.served[kind]
+            for name, share in max_min_shares(begun, served.total()).items():
+                self.counts[f"{kind} {name} begun"] = begun[name]
+                self.counts[f"{kind} {name} served"] = served[name]
+                if served[name] < max(1.0, SHARE_FRACTION * share):
+                    text = f"{kind} {name}: {served[name]} of {begun[name]} programs"
+                    self.report_violation(Property.SHARE, f"{text}, share {share:.0f}")
+
     def check_end(self) -> None:
-        """Check refused requests and rate limits, once everything has ended."""
+        """Check refusals, rate limits and shares, once everything has ended."""
+        self._check_shares()
         for attempt, status in self.refused_statuses.items():
             if attempt in self.runs:
                 self.report_violation(
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -12,13 +12,14 @@
 
 from ....standins.keyed_store import KeyedStore
 from ..deployment import ENGINES, ROUTES, TOOLS, config, route
+from .burst_callers import BURST_CALLERS, BurstCaller
 from .callers import Caller, Conversation, KeepAliveCaller
 from .faults import FaultInjector
 from .gateways import MODULE, START_SECONDS, Gateway
 from .link_faults import LinkFaults
 from .property_checker import Property, PropertyChecker
 from .small import SmallBudgetCaller
-from .targets import SoakTarget
+from .targets import EVENT_SECONDS, UNLIMITED_SLOTS, SoakTarget
 from .workspace_callers import LIMITED_CALLERS, WorkspaceCaller, Workspaces
 
 ZONES = ("here", "there")
@@ -32,13 +33,26 @@
 # Time without link faults before the final check.
 LINK_FAULT_FREE_SECONDS = 1.0
 CONVERSATIONS_CHECKED = 20
+# Engines of runs with placements: the cache holds the prompts of eight programs, less
+# a tenth that owners leave free.
+PLACED_SLOTS = 4
+PLACED_CACHE_TOKENS = 90
+PLACED_EVENT_SECONDS = 0.04
+# The burst in runs with placements starts after this fraction of the run. Seconds.
+BURST_START = 0.3
+BURST_SECONDS = 5.0
+# Seconds until no program counts any more: a pause that counts as one (1.5), a report
+# (0.2) and the life of the last report of a lost process (1.0), almost doubled for a
+# busy machine.
+FREED_SECONDS = 5.0
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
     """Size and duration of a run; `module` is the program that gateways run.
 
     `seconds` with all kinds of faults are followed by `link_seconds` with link faults
-    only.
+    only. With `placements`, owners place programs on small engines, and there is a
+    burst.
     """
 
     seed: int
@@ -46,6 +60,7 @@
     link_seconds: float = 10.0
     gateways: int = 4
     module: str = MODULE
+    placements: bool = False
 
 
 class Report(msgspec.Struct, kw_only=True):
@@ -79,6 +94,7 @@
                 proxies=proxies,
                 folder=folder,
                 module=plan.module,
+                contracts=("pressure",) if plan.placements else (),
             )
             for number in range(plan.gateways)
         ]
@@ -131,6 +147,17 @@
             )
             for number in range(SMALL_BUDGET_CALLERS_PER_GATEWAY * plan.gateways)
         ]
+        self._burst_callers = [
+            BurstCaller(
+                name=f"{workspace}-{number}",
+                workspace=workspace,
+                gateways=self._gateways,
+                checker=self._checker,
+                rng=self._fresh_rng(),
+            )
+            for workspace, count in BURST_CALLERS.items()
+            for number in range(count if plan.placements else 0)
+        ]
 
     async def run(self) -> Report:
         """Run callers and faults, check the state without faults, and report."""
@@ -146,8 +173,11 @@
                 *(caller.run(until) for caller in self._workspace_callers),
                 self._link_faults.run(end - LINK_FAULT_FREE_SECONDS),
                 *(caller.run(end) for caller in self._small_budget_callers),
+                self._burst(),
             )
             await self._check_end()
+            if self._plan.placements:
+                await self._check_freed()
         finally:
             await asyncio.gather(*(gateway.close() for gateway in self._gateways))
             await asyncio.gather(*(target.stop() for target in self._targets))
@@ -167,13 +197,22 @@
             folder=str(self._folder),
         )
 
+    async def _burst(self) -> None:
+        await asyncio.sleep(BURST_START * self._plan.seconds)
+        until = asyncio.get_running_loop().time() + BURST_SECONDS
+        await asyncio.gather(*(caller.run(until) for caller in self._burst_callers))
+
     def _fresh_rng(self) -> random.Random:
         return random.Random(self._rng.getrandbits(64))
 
     def _make_target(self, service: str, number: int) -> SoakTarget:
+        engine = service == ENGINES
+        placed = engine and self._plan.placements
         return SoakTarget(
+            slots=PLACED_SLOTS if placed else UNLIMITED_SLOTS,
+            event_seconds=PLACED_EVENT_SECONDS if placed else EVENT_SECONDS,
             service=service,
-            engine=service == ENGINES,
+            engine=engine,
             zone=ZONES[number % len(ZONES)],
             store=self._store,
             checker=self._checker,
@@ -215,7 +254,8 @@
         for version in range(2, self._version + 1):
             routes.append(route(f"/added-{version}/", "safe", TOOLS, maxAttempts=2))
         workspaces = self._workspaces.document()
-        document = config(self._version, routes, tenants=workspaces)
+        cache = {"cache": PLACED_CACHE_TOKENS} if self._plan.placements else {}
+        document = config(self._version, routes, tenants=workspaces, **cache)
         await self._store.put("keyed.op", "config", document)
 
     async def _wait_until_ready(self) -> None:
@@ -250,6 +290,25 @@
                 Property.BACK, f"a service call got status {answer.status}"
             )
 
+    async def _check_freed(self) -> None:
+        """Check that the owners soon count no programs, as all have ended."""
+        deadline = asyncio.get_running_loop().time() + FREED_SECONDS
+        most = 0.0
+        while True:
+            programs = {
+                gateway.name: await gateway.programs_on_engines()
+                for gateway in self._gateways
+            }
+            most = max(most, sum(count or 0.0 for count in programs.values()))
+            freed = all(count == 0 for count in programs.values())
+            if freed or asyncio.get_running_loop().time() > deadline:
+                break
+            await asyncio.sleep(0.1)
+        self._checker.counts["programs to be freed"] = round(most)
+        if not freed:
+            text = f"programs by owner are {programs} after {FREED_SECONDS} s"
+            self._checker.report_violation(Property.FREED, text)
+
     async def _check_conversation(
         self, caller: Caller, conversation: Conversation
     ) -> None:
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -23,6 +23,8 @@
 MAX_EVENTS = 6
 MAX_TOKENS = MAX_EVENTS * EVENT_TOKENS
 EVENT_SECONDS = 0.01
+# More than the requests that the soak sends at once.
+UNLIMITED_SLOTS = 1000
 # Fraction of requests that a target refuses as overloaded.
 OVERLOADED_FRACTION = 0.02
 # Seconds. Gateways that can reach the store learn of a drain within two; the third
@@ -58,6 +60,8 @@
         checker: PropertyChecker,
         rng: random.Random,
         store_available_since: Callable[[], float],
+        slots: int = UNLIMITED_SLOTS,
+        event_seconds: float = EVENT_SECONDS,
     ) -> None:
         self.fault = TargetFault.NONE
         self._service = service
@@ -67,6 +71,9 @@
         self._checker = checker
         self._rng = rng
         self._store_available_since = store_available_since
+        self._slots = slots
+        self._free_slots = asyncio.Semaphore(slots)
+        self._event_seconds = event_seconds
         self._count = 0
         self._instance = ""
         self._drained_at: float | None = None
@@ -99,6 +106,8 @@
     async def _register(self, state: str) -> None:
         address = f"{LOOPBACK}:{self._stand_in.port}"
         entry = registration(self._service, address, zone=self._zone, state=state)
+        if self._slots != UNLIMITED_SLOTS:
+            entry["slots"] = self._slots
         value = json.dumps(entry).encode()
         await self._store.put("keyed.servers", self._instance, value)
 
@@ -123,7 +132,8 @@
             key=_header(exchange, b"api-key"),
         )
         self._checker.record_run(attempt, run)
-        await self._answer(exchange, attempt)
+        async with self._free_slots:
+            await self._answer(exchange, attempt)
 
     def _check_draining(self, attempt: str) -> None:
         if self._drained_at is None:
@@ -143,12 +153,12 @@
             await exchange.disconnected.wait()
             return
         headers = (("X-Attempt-Id", attempt), ("X-Server-Stamp", self._instance))
-        await asyncio.sleep(EVENT_SECONDS)
+        await asyncio.sleep(self._event_seconds)
         if self._engine:
             exchange.send(stream_head(headers))
             for event in events_of(attempt, event_count(attempt)):
                 exchange.send(chunk(event))
-                await asyncio.sleep(EVENT_SECONDS)
+                await asyncio.sleep(self._event_seconds)
                 if fault is TargetFault.TRUNCATED:
                     exchange.reset()
                     return
--- a/sequoiaarch/tests/platform/soak/workspace_callers.py
+++ b/sequoiaarch/tests/platform/soak/workspace_callers.py
@@ -11,6 +11,7 @@
 from ....workspaces.directory import RateLimit
 from ....workspaces.sliding_window import QuotaBounds
 from ..deployment import tenant
+from .burst_callers import BURST_CALLERS, key_of
 from .callers import CONNECT_SECONDS, RETRY_DELAY, exchange
 from .gateways import Gateway
 from .property_checker import UNLIMITED_KEY, UNLIMITED_WORKSPACE, PropertyChecker
@@ -37,6 +38,7 @@
             (UNLIMITED_KEY, UNLIMITED_WORKSPACE),
             (LIMITED_KEY, LIMITED),
             (self.key, ROTATED),
+            *((key_of(name), name) for name in BURST_CALLERS),
         ):
             checker.workspace_of_key[key] = name
 
@@ -59,6 +61,7 @@
             tenant(UNLIMITED_WORKSPACE, UNLIMITED_KEY),
             tenant(LIMITED, LIMITED_KEY, **rates),
             tenant(ROTATED, self.key),
+            *(tenant(name, key_of(name)) for name in BURST_CALLERS),
         ]
 
 
@@ -109,7 +112,7 @@
         headers = {"Api-Key": key, "X-Tenant": UNLIMITED_WORKSPACE}
         try:
             answer = await exchange(
-                connection, "/safe/x", attempt, b"", headers, self._checker
+                connection, gateway, "/safe/x", attempt, b"", headers, self._checker
             )
         finally:
             connection.abort()
