--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -110,6 +110,7 @@
             rotate=self._rotate,
             rng=self._fresh_rng(),
         )
+        self._checker.store_available_since = self._fault_injector.store_available_since
         self._keep_alive_callers = [
             KeepAliveCaller(
                 gateway=gateway, checker=self._checker, rng=self._fresh_rng()
