Starve the planted workspace also if no owner answers

Cause: the planted fault acted in owners only, and programs start as before if an owner does not answer. Change: the gateways refuse the workspace wherever they would ask an owner.

--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -11,11 +11,10 @@
 from ....errors import ErrorKind, fail
 from ....fleet.delegated_turn import DelegatedTurn
 from ....fleet.delegates import DelegatedTurns
-from ....fleet.engine_owner import EngineOwner
 from ....fleet.placement_service import PlacementService, RefusedBy
 from ....fleet.program_table import ProgramTable
 from ....http1.messages import ExchangeError
-from ....ids import LoanId
+from ....ids import HostName, LoanId, ProgramId
 from ....ingress.attempts import Attempts
 from ....ingress.daemon import IngressDaemon
 from ....ingress.exchange import Exchange
@@ -26,9 +25,9 @@
 from ....ledger.terms import BudgetVerdict, TurnTerms
 from ....platform.__main__ import main
 from ....platform.headers import PlatformCallCodec
+from ....policies.program_placement import ProgramDemand
 from ....routing.routes import RouteTable
 from ....routing.targets import Targets
-from ....wire.messages import PlaceProgramRequest, ProgramPlaced
 from ....workspaces.access import Access, Caller
 from ....workspaces.sliding_window import ShareWindow
 from .burst_callers import BURST_CALLERS
@@ -188,18 +187,18 @@
 
 
 def starves_workspace() -> None:
-    """Refuse all programs of one workspace of the burst."""
-    place = EngineOwner.place
+    """Refuse all programs of one workspace, also if no owner answers."""
+    place = PlacementService.place
     starved = min(BURST_CALLERS, key=BURST_CALLERS.__getitem__)
 
-    def refuse(
-        self: EngineOwner, request: PlaceProgramRequest, now: float
-    ) -> ProgramPlaced:
-        if request.demand.workspace == starved:
-            return ProgramPlaced(retry_after=0.5, reason="starved")
-        return place(self, request, now)
+    async def refuse(
+        self: PlacementService, program: ProgramId, demand: ProgramDemand
+    ) -> Any:
+        if demand.workspace == starved:
+            return RefusedBy(retry_after=0.5, owner=HostName("none"))
+        return await place(self, program, demand)
 
-    setattr(EngineOwner, "place", refuse)  # noqa: B010
+    setattr(PlacementService, "place", refuse)  # noqa: B010
 
 
 def frees_nothing() -> None:
