--- a/sequoiaarch/tests/platform/soak/property_checker.py
+++ b/sequoiaarch/tests/platform/soak/property_checker.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
+import math
 from bisect import bisect_left
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ....policies.fair_share import max_min_shares
 from ....workspaces.directory import RateLimit
 from ....workspaces.sliding_window import QuotaBounds
 
@@ -26,11 +30,26 @@
     WORKSPACE = "a target is told the workspace of the key, and never the key"
     REVOKED = "a key that was taken away runs nothing after the bound"
     QUOTA = "no window holds more of a workspace than its limit allows"
+    PROMPT = "a refusal comes at once"
+    RETRY_AFTER = "a refusal says when to retry"
+    SHARE = "no workspace and no route is starved"
+    FREED = "engines have no programs after all have ended"
     BACK = "all is served again when the faults are over"
 
 
 # Statuses that promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({402, 404, 408, 421, 429, 503})
+UNAVAILABLE = 503
+OVERLOAD_STATUSES = frozenset({429, UNAVAILABLE})
+# Seconds. A turn opens within 0.3 s also if its delegate and the owner of the engines
+# are lost, and a link adds 0.6 s at most. Most requests have three times as long. Turns
+# that wait for the store may get a 503 until their deadline.
+MAX_REFUSAL_SECONDS = 1.0
+# Fraction of the max-min fair share of the programs served that each group must get:
+# a burst is short, and programs in progress keep their engines.
+SHARE_FRACTION = 0.25
+# If fewer programs were served, the burst is judged only if the store was available.
+MIN_SERVED = 10
 
 UNLIMITED_KEY = "key-of-open"
 UNLIMITED_WORKSPACE = "open"
@@ -70,6 +89,15 @@
     # Loop times at which the store accepted a configuration without the key.
     revoked_at: dict[str, float] = field(default_factory=dict)
     limits: dict[str, tuple[RateLimit, QuotaBounds]] = field(default_factory=dict)
+    # Programs of a burst that began, and that got a turn, by kind and name of a group.
+    begun: defaultdict[str, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    served: defaultdict[str, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    # Returns the loop time since which all gateways can reach the store.
+    store_available_since: Callable[[], float] = lambda: 0.0
     counts: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
 
@@ -111,6 +139,48 @@
         if status in NOT_RUN_STATUSES:
             self.refused_statuses[attempt] = status
 
+    def check_refusal(
+        self,
+        attempt: str,
+        status: int,
+        retry_after: str | None,
+        *,
+        seconds: float | None,
+        deadline: float,
+    ) -> None:
+        """Check a 429 or 503, and its seconds unless faults may have delayed it."""
+        delay = math.nan
+        with contextlib.suppress(ValueError):
+            delay = float(retry_after or "")
+        if not 0 < delay < math.inf:
+            text = f"{attempt} is to retry after {retry_after!r}"
+            self.report_violation(Property.RETRY_AFTER, text)
+        if seconds is None:
+            return
+        store_away = self.sent_requests[attempt].at <= self.store_available_since()
+        waits_for_store = store_away and status == UNAVAILABLE
+        limit = deadline if waits_for_store else min(deadline, MAX_REFUSAL_SECONDS)
+        slowest = "slowest refusal in ms" + ", store away" * waits_for_store
+        self.counts[slowest] = max(self.counts[slowest], round(seconds * 1000))
+        if seconds > limit:
+            text = f"{attempt} was refused after {seconds:.2f} s, limit {limit} s"
+            self.report_violation(Property.PROMPT, text)
+
+    def check_shares(self, burst_began_at: float) -> None:
+        """Check what the groups of a burst got, once it has ended."""
+        store_away = self.store_available_since() > burst_began_at
+        for kind, begun in self.begun.items():
+            served = self.served[kind]
+            if store_away and served.total() < MIN_SERVED:
+                continue
+            self.counts["bursts judged"] += 1
+            for name, share in max_min_shares(begun, served.total()).items():
+                self.counts[f"{kind} {name} begun"] = begun[name]
+                self.counts[f"{kind} {name} served"] = served[name]
+                if served[name] < max(1, int(SHARE_FRACTION * share)):
+                    text = f"{kind} {name}: {served[name]} of {begun[name]} programs"
+                    self.report_violation(Property.SHARE, f"{text}, share {share:.0f}")
+
     def check_end(self) -> None:
         """Check refused requests and rate limits, once everything has ended."""
         for attempt, status in self.refused_statuses.items():
