Refuse no turn of a program that ran in another data centre

Cause: a turn that names no previous one and comes through another data centre than the turns before was taken for the beginning of a program: neither the owner nor the delegate there had heard of it, and what it used was not read yet. Failing test: placement_failures_tests test_program_in_progress_in_another_data_centre. Change: before a refusal the log is asked, for 0.1 s at most, whether it has records of the program; if so it is placed. Tests of settings take the text from one function.

--- a/sequoiaarch/fleet/placed_turns.py
+++ b/sequoiaarch/fleet/placed_turns.py
@@ -13,12 +13,16 @@
 from ..ledger.terms import BudgetVerdict, LookupFailure, TurnStart, TurnTerms
 from ..ledger.turns import LocalTurn, LocalTurns, TurnEngine, TurnRefusal
 from ..policies.program_placement import ProgramDemand
+from ..reply_timeout import reply_timeout
 from .placement_service import Placement, PlacementService, RefusedBy
 from .program_table import ProgramTable
 
 # Separates the name of a program and that of one of its lines of turns.
 LINE_SEPARATOR = "#"
 ENGINES_FULL = "all engines are full"
+# How long a refusal waits for the log to tell whether the program is in progress, in
+# seconds. A read of the log takes a few milliseconds.
+RECORDS_TIMEOUT = 0.1
 
 
 def line_of(terms: TurnTerms) -> ProgramId:
@@ -95,6 +99,10 @@
         if in_progress:
             demand = msgspec.structs.replace(demand, in_progress=True, home=home)
         placed = await self._placements.place(line, demand)
+        if isinstance(placed, RefusedBy) and await self._has_records(program):
+            # Its turns came through another data centre, whose owner knows it.
+            demand = msgspec.structs.replace(demand, in_progress=True)
+            placed = await self._placements.place(line, demand)
         if isinstance(placed, Placement):
             return TurnEngine(home=placed.instance, placed_by=placed.owner)
         if isinstance(placed, RefusedBy):
@@ -104,6 +112,17 @@
             await check_estimate(start, self._ledger)
         return TurnEngine()
 
+    async def _has_records(self, program: ProgramId) -> bool:
+        """Return whether a program is in progress by the log, if that answers soon.
+
+        A refusal must not wait for a log that is unavailable.
+        """
+        try:
+            async with reply_timeout(RECORDS_TIMEOUT):
+                return await self._ledger.knows_program(program)
+        except TimeoutError:
+            return False
+
     async def _move(
         self, line: ProgramId, demand: ProgramDemand, home: InstanceId | None
     ) -> TurnEngine:
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -66,6 +66,15 @@
         """Return the number of turns in memory."""
         return sum(partition.state.turns for partition in self._partitions.values())
 
+    async def knows_program(self, program: ProgramId) -> bool:
+        """Return whether a program has records; False if the log can't be read."""
+        if self._budgets.knows(program):
+            return True
+        partition = self.partition(program)
+        if partition.state.has_program(program):
+            return True
+        return await partition.sync() and partition.state.has_program(program)
+
     async def may_know_program(self, program: ProgramId) -> bool:
         """Return whether a program has records; True if the log can't be read."""
         if self._budgets.knows(program):
--- a/sequoiaarch/tests/fleet/placement_failures_tests.py
+++ b/sequoiaarch/tests/fleet/placement_failures_tests.py
@@ -506,6 +506,24 @@
         turn = await self.opened(gateway, program, "t2")
         self.assertIsNotNone(turn.engine.home)
 
+    async def test_program_in_progress_in_another_data_centre(self) -> None:
+        """Refuse no turn of a program whose turns came through another data centre.
+
+        Neither the owner nor the delegate here has heard of it, and this delegate
+        has not yet read what it used.
+        """
+        far = self.add_host("far", THERE)
+        self.register()
+        await self.connect()
+        owner = self.owner()
+        gateway = self.others(owner, far)[0]
+        program = self.program(gateway, gateway)
+        await self.run_turn(far, program)
+        await self.fill(owner)
+        await self.refused(gateway, program + "x")
+        turn = await self.opened(gateway, program, "t2")
+        self.assertIsNotNone(turn.engine.home)
+
     async def test_estimate_without_an_owner(self) -> None:
         """Refuse by the gateway's own estimate if no owner answers.
 
--- a/sequoiaarch/tests/platform/settings_tests.py
+++ b/sequoiaarch/tests/platform/settings_tests.py
@@ -104,7 +104,7 @@
 
     def read_capacity(self, figures: str) -> tuple[float, list[str]]:
         """Return the capacity with these lines in the limits, and the log lines."""
-        text = SETTINGS.format(control="").replace("[limits]", f"[limits]\n{figures}")
+        text = settings().replace("[limits]", f"[limits]\n{figures}")
         with logbook.TestHandler() as handler:
             capacity = self.read(text).capacity
         return capacity, [record.message for record in handler.records]
@@ -180,7 +180,7 @@
 
     async def test_capacity_is_registered(self) -> None:
         """Guards against a capacity that is read but not registered."""
-        text = SETTINGS.format(control=CONTROL)
+        text = settings(control=CONTROL)
         text = text.replace("[limits]", "[limits]\ncpuShare = 0.5\ncores = 4")
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "node.toml"
