--- a/sequoiaarch/tests/ingress/slow_readers_tests.py
+++ b/sequoiaarch/tests/platform/slow_readers_tests.py
@@ -12,7 +12,7 @@
 from ...ingress.daemon import IngressDaemon
 from ...observe.events import EventLog
 from ...standins.target import TargetExchange, chunk, stream_head, whole_answer
-from ..platform.deployment import (
+from .deployment import (
     ENGINES,
     HOST,
     LOOPBACK,
