--- a/sequoiaarch/policies/pace.py
+++ b/sequoiaarch/policies/pace.py
@@ -17,8 +17,8 @@
 # Events after which the pace of a target is known.
 MIN_EVENTS = 4.0
 # Targets are uneven while the idle pace of one exceeds that of another by this factor.
-# Smaller differences follow from the lengths of prompts.
-UNEVEN_FACTOR = 1.5
+# Smaller differences follow from load and long prompts where a target is never idle.
+UNEVEN_FACTOR = 2.0
 # Events after which the idle pace of a target tells its speed. A single turn may fall
 # into a moment in which the target is slow.
 MIN_IDLE_EVENTS = 10
