Learn the speed of engines from the shorter gaps between events

Failing test: placement_service_tests test_full_engine_is_not_uneven, which now has an engine that processes prompts between two of three events; pace_tests.GapTableTests. Change: a quarter of the gaps of an engine is hardly affected by its load; engines are compared by that. Tests of the idle pace as a speed went with it.

--- a/sequoiaarch/fleet/placement_service.py
+++ b/sequoiaarch/fleet/placement_service.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import defaultdict
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any
 
 import msgspec
@@ -18,7 +18,7 @@
     ServiceName,
     WriterId,
 )
-from ..policies.pace import PaceSample, PaceTable, uneven
+from ..policies.pace import GapTable, PaceSample, PaceTable, uneven
 from ..policies.program_placement import PlacementRefused, ProgramDemand
 from ..wire.messages import (
     LoadReported,
@@ -116,6 +116,7 @@
         self.owner = EngineOwner(data_centre=data_centre, engines=engines)
         # Events seen by this host, and those of them that are not reported yet.
         self._paces = PaceTable()
+        self._gaps = GapTable()
         self._samples: dict[InstanceId, PaceSample] = {}
         self._owner_paces: dict[InstanceId, _OwnerPace] = {}
         self._uneven_until = -math.inf
@@ -152,6 +153,11 @@
         earlier = self._samples.get(instance)
         self._samples[instance] = sample if earlier is None else earlier.plus(sample)
 
+    def record_gaps(self, instance: InstanceId, gaps: Sequence[float]) -> None:
+        """Record the seconds between the events of a turn."""
+        if self._service_of(instance) is not None:
+            self._gaps.add(instance, gaps)
+
     def slowdowns(self) -> dict[InstanceId, float]:
         """Return how many seconds longer a turn takes than on the fastest engine.
 
@@ -177,6 +183,7 @@
     def forget(self, instance: InstanceId) -> None:
         """Discard what is known of the pace of an engine that has left."""
         self._paces.forget(instance)
+        self._gaps.forget(instance)
         self._samples.pop(instance, None)
         self._owner_paces.pop(instance, None)
         self.owner.paces.forget(instance)
@@ -235,7 +242,7 @@
             await asyncio.sleep(REPORT_INTERVAL)
             now = loop.time()
             self.owner.expire(now)
-            speeds = self._by_service(self._paces.speeds())
+            speeds = self._by_service(self._gaps.speeds())
             if any(uneven(paces.values()) for paces in speeds.values()):
                 self._uneven_until = now + UNEVEN_HOLD
             if self.active:
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -74,6 +74,7 @@
         self._first_event_at = 0.0
         self._last_event_at = 0.0
         self._events = 0
+        self._gaps: list[float] = []
         # Seconds between the first and last event in which the target was waited for.
         self._waited = 0.0
         self._waited_since_event = 0.0
@@ -113,6 +114,7 @@
             # The rest is the time of a slow caller or of the store.
             if self._waited >= MIN_WAITED_FRACTION * seconds:
                 placements.record_events(instance, seconds, self._events - 1)
+                placements.record_gaps(instance, self._gaps)
         if complete:
             load.record_result(instance, ok=response.head.status < SERVER_ERROR)
             self._dispatcher.pool.release(
@@ -142,6 +144,7 @@
             self._first_event_at = now
         else:
             self._waited += self._waited_since_event
+            self._gaps.append(now - self._last_event_at)
         self._waited_since_event = 0.0
         self._last_event_at = now
         self._events += 1
--- a/sequoiaarch/policies/pace.py
+++ b/sequoiaarch/policies/pace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -16,12 +17,16 @@
 AVERAGING_SECONDS = 3.0
 # Events after which the pace of a target is known.
 MIN_EVENTS = 4.0
-# Targets are uneven while the idle pace of one exceeds that of another by this factor.
+# Targets are uneven while one takes this many times as long for an event as another.
 # Smaller differences follow from load and long prompts where a target is never idle.
 UNEVEN_FACTOR = 2.0
-# Events after which the idle pace of a target tells its speed. A single turn may fall
-# into a moment in which the target is slow.
-MIN_IDLE_EVENTS = 10
+# Gaps between events from which the speed of a target is known, and how many are kept.
+# Those of one or two turns may fall into a moment in which the target is slow.
+MIN_GAPS = 12
+MAX_GAPS = 24
+# The fraction of a target's gaps that are shorter than the one that tells its speed. In
+# the longer ones it processed prompts of other requests too.
+SPEED_QUANTILE = 0.25
 # Targets that must be known before they count as uneven.
 MIN_TARGETS = 3
 # Bounds of a possible pace in seconds: an event that takes longer is a target that
@@ -77,8 +82,6 @@
     turns: float = 0.0
     updated: float = 0.0
     idle_pace: float = math.inf
-    # Events since the target is known, without decay.
-    all_events: int = 0
 
 
 class PaceTable:
@@ -99,7 +102,6 @@
         average.seconds = average.seconds * decay + sample.seconds
         average.events = average.events * decay + sample.events
         average.turns = average.turns * decay + sample.turns
-        average.all_events += sample.events
         if average.events >= MIN_EVENTS:
             self._update_idle(average, max(0.0, now - average.updated))
         average.updated = max(average.updated, now)
@@ -143,17 +145,6 @@
         ]
         return sum(paces) / len(paces) if paces else None
 
-    def speeds(self) -> dict[InstanceId, float]:
-        """Return the idle paces of the targets that were seen often enough.
-
-        They differ between targets of different speed, whatever their present load.
-        """
-        return {
-            instance: average.idle_pace
-            for instance, average in self._averages.items()
-            if average.all_events >= MIN_IDLE_EVENTS
-        }
-
     def idle_paces(self) -> list[float]:
         """Return the paces of all known targets when they are idle."""
         known = (self.idle_pace(name) for name in self._averages)
@@ -182,6 +173,34 @@
         self._averages.pop(instance, None)
 
 
+class GapTable:
+    """Learn the speed of targets from the shorter gaps between their events.
+
+    The mean pace also depends on the load and the prompts of a target, by which targets
+    of the same speed differ.
+    """
+
+    def __init__(self) -> None:
+        self._gaps: dict[InstanceId, deque[float]] = {}
+
+    def add(self, instance: InstanceId, gaps: Iterable[float]) -> None:
+        """Add the seconds between the events of a turn."""
+        kept = self._gaps.setdefault(instance, deque(maxlen=MAX_GAPS))
+        kept.extend(gap for gap in gaps if gap >= MIN_EVENT_SECONDS)
+
+    def speeds(self) -> dict[InstanceId, float]:
+        """Return the seconds for an event of the targets with enough gaps."""
+        return {
+            instance: sorted(gaps)[int(SPEED_QUANTILE * len(gaps))]
+            for instance, gaps in self._gaps.items()
+            if len(gaps) >= MIN_GAPS
+        }
+
+    def forget(self, instance: InstanceId) -> None:
+        """Drop a target that has left."""
+        self._gaps.pop(instance, None)
+
+
 def uneven(paces: Iterable[float]) -> bool:
     """Return whether targets differ so much that it matters which one is used.
 
