--- a/sequoiaarch/platform/program.py
+++ b/sequoiaarch/platform/program.py
@@ -50,7 +50,8 @@
         data_centre=options.data_centre,
         seeds=options.seeds,
         rng=random.Random(),
-        capacity=options.capacity,
+        # Without the setting accounts are spread as by gateways of before.
+        capacity=options.capacity if options.place_programs else 0.0,
     )
     client = RelayedClient(
         direct=direct, relay=peers.relay, relay_delay=lambda: direct.relay_delay
--- a/sequoiaarch/tests/platform/settings_tests.py
+++ b/sequoiaarch/tests/platform/settings_tests.py
@@ -178,9 +178,9 @@
 class CapacityTests(unittest.IsolatedAsyncioTestCase):
     """Pass the capacity on to the registration."""
 
-    async def test_capacity_is_registered(self) -> None:
-        """Guards against a capacity that is read but not registered."""
-        text = settings(control=CONTROL)
+    async def registered(self, contracts: str) -> float:
+        """Return the capacity with which a gateway of two cores registers."""
+        text = settings(control=CONTROL, contracts=contracts)
         text = text.replace("[limits]", "[limits]\ncpuShare = 0.5\ncores = 4")
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "node.toml"
@@ -192,7 +192,17 @@
                 self.assertRaises(ValueError),
             ):
                 await program._run_gateway(path, mock.Mock(spec=EventLog))
-        self.assertEqual(peers.call_args.kwargs["capacity"], 2.0)
+        capacity: float = peers.call_args.kwargs["capacity"]
+        return capacity
+
+    async def test_capacity_is_registered(self) -> None:
+        """Guards against a capacity that is read but not registered."""
+        self.assertEqual(await self.registered('contracts = ["pressure"]'), 2.0)
+
+    async def test_capacity_without_the_setting(self) -> None:
+        """Guards against accounts that move where no setting asks for it."""
+        for contracts in ("", 'contracts = ["base"]'):
+            self.assertEqual(await self.registered(contracts), 0.0)
 
 
 class SignalTests(DeploymentTestCase):
