Log which stream a request resumes, and the version of its target

The incident's logs could not tell whether a request resumes a stream, which one, or at which version of the service it began and went on. Requests now decode the attempt that a caller names as the first one and the last event that it holds; targets keep the version of their registration, which was decoded and dropped. Nothing is decided by it yet.

--- a/sequoiaarch/ids.py
+++ b/sequoiaarch/ids.py
@@ -23,6 +23,7 @@
 WriterId = NewType("WriterId", str)
 LoanId = NewType("LoanId", str)
 OpeningId = NewType("OpeningId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 RANDOM_ID_BYTES = 9
 CHILD_SEPARATOR = "."
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -79,6 +79,8 @@
         self._waited = 0.0
         self._waited_since_event = 0.0
         self.budget_used = 0.0
+        # The target whose response was last received.
+        self.answered_by: TargetEntry | None = None
         self.steps: list[str] = []
 
     @property
@@ -243,6 +245,7 @@
                 "the response has an unexpected content encoding",
                 sent=True,
             )
+        self.answered_by = target
         self.steps.append(f"{target.instance}:{head.status}")
         return TargetResponse(
             target=target, connection=connection, head=head, info=info
--- a/sequoiaarch/ingress/calls.py
+++ b/sequoiaarch/ingress/calls.py
@@ -36,6 +36,8 @@
 
     `most_tokens` is the maximum number of generated tokens and `expected_tokens`
     the caller's estimate of it. `previous` is the turn that the request continues.
+    A request that resumes a stream has the id of the caller's last event in
+    `last_event` and the attempt that brought the first one in `resumes`.
     """
 
     attempt: AttemptId
@@ -51,8 +53,15 @@
     expected_tokens: int | None
     previous: TurnId | None
     prefix: tuple[PromptPart, ...]
+    resumes: AttemptId | None = None
+    last_event: str | None = None
     key: Secret | None = None
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the request goes on with a stream that has begun."""
+        return self.resumes is not None or self.last_event is not None
+
     @property
     def key_text(self) -> str | None:
         """Return the caller's API key, which must not be logged or forwarded."""
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -18,6 +18,7 @@
 from ..policies.retries import attempt_timeout
 from ..reply_timeout import ReplyTimeout, reply_timeout
 from ..routing.routes import Route, RouteKind
+from ..routing.targets import TargetEntry
 from ..workspaces.access import Caller
 from ..workspaces.directory import scoped
 from ..workspaces.quotas import Quotas, RequestToken
@@ -94,6 +95,11 @@
         """Return the routing decisions so far, for the request log."""
         return self._attempts.steps
 
+    @property
+    def answered_by(self) -> TargetEntry | None:
+        """Return the target whose response was last received, for the request log."""
+        return self._attempts.answered_by
+
     async def run(self) -> None:
         """Answer the request; raises FailureError if no target completes it."""
         try:
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -167,6 +167,7 @@
             program=info.program if info else "",
             session=info.session if info else "",
             previous=info.previous if info else None,
+            **_resume_fields(info),
             route=route,
             config=request.routes.version if request.routes else None,
             config_age=round(self._dispatcher.access.age(), 3),
@@ -175,12 +176,28 @@
             status=writer.status,
             outcome=request.outcome,
             reason=request.reason,
+            **_target_fields(request.exchange),
             **_retry_field(request.retry_after),
             milliseconds=round((now - request.started) * 1000, 1),
             steps=request.exchange.steps if request.exchange else [],
         )
 
 
+def _resume_fields(info: RequestInfo | None) -> dict[str, str | None]:
+    """Return the fields of a request that resumes a stream."""
+    if info is None or not info.resumes_stream:
+        return {}
+    return {"resumes": info.resumes, "last_event": info.last_event}
+
+
+def _target_fields(exchange: Exchange | None) -> dict[str, str]:
+    """Return the service and version of the target that answered, if any."""
+    target = exchange.answered_by if exchange is not None else None
+    if target is None:
+        return {}
+    return {"service": target.service, "version": target.version}
+
+
 def _retry_field(retry_after: float | None) -> dict[str, float]:
     """Return the field with the retry time that the caller was told, if any."""
     return {} if retry_after is None else {"retry_after": round(retry_after, 3)}
--- a/sequoiaarch/platform/documents.py
+++ b/sequoiaarch/platform/documents.py
@@ -7,7 +7,13 @@
 
 import msgspec
 
-from ..ids import DataCentre, InstanceId, ServiceName, Workspace
+from ..ids import (
+    DataCentre,
+    InstanceId,
+    ServiceName,
+    SoftwareVersion,
+    Workspace,
+)
 from ..routing.routes import (
     ClientLimits,
     EngineTraits,
@@ -136,6 +142,7 @@
         port=port,
         data_centre=DataCentre(registration.zone),
         slots=registration.slots,
+        version=SoftwareVersion(registration.version),
         draining=registration.state == DRAINING,
         born=registration.born,
     )
--- a/sequoiaarch/platform/headers.py
+++ b/sequoiaarch/platform/headers.py
@@ -16,6 +16,8 @@
 PREFIX = b"x-prompt-prefix"
 PREVIOUS = b"x-previous-turn"
 HINT = b"x-length-hint"
+RESUMES = b"resumes"
+LAST_EVENT = b"last-event-id"
 EXPECT_INSTANCE = b"x-expect-instance"
 INSTANCE = b"x-instance-id"
 NOT_RUN = b"x-not-executed"
@@ -50,6 +52,7 @@
         headers = {name.lower(): value.strip() for name, value in message.headers}
         usage = _decode_ints(headers.get(USAGE))
         previous = _decode_text(headers.get(PREVIOUS))
+        resumes = _decode_text(headers.get(RESUMES))
         key = _decode_text(headers.get(KEY))
         return RequestInfo(
             attempt=AttemptId(_decode_text(headers.get(ATTEMPT)) or ""),
@@ -65,6 +68,8 @@
             expected_tokens=_decode_int(headers.get(HINT)),
             previous=TurnId(previous) if previous else None,
             prefix=_decode_prefix(headers.get(PREFIX)),
+            resumes=AttemptId(resumes) if resumes else None,
+            last_event=_decode_text(headers.get(LAST_EVENT)) or None,
             key=Secret(key) if key else None,
         )
 
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from ..ids import DataCentre, InstanceId, ServiceName
+from ..ids import DataCentre, InstanceId, ServiceName, SoftwareVersion
 
 log = logbook.Logger("targets")
 
@@ -21,7 +21,8 @@
     """Describe a registered instance of a service.
 
     `born` is its start time in milliseconds of its own clock, 0 if unknown. It
-    increases when the instance restarts under the same name.
+    increases when the instance restarts under the same name. `version` is that of its
+    software.
     """
 
     instance: InstanceId
@@ -30,6 +31,7 @@
     port: int
     data_centre: DataCentre
     slots: int
+    version: SoftwareVersion = SoftwareVersion("")
     draining: bool = False
     born: int = 0
 
--- a/sequoiaarch/tests/platform/deployment.py
+++ b/sequoiaarch/tests/platform/deployment.py
@@ -178,19 +178,21 @@
             await target.stop()
 
     async def add_target(
-        self, name: str, service: str, behaviour: Behaviour
+        self, name: str, service: str, behaviour: Behaviour, **extra: Any
     ) -> TargetStandIn:
-        """Start a target and register it."""
+        """Start a target and register it, with extra fields of the registration."""
         target = TargetStandIn(behaviour=behaviour)
         await target.start()
         self.targets[name] = target
-        await self.register(name, service)
+        await self.register(name, service, **extra)
         return target
 
-    async def register(self, name: str, service: str, state: str = "ready") -> None:
+    async def register(
+        self, name: str, service: str, state: str = "ready", **extra: Any
+    ) -> None:
         """Write a target's registration to the store."""
         address = f"{LOOPBACK}:{self.targets[name].port}"
-        entry = registration(service, address, state=state)
+        entry = registration(service, address, state=state, **extra)
         await self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
     async def add_daemon(
