Resume streams only at the version that began them

A request that resumes a stream was placed like a new one: with its program's engine or the cheapest one. The version of a registration was decoded and dropped, the attempt that the caller names was not read, and no gateway but the first one could have known where the stream began.

With the first event of a resumable stream its gateway now records service and version, by the first attempt and by the request, and copies the record to two hosts of its data centre and one of another, chosen by rendezvous hashing. Any gateway finds it there. The stream goes on only at targets of that service and version, is not refused or placed as a new program, and gets a true refusal at once if the version is unknown or has no target. Nothing waits for the copies, as a lost record can only lead to a refusal.

--- a/sequoiaarch/errors.py
+++ b/sequoiaarch/errors.py
@@ -36,6 +36,7 @@
     STOPPING = "stopping"
     MOVED = "moved"
     NO_TARGET = "no_target"
+    NOT_RESUMABLE = "not_resumable"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTDATED = "outdated"
     LIMIT_UNKNOWN = "limit_unknown"
@@ -78,6 +79,9 @@
     ErrorKind.STOPPING: ErrorResponse(status=503, not_run=NotRun.YES, retry_after=0.2),
     ErrorKind.MOVED: ErrorResponse(status=503, not_run=NotRun.YES, retry_after=0.2),
     ErrorKind.NO_TARGET: ErrorResponse(status=503, not_run=NotRun.YES, retry_after=1.0),
+    ErrorKind.NOT_RESUMABLE: ErrorResponse(
+        status=503, not_run=NotRun.YES, retry_after=0.2
+    ),
     ErrorKind.LOG_UNAVAILABLE: ErrorResponse(
         status=503, not_run=NotRun.YES, retry_after=2.0
     ),
--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -27,9 +27,11 @@
 from ..storage.keyed import KeyedLog, KeyedRecord, ListedRecord
 from ..wire.links import Send
 from ..wire.messages import (
+    FindOriginRequest,
     LendRequest,
     LoadReportRequest,
     PlaceProgramRequest,
+    RecordOriginRequest,
     RegistrationSeenRequest,
     Reply,
     Request,
@@ -55,6 +57,7 @@
 from .quotas import FleetQuotas
 from .registration_check import RegistrationCheck
 from .slot_claimer import SlotClaimer
+from .stream_origins import SharedOrigins
 from .target_reports import TargetReports
 from .turn_server import TurnServer
 
@@ -161,6 +164,7 @@
             placed=placed,
             ledger=ledger,
         )
+        self.origins = SharedOrigins(own=own, peers=peers)
         self.reports = TargetReports(own=own, peers=peers, health=health)
         self.host_lease = HostLease(lease=quota_options.lease, clock=boottime_clock)
         self._registrations = TopicFollower(
@@ -242,6 +246,8 @@
             return self._loan_service.answer(request)
         if isinstance(request, TargetReport):
             return self.reports.receive(request)
+        if isinstance(request, RecordOriginRequest | FindOriginRequest):
+            return self.origins.answer(request)
         if isinstance(request, TakeTokensRequest):
             return self.quotas.answer(request)
         if isinstance(request, PlaceProgramRequest):
--- a/sequoiaarch/fleet/ranking.py
+++ b/sequoiaarch/fleet/ranking.py
@@ -12,6 +12,7 @@
 from .claims import slot_name
 
 Key = TypeVar("Key")
+Ranking = TypeVar("Ranking")
 
 # Number of different scores.
 SCORES = 2**32
@@ -88,18 +89,18 @@
     return ranking
 
 
-class RankingCache(Generic[Key]):
+class RankingCache(Generic[Key, Ranking]):
     """Cache rankings until the registrations change."""
 
     def __init__(
-        self, *, rank: Callable[[Key], list[HostName]], version: Callable[[], int]
+        self, *, rank: Callable[[Key], Ranking], version: Callable[[], int]
     ) -> None:
         self._rank = rank
         self._version = version
         self._ranked_version: int | None = None
-        self._rankings: dict[Key, list[HostName]] = {}
+        self._rankings: dict[Key, Ranking] = {}
 
-    def get(self, key: Key) -> Sequence[HostName]:
+    def get(self, key: Key) -> Ranking:
         """Return the ranking for a key."""
         version = self._version()
         if version != self._ranked_version:
--- a/sequoiaarch/ids.py
+++ b/sequoiaarch/ids.py
@@ -24,6 +24,7 @@
 LoanId = NewType("LoanId", str)
 OpeningId = NewType("OpeningId", str)
 SoftwareVersion = NewType("SoftwareVersion", str)
+StreamKey = NewType("StreamKey", bytes)
 
 RANDOM_ID_BYTES = 9
 CHILD_SEPARATOR = "."
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -11,6 +11,7 @@
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
 from ..ids import InstanceId
 from ..policies.health import next_event_due
+from ..policies.stream_origins import Origin
 from ..routing.routes import Route
 from ..routing.targets import TargetEntry
 from ..workspaces.access import Caller
@@ -18,6 +19,7 @@
 from ..workspaces.token_cache import Token
 from .calls import Dispatch, RequestInfo, ResponseInfo
 from .dispatcher import Dispatcher
+from .resumption import not_resumable
 
 # Targets that may refuse one request; the others are likely full as well.
 MAX_REFUSALS = 3
@@ -44,7 +46,8 @@
     """Send one request and track its attempts, including retries.
 
     `body` is the body to send and `budget_used` the fraction of the program's
-    token budget that is used. `steps` lists the routing decisions for the request log.
+    token budget that is used. With an `origin` only targets of its version are tried.
+    `steps` lists the routing decisions for the request log.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         self._send_count = 0
         self.body = message.body
         self.home: InstanceId | None = None
+        self.origin: Origin | None = None
         self._first_event_at = 0.0
         self._last_event_at = 0.0
         self._events = 0
@@ -93,7 +97,7 @@
         refusals = 0
         while True:
             target, why = self._dispatcher.choose(
-                self._route, self._info, self._tried, self.home
+                self._route, self._info, self._tried, self.home, self.origin
             )
             if target is None or refusals >= MAX_REFUSALS:
                 raise self._placement_failure(refusals)
@@ -181,6 +185,10 @@
         if refusals:
             reason = f"{refusals} targets refused"
             return fail(ErrorKind.OVERLOADED, reason, retry_after=BUSY_RETRY_AFTER)
+        if self.origin is not None:
+            return not_resumable(
+                f"no target of {self.origin.service} {self.origin.version} is left"
+            )
         return fail(
             ErrorKind.NO_TARGET, "no target is available", retry_after=BUSY_RETRY_AFTER
         )
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -160,6 +160,7 @@
                 ),
             )
             self.dispatcher.placements = self._fleet.placements
+            self.dispatcher.origins = self._fleet.origins
             if events is not None:
                 self._fleet.placements.owner.on_decision = functools.partial(
                     log_decision, events, options.host
@@ -358,6 +359,8 @@
         }
         if self._fleet is not None:
             state["loans_lent"] = float(self._fleet.loans.loans_lent)
+            state["stream_origins"] = float(len(self._fleet.origins))
+            state["stream_origins_uncopied"] = float(self._fleet.origins.uncopied)
             state["loans_refused"] = float(self._fleet.loans.loans_refused)
             self._metrics.set_shares(self._fleet.limiter.free())
             self._update_placement_gauges(self._fleet.placements)
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -12,6 +12,7 @@
 
 from ..fleet.engine_owner import Engine
 from ..fleet.placement_service import PlacementService
+from ..fleet.stream_origins import LocalOrigins, StreamOrigins
 from ..ids import DataCentre, InstanceId, ServiceName
 from ..policies.engines import (
     FAILURE_RATE_MARGIN,
@@ -24,6 +25,7 @@
 from ..policies.program_placement import ProgramDemand
 from ..policies.retries import RetryBudget, RetryPolicy, attempt_timeout
 from ..policies.starts import DeadlineBoundedWait, Start, StartPolicy, max_turn_wait
+from ..policies.stream_origins import Origin
 from ..policies.urgency import DeadlineUrgency, ProgramProgress, Urgency
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
@@ -60,6 +62,7 @@
         self.retries: RetryPolicy = RetryBudget()
         self.routes: RouteTable | None = None
         self.placements: PlacementService | None = None
+        self.origins: StreamOrigins = LocalOrigins()
         self.targets_read_at: Callable[[], float] = lambda: 0.0
         self.store_path: Callable[[], StorePath] = lambda: StorePath.DIRECT
         self._data_centre = data_centre
@@ -83,20 +86,18 @@
         info: RequestInfo,
         tried: set[InstanceId],
         home: InstanceId | None = None,
+        origin: Origin | None = None,
     ) -> tuple[TargetEntry | None, str]:
         """Return an untried target for a request and the reason for the choice.
 
-        `home` is the engine that the request's program was assigned to.
+        `home` is the engine that the request's program was assigned to. A stream with
+        an `origin` goes on only at its version.
         """
-        service = None if home is None else self._targets.service_of(home)
-        if service not in [share.service for share in route.services]:
-            service = self._pick_service(route)
-        assert service is not None
-        entries = [
-            entry
-            for entry in self._targets.of(service)
-            if entry.incarnation not in tried
-        ]
+        if origin is None:
+            entries = self._targets.of(self._service_for(route, home))
+        else:
+            entries = self.targets_of_origin(route, origin)
+        entries = [entry for entry in entries if entry.incarnation not in tried]
         if not entries:
             return None, ""
         candidates = [self._engine_candidate(entry) for entry in entries]
@@ -107,6 +108,26 @@
         chosen = next(entry for entry in entries if entry.incarnation == instance)
         return chosen, reason
 
+    def targets_of_origin(self, route: Route, origin: Origin) -> list[TargetEntry]:
+        """Return the targets at which a stream of a route may go on."""
+        if origin.service not in [share.service for share in route.services]:
+            return []
+        return [
+            entry
+            for entry in self._targets.of(origin.service)
+            if entry.version == origin.version
+        ]
+
+    def origin_at(self, target: TargetEntry) -> Origin | None:
+        """Return the origin of a stream that began at a target.
+
+        None if the target has registered another version since it was chosen.
+        """
+        registered = self._targets.find(target.instance)
+        if registered is not None and registered.version != target.version:
+            return None
+        return Origin(service=target.service, version=target.version)
+
     def start_retry_after(self, route: Route, info: RequestInfo) -> float | None:
         """Return the retry delay for a new program, or None to admit it."""
         service = self._pick_service(route)
@@ -174,6 +195,14 @@
         )
         return self._urgency.of(progress)
 
+    def _service_for(self, route: Route, home: InstanceId | None) -> ServiceName:
+        """Return the service of the home engine, or one drawn by the weights."""
+        service = None if home is None else self._targets.service_of(home)
+        if service in [share.service for share in route.services]:
+            assert service is not None
+            return service
+        return self._pick_service(route)
+
     def _pick_service(self, route: Route) -> ServiceName:
         if len(route.services) == 1:
             return route.services[0].service
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -6,6 +6,7 @@
 
 from ..errors import ErrorKind, FailureError, fail
 from ..fleet.placed_turns import ENGINES_FULL
+from ..fleet.stream_origins import HERE
 from ..http1.events import EventSplitter, event_data
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
 from ..http1.server_connection import ResponseWriter
@@ -16,6 +17,7 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.program_placement import ProgramDemand
 from ..policies.retries import attempt_timeout
+from ..policies.stream_origins import StreamKeys
 from ..reply_timeout import ReplyTimeout, reply_timeout
 from ..routing.routes import Route, RouteKind
 from ..routing.targets import TargetEntry
@@ -25,6 +27,7 @@
 from .attempts import Attempts, TargetResponse
 from .calls import RequestInfo
 from .dispatcher import Dispatcher
+from .resumption import RESUME_MARGIN, find_resumption, keys_of
 
 # Seconds after which to retry while the store is unreachable, directly and through
 # peers. With a shorter delay callers would use up their retries during the outage.
@@ -40,6 +43,9 @@
 # Seconds between checks whether a paused response body may be read on.
 PAUSE_INTERVAL = 0.05
 OK = 200
+# Labels of resumed streams: who knew where they began.
+ELSEWHERE = "elsewhere"
+UNKNOWN = "no"
 REDIRECT = 300
 
 
@@ -118,25 +124,47 @@
     async def _run(self) -> None:
         if self._route.kind is not RouteKind.STREAM:
             await self._forward_whole()
-        elif self._info.budget is not None:
+            return
+        if self._info.resumes_stream:
+            await self._resume()
+        if self._info.budget is not None:
             await self._run_turn(self._info.budget)
         elif self._route.retained:
             await self._run_turn(UNLIMITED_BUDGET)
         else:
             await self._forward_stream(None)
 
+    async def _resume(self) -> None:
+        """Find the version at which a broken stream goes on; raises FailureError."""
+        try:
+            resumption = await find_resumption(
+                self._dispatcher, self._route, self._stream_keys()
+            )
+        except FailureError:
+            self._metrics.count_resumed(UNKNOWN)
+            raise
+        self._metrics.count_resumed(HERE if resumption.source == HERE else ELSEWHERE)
+        self._attempts.origin = resumption.origin
+        self.steps.append(resumption.describe())
+
     async def _run_turn(self, budget: int) -> None:
         """Run a turn of a program within its token budget."""
-        demand = self._dispatcher.demand(self._route, self._info, self._caller)
-        if demand is None or not demand.refusable:
-            await self._check_admission()
+        demand = None
+        # A stream that goes on is neither refused nor placed as a new program: only
+        # targets of its version can run it, and its caller is waiting for the rest.
+        if not self._info.resumes_stream:
+            demand = self._dispatcher.demand(self._route, self._info, self._caller)
+            if demand is None or not demand.refusable:
+                await self._check_admission()
         turn = await self._open_turn(budget, demand)
         self._attempts.home = turn.engine.home
         if demand is not None:
             self.steps.append(_placement_step(turn.engine))
         self.steps.append(f"spent {turn.spent} of {budget} tokens, kept {turn.where}")
         self._attempts.budget_used = turn.spent / max(1, budget)
-        self._request_token.begins = turn.spent == 0 and turn.history is None
+        self._request_token.begins = (
+            turn.spent == 0 and turn.history is None and not self._info.resumes_stream
+        )
         if turn.history is not None:
             self._attempts.body = turn.history.prompt + self._message.body
             self._count_collected(len(self._attempts.body))
@@ -349,9 +377,24 @@
                 raise fail(ErrorKind.INTERRUPTED, "the budget is used up")
             output.append(event_data(event) + b"\n")
         if not self._writer.started:
+            self._record_origin(response.target)
             await self._start_response(response)
         await self._writer.send_part(event)
 
+    def _stream_keys(self) -> StreamKeys:
+        return keys_of(self._message, self._info, self._caller)
+
+    def _record_origin(self, target: TargetEntry) -> None:
+        """Remember where the stream began, for a caller that resumes it."""
+        if not self._route.resumable:
+            return
+        remaining = self._deadline - asyncio.get_running_loop().time()
+        self._dispatcher.origins.record(
+            self._stream_keys(),
+            self._dispatcher.origin_at(target),
+            remaining + RESUME_MARGIN,
+        )
+
     async def _confirm_budget(self, output: _TurnOutput) -> None:
         """Wait until tokens are durably reserved, before the first event is sent."""
         verdict = await output.turn.verdict()
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -44,6 +44,9 @@
         self._placements = self._counter(
             "placements_total", "Placements decided here by result, since the start."
         )
+        self._resumed = self._counter(
+            "resumed_streams_total", "Requests to resume a stream by who knew it."
+        )
         self._duration = self._histogram("request_seconds", "Time to the last byte.")
         self._first_event = self._histogram(
             "first_event_seconds", "Time to the first event."
@@ -59,6 +62,10 @@
         """Count a failure that the daemon itself answered."""
         self._failures.inc({"kind": kind})
 
+    def count_resumed(self, known: str) -> None:
+        """Count a request to resume a stream by who knew where it began."""
+        self._resumed.inc({"known": known})
+
     def observe_first_event(self, route: str, seconds: float) -> None:
         """Observe the time to the first event of a stream."""
         self._first_event.observe({"route": route}, seconds)
--- a/sequoiaarch/tests/platform/placements_tests.py
+++ b/sequoiaarch/tests/platform/placements_tests.py
@@ -66,6 +66,25 @@
         answer = await self.turn(daemon, b"b", attempt="t2", previous="t1")
         self.assertEqual(answer.status, 200)
 
+    async def test_resumed_stream_on_full_engines(self) -> None:
+        """Run a stream that goes on although new programs are refused."""
+        daemon = await self.start()
+        await self.turn(daemon, b"a", attempt="t1", program="p1", path="/free/a")
+        await self.fill(daemon)
+        for number, program in enumerate(("p1", "p2")):
+            answer = await self.turn(
+                daemon,
+                b"a",
+                attempt=f"r{number}",
+                program=program,
+                path="/free/a",
+                Resumes="t1",
+                Last_Event_Id="1",
+            )
+            self.assertEqual(answer.status, 200)
+        refused = await self.turn(daemon, b"a", program="p3", path="/free/a")
+        self.assertEqual(refused.status, 429)
+
     async def test_estimate_without_an_owner(self) -> None:
         """Refuse new programs by the gateway's own estimate if no owner is known."""
         daemon = await self.start()
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -23,6 +24,7 @@
     OpeningId,
     ProgramId,
     Seq,
+    StreamKey,
     TargetName,
     Workspace,
     WriterId,
@@ -37,6 +39,7 @@
 )
 from ..policies.pace import PaceSample
 from ..policies.program_placement import ProgramDemand
+from ..policies.stream_origins import Origin
 from ..records.acceptance import Verdict
 from ..records.types import (
     CallAnswer,
@@ -47,6 +50,9 @@
 from ..storage.calls import StoreCall, StoreReply
 from ..workspaces.limiter import TokenGrant
 
+# A stream is found by its first attempt or by its request.
+MAX_STREAM_KEYS = 2
+
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field="t"):
     """Base class of all messages."""
@@ -387,6 +393,23 @@
     ok: bool
 
 
+class RecordOriginRequest(Message, frozen=True, kw_only=True, tag="record_origin"):
+    """Remember where a stream, found by any of the keys, began for `life` seconds.
+
+    `origin` is None if the gateway that began it can't be certain.
+    """
+
+    keys: Annotated[list[StreamKey], msgspec.Meta(max_length=MAX_STREAM_KEYS)]
+    origin: Origin | None
+    life: float
+
+
+class FindOriginRequest(Message, frozen=True, kw_only=True, tag="find_origin"):
+    """Ask where a stream began."""
+
+    key: StreamKey
+
+
 class Ping(Message, frozen=True, kw_only=True, tag="ping"):
     """Check that the peer is alive."""
 
@@ -404,6 +427,8 @@
     | TakeTokensRequest
     | RegistrationSeenRequest
     | TargetReport
+    | RecordOriginRequest
+    | FindOriginRequest
     | PlaceProgramRequest
     | LoadReportRequest
     | DispatchRequest
@@ -624,6 +649,18 @@
     tokens: TokenGrant
 
 
+class OriginFound(Message, frozen=True, kw_only=True, tag="origin"):
+    """Report where a stream began, if it is `known`.
+
+    Without an `origin` the reports of it contradict each other. `age` is the time since
+    the first report, in seconds.
+    """
+
+    known: bool
+    origin: Origin | None = None
+    age: float = 0.0
+
+
 class Accepted(Message, frozen=True, kw_only=True, tag="accepted"):
     """Report that a request was carried out."""
 
@@ -639,6 +676,7 @@
     | TurnCovered
     | Lent
     | TokensTaken
+    | OriginFound
     | ProgramPlaced
     | LoadReported
     | CallAdmitted
