Ask for the origin of a stream longer, and use hosts that failed as the last ones

Hosts are asked for 0.25 s, those of other data centres 0.05 s after the near ones, and records go to hosts that failed lately if no other takes them.

--- a/sequoiaarch/fleet/stream_origins.py
+++ b/sequoiaarch/fleet/stream_origins.py
@@ -35,9 +35,12 @@
 HOSTS_ASKED = 3
 # Hosts asked in each data centre, including those that failed lately.
 MAX_HOSTS_ASKED = 6
-# Hosts answer from memory. Seconds.
+# Hosts answer from memory: one that does not answer by then is lost, frozen or
+# overloaded. Seconds.
 SEND_TIMEOUT = 0.3
-ASK_TIMEOUT = 0.1
+ASK_TIMEOUT = 0.25
+# Seconds after which other data centres are asked as well.
+FAR_DELAY = 0.05
 HERE = "here"
 
 
@@ -128,11 +131,11 @@
         far = [host for centre in others for host in self._to_ask(centre)]
         here = self._local.known(keys.best)
         if keys.first is not None:
-            return here or await self._ask(keys, near) or await self._ask(keys, far)
-        answers = await self._ask_all(keys, near)
+            return here or await self._ask_first(keys.first, near, far)
+        answers = await self._ask_all(keys.content, near)
         if here is not None:
             answers.append(here)
-        return _agreed(answers) or _agreed(await self._ask_all(keys, far))
+        return _agreed(answers) or _agreed(await self._ask_all(keys.content, far))
 
     def answer(self, request: RecordOriginRequest | FindOriginRequest) -> Reply:
         """Handle a request of another gateway."""
@@ -168,8 +171,9 @@
         self, request: RecordOriginRequest, hosts: Sequence[HostName], count: int
     ) -> int:
         """Send a record to the first `count` hosts that accept it; return how many."""
-        usable = (host for host in hosts if self._peer_health.usable(host))
-        candidates = itertools.islice(usable, MAX_HOSTS_SENT)
+        # Hosts that failed lately come last, as nothing else may be left.
+        by_health = sorted(hosts, key=lambda host: not self._peer_health.usable(host))
+        candidates = iter(by_health[:MAX_HOSTS_SENT])
         accepted = await asyncio.gather(
             *(self._send_to_next(request, candidates) for _ in range(count))
         )
@@ -204,11 +208,14 @@
             usable += self._peer_health.usable(host)
         return asked
 
-    async def _ask(
-        self, keys: StreamKeys, hosts: Sequence[HostName]
+    async def _ask_first(
+        self, key: StreamKey, near: Sequence[HostName], far: Sequence[HostName]
     ) -> KnownOrigin | None:
-        """Ask hosts at the same time and return the first that knows the stream."""
-        asked = [asyncio.create_task(self._ask_one(keys.best, host)) for host in hosts]
+        """Ask hosts and return the first that knows the stream."""
+        asked = [asyncio.create_task(self._ask(key, host)) for host in near]
+        asked += [
+            asyncio.create_task(self._ask(key, host, delay=FAR_DELAY)) for host in far
+        ]
         try:
             for answer in asyncio.as_completed(asked):
                 known = await answer
@@ -220,20 +227,28 @@
         return None
 
     async def _ask_all(
-        self, keys: StreamKeys, hosts: Sequence[HostName]
+        self, key: StreamKey, hosts: Sequence[HostName]
     ) -> list[KnownOrigin]:
         """Ask hosts at the same time and return the answers of those that know."""
+        usable = [host for host in hosts if self._peer_health.usable(host)]
         answers = await asyncio.gather(
-            *(self._ask_one(keys.best, host) for host in hosts)
+            *(self._ask(key, host) for host in usable or hosts)
         )
         return [known for known in answers if known is not None]
 
-    async def _ask_one(self, key: StreamKey, host: HostName) -> KnownOrigin | None:
+    async def _ask(
+        self, key: StreamKey, host: HostName, *, delay: float = 0.0
+    ) -> KnownOrigin | None:
+        await asyncio.sleep(delay)
         link = self._peers.link(host)
         if link is None:
             return None
         reply = await link.call(FindOriginRequest(key=key), timeout=ASK_TIMEOUT)
-        if not isinstance(reply, OriginFound) or not reply.known:
+        if not isinstance(reply, OriginFound):
+            self._peer_health.request_failed(host, str(reply))
+            return None
+        self._peer_health.request_succeeded(host)
+        if not reply.known:
             return None
         return KnownOrigin(origin=reply.origin, source=f"at {host}", age=reply.age)
 
