--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -97,6 +97,7 @@
         # Loop time of the last fault that may break connections of this gateway.
         self.disturbed_at = 0.0
         self.killed_at = 0.0
+        self.started_at = 0.0
         self._ready_port = free_port(self._address)
         self._front_port = free_port(self._address)
         self._module = module
@@ -148,6 +149,7 @@
     async def start(self) -> None:
         """Start a process without waiting until it is ready."""
         self.generation += 1
+        self.started_at = asyncio.get_running_loop().time()
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/sequoiaarch/tests/platform/soak_tests.py
+++ b/sequoiaarch/tests/platform/soak_tests.py
@@ -50,6 +50,7 @@
         self.assertGreater(report.counts["turns"], 0)
         self.assertGreater(report.counts["small programs judged"], 0)
         self.assertGreater(report.counts["harmed between gateways"], 0)
+        self.assertGreater(report.counts["streams resumed, went on"], 0)
 
     def test_short_seed_with_placements(self) -> None:
         """Keep all properties while owners place a burst of programs under faults."""
@@ -85,6 +86,11 @@
         self.assertIn("RETRY_AFTER", starved)
         self.assertIn("SHARE", starved)
 
+    def test_planted_version_faults_are_caught(self) -> None:
+        """Report streams of two versions, and streams that never go on."""
+        self.assertIn("VERSION", self.violated(planted.resumes_anywhere))
+        self.assertIn("RESUMED", self.violated(planted.forgets_streams))
+
     def violated(
         self, *faults: Callable[[], None], placements: bool = False
     ) -> set[str]:
