Forward no event of a target that changed its version while a stream resumes

A target is chosen by the version of its registration. If that names another one by the time of the first event, it isn't known which of them wrote it: a stream that begins there is recorded as uncertain, and one that is resumed there is broken off before its first event (test_version_changes_while_a_stream_ is_resumed got the events before).

--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -385,13 +385,19 @@
         return keys_of(self._message, self._info, self._caller)
 
     def _record_origin(self, target: TargetEntry) -> None:
-        """Remember where the stream began, for a caller that resumes it."""
+        """Remember where the stream began, for a caller that resumes it.
+
+        Raises FailureError if the target may not be of the version that began it.
+        """
+        origin = self._dispatcher.origin_at(target)
+        if self._attempts.origin not in (None, origin):
+            raise fail(ErrorKind.INTERRUPTED, "the target changed its version")
         if not self._route.resumable:
             return
         remaining = self._deadline - asyncio.get_running_loop().time()
         self._dispatcher.origins.record(
             self._stream_keys(),
-            self._dispatcher.origin_at(target),
+            origin,
             remaining + RESUME_MARGIN,
         )
 
--- a/sequoiaarch/tests/platform/resumed_streams_tests.py
+++ b/sequoiaarch/tests/platform/resumed_streams_tests.py
@@ -264,6 +264,20 @@
 
     async def test_version_changes_within_a_registration(self) -> None:
         """Trust no version of a target that registered another one meanwhile."""
+        stream = await self.begin_while_version_changes(Stream(first="one"))
+        self.assertEqual(stream.status, 200)
+        await self.resume(self.gateway, stream)
+        self.check_refused(stream, "several versions are known")
+
+    async def test_version_changes_while_a_stream_is_resumed(self) -> None:
+        """Forward no event of a target that registered another version meanwhile."""
+        stream = await self.begin(self.gateway)
+        await self.begin_while_version_changes(stream)
+        self.assertEqual(stream.status, 502)
+        self.assertEqual(stream.versions, ["v1", "v1"])
+
+    async def begin_while_version_changes(self, stream: Stream) -> Stream:
+        """Begin or resume a stream at a target that then registers another version."""
         release = asyncio.Event()
         begun = asyncio.Event()
 
@@ -273,7 +287,11 @@
             await versioned_answer("v1")(exchange)
 
         self.targets["i-1"].behaviour = wait_then_answer
-        beginning = asyncio.create_task(self.begin(self.gateway))
+        if stream.ids:
+            attempt = self.resume(self.gateway, stream)
+        else:
+            attempt = self.receive(self.gateway, stream, stream.first, 2, {})
+        running = asyncio.create_task(attempt)
         await begun.wait()
         await self.register("i-1", ENGINES, version="v1.1")
         targets = self.gateway.daemon.targets
@@ -281,9 +299,8 @@
             while targets.find(InstanceId("i-1")).version != "v1.1":  # type: ignore[union-attr]
                 await asyncio.sleep(0.01)
         release.set()
-        stream = await beginning
-        await self.resume(self.gateway, stream)
-        self.check_refused(stream, "several versions are known")
+        await running
+        return stream
 
     async def test_one_of_two_targets_is_full(self) -> None:
         """Go on at the second target of the version if the first one refuses."""
