Wait for the only target instead of giving it up for a retry

Callers of a slow service with a single target got 502 in place of its answer: after 2.5 times the route's latency target an attempt was given up for another target, also if there was none. test_only_target_is_slow got (502, 1) before.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -89,8 +89,13 @@
 
     @property
     def is_last(self) -> bool:
-        """Return whether the next attempt is the last one that the route allows."""
-        return self._send_count + 1 >= self._route.max_attempts
+        """Return whether no attempt can follow the next one.
+
+        Either the route allows no more, or there is no other target for it.
+        """
+        if self._send_count + 1 >= self._route.max_attempts:
+            return True
+        return self._dispatcher.count_untried(self._route, self._tried) <= 1
 
     async def open(self) -> TargetResponse:
         """Send the request until a target runs it, and return its response."""
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -108,6 +108,14 @@
         chosen = next(entry for entry in entries if entry.incarnation == instance)
         return chosen, reason
 
+    def count_untried(self, route: Route, tried: set[InstanceId]) -> int:
+        """Return how many targets of a route were not tried."""
+        return sum(
+            entry.incarnation not in tried
+            for share in route.services
+            for entry in self._targets.of(share.service)
+        )
+
     def targets_of_origin(self, route: Route, origin: Origin) -> list[TargetEntry]:
         """Return the targets at which a stream of a route may go on."""
         if origin.service not in [share.service for share in route.services]:
--- a/sequoiaarch/tests/platform/end_to_end_tests.py
+++ b/sequoiaarch/tests/platform/end_to_end_tests.py
@@ -69,6 +69,20 @@
             while (await self.call(daemon, "/once/x")).status != 200:
                 await asyncio.sleep(0.05)
 
+    async def test_only_target_is_slow(self) -> None:
+        """Guards against giving up the only target for a retry that has none."""
+
+        async def answer_late(exchange: TargetExchange) -> None:
+            await asyncio.sleep(0.5)
+            await tool_answer(exchange)
+
+        quick = route("/safe/", "safe", TOOLS, maxAttempts=2, targetLatencyMs=100)
+        await self.store.put("keyed.op", "config", config(2, [quick]))
+        target = await self.add_target("i-1", TOOLS, answer_late)
+        daemon = await self.add_daemon("a")
+        answer = await self.call(daemon, "/safe/x")
+        self.assertEqual((answer.status, len(target.exchanges)), (200, 1))
+
     async def test_unsafe_request_is_not_retried(self) -> None:
         """Send an unsafe request only once if its connection is reset.
 
