Let the last targets of a version finish streams while they begin to drain

At the end of a release the last targets of the old version drain together, and every stream that broke off then was refused, although they serve for two seconds more. If no other target of its version is left, a stream now goes on at one that reported its drain at most 1.7 s ago. That is counted from the read of the list before the one that shows the drain, so a late read shortens it.

--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -32,7 +32,7 @@
 from ..observe.request_metrics import RequestMetrics
 from ..policies.engines import NearestFree, PrefixIndex, PrefixPlacement
 from ..policies.health import TargetHealth
-from ..routing.follower import TopicFollower
+from ..routing.follower import TopicFollower, boottime_clock
 from ..routing.registrations import Registrations
 from ..routing.routes import ClientLimits, RouteTable
 from ..routing.targets import Targets
@@ -203,6 +203,7 @@
             on_lost=self.targets.store_lost,
             on_regained=self.targets.store_regained,
         )
+        self.targets.age = lambda: boottime_clock() - self._targets_follower.as_of
         self.dispatcher.targets_read_at = lambda: self._targets_follower.read_at
         self._background: list[Coroutine[Any, Any, None]] = [
             configuration.follow(),
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -117,14 +117,20 @@
         )
 
     def targets_of_origin(self, route: Route, origin: Origin) -> list[TargetEntry]:
-        """Return the targets at which a stream of a route may go on."""
+        """Return the targets at which a stream of a route may go on.
+
+        If all of its version drain, those that have just begun to do so.
+        """
         if origin.service not in [share.service for share in route.services]:
             return []
-        return [
-            entry
-            for entry in self._targets.of(origin.service)
-            if entry.version == origin.version
-        ]
+        for entries in (
+            self._targets.of(origin.service),
+            self._targets.leaving(origin.service),
+        ):
+            same = [entry for entry in entries if entry.version == origin.version]
+            if same:
+                return same
+        return []
 
     def origin_at(self, target: TargetEntry) -> Origin | None:
         """Return the origin of a stream that began at a target.
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Iterable
 
@@ -16,6 +17,10 @@
 # seconds, and a tenth more for the read that shows it.
 LAPSE_GRACE_SECONDS = 2.2
 
+# Seconds from the earliest time at which a target may have reported that it drains, in
+# which it may finish what has begun. Targets serve for two seconds after the report.
+LEAVING_SECONDS = 1.7
+
 
 class TargetEntry(msgspec.Struct, frozen=True, kw_only=True):
     """Describe a registered instance of a service.
@@ -74,6 +79,10 @@
         self.version = 0
         self._lapsed: dict[InstanceId, float] = {}
         self._grace_until = 0.0
+        # Returns the age of the list before the update that is applied, in seconds.
+        self.age: Callable[[], float] = lambda: math.inf
+        # Since when targets drain at the earliest.
+        self._drains_since: dict[InstanceId, float] = {}
         self._store_unavailable = False
 
     def __len__(self) -> int:
@@ -114,6 +123,10 @@
         self._by_incarnation[entry.incarnation] = entry
         if previous != entry:
             self.version += 1
+        if not entry.draining:
+            self._drains_since.pop(entry.instance, None)
+        elif previous is not None and not previous.draining:
+            self._drains_since[entry.instance] = self._clock() - self.age()
         if previous is None or previous.draining != entry.draining:
             log.info(
                 "target {} of {} {}",
@@ -156,6 +169,16 @@
             if entry.service == service and not entry.draining
         ]
 
+    def leaving(self, service: ServiceName) -> list[TargetEntry]:
+        """Return the draining targets of a service that still finish what has begun."""
+        now = self._clock()
+        return [
+            self._entries[instance]
+            for instance, since in self._drains_since.items()
+            if self._entries[instance].service == service
+            and now < since + LEAVING_SECONDS
+        ]
+
     def find(self, instance: InstanceId) -> TargetEntry | None:
         """Return the target with the given name, if it is registered."""
         return self._entries.get(instance)
@@ -180,6 +203,7 @@
 
     def _drop(self, instance: InstanceId, reason: str) -> None:
         self._lapsed.pop(instance, None)
+        self._drains_since.pop(instance, None)
         entry = self._entries.pop(instance, None)
         if entry is not None:
             self._by_incarnation.pop(entry.incarnation, None)
--- a/sequoiaarch/tests/platform/resumed_streams_tests.py
+++ b/sequoiaarch/tests/platform/resumed_streams_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ...ids import InstanceId
+from ...routing.targets import LEAVING_SECONDS
 from ...standins.target import TargetExchange
 from .deployment import (
     ENGINES,
@@ -219,6 +220,33 @@
         self.check_refused(stream, "no target of engines v1 is left")
         self.assertEqual(self.targets["i-2"].exchanges, [])
 
+    async def test_last_target_of_the_version_drains(self) -> None:
+        """Go on at a target that has just begun to drain, and not for long.
+
+        The last targets of a version finish the streams that they began.
+        """
+        await self.add_engine("i-2", "v1.1")
+        await self.wait_for_targets(2)
+        streams = [stream for stream in await self.begin_some() if stream.versions]
+        old = [stream for stream in streams if stream.versions[0] == "v1"]
+        self.assertGreater(len(old), 1)
+        await self.register("i-1", ENGINES, "draining", version="v1")
+        targets = self.gateway.daemon.targets
+        async with asyncio.timeout(10.0):
+            while not targets.find(InstanceId("i-1")).draining:  # type: ignore[union-attr]
+                await asyncio.sleep(0.01)
+        await self.resume(self.gateway, old[0])
+        self.assertTrue(old[0].whole, old[0])
+        self.assertFalse(old[0].mixed)
+        await asyncio.sleep(LEAVING_SECONDS)
+        await self.resume(self.gateway, old[1])
+        self.check_refused(old[1], "no target of engines v1 is left")
+
+    async def begin_some(self) -> list[Stream]:
+        """Begin streams at all targets, and break them off."""
+        begun = (self.begin(self.gateway) for _ in range(STREAMS))
+        return list(await asyncio.gather(*begun))
+
     async def test_same_label_at_another_service(self) -> None:
         """Refuse a stream whose route moved to another service, whatever its version.
 
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -5,7 +5,12 @@
 import unittest
 
 from ...ids import DataCentre, InstanceId, ServiceName
-from ...routing.targets import LAPSE_GRACE_SECONDS, TargetEntry, Targets
+from ...routing.targets import (
+    LAPSE_GRACE_SECONDS,
+    LEAVING_SECONDS,
+    TargetEntry,
+    Targets,
+)
 
 SERVICE = ServiceName("engines")
 
@@ -39,6 +44,38 @@
         """Return the names of targets that may take work."""
         return sorted(entry.instance for entry in self.targets.of(SERVICE))
 
+    def leaving(self) -> list[str]:
+        """Return the names of draining targets that finish what has begun."""
+        return [entry.instance for entry in self.targets.leaving(SERVICE)]
+
+    def test_leaving_targets(self) -> None:
+        """Let a draining target finish streams, counted from the list before."""
+        self.targets.age = lambda: 0.5
+        self.targets.put(entry("i-1", draining=True))
+        self.assertEqual((self.usable(), self.leaving()), (["i-2"], ["i-1"]))
+        self.now += LEAVING_SECONDS - 0.6
+        self.assertEqual(self.leaving(), ["i-1"])
+        self.targets.put(entry("i-1", draining=True))
+        self.now += 0.2
+        self.assertEqual(self.leaving(), [])
+
+    def test_drain_is_learned_late(self) -> None:
+        """Send nothing to a draining target whose report may be old."""
+        self.targets.age = lambda: LEAVING_SECONDS + 0.1
+        self.targets.put(entry("i-1", draining=True))
+        self.targets.age = lambda: 0.0
+        self.targets.put(entry("i-3", draining=True))
+        self.assertEqual(self.leaving(), [])
+
+    def test_draining_target_leaves(self) -> None:
+        """Send nothing to a draining target that is gone or back."""
+        self.targets.age = lambda: 0.0
+        for name in ("i-1", "i-2"):
+            self.targets.put(entry(name, draining=True))
+        self.targets.remove(InstanceId("i-1"))
+        self.targets.put(entry("i-2"))
+        self.assertEqual((self.usable(), self.leaving()), (["i-2"], []))
+
     def test_removed_registration(self) -> None:
         """Use no target whose registration was removed."""
         self.targets.remove(InstanceId("i-1"))
