--- a/sequoiaarch/tests/fleet/stream_origins_tests.py
+++ b/sequoiaarch/tests/fleet/stream_origins_tests.py
@@ -5,20 +5,29 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 import zmq.asyncio
 
 from ...errors import ErrorKind, Failure
 from ...fleet.peers import PeerRecord, Peers, PeerServer
-from ...fleet.stream_origins import ASK_TIMEOUT, COPIES, SharedOrigins
+from ...fleet.stream_origins import (
+    ASK_TIMEOUT,
+    COPIES,
+    HOSTS_ASKED,
+    SharedOrigins,
+)
 from ...ids import AttemptId, DataCentre, HostName, ServiceName, SoftwareVersion
 from ...policies.stream_origins import Origin, StreamKeys, stream_keys
 from ...storage.keyed import KeyedRecord
 from ...wire.links import Send
 from ...wire.messages import (
+    Accepted,
     Failed,
     FindOriginRequest,
+    Message,
+    OriginFound,
     RecordOriginRequest,
     Reply,
     Request,
@@ -81,6 +90,57 @@
         self.server.close()
 
 
+class _CountingLink:
+    """Link to a host that keeps records and knows no stream."""
+
+    def __init__(self) -> None:
+        self.requests: list[Message] = []
+
+    async def call(self, request: Message, *, timeout: float) -> Reply:
+        """Count a request and answer it."""
+        self.requests.append(request)
+        if isinstance(request, RecordOriginRequest):
+            return Accepted()
+        return OriginFound(known=False)
+
+
+class LargeFleetTests(unittest.IsolatedAsyncioTestCase):
+    """Count messages with the hosts of several data centres."""
+
+    async def count(self, hosts: int, centres: int) -> tuple[float, float]:
+        """Return the messages for a stream that begins and for an unknown one."""
+        own = HostName("h0")
+        by_centre = {
+            DataCentre(f"c{centre}"): [
+                HostName(f"h{number}") for number in range(centre, hosts, centres)
+            ]
+            for centre in range(centres)
+        }
+        link = _CountingLink()
+        peers = mock.Mock(spec=Peers, version=1)
+        peers.hosts_by_centre.return_value = by_centre
+        peers.neighbours.return_value = by_centre[DataCentre("c0")][1:]
+        peers.link.return_value = link
+        origins = SharedOrigins(own=own, peers=peers)
+        for number in range(STREAMS):
+            keys = stream_keys("", AttemptId(str(number)), str(number).encode())
+            origins.record(keys, FIRST, LIFE)
+        await asyncio.gather(*origins._tasks)
+        recorded = len(link.requests)
+        link.requests.clear()
+        unknown = stream_keys("", AttemptId("unknown"), b"unknown")
+        await origins.find(unknown)
+        return recorded / STREAMS, len(link.requests)
+
+    async def test_messages(self) -> None:
+        """Send three copies of each record, however many hosts there are."""
+        for hosts, centres in ((33, 4), (300, 10), (540, 15)):
+            recorded, asked = await self.count(hosts, centres)
+            self.assertGreater(recorded, COPIES - 1)
+            self.assertLessEqual(recorded, COPIES)
+            self.assertLessEqual(asked, HOSTS_ASKED * centres)
+
+
 class SharedOriginsTests(unittest.IsolatedAsyncioTestCase):
     """Test hosts of several data centres over real sockets."""
 
