--- a/sequoiaarch/fleet/stream_origins.py
+++ b/sequoiaarch/fleet/stream_origins.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple, Protocol
 
-import logbook
-
 from ..ids import HostName, StreamKey
 from ..policies.stream_origins import Origin, OriginRecord, OriginTable, StreamKeys
 from ..wire.messages import (
@@ -22,8 +20,6 @@
 from .peers import Peers
 from .ranking import RankingCache, score
 
-log = logbook.Logger("origins")
-
 # Copies of each record: two in the data centre of the gateway that began the stream,
 # where callers come back, and one in another one.
 LOCAL_COPIES = 2
