Refuse a stream without a target of its version before asking for a budget

With the store away such a stream was refused only after its budget had been asked for (test_no_target_while_the_store_is_away), although nothing could have served it.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -19,7 +19,7 @@
 from ..workspaces.token_cache import Token
 from .calls import Dispatch, RequestInfo, ResponseInfo
 from .dispatcher import Dispatcher
-from .resumption import not_resumable
+from .resumption import no_target_left
 
 # Targets that may refuse one request; the others are likely full as well.
 MAX_REFUSALS = 3
@@ -191,9 +191,7 @@
             reason = f"{refusals} targets refused"
             return fail(ErrorKind.OVERLOADED, reason, retry_after=BUSY_RETRY_AFTER)
         if self.origin is not None:
-            return not_resumable(
-                f"no target of {self.origin.service} {self.origin.version} is left"
-            )
+            return no_target_left(self.origin)
         return fail(
             ErrorKind.NO_TARGET, "no target is available", retry_after=BUSY_RETRY_AFTER
         )
--- a/sequoiaarch/ingress/resumption.py
+++ b/sequoiaarch/ingress/resumption.py
@@ -37,6 +37,11 @@
     return fail(ErrorKind.NOT_RESUMABLE, reason)
 
 
+def no_target_left(origin: Origin) -> FailureError:
+    """Return the failure of a stream whose version has no target any more."""
+    return not_resumable(f"no target of {origin.service} {origin.version} is left")
+
+
 def keys_of(message: RequestMessage, info: RequestInfo, caller: Caller) -> StreamKeys:
     """Return the keys of the stream that a request begins or resumes."""
     first = info.resumes if info.resumes_stream else info.attempt
@@ -60,4 +65,6 @@
         raise not_resumable("it is not known at which version the stream began")
     if known.origin is None:
         raise not_resumable("several versions are known for the stream")
+    if not dispatcher.targets_of_origin(route, known.origin):
+        raise no_target_left(known.origin)
     return Resumption(origin=known.origin, source=known.source, age=known.age)
--- a/sequoiaarch/tests/platform/resumed_streams_tests.py
+++ b/sequoiaarch/tests/platform/resumed_streams_tests.py
@@ -220,6 +220,16 @@
         self.check_refused(stream, "no target of engines v1 is left")
         self.assertEqual(self.targets["i-2"].exchanges, [])
 
+    async def test_no_target_while_the_store_is_away(self) -> None:
+        """Refuse at once if no target is left, without asking for a budget first."""
+        stream = await self.begin(self.gateway)
+        await self.replace_engine("v1.1")
+        self.clients["a"].faults.down = True
+        started = asyncio.get_running_loop().time()
+        await self.resume(self.gateway, stream)
+        self.assertLess(asyncio.get_running_loop().time() - started, 0.3)
+        self.check_refused(stream, "no target of engines v1 is left")
+
     async def test_last_target_of_the_version_drains(self) -> None:
         """Go on at a target that has just begun to drain, and not for long.
 
