--- a/sequoiaarch/tests/platform/resumed_streams_tests.py
+++ b/sequoiaarch/tests/platform/resumed_streams_tests.py
@@ -226,7 +226,8 @@
         await self.replace_engine("v1.1")
         self.clients["a"].faults.down = True
         started = asyncio.get_running_loop().time()
-        await self.resume(self.gateway, stream)
+        # The budget of another program is not in memory.
+        await self.resume(self.gateway, stream, X_Program_Id="other")
         self.assertLess(asyncio.get_running_loop().time() - started, 0.3)
         self.check_refused(stream, "no target of engines v1 is left")
 
