--- a/sequoiaarch/fleet/stream_origins.py
+++ b/sequoiaarch/fleet/stream_origins.py
@@ -157,19 +157,23 @@
         ]
         near = min(LOCAL_COPIES - copies, len(here))
         sent = await asyncio.gather(
-            self._send_copies(request, here, near),
-            self._send_copies(request, away, COPIES - copies - near),
+            self._send_copies(request, self._usable(here), near),
+            self._send_copies(request, self._usable(away), COPIES - copies - near),
         )
-        if not sum(sent) and (here or away):
+        if sum(sent) or not (here or away):
+            return
+        # Hosts that failed lately may be back, and no other one has a copy.
+        if not await self._send_copies(request, [*here, *away], 1):
             self.uncopied += 1
 
+    def _usable(self, hosts: Sequence[HostName]) -> list[HostName]:
+        return [host for host in hosts if self._peer_health.usable(host)]
+
     async def _send_copies(
         self, request: RecordOriginRequest, hosts: Sequence[HostName], count: int
     ) -> int:
         """Send a record to the first `count` hosts that accept it; return how many."""
-        # Hosts that failed lately come last, as nothing else may be left.
-        by_health = sorted(hosts, key=lambda host: not self._peer_health.usable(host))
-        candidates = iter(by_health[:MAX_HOSTS_SENT])
+        candidates = iter(hosts[:MAX_HOSTS_SENT])
         accepted = await asyncio.gather(
             *(self._send_to_next(request, candidates) for _ in range(count))
         )
@@ -226,9 +230,8 @@
         self, key: StreamKey, hosts: Sequence[HostName]
     ) -> list[KnownOrigin]:
         """Ask hosts at the same time and return the answers of those that know."""
-        usable = [host for host in hosts if self._peer_health.usable(host)]
         answers = await asyncio.gather(
-            *(self._ask(key, host) for host in usable or hosts)
+            *(self._ask(key, host) for host in self._usable(hosts) or hosts)
         )
         return [known for known in answers if known is not None]
 
