--- a/sequoiaarch/tests/platform/resumed_streams_tests.py
+++ b/sequoiaarch/tests/platform/resumed_streams_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from ...ids import InstanceId
+from ...ingress.daemon import TARGETS_BATCH_DELAY
 from ...routing.targets import LEAVING_SECONDS
 from ...standins.target import TargetExchange
 from .deployment import (
@@ -241,6 +242,10 @@
         streams = [stream for stream in await self.begin_some() if stream.versions]
         old = [stream for stream in streams if stream.versions[0] == "v1"]
         self.assertGreater(len(old), 1)
+        # Ends the pending read of the targets, as heartbeats do: the time at the draining
+        # target counts from the read before the one that shows it.
+        await self.register("i-2", ENGINES, version="v1.1")
+        await asyncio.sleep(2 * TARGETS_BATCH_DELAY)
         await self.register("i-1", ENGINES, "draining", version="v1")
         targets = self.gateway.daemon.targets
         async with asyncio.timeout(10.0):
