--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -18,7 +18,6 @@
 from ....ids import HostName, LoanId, ProgramId
 from ....ingress.attempts import Attempts
 from ....ingress.daemon import IngressDaemon
-from ....ingress.dispatcher import Dispatcher
 from ....ingress.exchange import Exchange
 from ....ledger.budgets import Budgets
 from ....ledger.ledger import Ledger
@@ -28,9 +27,9 @@
 from ....platform.__main__ import main
 from ....platform.headers import PlatformCallCodec
 from ....policies.program_placement import ProgramDemand
-from ....policies.stream_origins import Origin, StreamKeys
-from ....routing.routes import Route, RouteTable
-from ....routing.targets import TargetEntry, Targets
+from ....policies.stream_origins import StreamKeys
+from ....routing.routes import RouteTable
+from ....routing.targets import Targets
 from ....workspaces.access import Access, Caller
 from ....workspaces.sliding_window import ShareWindow
 from .burst_callers import BURST_CALLERS
@@ -214,14 +213,12 @@
 
 
 def resumes_anywhere() -> None:
-    """Resume streams at targets of any version."""
+    """Place streams that are resumed like new ones, at targets of any version."""
 
-    def targets_of_origin(
-        self: Dispatcher, route: Route, origin: Origin
-    ) -> list[TargetEntry]:
-        return self._targets.of(origin.service)
+    async def resume(self: Exchange) -> None:
+        pass
 
-    setattr(Dispatcher, "targets_of_origin", targets_of_origin)  # noqa: B010
+    setattr(Exchange, "_resume", resume)  # noqa: B010
 
 
 def forgets_streams() -> None:
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -18,10 +18,10 @@
 from .gateways import MODULE, START_SECONDS, Gateway
 from .link_faults import LinkFaults
 from .property_checker import Property, PropertyChecker
-from .releases import Releases
+from .releases import VERSIONS, Releases
 from .resuming_callers import ResumingCaller
 from .small import SmallBudgetCaller
-from .targets import EVENT_SECONDS, UNLIMITED_SLOTS, SoakTarget
+from .targets import EVENT_SECONDS, FIRST_VERSION, UNLIMITED_SLOTS, SoakTarget
 from .workspace_callers import LIMITED_CALLERS, WorkspaceCaller, Workspaces
 
 ZONES = ("here", "there")
@@ -237,7 +237,10 @@
     def _make_target(self, service: str, number: int) -> SoakTarget:
         engine = service == ENGINES
         placed = engine and self._plan.placements
+        # Two versions serve from the start, both in each data centre.
+        version = VERSIONS[number // len(ZONES) % 2] if engine else FIRST_VERSION
         return SoakTarget(
+            version=version,
             slots=PLACED_SLOTS if placed else UNLIMITED_SLOTS,
             event_seconds=PLACED_EVENT_SECONDS if placed else EVENT_SECONDS,
             service=service,
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -65,9 +65,10 @@
         store_available_since: Callable[[], float],
         slots: int = UNLIMITED_SLOTS,
         event_seconds: float = EVENT_SECONDS,
+        version: str = FIRST_VERSION,
     ) -> None:
         self.fault = TargetFault.NONE
-        self.version = FIRST_VERSION
+        self.version = version
         self._service = service
         self._engine = engine
         self._zone = zone
