--- a/sequoiaarch/tests/platform/soak/callers.py
+++ b/sequoiaarch/tests/platform/soak/callers.py
@@ -316,7 +316,6 @@
             retry_after,
             seconds=seconds if undisturbed else None,
             deadline=float(sent["X-Deadline-Ms"]) / 1000,
-            body=answer.body,
         )
     return answer
 
--- a/sequoiaarch/tests/platform/soak/property_checker.py
+++ b/sequoiaarch/tests/platform/soak/property_checker.py
@@ -42,7 +42,6 @@
 # Statuses that promise that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({402, 404, 408, 421, 429, 503})
 UNAVAILABLE = 503
-TARGETS_REFUSED = b"targets refused"
 OVERLOAD_STATUSES = frozenset({429, UNAVAILABLE})
 # Seconds. A turn opens within 0.3 s also if its delegate and the owner of the engines
 # are lost, and a link adds 0.6 s at most. Most requests have three times as long. Turns
@@ -156,7 +155,6 @@
         *,
         seconds: float | None,
         deadline: float,
-        body: bytes = b"",
     ) -> None:
         """Check a 429 or 503, and its seconds unless faults may have delayed it."""
         delay = math.nan
@@ -168,10 +166,7 @@
         if seconds is None:
             return
         store_away = self.sent_requests[attempt].at <= self.store_available_since()
-        # A turn that has waited for the store may find its targets replaced meanwhile.
-        waits_for_store = store_away and (
-            status == UNAVAILABLE or TARGETS_REFUSED in body
-        )
+        waits_for_store = store_away and status == UNAVAILABLE
         limit = deadline if waits_for_store else min(deadline, MAX_REFUSAL_SECONDS)
         slowest = "slowest refusal in ms" + ", store away" * waits_for_store
         self.counts[slowest] = max(self.counts[slowest], round(seconds * 1000))
