--- a/review/standins.py
+++ b/review/standins.py
@@ -44,7 +44,7 @@
         self._started = time.monotonic()
 
     def line(self, text: str) -> None:
-        """Write one line, also to standard output."""
+        """Write one line."""
         now = time.monotonic() - self._started
         print(f"{now:8.3f} {text}", file=self._file, flush=True)
 
@@ -330,7 +330,9 @@
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_request(reader)) is not None:
                 if request.headers.get("x-expect-instance", self.name) != self.name:
-                    writer.write(response(421))
+                    attempt = request.headers.get("x-attempt-id", "")
+                    headers = {"X_Attempt_Id": attempt, "X_Not_Executed": "1"}
+                    writer.write(response(421, **headers))
                     continue
                 run = Run(
                     attempt=request.headers.get("x-attempt-id", ""),
@@ -717,7 +719,6 @@
     sticky=True,
     gapTargetMs=150,
 )
-FREE = route("/free/", "stream", ENGINES, resumable=True, sticky=True, gapTargetMs=150)
 SAFE = route("/safe/", "safe", TOOLS, timeoutMs=3000)
 ONCE = route("/once/", "unsafe", TOOLS, timeoutMs=3000)
 
