Log how old the list of targets was at a send, and when a leaving was learned

The record of the late requests can't tell a list that was too old from a removal that counted as a lapse, a wait before the send, or a registration taken for an older one. targets_age was taken when the request ended, from the end of the last read.

Each send now has a step with the state and offset of the target's registration, whether it counts as lapsed and until when, the age of the list and by which way it was read. targets lines have the offset and the most by which a leaving was learned late, follower lines name slow reads, and leaving_known_seconds and the state targets_age show both for all targets. No decision changes.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -85,6 +85,8 @@
         self.budget_used = 0.0
         # The target whose response was last received.
         self.answered_by: TargetEntry | None = None
+        # Age of the list of targets at the last send, in seconds.
+        self.targets_age: float | None = None
         self.steps: list[str] = []
 
     @property
@@ -210,6 +212,8 @@
             token = self._request_token.spend()
             if token is not None:
                 self.steps.append(self._request_token.describe(token))
+            self.steps.append(self._dispatcher.describe_send(target))
+            self.targets_age = self._dispatcher.targets_age()
             await connection.send(self._outgoing_request(target))
             self._send_count += 1
             self._dispatcher.request_sent(target, self._route, self._info, self)
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -202,9 +202,12 @@
             batch_delay=TARGETS_BATCH_DELAY,
             on_lost=self.targets.store_lost,
             on_regained=self.targets.store_regained,
+            on_read=self._targets_read,
         )
+        self._targets_path = StorePath.NONE
         self.targets.age = lambda: boottime_clock() - self._targets_follower.as_of
-        self.dispatcher.targets_read_at = lambda: self._targets_follower.read_at
+        self.targets.on_leaving = self._metrics.observe_leaving_known
+        self.dispatcher.targets_read = lambda: self._targets_path
         self._background: list[Coroutine[Any, Any, None]] = [
             configuration.follow(),
             self._targets_follower.follow(),
@@ -351,6 +354,7 @@
             "ready": float(self.ready),
             "config_version": float(routes.version if routes else 0),
             "targets": float(len(self.targets)),
+            "targets_age": self.targets.age(),
             "turns": float(self.ledger.turns),
             "connections": float(len(self.front.connections)),
             "target_connections_opened": float(self.dispatcher.pool.opened),
@@ -404,6 +408,9 @@
             links=int(self._options.descriptors * CALLER_CONNECTIONS_FRACTION),
         )
 
+    def _targets_read(self, since: float) -> None:
+        self._targets_path = self.dispatcher.store_path()
+
     def _forget_target(self, instance: InstanceId) -> None:
         self.dispatcher.forget(instance)
 
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -63,7 +63,8 @@
         self.routes: RouteTable | None = None
         self.placements: PlacementService | None = None
         self.origins: StreamOrigins = LocalOrigins()
-        self.targets_read_at: Callable[[], float] = lambda: 0.0
+        # How the list of targets was last read.
+        self.targets_read: Callable[[], StorePath] = lambda: StorePath.DIRECT
         self.store_path: Callable[[], StorePath] = lambda: StorePath.DIRECT
         self._data_centre = data_centre
         self._targets = targets
@@ -189,7 +190,14 @@
 
     def targets_age(self) -> float:
         """Return the age of the target list, in seconds."""
-        return asyncio.get_running_loop().time() - self.targets_read_at()
+        return self._targets.age()
+
+    def describe_send(self, target: TargetEntry) -> str:
+        """Return what a request to a target rests on, for the request log."""
+        return (
+            f"{target.instance} sent: {self._targets.describe(target.instance)}, list"
+            f" {self.targets_age():.2f} s old, read {self.targets_read().value}"
+        )
 
     def event_tokens(self, service: ServiceName) -> int:
         """Return the number of tokens in each stream event of a service."""
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -106,6 +106,11 @@
         """Return the target whose response was last received, for the request log."""
         return self._attempts.answered_by
 
+    @property
+    def targets_age(self) -> float | None:
+        """Return the age of the target list at the last send; None if not sent."""
+        return self._attempts.targets_age
+
     async def run(self) -> None:
         """Answer the request; raises FailureError if no target completes it."""
         try:
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -152,6 +152,11 @@
         except ClientGone:
             request.outcome = _lost_outcome(writer)
 
+    def _targets_age(self, exchange: Exchange | None) -> float:
+        """Return the age of the target list at the last send, or else now."""
+        sent = exchange.targets_age if exchange is not None else None
+        return round(self._dispatcher.targets_age() if sent is None else sent, 3)
+
     def _log_request(self, request: _RequestState, writer: ResponseWriter) -> None:
         """Count the request and write its log line."""
         now = asyncio.get_running_loop().time()
@@ -171,7 +176,7 @@
             route=route,
             config=request.routes.version if request.routes else None,
             config_age=round(self._dispatcher.access.age(), 3),
-            targets_age=round(self._dispatcher.targets_age(), 3),
+            targets_age=self._targets_age(request.exchange),
             store=self._dispatcher.store_path().value,
             status=writer.status,
             outcome=request.outcome,
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -52,6 +52,9 @@
             "first_event_seconds", "Time to the first event."
         )
         self._commit = self._histogram("commit_seconds", "Time of a turn's commit.")
+        self._leaving_known = self._histogram(
+            "leaving_known_seconds", "Time until it is known that a target leaves."
+        )
 
     def count_response(self, route: str, status: int, seconds: float) -> None:
         """Count a response and observe its duration."""
@@ -74,6 +77,10 @@
         """Observe the duration of a turn's commit."""
         self._commit.observe({}, seconds)
 
+    def observe_leaving_known(self, seconds: float) -> None:
+        """Observe within which time it was learned that a target leaves."""
+        self._leaving_known.observe({}, seconds)
+
     def set_state(self, name: str, value: float) -> None:
         """Set a named value of the daemon's state."""
         self._state.set({"name": name}, value)
--- a/sequoiaarch/routing/follower.py
+++ b/sequoiaarch/routing/follower.py
@@ -18,6 +18,8 @@
 # connection delays all changes until it ends. Seconds.
 WAIT_SECONDS = 2.0
 RETRY_INTERVAL = 0.2
+# A read that takes this much longer than it may wait is logged. Seconds.
+SLOW_READ_SECONDS = 0.5
 
 
 def boottime_clock() -> float:
@@ -59,7 +61,6 @@
         self._cursor: Offset | None = None
         self._unavailable = False
         self._at_end = True
-        self.read_at = float("-inf")
         # Start of the last read up to the end of the topic, by boottime_clock: the
         # topic is known as of this time.
         self.as_of = float("-inf")
@@ -74,11 +75,11 @@
         while True:
             started = boottime_clock()
             reason = await self._read_once()
+            self._log_slow_read(boottime_clock() - started)
             if reason is None:
                 if self._at_end:
                     self.as_of = started
                     self._on_read(started)
-                self.read_at = asyncio.get_running_loop().time()
                 if self._unavailable:
                     self._unavailable = False
                     log.info("topic {} can be read again", self._partition.topic)
@@ -91,6 +92,10 @@
                 self._on_lost()
             await asyncio.sleep(RETRY_INTERVAL)
 
+    def _log_slow_read(self, seconds: float) -> None:
+        if seconds > self._wait + SLOW_READ_SECONDS:
+            log.info("a read of topic {} took {:.2f} s", self._partition.topic, seconds)
+
     async def _read_once(self) -> str | None:
         """Read once; return the reason if it failed."""
         if self._cursor is None:
--- a/sequoiaarch/routing/registrations.py
+++ b/sequoiaarch/routing/registrations.py
@@ -8,7 +8,7 @@
 import logbook
 
 from ..ids import InstanceId
-from ..storage.keyed import KeyedRecord
+from ..storage.keyed import KeyedRecord, ListedRecord
 from .targets import TargetEntry, Targets
 
 log = logbook.Logger("targets")
@@ -31,23 +31,27 @@
         self._targets = targets
         self._reported: OrderedDict[str, None] = OrderedDict()
 
-    def replace(self, records: Sequence[KeyedRecord]) -> None:
+    def replace(self, records: Sequence[ListedRecord]) -> None:
         """Replace all targets by a complete list of registrations."""
         current = [record for record in records if record.value]
         entries = [self._entry(record) for record in current]
-        self._targets.replace([entry for entry in entries if entry is not None])
+        self._targets.replace(
+            (entry, record.offset)
+            for record, entry in zip(current, entries, strict=True)
+            if entry is not None
+        )
         for record, entry in zip(current, entries, strict=True):
             if entry is None:
                 self._targets.reject(InstanceId(record.key))
 
-    def apply(self, record: KeyedRecord) -> None:
+    def apply(self, record: ListedRecord) -> None:
         """Apply a changed or removed registration."""
         if not record.value:
-            self._targets.remove(InstanceId(record.key))
+            self._targets.remove(InstanceId(record.key), record.offset)
             return
         entry = self._entry(record)
         if entry is not None:
-            self._targets.put(entry)
+            self._targets.put(entry, record.offset)
         else:
             self._targets.reject(InstanceId(record.key))
 
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -9,7 +9,7 @@
 import logbook
 import msgspec
 
-from ..ids import DataCentre, InstanceId, ServiceName, SoftwareVersion
+from ..ids import DataCentre, InstanceId, Offset, ServiceName, SoftwareVersion
 
 log = logbook.Logger("targets")
 
@@ -74,6 +74,8 @@
         self._clock = clock
         self._dropped = dropped
         self._entries: dict[InstanceId, TargetEntry] = {}
+        # Offsets of the newest registrations in the log.
+        self._offsets: dict[InstanceId, Offset] = {}
         self._by_incarnation: dict[InstanceId, TargetEntry] = {}
         # Incremented when a target is added, changed or removed.
         self.version = 0
@@ -81,6 +83,8 @@
         self._grace_until = 0.0
         # Returns the age of the list before the update that is applied, in seconds.
         self.age: Callable[[], float] = lambda: math.inf
+        # Called with the seconds within which it was learned that a target leaves.
+        self.on_leaving: Callable[[float], None] = lambda seconds: None
         # Since when targets drain at the earliest.
         self._drains_since: dict[InstanceId, float] = {}
         self._store_unavailable = False
@@ -104,8 +108,8 @@
         for instance in self._lapsed:
             self._lapsed[instance] = self._grace_until
 
-    def put(self, entry: TargetEntry) -> None:
-        """Add or update a target."""
+    def put(self, entry: TargetEntry, offset: Offset) -> None:
+        """Add or update a target by the registration at an offset."""
         previous = self._entries.get(entry.instance)
         if previous is not None and previous.born and not entry.born:
             self.reject(entry.instance)
@@ -120,6 +124,7 @@
         if previous is not None:
             self._by_incarnation.pop(previous.incarnation, None)
         self._entries[entry.instance] = entry
+        self._offsets[entry.instance] = offset
         self._by_incarnation[entry.incarnation] = entry
         if previous != entry:
             self.version += 1
@@ -129,16 +134,33 @@
             self._drains_since[entry.instance] = self._clock() - self.age()
         if previous is None or previous.draining != entry.draining:
             log.info(
-                "target {} of {} {}",
+                "target {} of {} {} as of offset {}, written at most {:.2f} s ago",
                 entry.instance,
                 entry.service,
                 "drains" if entry.draining else "is ready",
+                offset,
+                self.age(),
             )
+            if previous is not None and entry.draining:
+                self.on_leaving(self.age())
 
-    def remove(self, instance: InstanceId) -> None:
-        """Remove a target, at once or after the grace period of an outage."""
+    def remove(self, instance: InstanceId, offset: Offset | None = None) -> None:
+        """Remove a target, at once or after the grace period of an outage.
+
+        `offset` is that of the removal; None if the registration is missing in a list.
+        """
         if instance not in self._entries:
             return
+        if instance not in self._lapsed:
+            self.on_leaving(self.age())
+            log.info(
+                "registration of target {} was removed at offset {}, at most {:.2f} s"
+                " ago; {}",
+                instance,
+                offset,
+                self.age(),
+                self._lapse_state(),
+            )
         if self._store_unavailable:
             self._lapsed[instance] = float("inf")
             return
@@ -151,14 +173,14 @@
         """Remove a target whose newest registration is invalid."""
         self._drop(instance, "its registration is invalid")
 
-    def replace(self, entries: Iterable[TargetEntry]) -> None:
-        """Replace all targets by a complete list."""
-        listed = {entry.instance: entry for entry in entries}
+    def replace(self, entries: Iterable[tuple[TargetEntry, Offset]]) -> None:
+        """Replace all targets by a complete list with the offset of each."""
+        listed = {entry.instance: (entry, offset) for entry, offset in entries}
         for instance in list(self._entries):
             if instance not in listed:
                 self.remove(instance)
-        for entry in listed.values():
-            self.put(entry)
+        for entry, offset in listed.values():
+            self.put(entry, offset)
 
     def of(self, service: ServiceName) -> list[TargetEntry]:
         """Return the targets of a service that may take new work."""
@@ -183,6 +205,17 @@
         """Return the target with the given name, if it is registered."""
         return self._entries.get(instance)
 
+    def describe(self, instance: InstanceId) -> str:
+        """Return what is known of a target's registration, for the request log."""
+        entry = self._entries.get(instance)
+        if entry is None:
+            return "not registered"
+        state = "drains" if entry.draining else "ready"
+        if instance in self._lapsed:
+            seconds = self._lapsed[instance] - self._clock()
+            state = f"registration missing, used for {seconds:.2f} s more"
+        return f"{state} as of offset {self._offsets[instance]}"
+
     def centre_of(self, incarnation: InstanceId) -> DataCentre | None:
         """Return the data centre of a registered instance since its last start."""
         entry = self._by_incarnation.get(incarnation)
@@ -201,8 +234,15 @@
             if until <= now:
                 self._drop(instance, "its registration did not come back")
 
+    def _lapse_state(self) -> str:
+        if self._store_unavailable:
+            return "the store is unavailable"
+        seconds = self._grace_until - self._clock()
+        return f"used for {seconds:.2f} s more" if seconds > 0 else "not used any more"
+
     def _drop(self, instance: InstanceId, reason: str) -> None:
         self._lapsed.pop(instance, None)
+        self._offsets.pop(instance, None)
         self._drains_since.pop(instance, None)
         entry = self._entries.pop(instance, None)
         if entry is not None:
--- a/sequoiaarch/tests/ingress/dispatcher_tests.py
+++ b/sequoiaarch/tests/ingress/dispatcher_tests.py
@@ -13,6 +13,7 @@
     DataCentre,
     HostName,
     InstanceId,
+    Offset,
     ProgramId,
     ServiceName,
     SessionId,
@@ -106,9 +107,9 @@
         self.targets = Targets(clock=lambda: self.now)
         self.dispatcher = self.new_dispatcher()
         for number in range(4):
-            self.targets.put(entry(f"i-{number}"))
-            self.targets.put(entry(f"j-{number}", SECOND))
-        self.targets.put(entry("t", TOOLS))
+            self.targets.put(entry(f"i-{number}"), Offset(1))
+            self.targets.put(entry(f"j-{number}", SECOND), Offset(1))
+        self.targets.put(entry("t", TOOLS), Offset(1))
 
     def new_dispatcher(self) -> Dispatcher:
         """Return a dispatcher for the targets."""
@@ -211,7 +212,7 @@
             self.targets, "of", side_effect=AssertionError("listed again")
         ):
             self.assertEqual(len(self.names()), 4)
-        self.targets.put(entry("i-1", draining=True))
+        self.targets.put(entry("i-1", draining=True), Offset(1))
         self.assertNotIn("i-1", self.names())
         self.targets.remove(InstanceId("i-2"))
         self.assertNotIn("i-2", self.names())
--- a/sequoiaarch/tests/platform/external_records_tests.py
+++ b/sequoiaarch/tests/platform/external_records_tests.py
@@ -13,14 +13,14 @@
 from hypothesis import given, settings, strategies as st
 
 from ...errors import Failure
-from ...ids import InstanceId, ServiceName
+from ...ids import InstanceId, Offset, ServiceName
 from ...platform.documents import decode_routes, decode_target
 from ...platform.store import PlatformLog
 from ...routing import registrations as registrations_module
 from ...routing.registrations import Registrations
 from ...routing.targets import Targets
 from ...storage.calls import StoreCall, StoreReply
-from ...storage.keyed import KeyedRecord, Partition
+from ...storage.keyed import ListedRecord, Partition
 from .deployment import TOOLS, DeploymentTestCase, registration, tool_answer
 
 PARTITION = Partition(topic="keyed.servers", number=0)
@@ -77,7 +77,9 @@
         ):
             registrations = Registrations(decode=decode_target, targets=Targets())
             for number in range(5):
-                record = KeyedRecord(key=f"bad-{number}", value=b"{}")
+                record = ListedRecord(
+                    key=f"bad-{number}", value=b"{}", offset=Offset(number)
+                )
                 for _ in range(3):
                     registrations.apply(record)
         self.assertEqual(log.error.call_count, 5)
@@ -246,7 +248,7 @@
 
     def put(self, start_time: int) -> None:
         """Register the target with a start time."""
-        self.targets.put(decode_target("i-1", encode(born=start_time)))
+        self.targets.put(decode_target("i-1", encode(born=start_time)), Offset(1))
 
     def start_time(self) -> int:
         """Return the start time in the current registration."""
@@ -277,5 +279,5 @@
     def test_registration_without_start_time(self) -> None:
         """Remove a target whose newest registration lacks the start time."""
         self.put(10)
-        self.targets.put(decode_target("i-1", encode()))
+        self.targets.put(decode_target("i-1", encode()), Offset(2))
         self.assertIsNone(self.targets.find(InstanceId("i-1")))
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -126,9 +126,9 @@
     """Send requests to draining targets."""
     register = Targets.put
 
-    def register_unless_draining(self: Targets, entry: Any) -> None:
+    def register_unless_draining(self: Targets, entry: Any, offset: Any) -> None:
         if not entry.draining:
-            register(self, entry)
+            register(self, entry, offset)
 
     setattr(Targets, "put", register_unless_draining)  # noqa: B010
 
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from ...ids import DataCentre, InstanceId, ServiceName
+from ...ids import DataCentre, InstanceId, Offset, ServiceName
 from ...routing.targets import (
     LAPSE_GRACE_SECONDS,
     LEAVING_SECONDS,
@@ -35,10 +35,16 @@
     def setUp(self) -> None:
         """Register two targets."""
         self.now = 100.0
+        self.offset = 0
         self.dropped: list[InstanceId] = []
         self.targets = Targets(clock=lambda: self.now, dropped=self.dropped.append)
-        self.targets.put(entry("i-1"))
-        self.targets.put(entry("i-2"))
+        self.put(entry("i-1"))
+        self.put(entry("i-2"))
+
+    def put(self, target: TargetEntry) -> None:
+        """Apply a registration at the next offset."""
+        self.offset += 1
+        self.targets.put(target, Offset(self.offset))
 
     def usable(self) -> list[str]:
         """Return the names of targets that may take work."""
@@ -51,29 +57,29 @@
     def test_leaving_targets(self) -> None:
         """Let a draining target finish streams, counted from the list before."""
         self.targets.age = lambda: 0.5
-        self.targets.put(entry("i-1", draining=True))
+        self.put(entry("i-1", draining=True))
         self.assertEqual((self.usable(), self.leaving()), (["i-2"], ["i-1"]))
         self.now += LEAVING_SECONDS - 0.6
         self.assertEqual(self.leaving(), ["i-1"])
-        self.targets.put(entry("i-1", draining=True))
+        self.put(entry("i-1", draining=True))
         self.now += 0.2
         self.assertEqual(self.leaving(), [])
 
     def test_drain_is_learned_late(self) -> None:
         """Send nothing to a draining target whose report may be old."""
         self.targets.age = lambda: LEAVING_SECONDS + 0.1
-        self.targets.put(entry("i-1", draining=True))
+        self.put(entry("i-1", draining=True))
         self.targets.age = lambda: 0.0
-        self.targets.put(entry("i-3", draining=True))
+        self.put(entry("i-3", draining=True))
         self.assertEqual(self.leaving(), [])
 
     def test_draining_target_leaves(self) -> None:
         """Send nothing to a draining target that is gone or back."""
         self.targets.age = lambda: 0.0
         for name in ("i-1", "i-2"):
-            self.targets.put(entry(name, draining=True))
+            self.put(entry(name, draining=True))
         self.targets.remove(InstanceId("i-1"))
-        self.targets.put(entry("i-2"))
+        self.put(entry("i-2"))
         self.assertEqual((self.usable(), self.leaving()), (["i-2"], []))
 
     def test_removed_registration(self) -> None:
@@ -89,7 +95,7 @@
         self.assertEqual(self.usable(), ["i-1", "i-2"])
         self.targets.store_regained()
         self.now += LAPSE_GRACE_SECONDS / 2
-        self.targets.put(entry("i-1"))
+        self.put(entry("i-1"))
         self.assertEqual(self.usable(), ["i-1", "i-2"])
         self.now += LAPSE_GRACE_SECONDS
         self.assertEqual(self.usable(), ["i-1"])
@@ -107,20 +113,20 @@
     def test_draining_during_outage(self) -> None:
         """Use no target that drains, also during an outage."""
         self.targets.store_lost()
-        self.targets.put(entry("i-1", draining=True))
+        self.put(entry("i-1", draining=True))
         self.assertEqual(self.usable(), ["i-2"])
 
     def test_restarted_target(self) -> None:
         """Find a target by its last start only, and count each change."""
-        self.targets.put(entry("i-1", born=1))
+        self.put(entry("i-1", born=1))
         restarted = self.targets.version
-        self.targets.put(entry("i-1", born=2))
+        self.put(entry("i-1", born=2))
         self.assertGreater(self.targets.version, restarted)
         self.assertIsNone(self.targets.service_of(InstanceId("i-1@1")))
         self.assertEqual(self.targets.service_of(InstanceId("i-1@2")), SERVICE)
         self.assertEqual(self.targets.centre_of(InstanceId("i-1@2")), "here")
         renewed = self.targets.version
-        self.targets.put(entry("i-1", born=2))
+        self.put(entry("i-1", born=2))
         self.assertEqual(self.targets.version, renewed)
         self.targets.remove(InstanceId("i-1"))
         self.assertIsNone(self.targets.centre_of(InstanceId("i-1@2")))
