Reproduce requests that reach leaving targets too late

One gateway reads the store over HTTP, and its targets leave both ways: one reports that it drains, the registration of another is removed.

--- a/sequoiaarch/tests/platform/deployment.py
+++ b/sequoiaarch/tests/platform/deployment.py
@@ -26,6 +26,7 @@
     stream_head,
     whole_answer,
 )
+from ...storage.keyed import KeyedLog
 
 TIMEOUT = 15.0
 HOST = "site.example"
@@ -201,9 +202,13 @@
         *,
         peers: Peers | None = None,
         events: EventLog | None = None,
+        keyed_log: KeyedLog | None = None,
         **extra: Any,
     ) -> IngressDaemon:
-        """Start an ingress daemon and wait until it is ready."""
+        """Start an ingress daemon and wait until it is ready.
+
+        It accesses the store in memory unless it is given another log.
+        """
         client = self.store.client()
         options = IngressOptions(
             host=HostName(name),
@@ -221,7 +226,7 @@
         )
         daemon = IngressDaemon(
             options=options,
-            keyed_log=client,
+            keyed_log=keyed_log or client,
             codec=PlatformCallCodec(),
             sources=SOURCES,
             peers=peers,
--- a/sequoiaarch/tests/platform/soak/proxy.py
+++ b/sequoiaarch/tests/platform/soak/proxy.py
@@ -65,6 +65,7 @@
         self.disturbed_reads = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._unblocked = asyncio.Event()
 
     @property
@@ -87,6 +88,10 @@
         else:
             self._unblocked.clear()
 
+    def silence(self) -> None:
+        """Let nothing pass on the open connections any more; new ones work."""
+        self._silenced |= self._writers
+
     def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
@@ -128,6 +133,7 @@
             for open_writer in (writer, target_writer):
                 if open_writer is not None:
                     self._writers.discard(open_writer)
+                    self._silenced.discard(open_writer)
                     open_writer.transport.abort()
 
     async def _forward(
@@ -145,6 +151,8 @@
                     await asyncio.sleep(self.delay)
                 while self.fault in direction.blocked_by:
                     await self._unblocked.wait()
+                if writer in self._silenced:
+                    continue
                 writer.write(data)
                 await writer.drain()
             writer.write_eof()
