Order registrations of targets by their offsets in the log

Callers' requests reached a target that had said that it leaves until it ended, if it had started again under its id with an earlier clock: its registrations were taken for those of before the restart and ignored, its report that it drains among them.

Cause: which of two registrations is newer was judged by the start time, which is read from the target's own clock. The log knows the order: the offset of each registration and removal now decides, also for those that a read returns again after a list that already showed what followed. A start time that changes, in either direction, marks a restart.

--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -26,8 +26,8 @@
     """Describe a registered instance of a service.
 
     `born` is its start time in milliseconds of its own clock, 0 if unknown. It
-    increases when the instance restarts under the same name. `version` is that of its
-    software.
+    changes when the instance restarts under the same name, and may decrease, as the
+    clock may have been set. `version` is that of its software.
     """
 
     instance: InstanceId
@@ -110,14 +110,14 @@
 
     def put(self, entry: TargetEntry, offset: Offset) -> None:
         """Add or update a target by the registration at an offset."""
+        if offset <= self._offsets.get(entry.instance, -1):
+            # Reads that follow a list repeat what the list already showed.
+            return
         previous = self._entries.get(entry.instance)
         if previous is not None and previous.born and not entry.born:
             self.reject(entry.instance)
             return
-        if previous is not None and entry.born < previous.born:
-            # A delayed read returned a registration from before the restart.
-            return
-        if previous is not None and entry.born > previous.born:
+        if previous is not None and entry.born != previous.born:
             self._drop(entry.instance, "it has restarted")
             previous = None
         self._lapsed.pop(entry.instance, None)
@@ -151,6 +151,10 @@
         """
         if instance not in self._entries:
             return
+        if offset is not None:
+            if offset <= self._offsets[instance]:
+                return
+            self._offsets[instance] = offset
         if instance not in self._lapsed:
             self.on_leaving(self.age())
             log.info(
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -116,6 +116,31 @@
         self.put(entry("i-1", draining=True))
         self.assertEqual(self.usable(), ["i-2"])
 
+    def test_repeated_registration(self) -> None:
+        """A registration that is read again after a list brings a target back."""
+        self.targets.replace([(entry("i-1", draining=True), Offset(9))])
+        self.targets.put(entry("i-1"), Offset(8))
+        self.assertEqual(self.usable(), [])
+        self.targets.put(entry("i-1"), Offset(10))
+        self.assertEqual(self.usable(), ["i-1"])
+
+    def test_repeated_removal(self) -> None:
+        """A removal that is read again after a list removes a new registration."""
+        self.targets.replace([(entry("i-1"), Offset(9))])
+        self.targets.remove(InstanceId("i-1"), Offset(8))
+        self.assertEqual(self.usable(), ["i-1"])
+        self.targets.remove(InstanceId("i-1"), Offset(10))
+        self.assertEqual(self.usable(), [])
+
+    def test_registration_before_removal(self) -> None:
+        """A registration from before the removal revives a lapsed target."""
+        self.targets.store_lost()
+        self.targets.remove(InstanceId("i-1"), Offset(9))
+        self.targets.put(entry("i-1"), Offset(8))
+        self.targets.store_regained()
+        self.now += LAPSE_GRACE_SECONDS
+        self.assertEqual(self.usable(), ["i-2"])
+
     def test_restarted_target(self) -> None:
         """Find a target by its last start only, and count each change."""
         self.put(entry("i-1", born=1))
