Repeat a call to the store on a new connection

While all open connections are silent, a gateway took the store for unavailable although new connections worked: its calls and their three repeats were sent on idle connections, which had fallen silent together, and up to 16 of these are kept. Turns were refused, and a removal of a target read after it counted as a lapse.

A repeat now opens a connection.

--- a/sequoiaarch/storage/calls.py
+++ b/sequoiaarch/storage/calls.py
@@ -14,7 +14,8 @@
 class StoreCall(msgspec.Struct, frozen=True, kw_only=True):
     """One HTTP call to the store; `timeout` in seconds.
 
-    `waits` marks a long poll, which the store may hold open.
+    `waits` marks a long poll, which the store may hold open. A `fresh` call is made on
+    a new connection.
     """
 
     method: str
@@ -22,6 +23,7 @@
     timeout: float
     body: bytes = b""
     waits: bool = False
+    fresh: bool = False
 
 
 class StoreReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/sequoiaarch/storage/direct.py
+++ b/sequoiaarch/storage/direct.py
@@ -30,7 +30,7 @@
         connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(call.timeout):
-                connection = await self._get_connection()
+                connection = await self._get_connection(call)
                 reply = await self._exchange(connection, call)
         except TimeoutError:
             return unavailable(call, f"no answer in {call.timeout:.1f} s")
@@ -41,8 +41,8 @@
                 self._idle.release(None, connection, IDLE_LIMIT)
         return reply
 
-    async def _get_connection(self) -> ClientConnection:
-        connection = self._idle.acquire(None)
+    async def _get_connection(self, call: StoreCall) -> ClientConnection:
+        connection = None if call.fresh else self._idle.acquire(None)
         return connection or await connect(self._address, timeout=CONNECT_TIMEOUT)
 
     async def _exchange(
--- a/sequoiaarch/storage/hedged.py
+++ b/sequoiaarch/storage/hedged.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import logbook
+import msgspec
 
 from ..errors import Failure
 from .calls import StoreCall, StoreClient, StoreReply
@@ -26,9 +27,10 @@
 class HedgedClient:
     """Store client that sends hedged requests.
 
-    While no reply has arrived it repeats a call on another connection, with
-    exponential backoff, up to `MAX_CALLS` calls in all. Repeats are safe: appends
-    carry a sequence number, and all other calls only read.
+    While no reply has arrived it repeats a call on a new connection, with
+    exponential backoff, up to `MAX_CALLS` calls in all. Idle connections may have
+    fallen silent together. Repeats are safe: appends carry a sequence number, and all
+    other calls only read.
     """
 
     def __init__(self, *, client: StoreClient) -> None:
@@ -69,6 +71,8 @@
         pending: set[asyncio.Task[StoreReply | Failure]] = set()
         while True:
             if len(tasks) < MAX_CALLS:
+                if tasks:
+                    call = msgspec.structs.replace(call, fresh=True)
                 tasks.append(asyncio.create_task(self._client.call(call)))
                 pending.add(tasks[-1])
             timeout = delay if len(tasks) < MAX_CALLS else None
