--- a/sequoiaarch/tests/routing/follower_tests.py
+++ b/sequoiaarch/tests/routing/follower_tests.py
@@ -6,8 +6,9 @@
 import unittest
 from collections.abc import Sequence
 
-from ...errors import Failure
+from ...errors import ErrorKind, Failure
 from ...ids import Offset
+from ...routing import follower as follower_module
 from ...routing.follower import TopicFollower
 from ...storage.keyed import (
     KeyedPage,
@@ -51,6 +52,84 @@
         raise NotImplementedError
 
 
+class _FaultyLog(_PagedLog):
+    """Log whose reads get no answer, or fail, in the given order; later ones work."""
+
+    def __init__(self, *faults: Failure | None) -> None:
+        super().__init__()
+        self.faults = list(faults)
+        self.waits: list[float] = []
+
+    async def read(
+        self, partition: Partition, start: Offset, *, wait: float
+    ) -> KeyedPage | LogGap | Failure:
+        """Fail, or never answer for None; return the next record without faults."""
+        self.waits.append(wait)
+        if not self.faults:
+            return await super().read(partition, start, wait=wait)
+        fault = self.faults.pop(0)
+        if fault is None:
+            await asyncio.Event().wait()
+        assert fault is not None
+        return fault
+
+
+FAILED = Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="down")
+WAIT = 0.05
+
+
+class FaultyReadTests(unittest.IsolatedAsyncioTestCase):
+    """Follow a topic whose reads fail or get no answer."""
+
+    def setUp(self) -> None:
+        """Collect what the follower reports."""
+        self.seen: list[str] = []
+        self.events: list[str] = []
+
+    async def follow(self, log: _FaultyLog) -> None:
+        """Follow the topic until its first record has been read."""
+        follower = TopicFollower(
+            log=log,
+            topic="topic",
+            replace=lambda records: None,
+            apply=lambda record: self.seen.append(record.key),
+            wait=WAIT,
+            on_lost=lambda: self.events.append("lost"),
+            on_regained=lambda: self.events.append("regained"),
+        )
+        task = asyncio.create_task(follower.follow())
+        async with asyncio.timeout(5.0):
+            while not self.seen:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    async def test_waiting_read_gets_no_answer(self) -> None:
+        """A read on a dead connection delays all changes until its own limit."""
+        started_at = asyncio.get_running_loop().time()
+        log = _FaultyLog(None)
+        await self.follow(log)
+        seconds = asyncio.get_running_loop().time() - started_at
+        limit = WAIT + follower_module.LATE_SECONDS + follower_module.CHECK_INTERVAL
+        self.assertLess(seconds, limit)
+        self.assertEqual(log.waits[:2], [WAIT, 0.0])
+        self.assertEqual(self.events, [])
+
+    async def test_one_read_fails(self) -> None:
+        """A single failed read is taken for an outage of the store."""
+        await self.follow(_FaultyLog(FAILED))
+        self.assertEqual(self.events, [])
+
+    async def test_all_reads_fail(self) -> None:
+        """Report an outage once if all reads fail, and its end."""
+        await self.follow(_FaultyLog(FAILED, FAILED, FAILED))
+        self.assertEqual(self.events, ["lost", "regained"])
+
+    async def test_no_read_is_answered(self) -> None:
+        """Report an outage if several reads get no answer, and read on after it."""
+        await self.follow(_FaultyLog(*[None] * (2 * follower_module.MAX_READS)))
+        self.assertEqual(self.events, ["lost", "regained"])
+
+
 class TopicFollowerTests(unittest.IsolatedAsyncioTestCase):
     """Test as of when a topic is known."""
 
