Look at a target again before a request is sent to it

Callers' requests reached targets that had left while the requests waited for a connection, a token of a limit or their process. Between the choice of a target and the send nothing looked at it again.

Each send now asks whether the target still takes the request: registered, started, versioned and addressed as when it was chosen, and not draining, or draining for a short time only if a stream goes on there. Otherwise another target is chosen, without counting as a refusal. All requests to targets go through this one place (ingress/attempts.py).

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -31,6 +31,10 @@
 MIN_WAITED_FRACTION = 0.5
 
 
+class _TargetLeft(Exception):
+    """The target has left since it was chosen; nothing was sent."""
+
+
 @dataclass(kw_only=True, eq=False)
 class TargetResponse:
     """Response of a target; `body_started` is set once a part was received."""
@@ -110,7 +114,11 @@
                 raise self._placement_failure(refusals)
             self._tried.add(target.incarnation)
             self.steps.append(f"{target.instance} chosen: {why}")
-            response = await self._send(target)
+            try:
+                response = await self._send(target)
+            except _TargetLeft:
+                self.steps.append(f"{target.instance} left before the send")
+                continue
             if response is not None:
                 return response
             refusals += 1
@@ -209,6 +217,8 @@
             connection = await self._dispatcher.pool.acquire(target)
             connection.count_for(self._held)
             await self._authorise_send()
+            if not self._dispatcher.may_send(target, self.origin):
+                raise _TargetLeft
             token = self._request_token.spend()
             if token is not None:
                 self.steps.append(self._request_token.describe(token))
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -133,6 +133,10 @@
                 return same
         return []
 
+    def may_send(self, target: TargetEntry, origin: Origin | None) -> bool:
+        """Return whether a request may still be sent to the target chosen for it."""
+        return self._targets.may_take(target, begun=origin is not None)
+
     def origin_at(self, target: TargetEntry) -> Origin | None:
         """Return the origin of a stream that began at a target.
 
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -197,14 +197,23 @@
 
     def leaving(self, service: ServiceName) -> list[TargetEntry]:
         """Return the draining targets of a service that still finish what has begun."""
-        now = self._clock()
         return [
             self._entries[instance]
-            for instance, since in self._drains_since.items()
-            if self._entries[instance].service == service
-            and now < since + LEAVING_SECONDS
+            for instance in self._drains_since
+            if self._entries[instance].service == service and self._finishes(instance)
         ]
 
+    def may_take(self, chosen: TargetEntry, *, begun: bool) -> bool:
+        """Return whether a target that was chosen may still take the request.
+
+        A request that goes on with what has `begun` may be finished by a draining one.
+        """
+        self._drop_expired()
+        current = self._entries.get(chosen.instance)
+        if current is None or _role(current) != _role(chosen):
+            return False
+        return not current.draining or (begun and self._finishes(chosen.instance))
+
     def find(self, instance: InstanceId) -> TargetEntry | None:
         """Return the target with the given name, if it is registered."""
         return self._entries.get(instance)
@@ -230,6 +239,10 @@
         entry = self._by_incarnation.get(incarnation)
         return None if entry is None else entry.service
 
+    def _finishes(self, instance: InstanceId) -> bool:
+        since = self._drains_since.get(instance)
+        return since is not None and self._clock() < since + LEAVING_SECONDS
+
     def _drop_expired(self) -> None:
         if not self._lapsed:
             return
@@ -254,3 +267,8 @@
             self.version += 1
             log.info("target {} of {} left: {}", instance, entry.service, reason)
             self._dropped(entry.incarnation)
+
+
+def _role(entry: TargetEntry) -> tuple[object, ...]:
+    """Return what makes a target fit for a request that was sent to it."""
+    return entry.incarnation, entry.address, entry.service, entry.version
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -4,7 +4,9 @@
 
 import unittest
 
-from ...ids import DataCentre, InstanceId, Offset, ServiceName
+import msgspec
+
+from ...ids import DataCentre, InstanceId, Offset, ServiceName, SoftwareVersion
 from ...routing.targets import (
     LAPSE_GRACE_SECONDS,
     LEAVING_SECONDS,
@@ -141,6 +143,47 @@
         self.now += LAPSE_GRACE_SECONDS
         self.assertEqual(self.usable(), ["i-2"])
 
+    def test_chosen_target_leaves(self) -> None:
+        """A request is sent to a target that has left since it was chosen."""
+        self.targets.age = lambda: 0.0
+        chosen = {name: self.targets.find(InstanceId(name)) for name in ("i-1", "i-2")}
+        self.put(entry("i-1", draining=True))
+        self.targets.remove(InstanceId("i-2"))
+        self.assertEqual(self.takes(chosen["i-1"], chosen["i-2"]), [False, False])
+
+    def test_chosen_target_drains_for_a_stream(self) -> None:
+        """A stream that goes on is sent to a target that drains for too long."""
+        self.targets.age = lambda: 0.0
+        chosen = self.targets.find(InstanceId("i-1"))
+        self.put(entry("i-1", draining=True))
+        self.assertEqual(self.takes(chosen, begun=True), [True])
+        self.now += LEAVING_SECONDS
+        self.assertEqual(self.takes(chosen, begun=True), [False])
+
+    def test_chosen_target_changes(self) -> None:
+        """A request is sent to a target that is not the one chosen any more."""
+        chosen = entry("i-1")
+        self.put(chosen)
+        for changed in (
+            entry("i-1", born=1),
+            msgspec.structs.replace(chosen, port=2),
+            msgspec.structs.replace(chosen, service=ServiceName("tools")),
+            msgspec.structs.replace(chosen, version=SoftwareVersion("v2")),
+        ):
+            with self.subTest(changed=changed):
+                self.put(changed)
+                self.assertEqual(self.takes(chosen), [False])
+        self.targets.remove(InstanceId("i-1"))
+        self.put(msgspec.structs.replace(chosen, slots=3))
+        self.assertEqual(self.takes(chosen), [True])
+
+    def takes(self, *chosen: TargetEntry | None, begun: bool = False) -> list[bool]:
+        """Return which of the chosen targets may still take a request."""
+        return [
+            target is not None and self.targets.may_take(target, begun=begun)
+            for target in chosen
+        ]
+
     def test_restarted_target(self) -> None:
         """Find a target by its last start only, and count each change."""
         self.put(entry("i-1", born=1))
