Bound the age of the list of targets at each send

Requests reached targets that had left, as no gateway knew how old its list of targets was: a process that wakes up, or whose reads hang, sent by what it had known before.

If the topic is lost, directly and through peers, requests are sent by the old list as before: nobody can know more, and targets that are alive have to go on serving. Reads of the registrations wait 0.5 s in place of 2 s, so that an undisturbed list is at most 1.3 s old. The time for which leaving targets serve is read from the settings (drainMs); it had been 2 s in the code.

A resumed stream's test waits for the whole time of a leaving target in place of a constant that is derived from it now.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -12,6 +12,7 @@
 from ..ids import InstanceId
 from ..policies.health import next_event_due
 from ..policies.stream_origins import Origin
+from ..routing.list_age import ListState
 from ..routing.routes import Route
 from ..routing.targets import TargetEntry
 from ..workspaces.access import Caller
@@ -217,6 +218,9 @@
             connection = await self._dispatcher.pool.acquire(target)
             connection.count_for(self._held)
             await self._authorise_send()
+            while self._dispatcher.targets_too_old:
+                await self._renew_targets()
+                await self._authorise_send()
             if not self._dispatcher.may_send(target, self.origin):
                 raise _TargetLeft
             token = self._request_token.spend()
@@ -301,6 +305,18 @@
         )
         return self._dispatcher.codec.forward(self._message, dispatch)
 
+    async def _renew_targets(self) -> None:
+        """Read the list of targets again; raises FailureError if it stays too old."""
+        age = self._dispatcher.targets_age()
+        state = await self._dispatcher.renew_targets()
+        self.steps.append(f"the list was {age:.2f} s old: {state.value}")
+        if state is not ListState.TOO_OLD:
+            return
+        reason = f"the targets are known as of {self._dispatcher.targets_age():.1f} s"
+        if self._send_count:
+            raise fail(ErrorKind.INTERRUPTED, reason)
+        raise fail(ErrorKind.NO_TARGET, reason, retry_after=BUSY_RETRY_AFTER)
+
     async def _authorise_send(self) -> None:
         """Check the API key and the quota again immediately before a send."""
         try:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -33,6 +33,7 @@
 from ..policies.engines import NearestFree, PrefixIndex, PrefixPlacement
 from ..policies.health import TargetHealth
 from ..routing.follower import TopicFollower, boottime_clock
+from ..routing.list_age import ListAge
 from ..routing.registrations import Registrations
 from ..routing.routes import ClientLimits, RouteTable
 from ..routing.targets import Targets
@@ -52,9 +53,10 @@
 
 log = logbook.Logger("daemon")
 
-# Seconds over which target updates are batched; draining targets must stop getting
-# new requests within two seconds.
+# Seconds over which target updates are batched, and for which a read of them waits. A
+# list that nothing changes is renewed by each read, and so is up to 1.3 s old.
 TARGETS_BATCH_DELAY = 0.3
+TARGETS_WAIT = 0.5
 # Seconds from becoming unready until the load balancer sends no new connections: it
 # probes once a second and needs two failed probes.
 UNREADY_NOTICE = 2.6
@@ -97,7 +99,9 @@
         self._reload = reload
         self._options = options
         rng = random.Random()
-        self.targets = Targets(dropped=self._forget_target)
+        self.targets = Targets(
+            dropped=self._forget_target, drain_time=options.drain_time
+        )
         writer = WriterId(secrets.token_hex(WRITER_BYTES))
         # Without peers nobody could borrow the part of budgets that is lent.
         split: BudgetSplit = LogOnlySplit() if peers is None else LendingSplit()
@@ -200,6 +204,7 @@
             replace=registrations.replace,
             apply=registrations.apply,
             batch_delay=TARGETS_BATCH_DELAY,
+            wait=TARGETS_WAIT,
             on_lost=self.targets.store_lost,
             on_regained=self.targets.store_regained,
             on_read=self._targets_read,
@@ -208,6 +213,11 @@
         self.targets.age = lambda: boottime_clock() - self._targets_follower.as_of
         self.targets.on_leaving = self._metrics.observe_leaving_known
         self.dispatcher.targets_read = lambda: self._targets_path
+        self.dispatcher.list_age = ListAge(
+            topic=self._targets_follower,
+            age=self.targets.age,
+            drain_time=options.drain_time,
+        )
         self._background: list[Coroutine[Any, Any, None]] = [
             configuration.follow(),
             self._targets_follower.follow(),
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -27,6 +27,7 @@
 from ..policies.starts import DeadlineBoundedWait, Start, StartPolicy, max_turn_wait
 from ..policies.stream_origins import Origin
 from ..policies.urgency import DeadlineUrgency, ProgramProgress, Urgency
+from ..routing.list_age import ListAge, ListState
 from ..routing.routes import Route, RouteTable
 from ..routing.targets import TargetEntry, Targets
 from ..storage.relayed import StorePath
@@ -63,6 +64,8 @@
         self.routes: RouteTable | None = None
         self.placements: PlacementService | None = None
         self.origins: StreamOrigins = LocalOrigins()
+        # Without a bound if the targets are not followed.
+        self.list_age: ListAge | None = None
         # How the list of targets was last read.
         self.targets_read: Callable[[], StorePath] = lambda: StorePath.DIRECT
         self.store_path: Callable[[], StorePath] = lambda: StorePath.DIRECT
@@ -133,6 +136,20 @@
                 return same
         return []
 
+    async def renew_targets(self) -> ListState:
+        """Return whether requests may be sent by the list of targets.
+
+        Reads it first if it is too old.
+        """
+        if self.list_age is None:
+            return ListState.RECENT
+        return await self.list_age.renewed()
+
+    @property
+    def targets_too_old(self) -> bool:
+        """Return whether the list of targets is too old to send a request by it."""
+        return self.list_age is not None and self.list_age.state is ListState.TOO_OLD
+
     def may_send(self, target: TargetEntry, origin: Origin | None) -> bool:
         """Return whether a request may still be sent to the target chosen for it."""
         return self._targets.may_take(target, begun=origin is not None)
--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..ids import DataCentre, HostName
+from ..routing.targets import DRAIN_SECONDS
 from ..workspaces.sliding_window import QuotaBounds
 
 Address = tuple[str, int]
@@ -26,6 +27,7 @@
     if it is None. `quota` bounds how far workspaces may exceed their limits.
     With `place_programs`, programs are assigned to engines by the owners of these.
     `capacity` is the processor capacity of the host in cores, 0 if it is unknown.
+    A target serves for `drain_time` after it has reported that it leaves.
     """
 
     host: HostName
@@ -43,3 +45,4 @@
     quota: QuotaBounds | None = None
     place_programs: bool = False
     capacity: float = 0.0
+    drain_time: float = DRAIN_SECONDS
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -45,6 +45,8 @@
 
 class _Bounds(CamelStruct, frozen=True):
     grace_s: float = 8
+    # How long a target serves after it has reported that it leaves.
+    drain_ms: float = 2000
     # Whether a removed key must be refused, and within which time.
     revoke_strict: bool = False
     revoke_ms: float = 5000
@@ -62,6 +64,11 @@
             slack=self.quota_slack,
         )
 
+    @property
+    def drain_time(self) -> float:
+        """Return the seconds for which a leaving target serves on."""
+        return self.drain_ms / 1000
+
     @property
     def key_age_limit(self) -> float | None:
         """Return the maximum age of the local copy of the keys, in seconds."""
@@ -107,6 +114,7 @@
         memory_bytes=settings.limits.memory_mb * MIB,
         descriptors=settings.limits.max_fds,
         stop_timeout=settings.bounds.grace_s,
+        drain_time=settings.bounds.drain_time,
         key_age_limit=settings.bounds.key_age_limit,
         quota=settings.bounds.quota,
         place_programs=PRESSURE in settings.contracts,
--- a/sequoiaarch/routing/follower.py
+++ b/sequoiaarch/routing/follower.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import logbook
 
@@ -86,6 +87,9 @@
         self._failure = ""
         # Open reads by their start, by boottime_clock.
         self._reads: dict[asyncio.Task[Answer | Failure], float] = {}
+        # Done when a read is wanted at once.
+        self._hurried: asyncio.Future[None] | None = None
+        self._waiters: list[asyncio.Future[None]] = []
         # Start of the last read up to the end of the topic, by boottime_clock: the
         # topic is known as of this time.
         self.as_of = float("-inf")
@@ -95,9 +99,22 @@
         """Return whether the topic is lost: no read is answered."""
         return self._unavailable
 
+    async def refresh(self) -> None:
+        """Read at once, and return with the next answer or the loss of the topic."""
+        if self._hurried is not None and not self._hurried.done():
+            self._hurried.set_result(None)
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            await waiter
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
     async def follow(self) -> None:
         """Read changes until cancelled."""
         while True:
+            self._hurried = asyncio.get_running_loop().create_future()
             began_at = boottime_clock()
             try:
                 answer, started = await self._first_answer()
@@ -115,13 +132,16 @@
                 self._unavailable = False
                 log.info("topic {} can be read again", self._partition.topic)
                 self._on_regained()
-            await asyncio.sleep(self._batch_delay)
+            self._wake_waiters()
+            await asyncio.wait([self._hurried], timeout=self._batch_delay)
 
     async def _first_answer(self) -> tuple[Answer, float]:
         """Return the first answer of any read, and when that read began."""
         if not self._unavailable:
             self._start_read(self._wait)
-            answered = await self._answered_within(self._wait + LATE_SECONDS)
+            answered = await self._answered_within(
+                self._wait + LATE_SECONDS, unless=self._hurried
+            )
             if answered is not None:
                 return answered
         # Time in which this process could not receive an answer does not count.
@@ -155,19 +175,28 @@
         self._start_read(0.0)
         return await self._answered_within(CHECK_INTERVAL)
 
-    async def _answered_within(self, seconds: float) -> tuple[Answer, float] | None:
-        """Return the first answer to an open read; None if all fail or none comes."""
+    async def _answered_within(
+        self, seconds: float, *, unless: asyncio.Future[None] | None = None
+    ) -> tuple[Answer, float] | None:
+        """Return the first answer to an open read.
+
+        None if all fail, none comes in time, or `unless` is done before.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         while self._reads:
+            awaited: set[asyncio.Future[Any]] = {*self._reads}
+            if unless is not None:
+                awaited.add(unless)
             done, _ = await asyncio.wait(
-                self._reads,
+                awaited,
                 timeout=max(0.0, deadline - loop.time()),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not done:
+            ended = [task for task in self._reads if task in done]
+            if not ended:
                 return None
-            for task in done:
+            for task in ended:
                 started = self._reads.pop(task)
                 answer = task.result()
                 if not isinstance(answer, Failure):
@@ -193,6 +222,13 @@
         self._unavailable = True
         log.warning("topic {} can't be read: {}", self._partition.topic, reason)
         self._on_lost()
+        self._wake_waiters()
+
+    def _wake_waiters(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
     def _log_slow_read(self, seconds: float) -> None:
         if seconds > self._wait + SLOW_READ_SECONDS:
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -17,9 +17,12 @@
 # seconds, and a tenth more for the read that shows it.
 LAPSE_GRACE_SECONDS = 2.2
 
-# Seconds from the earliest time at which a target may have reported that it drains, in
-# which it may finish what has begun. Targets serve for two seconds after the report.
-LEAVING_SECONDS = 1.7
+# Seconds for which targets serve after the report that they leave, unless the settings
+# tell otherwise.
+DRAIN_SECONDS = 2.0
+# Part of that time, in seconds, that is left for a request to reach a target at which
+# something has begun.
+FINISH_MARGIN = 0.3
 
 
 class TargetEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -70,8 +73,12 @@
         *,
         clock: Callable[[], float] = time.monotonic,
         dropped: Callable[[InstanceId], None] = lambda instance: None,
+        drain_time: float = DRAIN_SECONDS,
     ) -> None:
         self._clock = clock
+        # Seconds from the earliest time at which a target may have reported that it
+        # drains, in which it may finish what has begun.
+        self._finish_time = drain_time - FINISH_MARGIN
         self._dropped = dropped
         self._entries: dict[InstanceId, TargetEntry] = {}
         # Offsets of the newest registrations in the log.
@@ -241,7 +248,7 @@
 
     def _finishes(self, instance: InstanceId) -> bool:
         since = self._drains_since.get(instance)
-        return since is not None and self._clock() < since + LEAVING_SECONDS
+        return since is not None and self._clock() < since + self._finish_time
 
     def _drop_expired(self) -> None:
         if not self._lapsed:
--- a/sequoiaarch/tests/platform/drained_targets_tests.py
+++ b/sequoiaarch/tests/platform/drained_targets_tests.py
@@ -10,9 +10,12 @@
 
 from ...errors import Failure
 from ...http1.client import ClientConnection
+from ...ingress import daemon as daemon_module
 from ...ingress.daemon import IngressDaemon
 from ...ingress.pool import ConnectionPool
 from ...platform.store import PlatformLog
+from ...routing import follower as follower_module
+from ...routing.follower import boottime_clock
 from ...routing.targets import TargetEntry
 from ...standins.target import TargetExchange
 from ...storage.calls import StoreCall, StoreReply, unavailable
@@ -29,6 +32,8 @@
 CONTACT_SECONDS = 3.0
 HEARTBEAT_SECONDS = 1.2
 CALL_INTERVAL = 0.05
+CALLS = 20
+SLEPT_SECONDS = 10.0
 # Peers that are asked one after the other to relay a call.
 PEERS_ASKED = 3
 PEER_SECONDS = 0.5
@@ -42,6 +47,37 @@
     return unavailable(call, "peers are silent")
 
 
+class WokenGatewayTests(DeploymentTestCase):
+    """Send requests through a gateway whose list of targets has become old."""
+
+    async def test_sends_before_it_reads(self) -> None:
+        """A gateway that wakes up sends by the list of before."""
+        for name in (STAYS, DRAINS):
+            await self.add_target(name, TOOLS, tool_answer)
+        daemon = await self.add_daemon("one")
+        await self.register(DRAINS, TOOLS, "draining")
+        with contextlib.ExitStack() as patches:
+            for module in (daemon_module, follower_module):
+                slept = mock.patch.object(
+                    module, "boottime_clock", lambda: boottime_clock() + SLEPT_SECONDS
+                )
+                patches.enter_context(slept)
+            answers = await asyncio.gather(
+                *(self.call(daemon, "/once/a") for _ in range(CALLS))
+            )
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual(len(self.targets[STAYS].exchanges), CALLS)
+
+    async def test_outage(self) -> None:
+        """Requests are refused for an old list while nobody can read a newer one."""
+        await self.add_target(STAYS, TOOLS, tool_answer)
+        daemon = await self.add_daemon("one")
+        self.clients["one"].faults.down = True
+        await asyncio.sleep(MAX_DRAIN_SECONDS + 0.5)
+        answer = await self.call(daemon, "/once/a")
+        self.assertEqual(answer.status, 200)
+
+
 class LeavingTargetTests(DeploymentTestCase):
     """Run a gateway that reads the store over HTTP, with targets that leave.
 
--- a/sequoiaarch/tests/platform/resumed_streams_tests.py
+++ b/sequoiaarch/tests/platform/resumed_streams_tests.py
@@ -6,7 +6,7 @@
 
 from ...ids import InstanceId
 from ...ingress.daemon import TARGETS_BATCH_DELAY
-from ...routing.targets import LEAVING_SECONDS
+from ...routing.targets import DRAIN_SECONDS
 from ...standins.target import TargetExchange
 from .deployment import (
     ENGINES,
@@ -254,7 +254,7 @@
         await self.resume(self.gateway, old[0])
         self.assertTrue(old[0].whole, old[0])
         self.assertFalse(old[0].mixed)
-        await asyncio.sleep(LEAVING_SECONDS)
+        await asyncio.sleep(DRAIN_SECONDS)
         await self.resume(self.gateway, old[1])
         self.check_refused(old[1], "no target of engines v1 is left")
 
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -8,13 +8,15 @@
 
 from ...ids import DataCentre, InstanceId, Offset, ServiceName, SoftwareVersion
 from ...routing.targets import (
+    DRAIN_SECONDS,
+    FINISH_MARGIN,
     LAPSE_GRACE_SECONDS,
-    LEAVING_SECONDS,
     TargetEntry,
     Targets,
 )
 
 SERVICE = ServiceName("engines")
+LEAVING_SECONDS = DRAIN_SECONDS - FINISH_MARGIN
 
 
 def entry(name: str, *, draining: bool = False, born: int = 0) -> TargetEntry:
