Take a removal for a lapse only if the registration may have expired

A gateway that could not read the store for a moment went on to use a target whose registration was removed meanwhile for 2.2 s, and longer while its reads failed, although the store took everybody else's heartbeats. What a process can't read isn't what the store hasn't got.

Registrations expire after three heartbeat intervals of silence. The gateway knows when the newest registration of a target was written at the earliest: at the start of the read before the one that brought it. If that is less than three intervals ago, the registration was removed on purpose, and the target is not used any more, whatever the gateway's reads did. The interval comes from the settings; without it removals count as before. The times of targets now also count while a machine is suspended.

test_removed_while_this_host_reads_nothing fails on the code before, as the target stays in use.

--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -100,7 +100,10 @@
         self._options = options
         rng = random.Random()
         self.targets = Targets(
-            dropped=self._forget_target, drain_time=options.drain_time
+            clock=boottime_clock,
+            dropped=self._forget_target,
+            drain_time=options.drain_time,
+            registration_life=options.registration_life,
         )
         writer = WriterId(secrets.token_hex(WRITER_BYTES))
         # Without peers nobody could borrow the part of budgets that is lent.
--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -27,7 +27,8 @@
     if it is None. `quota` bounds how far workspaces may exceed their limits.
     With `place_programs`, programs are assigned to engines by the owners of these.
     `capacity` is the processor capacity of the host in cores, 0 if it is unknown.
-    A target serves for `drain_time` after it has reported that it leaves.
+    A target serves for `drain_time` after it has reported that it leaves, and its
+    registration expires after `registration_life` without a heartbeat, 0 if unknown.
     """
 
     host: HostName
@@ -46,3 +47,4 @@
     place_programs: bool = False
     capacity: float = 0.0
     drain_time: float = DRAIN_SECONDS
+    registration_life: float = 0.0
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -5,7 +5,7 @@
 import math
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import logbook
 import msgspec
@@ -24,6 +24,8 @@
 # Fraction of the platform's limit for the age of keys; the rest is a margin for clock
 # drift between hosts.
 KEY_AGE_FRACTION = 0.95
+# Registrations expire after this many intervals without a heartbeat.
+SILENT_HEARTBEATS = 3
 # Digits of a capacity in cores: equal products of different factors stay equal.
 CAPACITY_DIGITS = 3
 
@@ -90,6 +92,7 @@
     platform: _Platform
     contracts: list[str] = []  # parts of the rules that are in force
     seeds: list[str] = []  # addresses of some daemons; may be outdated
+    heartbeat_ms: Annotated[float, msgspec.Meta(ge=0)] = 0  # of targets; 0 if unknown
     listen: _Listen = _Listen()
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
@@ -115,6 +118,7 @@
         descriptors=settings.limits.max_fds,
         stop_timeout=settings.bounds.grace_s,
         drain_time=settings.bounds.drain_time,
+        registration_life=SILENT_HEARTBEATS * settings.heartbeat_ms / 1000,
         key_age_limit=settings.bounds.key_age_limit,
         quota=settings.bounds.quota,
         place_programs=PRESSURE in settings.contracts,
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -65,7 +65,9 @@
 
     All registrations expire when heartbeats can't be written, so a registration that
     disappears during an outage of the store does not mean that its target is gone.
-    Such a target stays in use until the end of a grace period after the outage.
+    Such a target stays in use until the end of a grace period after the outage. This
+    does not apply to a registration that can't have expired, as it was renewed less
+    than `registration_life` before.
     """
 
     def __init__(
@@ -74,11 +76,16 @@
         clock: Callable[[], float] = time.monotonic,
         dropped: Callable[[InstanceId], None] = lambda instance: None,
         drain_time: float = DRAIN_SECONDS,
+        registration_life: float = 0.0,
     ) -> None:
+        """Use times in seconds; `registration_life` is 0 if it is unknown."""
         self._clock = clock
         # Seconds from the earliest time at which a target may have reported that it
         # drains, in which it may finish what has begun.
         self._finish_time = drain_time - FINISH_MARGIN
+        self._registration_life = registration_life
+        # When the newest registrations were written at the earliest.
+        self._renewed_at: dict[InstanceId, float] = {}
         self._dropped = dropped
         self._entries: dict[InstanceId, TargetEntry] = {}
         # Offsets of the newest registrations in the log.
@@ -132,6 +139,7 @@
             self._by_incarnation.pop(previous.incarnation, None)
         self._entries[entry.instance] = entry
         self._offsets[entry.instance] = offset
+        self._renewed_at[entry.instance] = self._clock() - self.age()
         self._by_incarnation[entry.incarnation] = entry
         if previous != entry:
             self.version += 1
@@ -170,8 +178,11 @@
                 instance,
                 offset,
                 self.age(),
-                self._lapse_state(),
+                self._lapse_state(instance),
             )
+        if not self._may_have_expired(instance):
+            self._drop(instance, "its registration was removed")
+            return
         if self._store_unavailable:
             self._lapsed[instance] = float("inf")
             return
@@ -258,7 +269,13 @@
             if until <= now:
                 self._drop(instance, "its registration did not come back")
 
-    def _lapse_state(self) -> str:
+    def _may_have_expired(self, instance: InstanceId) -> bool:
+        age = self._clock() - self._renewed_at[instance]
+        return age >= self._registration_life
+
+    def _lapse_state(self, instance: InstanceId) -> str:
+        if not self._may_have_expired(instance):
+            return "it can't have expired"
         if self._store_unavailable:
             return "the store is unavailable"
         seconds = self._grace_until - self._clock()
@@ -267,6 +284,7 @@
     def _drop(self, instance: InstanceId, reason: str) -> None:
         self._lapsed.pop(instance, None)
         self._offsets.pop(instance, None)
+        self._renewed_at.pop(instance, None)
         self._drains_since.pop(instance, None)
         entry = self._entries.pop(instance, None)
         if entry is not None:
--- a/sequoiaarch/tests/platform/settings_tests.py
+++ b/sequoiaarch/tests/platform/settings_tests.py
@@ -65,6 +65,17 @@
         self.assertEqual(options.inner, "127.0.0.1:8144")
         self.assertEqual(options.stop_timeout, 6)
         self.assertEqual(options.memory_bytes, 170 * 2**20)
+        self.assertEqual(options.drain_time, 2.0)
+        self.assertEqual(options.registration_life, 0.0)
+
+    def test_times_of_targets(self) -> None:
+        """Read how long targets and their registrations last."""
+        text = settings().replace("[bounds]", "[bounds]\ndrainMs = 3000")
+        options = self.read(f"heartbeatMs = 1200\n{text}")
+        self.assertEqual(options.drain_time, 3.0)
+        self.assertAlmostEqual(options.registration_life, 3.6)
+        with self.assertRaisesRegex(ValueError, r"\$\.heartbeatMs"):
+            self.read(f"heartbeatMs = -1\n{text}")
 
     def test_no_control_address(self) -> None:
         """Use the first internal port if no control address is set."""
--- a/sequoiaarch/tests/routing/targets_tests.py
+++ b/sequoiaarch/tests/routing/targets_tests.py
@@ -114,6 +114,20 @@
         self.now += 10 * LAPSE_GRACE_SECONDS
         self.assertEqual(self.usable(), ["i-1", "i-2"])
 
+    def test_removed_while_this_host_reads_nothing(self) -> None:
+        """A removal counts as lapsed though the registration can't have expired."""
+        self.targets = Targets(clock=lambda: self.now, registration_life=3.0)
+        self.targets.age = lambda: 0.5
+        self.put(entry("i-1"))
+        self.put(entry("i-2"))
+        self.targets.store_lost()
+        self.now += 2.0
+        self.targets.remove(InstanceId("i-1"), Offset(9))
+        self.assertEqual(self.usable(), ["i-2"])
+        self.now += 0.5
+        self.targets.remove(InstanceId("i-2"), Offset(10))
+        self.assertEqual(self.usable(), ["i-2"])
+
     def test_draining_during_outage(self) -> None:
         """Use no target that drains, also during an outage."""
         self.targets.store_lost()
