Try the direct way to the store by long polls too

A gateway that was turned away by the store for a moment had its reads carried by a peer from then on, for as long as it made no other calls: long polls never tried the direct way. Its list of targets then rested on that peer and its connections.

--- a/sequoiaarch/storage/relayed.py
+++ b/sequoiaarch/storage/relayed.py
@@ -76,7 +76,7 @@
         ):
             return unavailable(call, "the store is unavailable")
         if self._path is StorePath.RELAYED:
-            if not call.waits and self._probe_due(DIRECT_PROBE_INTERVAL):
+            if self._probe_due(DIRECT_PROBE_INTERVAL):
                 self._probe = asyncio.create_task(self._try_direct(call))
             reply = await self._relay(call)
             # A direct call may have succeeded meanwhile; only a failure matters.
--- a/sequoiaarch/tests/storage/ways_tests.py
+++ b/sequoiaarch/tests/storage/ways_tests.py
@@ -5,6 +5,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from ...errors import ErrorKind, Failure
 from ...storage.calls import StoreCall, StoreReply
 from ...storage.hedged import HedgedClient
@@ -85,6 +87,19 @@
                 await client.call(CALL)
                 await asyncio.sleep(0.05)
 
+    async def test_only_long_polls_are_relayed(self) -> None:
+        """Long polls are relayed for ever if no other call tries the direct way."""
+        direct, relay = _FakeClient(REJECTED), _FakeClient(SUCCESS)
+        client = RelayedClient(direct=direct, relay=relay.call)
+        long_poll = msgspec.structs.replace(CALL, waits=True)
+        await client.call(long_poll)
+        self.assertIs(client.path, StorePath.RELAYED)
+        direct.replies = [SUCCESS]
+        async with asyncio.timeout(TIMEOUT / 2):
+            while client.path is not StorePath.DIRECT:
+                await client.call(long_poll)
+                await asyncio.sleep(0.05)
+
     async def test_direct_call_without_reply(self) -> None:
         """A call without a reply is relayed after a delay, not after its timeout.
 
