Let targets of the soak leave both ways, and judge it by the rule's own bound

The soak could not see late requests to leaving targets: its bound was 3.0 s in place of 2.0, counted from the last fault of the store for any gateway; its targets always reported that they drain; none started again under its id; and no connection fell silent while new ones worked.

Targets now leave by a report or by the removal of their registration and serve on, some after a restart under their id with a clock that was set, and they send heartbeats. Open connections of one gateway or of all fall silent. A request counts if its own gateway has had no trouble for 3 s, the store none for 3 s before the leaving, and it arrives over 2.0 s after that.

Planted and reported: removals that are ignored, registrations ordered by the clock, and a list that is read each 6 s and used at any age.

--- a/sequoiaarch/tests/platform/soak/__main__.py
+++ b/sequoiaarch/tests/platform/soak/__main__.py
@@ -32,6 +32,7 @@
 @click.option("--gateways", default=4, help="Gateway processes.")
 @click.option("--module", default=MODULE, help="Module that gateways run.")
 @click.option("--folder", type=Path, default=Path("results/soak"))
+@click.option("--leaving-only", is_flag=True, help="Only targets that leave.")
 @click.option("--regressions", is_flag=True, help="Run the seeds that once failed.")
 def soak(
     seed: int,
@@ -41,6 +42,7 @@
     gateways: int,
     module: str,
     folder: Path,
+    leaving_only: bool,
     regressions: bool,
 ) -> None:
     """Print one line of JSON for each seed; exit with 1 if a promise broke.
@@ -56,7 +58,8 @@
             link_seconds=link_seconds,
             gateways=gateways,
             module=module,
-            placements=number % 2 == 0 and not regressions,
+            placements=number % 2 == 0 and not regressions and not leaving_only,
+            leaving_only=leaving_only,
         )
         seed_folder = folder / f"seed-{number}"
         shutil.rmtree(seed_folder, ignore_errors=True)
--- a/sequoiaarch/tests/platform/soak/callers.py
+++ b/sequoiaarch/tests/platform/soak/callers.py
@@ -282,7 +282,11 @@
         **headers,
     }
     now = asyncio.get_running_loop().time()
-    checker.sent_requests[attempt] = SentRequest(key=sent["Api-Key"], at=now)
+    checker.sent_requests[attempt] = SentRequest(
+        key=sent["Api-Key"],
+        at=now,
+        undisturbed_since=lambda: gateway.undisturbed_since,
+    )
     message = RequestMessage(
         method=b"POST",
         target=path.encode(),
--- a/sequoiaarch/tests/platform/soak/faults.py
+++ b/sequoiaarch/tests/platform/soak/faults.py
@@ -50,6 +50,9 @@
         self._rng = rng
         self._faulty_gateways: set[str] = set()
         self._active_store_faults = 0
+        # Faults of the store itself, which all gateways see.
+        self._store_unstable = 0
+        self._store_stable_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._actions: list[tuple[Action, int]] = [
             (self._kill, 2),
@@ -89,6 +92,10 @@
             return float("inf")
         return self.store_fault_ended_at
 
+    def store_stable_since(self) -> float:
+        """Return the loop time since which the store itself has had no fault."""
+        return float("inf") if self._store_unstable else self._store_stable_at
+
     def undisturbed_since(self) -> float:
         """Return the loop time of the last kill or store fault."""
         return max(
@@ -145,11 +152,13 @@
             return
         self._faulty_gateways.add(gateway.name)
         self._begin_store_fault()
+        gateway.store_away()
         gateway.record_disturbance()
         gateway.signal(signal.SIGSTOP)
         await asyncio.sleep(self._rng.uniform(*LONG_DURATION))
         gateway.signal(signal.SIGCONT)
         gateway.record_disturbance()
+        gateway.store_back()
         self._end_store_fault()
         self._faulty_gateways.discard(gateway.name)
 
@@ -171,7 +180,10 @@
     async def _store_away(self, gateways: list[Gateway]) -> None:
         fault = self._rng.choice([*CALLER_AND_STORE_FAULTS, None, None])
         self._begin_store_fault()
+        for_all = len(gateways) > 1
+        self._store_unstable += for_all
         for gateway in gateways:
+            gateway.store_away()
             if fault is None:
                 gateway.store_server.status = self._rng.choice((503, 429))
             else:
@@ -180,10 +192,13 @@
         for gateway in gateways:
             gateway.store_server.status = 200
             gateway.store_proxy.set_fault(ProxyFault.NONE)
+            gateway.store_back()
         self._end_store_fault()
+        self._end_instability(for_all)
 
     async def _store_loses_answers(self) -> None:
         self._begin_store_fault()
+        self._store_unstable += 1
         for gateway in self._gateways:
             gateway.store_server.drops_answer = lambda: (
                 self._rng.random() < LOST_ANSWER_FRACTION
@@ -192,6 +207,7 @@
         for gateway in self._gateways:
             gateway.store_server.drops_answer = lambda: False
         self._end_store_fault()
+        self._end_instability(True)
 
     async def _store_forgets(self) -> None:
         self._store.compact()
@@ -220,6 +236,11 @@
         await asyncio.sleep(QUIET_DRAIN_SECONDS)
         await target.replace()
 
+    def _end_instability(self, ended: bool) -> None:
+        self._store_unstable -= ended
+        if ended:
+            self._store_stable_at = asyncio.get_running_loop().time()
+
     def _begin_store_fault(self) -> None:
         self._active_store_faults += 1
 
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import signal
 import socket
@@ -21,6 +22,7 @@
 PARTITIONS = 12
 SETTINGS = """
 nodeName = "{name}"
+heartbeatMs = 1200
 ip = "{ip}"
 zone = "{zone}"
 contracts = {contracts}
@@ -98,6 +100,9 @@
         self.disturbed_at = 0.0
         self.killed_at = 0.0
         self.started_at = 0.0
+        self._store_away = 0
+        self._store_back_at = 0.0
+        self._stopping = False
         self._ready_port = free_port(self._address)
         self._front_port = free_port(self._address)
         self._module = module
@@ -119,6 +124,29 @@
         """Return the address at which other gateways connect to this one."""
         return f"{LOOPBACK}:{self.peer_proxy.port}"
 
+    @property
+    def undisturbed_since(self) -> float:
+        """Return since when the process and its links are undisturbed."""
+        if self._store_away or self._stopping or not self.running:
+            return math.inf
+        return max(self.disturbed_at, self.started_at, self._store_back_at)
+
+    def store_away(self) -> None:
+        """Note that this gateway's path to the store, or its process, is disturbed."""
+        self._store_away += 1
+
+    def store_back(self) -> None:
+        """Note the end of such a disturbance."""
+        self._store_away -= 1
+        self._store_back_at = asyncio.get_running_loop().time()
+
+    def silence(self, *, peers_too: bool) -> None:
+        """Silence the open connections to the store, and those from peers too."""
+        self.store_proxy.silence()
+        if peers_too:
+            self.peer_proxy.silence()
+        self._store_back_at = asyncio.get_running_loop().time()
+
     async def listen(self) -> None:
         """Start the store server and the proxies."""
         await self.store_server.server.start(LOOPBACK, 0)
@@ -149,6 +177,7 @@
     async def start(self) -> None:
         """Start a process without waiting until it is ready."""
         self.generation += 1
+        self._stopping = False
         self.started_at = asyncio.get_running_loop().time()
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -250,6 +279,7 @@
 
     async def stop_gracefully(self) -> None:
         """Stop as the platform does: SIGTERM, and SIGKILL after the grace period."""
+        self._stopping = True
         self.signal(signal.SIGTERM)
         if not await self.wait_ended(GRACE_SECONDS):
             await self.kill()
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -16,6 +16,7 @@
 from ....fleet.stream_origins import SharedOrigins
 from ....http1.messages import ExchangeError
 from ....ids import HostName, LoanId, ProgramId
+from ....ingress import daemon
 from ....ingress.attempts import Attempts
 from ....ingress.daemon import IngressDaemon
 from ....ingress.exchange import Exchange
@@ -28,6 +29,7 @@
 from ....platform.headers import PlatformCallCodec
 from ....policies.program_placement import ProgramDemand
 from ....policies.stream_origins import StreamKeys
+from ....routing.list_age import ListAge, ListState
 from ....routing.routes import RouteTable
 from ....routing.targets import Targets
 from ....workspaces.access import Access, Caller
@@ -133,6 +135,33 @@
     setattr(Targets, "put", register_unless_draining)  # noqa: B010
 
 
+def ignores_removals() -> None:
+    """Send requests to targets whose registrations were removed."""
+
+    def remove(self: Targets, *_: Any) -> None:
+        pass
+
+    setattr(Targets, "remove", remove)  # noqa: B010
+
+
+def trusts_clocks() -> None:
+    """Take registrations with an earlier start time for older ones."""
+    register = Targets.put
+
+    def register_unless_earlier(self: Targets, entry: Any, offset: Any) -> None:
+        known = self.find(entry.instance)
+        if known is None or entry.born >= known.born:
+            register(self, entry, offset)
+
+    setattr(Targets, "put", register_unless_earlier)  # noqa: B010
+
+
+def reads_targets_seldom() -> None:
+    """Send requests by a list of targets of any age, which is read each 6 s."""
+    setattr(daemon, "TARGETS_BATCH_DELAY", 6.0)  # noqa: B010
+    setattr(ListAge, "state", ListState.RECENT)  # noqa: B010
+
+
 def stops_at_once() -> None:
     """Stop on SIGTERM without finishing open requests."""
 
@@ -241,6 +270,9 @@
         refuses_after_run,
         goes_back,
         ignores_drains,
+        ignores_removals,
+        trusts_clocks,
+        reads_targets_seldom,
         stops_at_once,
         keeps_keys,
         hands_out_everything,
--- a/sequoiaarch/tests/platform/soak/property_checker.py
+++ b/sequoiaarch/tests/platform/soak/property_checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import math
 from bisect import bisect_left
@@ -57,6 +58,11 @@
 # If fewer programs were served, the burst is judged only if the store was available.
 MIN_SERVED = 10
 
+# Seconds from the report of a target that it leaves, after which gateways in touch send
+# it nothing, and seconds without trouble after which a gateway counts as in touch.
+MAX_DRAIN_SECONDS = 2.0
+CONTACT_SECONDS = 3.0
+
 UNLIMITED_KEY = "key-of-open"
 UNLIMITED_WORKSPACE = "open"
 # Seconds within which every gateway must refuse a revoked key.
@@ -76,10 +82,14 @@
 
 @dataclass(kw_only=True)
 class SentRequest:
-    """API key of an attempt, and when the attempt was sent."""
+    """API key of an attempt, when it was sent, and to which gateway.
+
+    `undisturbed_since` returns since when that gateway has had no trouble.
+    """
 
     key: str
     at: float
+    undisturbed_since: Callable[[], float]
 
 
 @dataclass(kw_only=True)
@@ -106,6 +116,8 @@
     )
     # Returns the loop time since which all gateways can reach the store.
     store_available_since: Callable[[], float] = lambda: 0.0
+    # Returns the loop time since which the store has served all gateways at once.
+    store_stable_since: Callable[[], float] = lambda: 0.0
     counts: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
 
@@ -129,6 +141,27 @@
         if sent is not None:
             self._check_key(attempt, sent, run)
 
+    def check_leaving(
+        self, attempt: str, instance: str, left_at: float, *, how: str
+    ) -> None:
+        """Check a request that reaches a target after the report that it leaves."""
+        now = asyncio.get_running_loop().time()
+        sent = self.sent_requests.get(attempt)
+        if sent is None or left_at < self.store_stable_since() + CONTACT_SECONDS:
+            return
+        judged_from = sent.undisturbed_since() + CONTACT_SECONDS
+        if now < judged_from:
+            return
+        latest = "latest request at a leaving target in ms"
+        self.counts["requests at leaving targets"] += 1
+        self.counts[latest] = max(self.counts[latest], round((now - left_at) * 1000))
+        if now > left_at + MAX_DRAIN_SECONDS:
+            text = (
+                f"{attempt} reached {instance} {now - left_at:.2f} s after it {how},"
+                f" {now - judged_from:.2f} s after its gateway was in touch"
+            )
+            self.report_violation(Property.LEAVING, text)
+
     def _check_key(self, attempt: str, sent: SentRequest, run: TargetRun) -> None:
         expected = self.workspace_of_key.get(sent.key)
         if run.workspace != expected or run.key is not None:
--- a/sequoiaarch/tests/platform/soak/resuming_callers.py
+++ b/sequoiaarch/tests/platform/soak/resuming_callers.py
@@ -163,7 +163,11 @@
             **extra,
         }
         now = asyncio.get_running_loop().time()
-        self._checker.sent_requests[attempt] = SentRequest(key=UNLIMITED_KEY, at=now)
+        self._checker.sent_requests[attempt] = SentRequest(
+            key=UNLIMITED_KEY,
+            at=now,
+            undisturbed_since=lambda: gateway.undisturbed_since,
+        )
         message = RequestMessage(
             method=b"POST",
             target=b"/free/a",
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -16,6 +16,7 @@
 from .callers import Caller, Conversation, KeepAliveCaller
 from .faults import FaultInjector
 from .gateways import MODULE, START_SECONDS, Gateway
+from .leaving import LeavingTargets, SilentConnections
 from .link_faults import LinkFaults
 from .property_checker import Property, PropertyChecker
 from .releases import VERSIONS, Releases
@@ -55,7 +56,8 @@
 
     `seconds` with all kinds of faults are followed by `link_seconds` with link faults
     only. With `placements`, owners place programs on small engines, and there is a
-    burst.
+    burst. With `leaving_only`, targets leave and connections fall silent, and there are
+    no other faults.
     """
 
     seed: int
@@ -64,6 +66,7 @@
     gateways: int = 4
     module: str = MODULE
     placements: bool = False
+    leaving_only: bool = False
 
 
 class Report(msgspec.Struct, kw_only=True):
@@ -114,6 +117,7 @@
             rng=self._fresh_rng(),
         )
         self._checker.store_available_since = self._fault_injector.store_available_since
+        self._checker.store_stable_since = self._fault_injector.store_stable_since
         self._keep_alive_callers = [
             KeepAliveCaller(
                 gateway=gateway, checker=self._checker, rng=self._fresh_rng()
@@ -177,6 +181,13 @@
             )
             for number in range(RESUMING_CALLERS_PER_GATEWAY * plan.gateways)
         ]
+        self._leaving_targets = LeavingTargets(
+            targets=self._targets, rng=self._fresh_rng()
+        )
+        self._silent_connections = SilentConnections(
+            gateways=self._gateways,
+            rng=self._fresh_rng(),
+        )
 
     async def run(self) -> Report:
         """Run callers and faults, check the state without faults, and report."""
@@ -186,15 +197,15 @@
             until = loop.time() + self._plan.seconds
             end = until + self._plan.link_seconds
             await asyncio.gather(
-                self._fault_injector.run(until - FAULT_FREE_SECONDS),
+                self._disturb(until - FAULT_FREE_SECONDS, end),
                 *(caller.run(until) for caller in self._callers),
                 *(caller.run(until) for caller in self._keep_alive_callers),
                 *(caller.run(until) for caller in self._workspace_callers),
-                self._link_faults.run(end - LINK_FAULT_FREE_SECONDS),
                 *(caller.run(end) for caller in self._small_budget_callers),
                 self._burst(),
-                self._releases.run(until - FAULT_FREE_SECONDS),
                 *(caller.run(until) for caller in self._resuming_callers),
+                self._leaving_targets.run(until - FAULT_FREE_SECONDS),
+                self._silent_connections.run(until - FAULT_FREE_SECONDS),
             )
             await self._check_end()
             if self._plan.placements:
@@ -217,6 +228,8 @@
                         self._fault_injector.counts
                         + self._link_faults.counts
                         + self._releases.counts
+                        + self._leaving_targets.counts
+                        + self._silent_connections.counts
                     ).items()
                 )
             ),
@@ -224,6 +237,15 @@
             folder=str(self._folder),
         )
 
+    async def _disturb(self, until: float, end: float) -> None:
+        if self._plan.leaving_only:
+            return
+        await asyncio.gather(
+            self._fault_injector.run(until),
+            self._releases.run(until),
+            self._link_faults.run(end - LINK_FAULT_FREE_SECONDS),
+        )
+
     async def _burst(self) -> None:
         await asyncio.sleep(BURST_START * self._plan.seconds)
         began_at = asyncio.get_running_loop().time()
@@ -249,7 +271,6 @@
             store=self._store,
             checker=self._checker,
             rng=self._fresh_rng(),
-            store_available_since=lambda: self._fault_injector.store_available_since(),
         )
 
     async def _start(self) -> None:
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
 from enum import Enum
 
 from ....standins.keyed_store import KeyedStore
@@ -17,7 +16,7 @@
     whole_answer,
 )
 from ..deployment import EVENT_TOKENS, attempt_of, events_of, registration
-from .property_checker import Property, PropertyChecker, TargetRun
+from .property_checker import PropertyChecker, TargetRun
 from .proxy import LOOPBACK
 
 MAX_EVENTS = 6
@@ -30,9 +29,13 @@
 FIRST_VERSION = "v1"
 # Seconds until gateways that reach the store know of a registration.
 KNOWN_SECONDS = 1.0
-# Seconds. Gateways that can reach the store learn of a drain within two; the third
-# allows for a busy machine.
-MAX_DRAIN_DELAY = 3.0
+HEARTBEAT_SECONDS = 1.2
+# Start time of a target that has not started again. Milliseconds.
+FIRST_BORN = 1_000_000
+# How a target leaves, in reports.
+DRAINED = "reported that it drains"
+REMOVED = "was removed"
+RESTARTED = "started again and "
 
 
 class TargetFault(Enum):
@@ -62,26 +65,27 @@
         store: KeyedStore,
         checker: PropertyChecker,
         rng: random.Random,
-        store_available_since: Callable[[], float],
         slots: int = UNLIMITED_SLOTS,
         event_seconds: float = EVENT_SECONDS,
         version: str = FIRST_VERSION,
     ) -> None:
         self.fault = TargetFault.NONE
         self.version = version
-        self._service = service
+        self.service = service
         self._engine = engine
         self._zone = zone
         self._store = store
         self._checker = checker
         self._rng = rng
-        self._store_available_since = store_available_since
         self._slots = slots
         self._free_slots = asyncio.Semaphore(slots)
         self._event_seconds = event_seconds
         self._count = 0
         self._instance = ""
-        self._drained_at: float | None = None
+        self._state: str | None = None
+        self._born = FIRST_BORN
+        self._left_at: float | None = None
+        self._heartbeats: asyncio.Task[None] | None = None
         self._replaced_at = 0.0
         self._stand_in = TargetStandIn(behaviour=self._behave)
 
@@ -89,17 +93,25 @@
         """Listen and register the first instance."""
         await self._stand_in.start()
         await self.replace()
+        self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
     async def stop(self) -> None:
-        """Stop listening."""
+        """Stop listening and the heartbeats."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
         await self._stand_in.stop()
 
+    @property
+    def stays(self) -> bool:
+        """Return whether the target has not begun to leave."""
+        return self._left_at is None
+
     @property
     def sound(self) -> bool:
         """Return whether the target works, and gateways know of it."""
         now = asyncio.get_running_loop().time()
         known = now > self._replaced_at + KNOWN_SECONDS
-        return self.fault is TargetFault.NONE and self._drained_at is None and known
+        return self.fault is TargetFault.NONE and self.stays and known
 
     async def replace(self, version: str | None = None) -> None:
         """Register a new instance at the same address, in place of the old one."""
@@ -107,26 +119,49 @@
         self._count += 1
         self.version = version or self.version
         self._replaced_at = asyncio.get_running_loop().time()
-        self._instance = f"i-{self._service}-{self._stand_in.port}-{self._count}"
+        self._instance = f"i-{self.service}-{self._stand_in.port}-{self._count}"
         self._checker.versions[self._instance] = self.version
-        self._drained_at = None
+        self._left_at = None
+        self._state = "ready"
         if previous:
             await self._store.put("keyed.servers", previous, b"")
-        await self._register("ready")
+        await self._register()
 
-    async def drain(self) -> None:
-        """Register this instance as draining."""
-        await self._register("draining")
-        self._drained_at = asyncio.get_running_loop().time()
+    async def restart(self, clock_step: int) -> None:
+        """Start again under the same id, by a clock that was set, in milliseconds."""
+        if self.stays:
+            self._born += clock_step
+            await self._register()
 
-    async def _register(self, state: str) -> None:
+    async def drain(self) -> None:
+        """Report that this instance drains; it serves on."""
+        self._state = "draining"
+        await self._register()
+        self._left_at = asyncio.get_running_loop().time()
+
+    async def remove(self) -> None:
+        """Remove the registration of this instance, which serves on."""
+        self._state = None
+        await self._store.put("keyed.servers", self._instance, b"")
+        self._left_at = asyncio.get_running_loop().time()
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await self._register()
+
+    async def _register(self) -> None:
+        """Write the registration, unless it was removed."""
+        if self._state is None:
+            return
         address = f"{LOOPBACK}:{self._stand_in.port}"
         entry = registration(
-            self._service,
+            self.service,
             address,
             zone=self._zone,
-            state=state,
+            state=self._state,
             version=self.version,
+            born=self._born,
         )
         if self._slots != UNLIMITED_SLOTS:
             entry["slots"] = self._slots
@@ -145,7 +180,10 @@
             headers = (("X-Not-Executed", "1"), ("X-Attempt-Id", attempt))
             exchange.send(whole_answer(b"", status=503, headers=headers))
             return
-        self._check_draining(attempt)
+        if self._left_at is not None:
+            self._checker.check_leaving(
+                attempt, self._instance, self._left_at, how=self._how_left()
+            )
         run = TargetRun(
             instance=self._instance,
             body=exchange.request.body,
@@ -157,14 +195,9 @@
         async with self._free_slots:
             await self._answer(exchange, attempt, run.instance)
 
-    def _check_draining(self, attempt: str) -> None:
-        if self._drained_at is None:
-            return
-        now = asyncio.get_running_loop().time()
-        if now > max(self._drained_at, self._store_available_since()) + MAX_DRAIN_DELAY:
-            self._checker.report_violation(
-                Property.LEAVING, f"{attempt} at draining {self._instance}"
-            )
+    def _how_left(self) -> str:
+        how = DRAINED if self._state is not None else REMOVED
+        return how if self._born == FIRST_BORN else RESTARTED + how
 
     async def _answer(
         self, exchange: TargetExchange, attempt: str, instance: str
--- a/sequoiaarch/tests/platform/soak_tests.py
+++ b/sequoiaarch/tests/platform/soak_tests.py
@@ -11,10 +11,12 @@
 
 from .soak import planted
 from .soak.run import Plan, Report, run_seed
+from .soak.targets import DRAINED, REMOVED, RESTARTED
 
 SECONDS = 10.0
 LINK_SECONDS = 5.0
 GATEWAYS = 3
+LEAVING_SECONDS = 15.0
 PLANTED_MODULE = "sequoiaarch.tests.platform.soak.planted"
 
 # Last lines of each gateway log that are printed on a violation.
@@ -91,19 +93,53 @@
         self.assertIn("VERSION", self.violated(planted.resumes_anywhere))
         self.assertIn("RESUMED", self.violated(planted.forgets_streams))
 
+    def test_planted_leaving_faults_are_caught(self) -> None:
+        """Report requests at leaving targets, whichever way it was not learned."""
+        reports = self.violations(
+            planted.ignores_removals, planted.trusts_clocks, leaving_only=True
+        )
+        for how in (REMOVED, RESTARTED + DRAINED):
+            with self.subTest(how=how):
+                self.assertTrue(any(how in text for text in reports), reports[:20])
+        reports = self.violations(planted.reads_targets_seldom, leaving_only=True)
+        self.assertIn("LEAVING", {text.split(":")[0] for text in reports})
+
+    def test_targets_leave(self) -> None:
+        """Send nothing to leaving targets while connections fall silent."""
+        plan = Plan(
+            seed=3,
+            seconds=LEAVING_SECONDS,
+            link_seconds=0.0,
+            gateways=GATEWAYS,
+            leaving_only=True,
+        )
+        report = run(plan, print_log_tails)
+        self.assertEqual(report.broken, [])
+        self.assertGreater(report.counts["requests at leaving targets"], 0)
+
     def violated(
         self, *faults: Callable[[], None], placements: bool = False
     ) -> set[str]:
         """Return the properties that a run with planted faults violates."""
+        reports = self.violations(*faults, placements=placements)
+        return {text.split(":")[0] for text in reports}
+
+    def violations(
+        self,
+        *faults: Callable[[], None],
+        placements: bool = False,
+        leaving_only: bool = False,
+    ) -> list[str]:
+        """Return what a run with planted faults reports."""
         names = ",".join(fault.__name__ for fault in faults)
         plan = Plan(
             seed=1,
-            seconds=SECONDS,
+            seconds=LEAVING_SECONDS if leaving_only else SECONDS,
             link_seconds=0.0,
             gateways=GATEWAYS,
             module=PLANTED_MODULE,
             placements=placements,
+            leaving_only=leaving_only,
         )
         with mock.patch.dict(os.environ, {planted.FAULT_VARIABLE: names}):
-            report = run(plan)
-        return {violation.split(":")[0] for violation in report.broken}
+            return run(plan).broken
