Count a response for a request only if it names its attempt

Cause: a response without an attempt id counted as the answer to the open request, whatever had sent it. Now only a response that names the open request's attempt counts, as an answer, as a refusal and as history. Others are skipped, up to 8 of them and 16 MiB, and the sound answer behind them still reaches its caller; then the connection is closed and the request counts as one that may have run. A success without a signature is not passed on.

--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -195,14 +195,20 @@
             return None
         raise ExchangeError(ExchangeFault.GARBLED, "unexpected event", sent=True)
 
-    async def skip_response(self) -> None:
+    async def skip_response(self, limit: int) -> int:
         """Discard a response to an earlier request and expect the next one.
 
         A target may send a duplicate response late. Passing it on would give a
-        caller the answer to another caller's request.
+        caller the answer to another caller's request. Returns the number of bytes
+        discarded; raises ExchangeError if they exceed `limit`.
         """
-        while await self.read_body_part() is not None:
-            pass
+        skipped = 0
+        while (part := await self.read_body_part()) is not None:
+            skipped += len(part)
+            if skipped > limit:
+                raise ExchangeError(
+                    ExchangeFault.GARBLED, "too many additional bytes", sent=True
+                )
         remaining = bytes(self._http.trailing_data[0])
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
@@ -217,6 +223,7 @@
         self._http.send(stub)
         self._http.send(h11.EndOfMessage())
         self._received[:0] = remaining
+        return skipped
 
     def finish(self) -> bool:
         """End an exchange; return whether the connection is reusable, else reset it."""
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -26,7 +26,13 @@
 MAX_REFUSALS = 3
 # Seconds after which callers of an overloaded service should retry.
 BUSY_RETRY_AFTER = 0.25
+OK = 200
+REDIRECT = 300
 SERVER_ERROR = 500
+# Responses of other attempts that are skipped before that of the open one, and their
+# bytes: a target may repeat the longest response.
+MAX_SKIPPED_RESPONSES = 8
+MAX_SKIPPED_BYTES = 16 * 1024 * 1024
 # The pace of a target is learned from streams of which this process spent at least this
 # fraction waiting for the target.
 MIN_WAITED_FRACTION = 0.5
@@ -257,29 +263,41 @@
     async def _await_head(
         self, target: TargetEntry, connection: ClientConnection
     ) -> TargetResponse | None:
-        while True:
-            head = await connection.read_head()
-            info = self._dispatcher.codec.read_response(head)
-            if info.attempt is None or info.attempt == self._info.attempt:
-                break
-            self.steps.append("skipped response of another attempt")
-            await connection.skip_response()
+        head, info = await self._read_own_head(connection)
         if info.not_run:
             await self._finish_not_run(target, connection, head, info)
             return None
         if info.coded:
             # No content encoding was requested.
-            raise ExchangeError(
-                ExchangeFault.GARBLED,
-                "the response has an unexpected content encoding",
-                sent=True,
-            )
+            raise _garbled("the response has an unexpected content encoding")
+        if not info.signed and OK <= head.status < REDIRECT:
+            raise _garbled("the response is not signed")
         self.answered_by = target
         self.steps.append(f"{target.instance}:{head.status}")
         return TargetResponse(
             target=target, connection=connection, head=head, info=info
         )
 
+    async def _read_own_head(
+        self, connection: ClientConnection
+    ) -> tuple[ResponseHead, ResponseInfo]:
+        """Return the head of the response that names this attempt.
+
+        Targets may send additional responses, complete or not, with another attempt
+        or none. Nothing tells what these belong to.
+        """
+        own = self._info.attempt or None
+        left = MAX_SKIPPED_BYTES
+        for _ in range(MAX_SKIPPED_RESPONSES):
+            head = await connection.read_head()
+            info = self._dispatcher.codec.read_response(head)
+            if info.attempt == own:
+                return head, info
+            other = "without an attempt" if info.attempt is None else "of another"
+            self.steps.append(f"skipped response {other}: {head.status}")
+            left -= await connection.skip_response(left)
+        raise _garbled("too many additional responses")
+
     async def _finish_not_run(
         self,
         target: TargetEntry,
@@ -341,3 +359,7 @@
         return self._dispatcher.urgency(
             self._route, self._info, priority, self.budget_used
         )
+
+
+def _garbled(reason: str) -> ExchangeError:
+    return ExchangeError(ExchangeFault.GARBLED, reason, sent=True)
--- a/sequoiaarch/ingress/calls.py
+++ b/sequoiaarch/ingress/calls.py
@@ -85,9 +85,11 @@
 class ResponseInfo(msgspec.Struct, frozen=True, kw_only=True):
     """Metadata of a target's response.
 
+    `attempt` is the one that the response belongs to; None if it doesn't tell.
     `not_run` tells that the target did not run the request, `idle_limit` after how
-    many seconds the target closes an idle connection, and `coded` that the body
-    has a content encoding. `headers` are forwarded to the caller.
+    many seconds the target closes an idle connection, `coded` that the body has a
+    content encoding, and `signed` that the response has the target's signature.
+    `headers` are forwarded to the caller.
     """
 
     attempt: AttemptId | None
@@ -95,6 +97,7 @@
     instance: InstanceId
     idle_limit: float | None
     coded: bool
+    signed: bool
     headers: Headers
 
 
--- a/sequoiaarch/platform/headers.py
+++ b/sequoiaarch/platform/headers.py
@@ -20,6 +20,7 @@
 LAST_EVENT = b"last-event-id"
 EXPECT_INSTANCE = b"x-expect-instance"
 INSTANCE = b"x-instance-id"
+SIGNATURE = b"x-server-stamp"
 NOT_RUN = b"x-not-executed"
 PRIORITY = b"x-request-priority"
 KEY = b"api-key"
@@ -105,6 +106,7 @@
             instance=InstanceId(_decode_text(headers.get(INSTANCE)) or ""),
             idle_limit=_idle_limit(headers),
             coded=b"content-encoding" in headers,
+            signed=bool(headers.get(SIGNATURE)),
             headers=end_to_end(head.headers),
         )
 
--- a/sequoiaarch/tests/http1/exchange_tests.py
+++ b/sequoiaarch/tests/http1/exchange_tests.py
@@ -159,7 +159,7 @@
         await connection.send(request(2, b"body"))
         head = await connection.read_head()
         self.assertEqual(head.header(b"attempt"), b"1")
-        await connection.skip_response()
+        self.assertEqual(await connection.skip_response(100), len(b"answer 1"))
         head = await connection.read_head()
         self.assertEqual(head.header(b"attempt"), b"2")
         self.assertEqual(await read_body(connection), b"answer 2")
--- a/sequoiaarch/tests/platform/deployment.py
+++ b/sequoiaarch/tests/platform/deployment.py
@@ -152,7 +152,7 @@
 
 async def not_run_answer(exchange: TargetExchange) -> None:
     """Refuse the request as an overloaded target does."""
-    headers = (("X-Not-Executed", "1"),)
+    headers = (("X-Not-Executed", "1"), ("X-Attempt-Id", attempt_of(exchange)))
     exchange.send(whole_answer(b"", status=503, headers=headers))
 
 
--- a/sequoiaarch/tests/platform/end_to_end_tests.py
+++ b/sequoiaarch/tests/platform/end_to_end_tests.py
@@ -248,7 +248,9 @@
 
         async def break_off(exchange: TargetExchange) -> None:
             attempt = attempt_of(exchange)
-            exchange.send(stream_head((("X-Attempt-Id", attempt),)))
+            exchange.send(
+                stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s")))
+            )
             exchange.send(chunk(events_of(attempt)[0]))
             await asyncio.sleep(0.05)
             exchange.reset()
@@ -302,7 +304,9 @@
 
         async def end_after_request(exchange: TargetExchange) -> None:
             attempt = attempt_of(exchange)
-            exchange.send(stream_head((("X-Attempt-Id", attempt),)))
+            exchange.send(
+                stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s")))
+            )
             for event in events_of(attempt):
                 exchange.send(chunk(event))
             await requested.wait()
--- a/sequoiaarch/tests/platform/slow_readers_tests.py
+++ b/sequoiaarch/tests/platform/slow_readers_tests.py
@@ -103,7 +103,7 @@
         if attempt != "unread":
             await stream_answer(exchange)
             return
-        exchange.send(stream_head((("X-Attempt-Id", attempt),)))
+        exchange.send(stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s"))))
         event = chunk(b"data: " + bytes(self.event_bytes) + b"\n\n")
         while not exchange.disconnected.is_set():
             exchange.send(event)
@@ -234,7 +234,7 @@
             if attempt_of(exchange) != "large":
                 await tool_answer(exchange)
                 return
-            headers = (("X-Attempt-Id", "large"),)
+            headers = (("X-Attempt-Id", "large"), ("X-Server-Stamp", "s"))
             exchange.send(whole_answer(bytes(8 * MIB), headers=headers))
 
         await self.add_target("i-1", TOOLS, answer_large)
@@ -261,7 +261,7 @@
         """
 
         async def answer_large(exchange: TargetExchange) -> None:
-            headers = (("X-Attempt-Id", attempt_of(exchange)),)
+            headers = (("X-Attempt-Id", attempt_of(exchange)), ("X-Server-Stamp", "s"))
             answer = whole_answer(bytes(2 * MIB), headers=headers)
             exchange.send(answer[:-1])
             # Without a limit all bodies are held by now.
--- a/sequoiaarch/tests/platform/soak/leaving.py
+++ b/sequoiaarch/tests/platform/soak/leaving.py
@@ -20,7 +20,7 @@
 WAYS = ((-5_000, True), (0, False), (0, True), (5_000, False))
 # Targets of a service that stay while one leaves.
 MIN_STAYING = 1
-SILENCE_INTERVAL = (2.0, 5.0)
+SILENCE_INTERVAL = (5.0, 9.0)
 ALL_SILENT_FRACTION = 0.3
 PEERS_SILENT_FRACTION = 0.5
 
--- a/sequoiaarch/tests/platform/soak/resuming_callers.py
+++ b/sequoiaarch/tests/platform/soak/resuming_callers.py
@@ -136,9 +136,9 @@
         """Return whether a gateway ran undisturbed; its links may have been harmed."""
         now = asyncio.get_running_loop().time()
         undisturbed_since = max(
-            gateway.disturbed_at, gateway.started_at, self._store_available_since()
+            gateway.undisturbed_since, self._store_available_since()
         )
-        return gateway.running and now > undisturbed_since + CONTACT_SECONDS
+        return now > undisturbed_since + CONTACT_SECONDS
 
     def _sound_targets(self, version: str | None) -> int:
         return sum(
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -174,7 +174,8 @@
             exchange.request.header(b"x-expect-instance") or b""
         ).decode()
         if expected_instance != self._instance:
-            exchange.send(whole_answer(b"", status=421))
+            misdirected = (("X-Attempt-Id", attempt),)
+            exchange.send(whole_answer(b"", status=421, headers=misdirected))
             return
         if self._rng.random() < OVERLOADED_FRACTION:
             headers = (("X-Not-Executed", "1"), ("X-Attempt-Id", attempt))
