Write a large turn as several records, and give up what the store never takes

A turn that continues another program's conversation was one record with the whole history. The store refuses one above recordBytes, the append was repeated without end, and everything behind it in that partition waited.

A turn above the limit is now a chain of parts that the turn continues, each a record of its own, so readers of earlier builds understand it. The limits of records and calls come from the settings.

Weighed: a reference to the other program's records would have to keep these from removal, and its gateways don't know of it.

--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -115,6 +115,7 @@
             partition_map=partition_map,
             turn_bytes=int(options.memory_bytes * TURN_MEMORY_FRACTION),
             split=split,
+            limits=options.store.limits,
         )
         sweeper = Sweeper(
             log=keyed_log,
--- a/sequoiaarch/ingress/options.py
+++ b/sequoiaarch/ingress/options.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..ids import DataCentre, HostName
+from ..ledger.appender import DEFAULT_LIMITS, AppendLimits
 from ..routing.targets import DRAIN_SECONDS
 from ..workspaces.sliding_window import QuotaBounds
 
@@ -12,10 +13,11 @@
 
 
 class StoreOptions(msgspec.Struct, frozen=True, kw_only=True):
-    """Address of the store and the number of partitions of each topic."""
+    """Address of the store, the number of partitions of each topic, and its limits."""
 
     address: Address
     partitions: int = 1
+    limits: AppendLimits = DEFAULT_LIMITS
 
 
 class IngressOptions(msgspec.Struct, frozen=True, kw_only=True):
--- a/sequoiaarch/ledger/index.py
+++ b/sequoiaarch/ledger/index.py
@@ -7,7 +7,7 @@
 from ..errors import Failure
 from ..ids import Offset, ProgramId, TurnId
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition
-from .appender import Appender
+from .appender import DEFAULT_LIMITS, Appender, AppendLimits
 from .partition_map import PartitionMap
 from .records import IndexRecord, decode_record, encode_record
 
@@ -21,8 +21,14 @@
     """
 
     def __init__(
-        self, *, log: KeyedLog, partition_map: PartitionMap, writer: str
+        self,
+        *,
+        log: KeyedLog,
+        partition_map: PartitionMap,
+        writer: str,
+        limits: AppendLimits = DEFAULT_LIMITS,
     ) -> None:
+        self._limits = limits
         self._log = log
         self._partition_map = partition_map
         self._writer = writer
@@ -36,7 +42,10 @@
         appender = self._appenders.get(partition)
         if appender is None:
             appender = self._appenders[partition] = Appender(
-                log=self._log, partition=partition, writer=self._writer
+                log=self._log,
+                partition=partition,
+                writer=self._writer,
+                limits=self._limits,
             )
         record = IndexRecord(program=program, retention=retention)
         keyed = KeyedRecord(key=turn, value=encode_record(record))
--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -10,12 +10,13 @@
 from ..errors import Failure
 from ..ids import Offset, ProgramId, TurnId, WriterId
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition
+from .appender import DEFAULT_LIMITS, AppendLimits
 from .budgets import RELEASE_INTERVAL, Budgets
 from .holds import Hold
 from .index import TurnIndex
 from .partition import LedgerPartition
 from .partition_map import PartitionMap
-from .records import TurnRecord, encode_record
+from .records import TurnRecord, encode_record, turn_records
 from .reservation import Reservation
 from .split import BudgetSplit
 from .state import LedgerState
@@ -50,13 +51,17 @@
         partition_map: PartitionMap,
         turn_bytes: int = DEFAULT_TURN_BYTES,
         split: BudgetSplit | None = None,
+        limits: AppendLimits = DEFAULT_LIMITS,
     ) -> None:
+        self._limits = limits
         self.writer = WriterId(writer)
         self.partition_map = partition_map
         self._log = log
         self._turn_bytes = turn_bytes
         self._budgets = Budgets(writer=self.writer, split=split)
-        self._index = TurnIndex(log=log, partition_map=partition_map, writer=writer)
+        self._index = TurnIndex(
+            log=log, partition_map=partition_map, writer=writer, limits=limits
+        )
         # Ordered by last use, the most recent at the end.
         self._partitions: OrderedDict[Partition, LedgerPartition] = OrderedDict()
         self._last_used: dict[Partition, float] = {}
@@ -138,8 +143,15 @@
             produced=content.produced,
             base=content.base,
         )
-        keyed = KeyedRecord(key=terms.turn, value=encode_record(record))
-        await self.partition(terms.program).append(keyed, urgent=True)
+        partition = self.partition(terms.program)
+        await asyncio.gather(
+            *(
+                partition.append(
+                    KeyedRecord(key=key, value=encode_record(part)), urgent=True
+                )
+                for key, part in turn_records(terms.turn, record, self._limits.record)
+            )
+        )
 
     async def flush(self) -> None:
         """Write all queued records, and release what open turns don't need."""
@@ -178,6 +190,7 @@
                 partition=key,
                 make_state=self._make_state,
                 writer=self.writer,
+                limits=self._limits,
             )
         self._partitions.move_to_end(key)
         self._last_used[key] = asyncio.get_running_loop().time()
--- a/sequoiaarch/ledger/partition.py
+++ b/sequoiaarch/ledger/partition.py
@@ -10,7 +10,7 @@
 from ..errors import Failure
 from ..ids import Offset
 from ..storage.keyed import KeyedLog, KeyedRecord, LogGap, Partition
-from .appender import Appender
+from .appender import DEFAULT_LIMITS, Appender, AppendLimits
 from .state import LedgerState
 
 log = logbook.Logger("ledger")
@@ -26,6 +26,7 @@
         partition: Partition,
         make_state: Callable[[], LedgerState],
         writer: str,
+        limits: AppendLimits = DEFAULT_LIMITS,
     ) -> None:
         self._log = log
         self._partition = partition
@@ -35,7 +36,11 @@
         self._reading: asyncio.Task[bool] | None = None
         self._next_read: asyncio.Task[bool] | None = None
         self._appender = Appender(
-            log=log, partition=partition, writer=writer, on_appended=self._apply_own
+            log=log,
+            partition=partition,
+            writer=writer,
+            on_appended=self._apply_own,
+            limits=limits,
         )
 
     @property
--- a/sequoiaarch/ledger/records.py
+++ b/sequoiaarch/ledger/records.py
@@ -13,9 +13,9 @@
     """One turn of a program's history.
 
     `given` and `produced` are the exact bytes of its input and output as they appear in
-    later prompts; `retention` is in seconds. A turn without a parent may have a `base`:
-    a copy of the history that it continues from another program, whose own records are
-    removed when that program ends.
+    later prompts; `retention` is in seconds. A `base` comes before them: a part of a
+    turn that is larger than a record, or a copy of the history that the turn continues
+    from another program, whose own records are removed when that program ends.
     """
 
     program: ProgramId
@@ -59,6 +59,16 @@
 
 Record = TurnRecord | GrantRecord | IndexRecord
 
+# Separates the key of a turn from the number of a part of it. Callers' ids can't
+# contain it, as HTTP headers have no control characters.
+PART_SEPARATOR = "\x1f"
+# Maximum bytes of the ids of programs and turns, with their workspace. Keys have at
+# most 255, and add a writer or the number of a part.
+MAX_ID_BYTES = 230
+# Bytes of a record besides its content: three ids, each short enough for a key, and
+# their encoding.
+RECORD_OVERHEAD = 1024
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 
@@ -76,6 +86,36 @@
         return None
 
 
+def turn_records(
+    turn: TurnId, record: TurnRecord, max_bytes: int
+) -> list[tuple[TurnId, TurnRecord]]:
+    """Return the records of a turn, none of which exceeds a size in bytes.
+
+    A turn that is larger continues a chain of parts, each of which is a turn to its
+    readers, also to those of earlier builds.
+    """
+    limit = max_bytes - RECORD_OVERHEAD
+    if len(record.base) + len(record.given) + len(record.produced) <= limit:
+        return [(turn, record)]
+    content = record.base + record.given + record.produced
+    parent = record.parent
+    records: list[tuple[TurnId, TurnRecord]] = []
+    for start in range(0, len(content), limit):
+        last = start + limit >= len(content)
+        number = len(records) + 1
+        key = turn if last else TurnId(f"{turn}{PART_SEPARATOR}{number}")
+        part = msgspec.structs.replace(
+            record,
+            parent=parent,
+            given=b"",
+            produced=b"",
+            base=content[start : start + limit],
+        )
+        records.append((key, part))
+        parent = key
+    return records
+
+
 def grant_key(program: ProgramId, writer: WriterId) -> str:
     """Return the key of a writer's grant record."""
     return f"{program}/{writer}"
--- a/sequoiaarch/platform/settings.py
+++ b/sequoiaarch/platform/settings.py
@@ -12,6 +12,7 @@
 
 from ..ids import DataCentre, HostName
 from ..ingress.options import IngressOptions, StoreOptions
+from ..ledger.appender import DEFAULT_LIMITS, AppendLimits
 from ..workspaces.sliding_window import QuotaBounds
 from .structs import CamelStruct, split_address
 
@@ -26,6 +27,8 @@
 KEY_AGE_FRACTION = 0.95
 # Registrations expire after this many intervals without a heartbeat.
 SILENT_HEARTBEATS = 3
+# Bytes; a record holds a few ids besides its content.
+MIN_RECORD_BYTES = 4096
 # Digits of a capacity in cores: equal products of different factors stay equal.
 CAPACITY_DIGITS = 3
 
@@ -82,6 +85,10 @@
 class _Platform(CamelStruct, frozen=True):
     address: str
     parts: int = 12
+    record_bytes: Annotated[int, msgspec.Meta(ge=MIN_RECORD_BYTES)] = (
+        DEFAULT_LIMITS.record
+    )
+    call_bytes: Annotated[int, msgspec.Meta(ge=MIN_RECORD_BYTES)] = DEFAULT_LIMITS.call
 
 
 class _Settings(CamelStruct, frozen=True):
@@ -124,7 +131,12 @@
         place_programs=PRESSURE in settings.contracts,
         capacity=_capacity(settings.limits),
         store=StoreOptions(
-            address=(store_host, store_port), partitions=settings.platform.parts
+            address=(store_host, store_port),
+            partitions=settings.platform.parts,
+            limits=AppendLimits(
+                record=settings.platform.record_bytes,
+                call=settings.platform.call_bytes,
+            ),
         ),
     )
 
--- a/sequoiaarch/platform/store.py
+++ b/sequoiaarch/platform/store.py
@@ -24,6 +24,10 @@
 log = logbook.Logger("store")
 
 FRAME_LENGTH_BYTES = 4
+# The length of a key takes one byte.
+MAX_KEY_BYTES = 255
+# Statuses of calls that the store never carries out, however often they are repeated.
+PERMANENT_STATUSES = {400: ErrorKind.MALFORMED, 413: ErrorKind.TOO_LARGE}
 PAGE_HEADER_BYTES = 16
 MAX_READ_KIB = 1024
 # Seconds; well above the response time of a slow store.
@@ -61,6 +65,10 @@
         self, partition: Partition, records: list[KeyedRecord], *, writer: Writer
     ) -> Offset | Failure:
         """Append all records or none; return the offset of the first."""
+        too_long = [record for record in records if not _has_valid_key(record)]
+        if too_long:
+            reason = f"a key of {len(too_long[0].key.encode())} bytes is too long"
+            return Failure(kind=ErrorKind.MALFORMED, reason=reason)
         call = _append_call(
             partition,
             records,
@@ -72,7 +80,9 @@
         if isinstance(reply, Failure):
             return reply
         if reply.status != 200:
-            return _unexpected_status(call, reply)
+            kind = PERMANENT_STATUSES.get(reply.status, ErrorKind.LOG_UNAVAILABLE)
+            failure = _unexpected_status(call, reply)
+            return msgspec.structs.replace(failure, kind=kind)
         try:
             return Offset(msgspec.json.decode(reply.body, type=_Appended).offset)
         except ValueError as error:
@@ -167,6 +177,10 @@
     )
 
 
+def _has_valid_key(record: KeyedRecord) -> bool:
+    return len(record.key.encode()) <= MAX_KEY_BYTES
+
+
 def _frame(record: KeyedRecord) -> bytes:
     key = record.key.encode()
     content = bytes([len(key)]) + key + record.value
--- a/sequoiaarch/standins/keyed_store.py
+++ b/sequoiaarch/standins/keyed_store.py
@@ -68,6 +68,8 @@
         self._appended = asyncio.Condition()
         self.appends = 0
         self.listings = 0
+        # Larger records are refused; None for no limit.
+        self.record_bytes: int | None = None
 
     def client(self) -> KeyedStoreClient:
         """Create a client without faults."""
@@ -100,6 +102,9 @@
         self, partition: Partition, records: list[KeyedRecord], writer: Writer
     ) -> Offset | Failure:
         """Append once per sequence number, and reject older epochs and gaps."""
+        largest = max(len(record.value) for record in records)
+        if self.record_bytes is not None and largest > self.record_bytes:
+            return Failure(kind=ErrorKind.TOO_LARGE, reason=f"{largest} bytes")
         producer = self._topics[partition].producers[writer.name]
         if writer.epoch < producer.epoch:
             return _failure("fenced")
--- a/sequoiaarch/tests/platform/store_tests.py
+++ b/sequoiaarch/tests/platform/store_tests.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from ...errors import Failure
+from ...errors import ErrorKind, Failure
 from ...ids import Offset
 from ...platform.store import PlatformLog
 from ...storage.direct import DirectClient
@@ -54,6 +54,14 @@
         self.assertEqual(page.records, records)
         self.assertEqual((page.next, page.end), (2, 2))
 
+    async def test_key_is_too_long(self) -> None:
+        """A key that the format can't hold ends all writing to its partition."""
+        for size, stored in ((255, True), (256, False)):
+            result = await self.append(0, KeyedRecord(key="k" * size, value=b"v"))
+            self.assertEqual(not isinstance(result, Failure), stored)
+            if isinstance(result, Failure):
+                self.assertIs(result.kind, ErrorKind.MALFORMED)
+
     async def test_repeated_append(self) -> None:
         """Get the same offset for a repeated append."""
         record = KeyedRecord(key="k", value=b"v")
