Refuse ids that the key of a record can't hold

An id of 243 bytes or more made a key that the store's format can't hold. The program's turns ran and never ended, and nothing else was written to its partition. Ids of programs and turns with more than 230 bytes, with their workspace, are refused as malformed before anything is reserved. test_ids_that_are_too_long fails on the code before.

--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -12,6 +12,7 @@
 from ..http1.server_connection import ResponseWriter
 from ..ids import TurnId
 from ..ledger.ledger import Ledger
+from ..ledger.records import MAX_ID_BYTES
 from ..ledger.terms import BudgetVerdict, LookupFailure, TurnStart, TurnTerms
 from ..ledger.turns import OpenTurn, TurnEngine, TurnRefusal, Turns
 from ..observe.request_metrics import RequestMetrics
@@ -184,6 +185,8 @@
         """Reserve tokens for the turn and load its history; raises FailureError."""
         route, info = self._route, self._info
         workspace = self._caller.workspace
+        _check_length(scoped(workspace, TurnId(info.attempt)), "attempt")
+        _check_length(self._program, "program")
         remaining = self._deadline - asyncio.get_running_loop().time()
         start = TurnStart(
             terms=TurnTerms(
@@ -486,6 +489,14 @@
     return f"placed on {engine.home} by {engine.placed_by}"
 
 
+def _check_length(name: str, kind: str) -> None:
+    """Raise FailureError if an id is too long for the key of a record."""
+    size = len(name.encode())
+    if size > MAX_ID_BYTES:
+        reason = f"the id of the {kind} has {size} bytes, at most {MAX_ID_BYTES} are"
+        raise fail(ErrorKind.MALFORMED, f"{reason} allowed")
+
+
 def _turn_failure(refusal: TurnRefusal, previous: TurnId | None) -> FailureError:
     if refusal is BudgetVerdict.EXCEEDED:
         return fail(ErrorKind.BUDGET_EXHAUSTED, "the budget of the program is used up")
--- a/sequoiaarch/tests/platform/end_to_end_tests.py
+++ b/sequoiaarch/tests/platform/end_to_end_tests.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from ...ids import ServiceName
+from ...ledger.records import MAX_ID_BYTES
 from ...ledger.terms import TurnContent
 from ...ledger.turns import LocalTurn
 from ...policies.retries import RETRY_BURST, RETRY_RATIO
@@ -208,6 +209,19 @@
 class TurnTests(DeploymentTestCase):
     """Run turns of programs."""
 
+    async def test_ids_that_are_too_long(self) -> None:
+        """An id that no key can hold stops the writing of other programs' turns."""
+        await self.add_target("i-1", ENGINES, stream_answer)
+        daemon = await self.add_daemon("one")
+        for size, status in ((MAX_ID_BYTES, 200), (MAX_ID_BYTES + 1, 400), (4000, 400)):
+            answer = await self.turn(daemon, b"in", program="p" * size)
+            self.assertEqual(answer.status, status)
+            answer = await self.turn(daemon, b"in", attempt="a" * size)
+            self.assertEqual(answer.status, status)
+        self.assertIn(b"the id of the attempt has 4000 bytes", answer.body)
+        answer = await self.turn(daemon, b"in", program="p" * 100)
+        self.assertEqual((answer.status, answer.complete), (200, True))
+
     async def test_turns_alternate_between_daemons(self) -> None:
         """Send the complete prompt to the target for turns at alternating daemons.
 
