Copy the history that a program continues from another one of its partition

A program that continues another one's conversation copies it, as the other's records are removed when that ends. If both lay in one partition, about one pair in 960, the history counted as the program's own and was only referred to: its beginning was lost with the other program, and its turns were refused from then on. Whether a turn is the program's own is now told by its record.

test_history_of_another_program_in_the_same_partition fails on the code before.

--- a/sequoiaarch/ledger/ledger.py
+++ b/sequoiaarch/ledger/ledger.py
@@ -99,7 +99,9 @@
         """
         result = await self._history_in(program, turn)
         if isinstance(result, bytes):
-            return History(prompt=result, own=True)
+            # Several programs share a partition, and each is removed by itself.
+            known = self.partition(program).state.program_of(turn)
+            return History(prompt=result, own=known == program)
         if result is LookupFailure.UNCERTAIN:
             return result
         owner = await self._index.find(turn)
--- a/sequoiaarch/ledger/state.py
+++ b/sequoiaarch/ledger/state.py
@@ -185,6 +185,10 @@
         """Return whether a program has any record."""
         return program in self._programs
 
+    def program_of(self, turn: TurnId) -> ProgramId | None:
+        """Return the program of a known turn."""
+        return self._program_of.get(turn)
+
     def has_turn(self, turn: TurnId) -> bool:
         """Return whether a turn is known."""
         return turn in self._turns
--- a/sequoiaarch/tests/ledger/large_turns_tests.py
+++ b/sequoiaarch/tests/ledger/large_turns_tests.py
@@ -68,6 +68,23 @@
         result = await two.history(OTHER, TurnId("t2"))
         self.assertEqual(prompt(result), GIVEN + PRODUCED + b"next")
 
+    async def test_history_of_another_program_in_the_same_partition(self) -> None:
+        """A history loses its beginning when another program is removed."""
+        one = await self.ledger("one")
+        partition = one.partition(PROGRAM)
+        same = next(
+            program
+            for program in (ProgramId(f"other-{number}") for number in range(10_000))
+            if one.partition(program) is partition
+        )
+        await self.commit(one, "t1", None, b"in", b"out")
+        found = await one.history(same, TurnId("t1"))
+        own = await one.history(PROGRAM, TurnId("t1"))
+        self.assertEqual(prompt(found), b"inout")
+        self.assertEqual(
+            [getattr(found, "own", None), getattr(own, "own", None)], [False, True]
+        )
+
 
 class RejectedRecordTests(LedgerTestCase):
     """Append records of which the log never takes some."""
