Deliver what was written before a planned stop ends

A gateway waited until its handlers had passed their answers to the kernel, and then reset all connections; the kernel drops what it still holds for a connection that is reset.

A stop now waits for connections of which callers still take bytes, by the transport's buffer and the kernel's queue, within the grace less its margin. A caller that has taken nothing for 2 s does not hold it up. Connections with whole responses are then closed in order, so that the kernel delivers the rest; a reset is for responses that are not whole. A connection whose last answer was given, also before a long body was read, is closed once its caller makes no progress, not 1 s later in any case.

Responses through the sidecar and the stand-alone gateway (webserver.py) were not looked at.

--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -8,6 +8,9 @@
 from .memory import HeldMemory
 from .server_connection import Handler, ServerConnection, ServerLimits
 
+# Seconds between checks whether all responses are delivered.
+DRAIN_INTERVAL = 0.05
+
 
 class Server:
     """HTTP/1.1 server that passes each request to one handler."""
@@ -58,6 +61,11 @@
         for connection in list(self.connections):
             connection.close_idle()
 
+    def finish(self) -> None:
+        """Close all connections, and reset those with a response that isn't whole."""
+        for connection in list(self.connections):
+            connection.finish()
+
     def abort(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
@@ -66,13 +74,15 @@
     async def wait_drained(
         self, timeout: float, *, other_work: Callable[[], bool] = lambda: False
     ) -> bool:
-        """Wait until no request is open and `other_work` is false.
+        """Wait until all responses are delivered and `other_work` is false.
 
         Return False if that takes longer than `timeout` seconds.
         """
         deadline = asyncio.get_running_loop().time() + timeout
-        while any(connection.busy for connection in self.connections) or other_work():
+        while other_work() or any(
+            connection.busy or connection.delivering for connection in self.connections
+        ):
             if asyncio.get_running_loop().time() > deadline:
                 return False
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(DRAIN_INTERVAL)
         return True
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -13,7 +13,7 @@
 
 from .memory import HeldBytes, HeldMemory
 from .messages import Headers, RequestMessage, ResponseHead, find_header
-from .sockets import detect_dead_peer, reset_on_close
+from .sockets import detect_dead_peer, reset_on_close, undelivered_bytes
 
 log = logbook.Logger("http")
 
@@ -23,7 +23,11 @@
 # Bytes of a response body that are written at once. The transport copies what the
 # socket doesn't accept, so a whole body would be held twice.
 WRITE_BYTES = 64 * 1024
+# Seconds for a client to close its side after the last response, or to send anything.
 CLOSE_TIMEOUT = 1.0
+# Seconds without progress after which a client counts as not reading. Small windows are
+# opened in steps.
+STALL_TIMEOUT = 2.0
 # Seconds after which to retry a request whose body can't be held. Most open requests
 # end sooner.
 MEMORY_RETRY_AFTER = 1.0
@@ -172,6 +176,10 @@
         self._counted_received = 0
         self._task: asyncio.Task[None] | None = None
         self._handling: asyncio.Task[None] | None = None
+        # Bytes written and not delivered when that was last looked at, and the time
+        # since when they are as many.
+        self._undelivered = 0
+        self._undelivered_since = 0.0
 
     @property
     def closing(self) -> bool:
@@ -183,6 +191,27 @@
         """Return whether a request is being received or handled."""
         return self._request_open or bool(self._received)
 
+    @property
+    def undelivered(self) -> int:
+        """Return how many written bytes the client has not taken."""
+        transport = self._transport
+        if transport is None or transport.get_extra_info("socket").fileno() < 0:
+            return 0
+        kernel = undelivered_bytes(transport.get_extra_info("socket"))
+        return transport.get_write_buffer_size() + kernel
+
+    @property
+    def delivering(self) -> bool:
+        """Return whether the client is still taking what was written for it.
+
+        A client that has taken nothing for `STALL_TIMEOUT` does not count.
+        """
+        now = asyncio.get_running_loop().time()
+        undelivered = self.undelivered
+        if undelivered != self._undelivered:
+            self._undelivered, self._undelivered_since = undelivered, now
+        return undelivered > 0 and now < self._undelivered_since + STALL_TIMEOUT
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection."""
         self._transport = cast(asyncio.Transport, transport)
@@ -252,6 +281,16 @@
             reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
 
+    def finish(self) -> None:
+        """Close the connection; the kernel delivers a whole response that it holds."""
+        transport = self._transport
+        if transport is None:
+            return
+        if self.busy or transport.get_write_buffer_size():
+            self.abort()
+        else:
+            transport.abort()
+
     def _close_for_memory(self) -> None:
         self.closed_for_memory = True
         self.abort()
@@ -446,18 +485,25 @@
         # Closing with unread bytes resets the connection, and the client may see
         # the reset before the response. So read until the client closes.
         self._transport.write_eof()
-        try:
-            async with asyncio.timeout(CLOSE_TIMEOUT):
-                while not self._client_gone:
-                    self._received.clear()
-                    self._count_received()
-                    self._changed.clear()
-                    await self._changed.wait()
-        except TimeoutError:
-            pass
+        while not await self._client_closes() and self._transport is not None:
+            if not self.delivering:
+                break
         if self._transport is not None:
             self._transport.abort()
 
+    async def _client_closes(self) -> bool:
+        """Discard what arrives; return False if nothing arrives for a time."""
+        while not self._client_gone:
+            self._received.clear()
+            self._count_received()
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(CLOSE_TIMEOUT):
+                    await self._changed.wait()
+            except TimeoutError:
+                return False
+        return True
+
 
 def _body_rejected() -> _RequestRejected:
     """Return the rejection of a request whose body can't be held.
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import socket
 import struct
+import termios
 
 # A peer can vanish without a reset. These timeouts close such a connection within
 # about two seconds, instead of at the deadline of its request. A stream that waits for
@@ -28,6 +31,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def undelivered_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the peer has not acknowledged; 0 if unknown."""
+    size = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock, termios.TIOCOUTQ, size)
+    except OSError:
+        return 0
+    return size[0]
+
+
 def reset_on_close(sock: socket.socket) -> None:
     """Make a close send a reset (RST) instead of an orderly end (FIN)."""
     linger = struct.pack("ii", 1, 0)
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -317,7 +317,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in (self.front, self._ready):
             server.stop_accepting()
-            server.abort()
+            server.finish()
         self.dispatcher.pool.close()
         await self.ledger.close()
 
