Restart background tasks that fail, and skip records that can't be applied

One registration of another writer, with 1,500 nested lists in an unknown field, ended the reader of registrations at every gateway without a log line (RecursionError is no ValueError). None served again after a restart of all.

Background tasks of a gateway run under one supervisor: a failure is logged with its cause, counted (state task_failures), and the task starts again after a pause that grows from 0.1 to 5 s. A gateway with a task that has failed three times in a row says that it is not ready. A record that can't be applied is logged with its offset and skipped, so that it doesn't hide those behind it. Decoders of registrations, configuration, gateways, claims, kept records and messages of peers take a RecursionError for an invalid record.

test_deeply_nested_records ended with an error on the code before: no gateway got ready. Tasks that are started for one request, the reader of the appender and the stand-alone product's tasks are not supervised; fuzzing covers registrations and configuration as before, not the other decoders.

--- a/sequoiaarch/fleet/claims.py
+++ b/sequoiaarch/fleet/claims.py
@@ -107,7 +107,7 @@
             return
         try:
             decoded: LenderRecord = msgspec.json.decode(record.value, type=LenderRecord)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             log.warning("cannot decode claim {}: {}", record.key, error)
             return
         if isinstance(decoded, CarriedRecord):
--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
 
 import logbook
 import msgspec
 
+from ..background import Factory
 from ..ids import (
     DataCentre,
     HostName,
@@ -224,22 +224,29 @@
         """Return how many turns of other gateways are open here."""
         return self._server.open_turns
 
-    def background_tasks(
-        self, retention: Callable[[], float]
-    ) -> list[Coroutine[Any, Any, None]]:
-        """Return the coroutines that run for ever.
+    def background_tasks(self, retention: Callable[[], float]) -> list[Factory]:
+        """Return the coroutine functions of the background tasks.
 
         `retention` returns the longest retention of any turn, in seconds.
         """
         return [
-            *(follower.follow() for follower in self._followers),
-            self._peers.register(self._log, self._writer),
-            self._claimer.run(self._log, retention),
-            self._registration_check.run(),
-            self._mark_settled(),
-            self.placements.run(),
+            *(follower.follow for follower in self._followers),
+            self._register,
+            self._claim_slots(retention),
+            self._registration_check.run,
+            self._mark_settled,
+            self.placements.run,
         ]
 
+    async def _register(self) -> None:
+        await self._peers.register(self._log, self._writer)
+
+    def _claim_slots(self, retention: Callable[[], float]) -> Factory:
+        async def claim_slots() -> None:
+            await self._claimer.run(self._log, retention)
+
+        return claim_slots
+
     async def answer(self, request: Request, send: Send) -> Reply:
         """Handle a request of another gateway."""
         if isinstance(request, LendRequest | SettleRequest):
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -373,7 +373,7 @@
         return None
     try:
         return msgspec.json.decode(record.value, type=PeerRecord)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         log.warning("cannot decode registration of {}: {}", record.key, error)
         return None
 
--- a/sequoiaarch/ingress/configuration.py
+++ b/sequoiaarch/ingress/configuration.py
@@ -55,7 +55,7 @@
             return
         try:
             routes = self._sources.decode_routes(record.value)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             log.error("configuration can't be read, ignoring it: {}", error)
             return
         if self._version is not None and routes.version <= self._version:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -8,11 +8,11 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 import logbook
 
+from ..background import BackgroundTasks, Factory
 from ..fleet.fleet import Fleet, PlacementOptions, QuotaOptions
 from ..fleet.peers import Peers
 from ..fleet.placement_service import PlacementService
@@ -222,21 +222,21 @@
             age=self.targets.age,
             drain_time=options.drain_time,
         )
-        self._background: list[Coroutine[Any, Any, None]] = [
-            configuration.follow(),
-            self._targets_follower.follow(),
-            self.ledger.run_trim(),
-            self.ledger.run_release(),
-            sweeper.run(),
-            self.dispatcher.pool.run_close_expired(),
-            self.dispatcher.load.watch(),
+        self.background = BackgroundTasks()
+        self._background: list[Factory] = [
+            configuration.follow,
+            self._targets_follower.follow,
+            self.ledger.run_trim,
+            self.ledger.run_release,
+            sweeper.run,
+            self.dispatcher.pool.run_close_expired,
+            self.dispatcher.load.watch,
         ]
         if events is not None:
-            self._background.append(events.run())
+            self._background.append(events.run)
         if self._fleet is not None:
             self._background += self._fleet.background_tasks(self._longest_retention)
         self._stopping = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def ready(self) -> bool:
@@ -246,6 +246,7 @@
             and len(self.targets) > 0
             and self.dispatcher.store_reachable()
             and not self._stopping.is_set()
+            and self.background.sound
         )
 
     async def run(self) -> None:
@@ -278,7 +279,7 @@
         """Start listening and the background tasks."""
         await self._ready.start(*self._options.ready)
         await self.front.start(*self._options.front)
-        self._tasks = [asyncio.create_task(coroutine) for coroutine in self._background]
+        self.background.start(self._background)
         log.info("started as {}, writer {}", self._options.host, self.ledger.writer)
 
     async def stop(self) -> None:
@@ -312,9 +313,7 @@
 
     async def close(self) -> None:
         """Cancel all tasks and close all connections."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.background.stop()
         for server in (self.front, self._ready):
             server.stop_accepting()
             server.finish()
@@ -375,6 +374,7 @@
             "held_bytes": float(self.memory.total),
             "held_bytes_largest": float(self.memory.largest),
             "closed_for_memory": float(self.memory.closed),
+            "task_failures": float(self.background.failures.total()),
         }
         if self._fleet is not None:
             state["loans_lent"] = float(self._fleet.loans.loans_lent)
--- a/sequoiaarch/ledger/records.py
+++ b/sequoiaarch/ledger/records.py
@@ -82,7 +82,7 @@
     """Return the decoded record; None if the bytes are not a valid record."""
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
 
 
--- a/sequoiaarch/routing/follower.py
+++ b/sequoiaarch/routing/follower.py
@@ -38,6 +38,8 @@
 RETRY_INTERVAL = 0.2
 # A read that takes this much longer than it may wait is logged. Seconds.
 SLOW_READ_SECONDS = 0.5
+# Characters of a key in a log line.
+MAX_KEY_SHOWN = 80
 
 Answer = KeyedPage | NewestRecords | LogGap
 
@@ -234,6 +236,18 @@
         if seconds > self._wait + SLOW_READ_SECONDS:
             log.info("a read of topic {} took {:.2f} s", self._partition.topic, seconds)
 
+    def _apply_record(self, record: ListedRecord) -> None:
+        """Apply a record; one that can't be applied must not hide those behind it."""
+        try:
+            self._apply(record)
+        except Exception:
+            log.exception(
+                "record {!r} at offset {} of topic {} is skipped",
+                record.key[:MAX_KEY_SHOWN],
+                record.offset,
+                self._partition.topic,
+            )
+
     def _apply_answer(self, answer: Answer) -> None:
         if isinstance(answer, NewestRecords):
             self._replace(answer.records)
@@ -242,7 +256,7 @@
             return
         assert isinstance(answer, KeyedPage)
         for number, record in enumerate(answer.records, answer.start):
-            self._apply(
+            self._apply_record(
                 ListedRecord(key=record.key, value=record.value, offset=Offset(number))
             )
         self._cursor = answer.next
--- a/sequoiaarch/routing/registrations.py
+++ b/sequoiaarch/routing/registrations.py
@@ -59,13 +59,13 @@
         """Return the target of a registration, or None if it is invalid."""
         try:
             entry = self._decode(record.key, record.value)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             self._report(record.key, error)
             return None
         self._reported.pop(record.key, None)
         return entry
 
-    def _report(self, key: str, error: ValueError) -> None:
+    def _report(self, key: str, error: Exception) -> None:
         if key in self._reported:
             return
         log.error("registration {!r} is invalid: {}", key, error)
--- a/sequoiaarch/tests/platform/external_records_tests.py
+++ b/sequoiaarch/tests/platform/external_records_tests.py
@@ -21,7 +21,14 @@
 from ...routing.targets import Targets
 from ...storage.calls import StoreCall, StoreReply
 from ...storage.keyed import ListedRecord, Partition
-from .deployment import TOOLS, DeploymentTestCase, registration, tool_answer
+from .deployment import (
+    ROUTES,
+    TOOLS,
+    DeploymentTestCase,
+    config,
+    registration,
+    tool_answer,
+)
 
 PARTITION = Partition(topic="keyed.servers", number=0)
 VALID = registration("engines", "10.1.2.3:8080")
@@ -218,6 +225,21 @@
         await asyncio.sleep(0.4)
         await self.check_served("two")
 
+    async def test_deeply_nested_records(self) -> None:
+        """A record of many nested lists ends the reader of its topic for good."""
+        await self.add_target("i-good", TOOLS, tool_answer)
+        await self.add_daemon("one")
+        nested = b'{"x":' + b"[" * 1500 + b"]" * 1500 + b"}"
+        await self.write_registration("i-nested", nested)
+        await self.store.put("keyed.op", "config", nested)
+        await asyncio.sleep(0.4)
+        await self.register("i-good", TOOLS, "draining")
+        await self.add_target("i-other", TOOLS, tool_answer)
+        await asyncio.sleep(0.5)
+        await self.store.put("keyed.op", "config", config(2, ROUTES))
+        await self.check_served("two")
+        self.assertEqual(self.targets["i-good"].exchanges, [])
+
     async def test_invalid_registration_replaces_valid_one(self) -> None:
         """Remove a target when its newest registration is invalid.
 
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -708,7 +708,7 @@
     """Decode a request; return None for any other bytes."""
     try:
         return _REQUESTS.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
 
 
@@ -716,5 +716,5 @@
     """Decode a reply; return None for any other bytes."""
     try:
         return _REPLIES.decode(data)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
