Send answers of the soak's targets again, without their attempt

The soak's additional answers came at once and with another attempt, so it could not see that one without an attempt counted as the answer to the next request. Each 25th answer is now sent again on its connection, ahead of the next one and without the attempt. Planted: a gateway that believes any response; WHOLE is reported.

--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -14,6 +14,7 @@
 from ....fleet.placement_service import PlacementService, RefusedBy
 from ....fleet.program_table import ProgramTable
 from ....fleet.stream_origins import SharedOrigins
+from ....http1.client import ClientConnection
 from ....http1.messages import ExchangeError
 from ....ids import HostName, LoanId, ProgramId
 from ....ingress import daemon
@@ -162,6 +163,16 @@
     setattr(ListAge, "state", ListState.RECENT)  # noqa: B010
 
 
+def believes_any_response() -> None:
+    """Take the next response on a connection for that of the open request."""
+
+    async def read_next_head(self: Attempts, connection: ClientConnection) -> Any:
+        head = await connection.read_head()
+        return head, self._dispatcher.codec.read_response(head)
+
+    setattr(Attempts, "_read_own_head", read_next_head)  # noqa: B010
+
+
 def stops_at_once() -> None:
     """Stop on SIGTERM without finishing open requests."""
 
@@ -273,6 +284,7 @@
         ignores_removals,
         trusts_clocks,
         reads_targets_seldom,
+        believes_any_response,
         stops_at_once,
         keeps_keys,
         hands_out_everything,
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -6,6 +6,7 @@
 import json
 import random
 from enum import Enum
+from weakref import WeakKeyDictionary
 
 from ....standins.keyed_store import KeyedStore
 from ....standins.target import (
@@ -29,6 +30,9 @@
 FIRST_VERSION = "v1"
 # Seconds until gateways that reach the store know of a registration.
 KNOWN_SECONDS = 1.0
+# One in this many answers is sent again, without its attempt, ahead of the next one on
+# its connection.
+LATE_EVERY = 25
 HEARTBEAT_SECONDS = 1.2
 # Start time of a target that has not started again. Milliseconds.
 FIRST_BORN = 1_000_000
@@ -87,6 +91,9 @@
         self._left_at: float | None = None
         self._heartbeats: asyncio.Task[None] | None = None
         self._replaced_at = 0.0
+        self._answers = 0
+        # Answers to send again, by the connection.
+        self._late: WeakKeyDictionary[asyncio.StreamWriter, bytes] = WeakKeyDictionary()
         self._stand_in = TargetStandIn(behaviour=self._behave)
 
     async def start(self) -> None:
@@ -170,6 +177,10 @@
 
     async def _behave(self, exchange: TargetExchange) -> None:
         attempt = attempt_of(exchange)
+        late = self._late.pop(exchange.writer, None)
+        if late is not None:
+            self._checker.counts["answers sent again"] += 1
+            exchange.send(late)
         expected_instance = (
             exchange.request.header(b"x-expect-instance") or b""
         ).decode()
@@ -225,6 +236,10 @@
             exchange.send(chunk(b""))
         else:
             exchange.send(whole_answer(f"done {attempt}".encode(), headers=headers))
+        self._answers += 1
+        if self._answers % LATE_EVERY == 0:
+            again = whole_answer(f"done {attempt}".encode(), headers=headers[1:])
+            self._late[exchange.writer] = again
         if fault is TargetFault.EXTRA_ANSWER:
             extra_headers = (("X-Attempt-Id", "other"), ("X-Server-Stamp", "other"))
             exchange.send(whole_answer(b"another's", headers=extra_headers))
--- a/sequoiaarch/tests/platform/soak_tests.py
+++ b/sequoiaarch/tests/platform/soak_tests.py
@@ -93,6 +93,11 @@
         self.assertIn("VERSION", self.violated(planted.resumes_anywhere))
         self.assertIn("RESUMED", self.violated(planted.forgets_streams))
 
+    def test_planted_response_fault_is_caught(self) -> None:
+        """Report answers to other requests."""
+        reports = self.violations(planted.believes_any_response, leaving_only=True)
+        self.assertIn("WHOLE", {text.split(":")[0] for text in reports})
+
     def test_planted_leaving_faults_are_caught(self) -> None:
         """Report requests at leaving targets, whichever way it was not learned."""
         reports = self.violations(
@@ -116,6 +121,7 @@
         report = run(plan, print_log_tails)
         self.assertEqual(report.broken, [])
         self.assertGreater(report.counts["requests at leaving targets"], 0)
+        self.assertGreater(report.counts["answers sent again"], 0)
 
     def violated(
         self, *faults: Callable[[], None], placements: bool = False
