--- a/sequoiaarch/bench/__main__.py
+++ b/sequoiaarch/bench/__main__.py
@@ -6,6 +6,7 @@
 
 from .compare import ARRIVAL_WINDOW, DEPLOYMENTS, EXPERIMENTS, LOADS, run_all, run_one
 from .cost import MEASUREMENTS, run_cost
+from .large_turns import measure_large_turns
 from .soak import run_soak
 
 
@@ -27,6 +28,12 @@
 )
 
 
+@main.command()
+def large_turns() -> None:
+    """Measure turns that continue a long history of another program."""
+    measure_large_turns()
+
+
 @main.command()
 @LOADS_OPTION
 @WINDOW_OPTION
