--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ....background import BackgroundTasks, Factory
 from ....errors import ErrorKind, fail
 from ....fleet.delegated_turn import DelegatedTurn
 from ....fleet.delegates import DelegatedTurns
@@ -30,9 +31,12 @@
 from ....platform.headers import PlatformCallCodec
 from ....policies.program_placement import ProgramDemand
 from ....policies.stream_origins import StreamKeys
+from ....routing.follower import TopicFollower
 from ....routing.list_age import ListAge, ListState
+from ....routing.registrations import Registrations
 from ....routing.routes import RouteTable
-from ....routing.targets import Targets
+from ....routing.targets import TargetEntry, Targets
+from ....storage.keyed import KeyedRecord, ListedRecord
 from ....workspaces.access import Access, Caller
 from ....workspaces.sliding_window import ShareWindow
 from .burst_callers import BURST_CALLERS
@@ -163,6 +167,23 @@
     setattr(ListAge, "state", ListState.RECENT)  # noqa: B010
 
 
+def dies_of_bad_records() -> None:
+    """End the reader of a topic with a record that can't be decoded."""
+
+    def entry(self: Registrations, record: KeyedRecord) -> TargetEntry:
+        return self._decode(record.key, record.value)
+
+    def apply_record(self: TopicFollower, record: ListedRecord) -> None:
+        self._apply(record)
+
+    async def run_once(self: BackgroundTasks, factory: Factory) -> None:
+        await factory()
+
+    setattr(Registrations, "_entry", entry)  # noqa: B010
+    setattr(TopicFollower, "_apply_record", apply_record)  # noqa: B010
+    setattr(BackgroundTasks, "_keep_running", run_once)  # noqa: B010
+
+
 def believes_any_response() -> None:
     """Take the next response on a connection for that of the open request."""
 
@@ -284,6 +305,7 @@
         ignores_removals,
         trusts_clocks,
         reads_targets_seldom,
+        dies_of_bad_records,
         believes_any_response,
         stops_at_once,
         keeps_keys,
--- a/sequoiaarch/tests/platform/soak/run.py
+++ b/sequoiaarch/tests/platform/soak/run.py
@@ -12,6 +12,7 @@
 
 from ....standins.keyed_store import KeyedStore
 from ..deployment import ENGINES, ROUTES, TOOLS, config, route
+from .bad_records import BadRecords
 from .burst_callers import BURST_CALLERS, BurstCaller
 from .callers import Caller, Conversation, KeepAliveCaller
 from .faults import FaultInjector
@@ -189,6 +190,8 @@
             rng=self._fresh_rng(),
         )
 
+        self._bad_records = BadRecords(store=self._store, rng=self._fresh_rng())
+
     async def run(self) -> Report:
         """Run callers and faults, check the state without faults, and report."""
         try:
@@ -206,6 +209,7 @@
                 *(caller.run(until) for caller in self._resuming_callers),
                 self._leaving_targets.run(until - FAULT_FREE_SECONDS),
                 self._silent_connections.run(until - FAULT_FREE_SECONDS),
+                self._bad_records.run(until - FAULT_FREE_SECONDS),
             )
             await self._check_end()
             if self._plan.placements:
@@ -230,6 +234,7 @@
                         + self._releases.counts
                         + self._leaving_targets.counts
                         + self._silent_connections.counts
+                        + self._bad_records.counts
                     ).items()
                 )
             ),
--- a/sequoiaarch/tests/platform/soak/targets.py
+++ b/sequoiaarch/tests/platform/soak/targets.py
@@ -20,6 +20,7 @@
 from .property_checker import PropertyChecker, TargetRun
 from .proxy import LOOPBACK
 
+TOPIC = "keyed.servers"
 MAX_EVENTS = 6
 MAX_TOKENS = MAX_EVENTS * EVENT_TOKENS
 EVENT_SECONDS = 0.01
@@ -131,7 +132,7 @@
         self._left_at = None
         self._state = "ready"
         if previous:
-            await self._store.put("keyed.servers", previous, b"")
+            await self._store.put(TOPIC, previous, b"")
         await self._register()
 
     async def restart(self, clock_step: int) -> None:
@@ -149,7 +150,7 @@
     async def remove(self) -> None:
         """Remove the registration of this instance, which serves on."""
         self._state = None
-        await self._store.put("keyed.servers", self._instance, b"")
+        await self._store.put(TOPIC, self._instance, b"")
         self._left_at = asyncio.get_running_loop().time()
 
     async def _send_heartbeats(self) -> None:
@@ -173,7 +174,7 @@
         if self._slots != UNLIMITED_SLOTS:
             entry["slots"] = self._slots
         value = json.dumps(entry).encode()
-        await self._store.put("keyed.servers", self._instance, value)
+        await self._store.put(TOPIC, self._instance, value)
 
     async def _behave(self, exchange: TargetExchange) -> None:
         attempt = attempt_of(exchange)
--- a/sequoiaarch/tests/platform/soak_tests.py
+++ b/sequoiaarch/tests/platform/soak_tests.py
@@ -98,6 +98,11 @@
         reports = self.violations(planted.believes_any_response, leaving_only=True)
         self.assertIn("WHOLE", {text.split(":")[0] for text in reports})
 
+    def test_planted_reader_fault_is_caught(self) -> None:
+        """Report a gateway that serves on by what it read before a bad record."""
+        reports = self.violations(planted.dies_of_bad_records, leaving_only=True)
+        self.assertIn("BACK", {text.split(":")[0] for text in reports})
+
     def test_planted_leaving_faults_are_caught(self) -> None:
         """Report requests at leaving targets, whichever way it was not learned."""
         reports = self.violations(
