--- a/sequoiaarch/tests/platform/soak_tests.py
+++ b/sequoiaarch/tests/platform/soak_tests.py
@@ -39,7 +39,38 @@
         print(f"{log.name}:", *lines, sep="\n")
 
 
-class SoakTests(unittest.TestCase):
+class SoakTestCase(unittest.TestCase):
+    """Run seeds with planted faults."""
+
+    def violated(
+        self, *faults: Callable[[], None], placements: bool = False
+    ) -> set[str]:
+        """Return the properties that a run with planted faults violates."""
+        reports = self.violations(*faults, placements=placements)
+        return {text.split(":")[0] for text in reports}
+
+    def violations(
+        self,
+        *faults: Callable[[], None],
+        placements: bool = False,
+        leaving_only: bool = False,
+    ) -> list[str]:
+        """Return what a run with planted faults reports."""
+        names = ",".join(fault.__name__ for fault in faults)
+        plan = Plan(
+            seed=1,
+            seconds=LEAVING_SECONDS if leaving_only else SECONDS,
+            link_seconds=0.0,
+            gateways=GATEWAYS,
+            module=PLANTED_MODULE,
+            placements=placements,
+            leaving_only=leaving_only,
+        )
+        with mock.patch.dict(os.environ, {planted.FAULT_VARIABLE: names}):
+            return run(plan).broken
+
+
+class SoakTests(SoakTestCase):
     """Run gateway processes under faults."""
 
     def test_short_seed(self) -> None:
@@ -93,6 +124,10 @@
         self.assertIn("VERSION", self.violated(planted.resumes_anywhere))
         self.assertIn("RESUMED", self.violated(planted.forgets_streams))
 
+
+class LeavingSoakTests(SoakTestCase):
+    """Run gateway processes while targets leave and connections fall silent."""
+
     def test_planted_response_fault_is_caught(self) -> None:
         """Report answers to other requests."""
         reports = self.violations(planted.believes_any_response, leaving_only=True)
@@ -127,30 +162,3 @@
         self.assertEqual(report.broken, [])
         self.assertGreater(report.counts["requests at leaving targets"], 0)
         self.assertGreater(report.counts["answers sent again"], 0)
-
-    def violated(
-        self, *faults: Callable[[], None], placements: bool = False
-    ) -> set[str]:
-        """Return the properties that a run with planted faults violates."""
-        reports = self.violations(*faults, placements=placements)
-        return {text.split(":")[0] for text in reports}
-
-    def violations(
-        self,
-        *faults: Callable[[], None],
-        placements: bool = False,
-        leaving_only: bool = False,
-    ) -> list[str]:
-        """Return what a run with planted faults reports."""
-        names = ",".join(fault.__name__ for fault in faults)
-        plan = Plan(
-            seed=1,
-            seconds=LEAVING_SECONDS if leaving_only else SECONDS,
-            link_seconds=0.0,
-            gateways=GATEWAYS,
-            module=PLANTED_MODULE,
-            placements=placements,
-            leaving_only=leaving_only,
-        )
-        with mock.patch.dict(os.environ, {planted.FAULT_VARIABLE: names}):
-            return run(plan).broken
