Bound the time in which a connection is closed, and name what it waits for

Since closing waits for callers that take bytes, one that sends bytes after its last response could keep its connection for ever; read, not seen. The idle timeout bounds it. test_client_goes_on_sending times out without the bound.

--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -80,7 +80,8 @@
         """
         deadline = asyncio.get_running_loop().time() + timeout
         while other_work() or any(
-            connection.busy or connection.delivering for connection in self.connections
+            connection.busy or connection.is_delivering()
+            for connection in self.connections
         ):
             if asyncio.get_running_loop().time() > deadline:
                 return False
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -200,8 +200,7 @@
         kernel = undelivered_bytes(transport.get_extra_info("socket"))
         return transport.get_write_buffer_size() + kernel
 
-    @property
-    def delivering(self) -> bool:
+    def is_delivering(self) -> bool:
         """Return whether the client is still taking what was written for it.
 
         A client that has taken nothing for `STALL_TIMEOUT` does not count.
@@ -485,9 +484,10 @@
         # Closing with unread bytes resets the connection, and the client may see
         # the reset before the response. So read until the client closes.
         self._transport.write_eof()
-        while not await self._client_closes() and self._transport is not None:
-            if not self.delivering:
-                break
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._server.limits.idle_timeout):
+                while not await self._client_closes() and self.is_delivering():
+                    pass
         if self._transport is not None:
             self._transport.abort()
 
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -330,7 +330,8 @@
         self.steps.append(f"the list was {age:.2f} s old: {state.value}")
         if state is not ListState.TOO_OLD:
             return
-        reason = f"the targets are known as of {self._dispatcher.targets_age():.1f} s"
+        age = self._dispatcher.targets_age()
+        reason = f"the targets are known as of {age:.1f} s ago"
         if self._send_count:
             raise fail(ErrorKind.INTERRUPTED, reason)
         raise fail(ErrorKind.NO_TARGET, reason, retry_after=BUSY_RETRY_AFTER)
