Log connections that end before their answer was delivered

Answers of slow readers were cut off, and no line told by whom: the request counts as answered once its bytes are written. Each connection that ends before that has a line 'undelivered' now, with the request's id, who ended it (client, gateway, or the kernel with its error), the bytes written and not delivered and the time since the last progress; sequoiaarch_undelivered_total counts them.

--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
+from .delivery import UndeliveredResponse
 from .memory import HeldMemory
-from .server_connection import Handler, ServerConnection, ServerLimits
+from .server_connection import STOPPED, Handler, ServerConnection, ServerLimits
 
 # Seconds between checks whether all responses are delivered.
 DRAIN_INTERVAL = 0.05
@@ -28,6 +29,7 @@
         self.stopping = False
         self.held_bytes = 0
         self.memory = memory or HeldMemory()
+        self.on_undelivered: Callable[[UndeliveredResponse], None] = _ignore
         self._listener: asyncio.Server | None = None
 
     @property
@@ -69,7 +71,7 @@
     def abort(self) -> None:
         """Reset all connections."""
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(STOPPED)
 
     async def wait_drained(
         self, timeout: float, *, other_work: Callable[[], bool] = lambda: False
@@ -87,3 +89,7 @@
                 return False
             await asyncio.sleep(DRAIN_INTERVAL)
         return True
+
+
+def _ignore(response: UndeliveredResponse) -> None:
+    """Ignore a response that was not delivered."""
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -11,6 +11,7 @@
 import logbook
 import msgspec
 
+from .delivery import Delivery, EndedBy, UndeliveredResponse
 from .memory import HeldBytes, HeldMemory
 from .messages import Headers, RequestMessage, ResponseHead, find_header
 from .sockets import detect_dead_peer, reset_on_close, undelivered_bytes
@@ -31,6 +32,9 @@
 # Seconds after which to retry a request whose body can't be held. Most open requests
 # end sooner.
 MEMORY_RETRY_AFTER = 1.0
+# Reasons for which a connection ends.
+STOPPED = "the server stopped"
+LEFT_TO_KERNEL = "closed in order, the kernel delivers the rest"
 
 
 class ServerLimits(msgspec.Struct, kw_only=True):
@@ -78,6 +82,11 @@
         """Return the count of bytes held for the connection."""
         return self._connection.held
 
+    @property
+    def delivery(self) -> Delivery:
+        """Return how far the client has taken the response."""
+        return self._connection.delivery
+
     @property
     def closed_for_memory(self) -> bool:
         """Return whether the connection was closed at the memory limit."""
@@ -120,9 +129,9 @@
         self.ended = True
         await self._connection.write(data)
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Reset the connection, so that the response is not taken for complete."""
-        self._connection.abort()
+        self._connection.abort(reason)
 
     def _encode_head(self, head: ResponseHead) -> bytes:
         self.started = True
@@ -148,6 +157,7 @@
     stopping: bool
     held_bytes: int
     memory: HeldMemory
+    on_undelivered: Callable[[UndeliveredResponse], None]
 
     def close_excess_idle(self) -> None:
         """Close the idle connections if there are more than the limit."""
@@ -176,10 +186,7 @@
         self._counted_received = 0
         self._task: asyncio.Task[None] | None = None
         self._handling: asyncio.Task[None] | None = None
-        # Bytes written and not delivered when that was last looked at, and the time
-        # since when they are as many.
-        self._undelivered = 0
-        self._undelivered_since = 0.0
+        self.delivery = Delivery()
 
     @property
     def closing(self) -> bool:
@@ -207,9 +214,8 @@
         """
         now = asyncio.get_running_loop().time()
         undelivered = self.undelivered
-        if undelivered != self._undelivered:
-            self._undelivered, self._undelivered_since = undelivered, now
-        return undelivered > 0 and now < self._undelivered_since + STALL_TIMEOUT
+        self.delivery.observe(undelivered, now)
+        return undelivered > 0 and self.delivery.stalled(now) < STALL_TIMEOUT
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection."""
@@ -230,17 +236,29 @@
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the client."""
+        self.delivery.end(EndedBy.CLIENT, "the client closed its side")
         self._handle_client_gone()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handling of the open request."""
+        if exc is not None:
+            self.delivery.end_with(exc)
+        self._report_undelivered()
         self._transport = None
         self._server.connections.discard(self)
         self.held.release()
         self._writable.set()
         self._handle_client_gone()
 
+    def _report_undelivered(self) -> None:
+        """Report the open request, or the last one if it was not delivered."""
+        now = asyncio.get_running_loop().time()
+        undelivered = self.undelivered
+        self.delivery.observe(undelivered, now)
+        if undelivered or self._handling is not None:
+            self._server.on_undelivered(self.delivery.undelivered_response(now))
+
     def pause_writing(self) -> None:
         """Block writers while the write buffer is full."""
         self._writable.clear()
@@ -271,11 +289,13 @@
             raise ClientGone
         if data:
             self._transport.write(data)
+            self.delivery.wrote(len(data), asyncio.get_running_loop().time())
             self.count_buffers()
         await self._writable.wait()
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Reset the connection, so that no response on it looks complete."""
+        self.delivery.end(EndedBy.SERVER, reason)
         if self._transport is not None:
             reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
@@ -286,17 +306,19 @@
         if transport is None:
             return
         if self.busy or transport.get_write_buffer_size():
-            self.abort()
+            self.abort(STOPPED)
         else:
+            self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
             transport.abort()
 
     def _close_for_memory(self) -> None:
         self.closed_for_memory = True
-        self.abort()
+        self.abort("the memory limit")
 
     def close_idle(self) -> None:
         """Close the connection unless a request is open."""
         if not self.busy and self._transport is not None:
+            self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
             self._transport.close()
 
     def _handle_client_gone(self) -> None:
@@ -324,6 +346,7 @@
         message = await self._read_request()
         if message is None:
             return False
+        self.delivery.begin()
         writer = ResponseWriter(connection=self, http=self._http)
         self._handling = asyncio.create_task(self._server.handle(message, writer))
         try:
@@ -338,7 +361,7 @@
             self.held.request = ""
             self._release_body()
         if not writer.ended:
-            self.abort()
+            self.abort("the response was broken off")
             return False
         return self._http.our_state is h11.DONE and not self.closing
 
@@ -489,6 +512,7 @@
                 while not await self._client_closes() and self.is_delivering():
                     pass
         if self._transport is not None:
+            self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
             self._transport.abort()
 
     async def _client_closes(self) -> bool:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -17,6 +17,7 @@
 from ..fleet.peers import Peers
 from ..fleet.placement_service import PlacementService
 from ..fleet.turn_server import failure_reply
+from ..http1.delivery import UndeliveredResponse
 from ..http1.memory import ClosedConnection, HeldMemory
 from ..http1.messages import RequestMessage
 from ..http1.server import Server
@@ -192,6 +193,7 @@
             limits=self._server_limits(ClientLimits()),
             memory=self.memory,
         )
+        self.front.on_undelivered = self._log_undelivered
         self._ready = Server(handle=self._handle_ready, limits=ServerLimits())
         configuration = ConfigurationFollower(
             keyed_log=keyed_log,
@@ -360,6 +362,20 @@
             limit=closed.limit,
         )
 
+    def _log_undelivered(self, response: UndeliveredResponse) -> None:
+        self._metrics.count_undelivered(response.ended_by.value)
+        if self._events is None:
+            return
+        self._events.emit(
+            "undelivered",
+            id=response.request,
+            ended_by=response.ended_by.value,
+            reason=response.reason,
+            written=response.written,
+            undelivered=response.undelivered,
+            stalled=response.stalled,
+        )
+
     def _update_gauges(self) -> None:
         self.memory.count_buffers()
         routes = self.dispatcher.routes
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -324,7 +324,7 @@
             self.steps.append(f"broken:{error.fault.name}")
             if not self._writer.started:
                 raise fail(ErrorKind.INTERRUPTED, str(error)) from error
-            self._writer.abort()
+            self._writer.abort(str(error))
         finally:
             self._attempts.close(response, complete=complete)
 
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -95,7 +95,7 @@
         self, message: RequestMessage, request: _RequestState, writer: ResponseWriter
     ) -> None:
         info = request.info = self._read(message)
-        writer.held.request = info.attempt
+        writer.held.request = writer.delivery.request = info.attempt
         routes = request.routes = self._dispatcher.routes
         if routes is None:
             raise fail(ErrorKind.STARTING, "the configuration was not yet read")
@@ -135,7 +135,7 @@
         request.reason = failure.reason
         self._metrics.count_failure(failure.kind.value)
         if writer.started:
-            writer.abort()
+            writer.abort(f"{failure.kind.value}: {failure.reason}")
             return
         request.retry_after = failure.retry_delay
         body = msgspec.json.encode(
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -47,6 +47,10 @@
         self._resumed = self._counter(
             "resumed_streams_total", "Requests to resume a stream by who knew it."
         )
+        self._undelivered = self._counter(
+            "undelivered_total",
+            "Connections that ended before their response was delivered, by who ended.",
+        )
         self._duration = self._histogram("request_seconds", "Time to the last byte.")
         self._first_event = self._histogram(
             "first_event_seconds", "Time to the first event."
@@ -69,6 +73,10 @@
         """Count a request to resume a stream by who knew where it began."""
         self._resumed.inc({"known": known})
 
+    def count_undelivered(self, ended_by: str) -> None:
+        """Count a connection that ended before its response was delivered."""
+        self._undelivered.inc({"ended_by": ended_by})
+
     def observe_first_event(self, route: str, seconds: float) -> None:
         """Observe the time to the first event of a stream."""
         self._first_event.observe({"route": route}, seconds)
--- a/sequoiaarch/tests/http1/exchange_tests.py
+++ b/sequoiaarch/tests/http1/exchange_tests.py
@@ -200,7 +200,7 @@
         """Stop the server and reset its connections."""
         self.server.stop_accepting()
         for connection in list(self.server.connections):
-            connection.abort()
+            connection.abort("stopped")
 
     async def handle(self, message: RequestMessage, writer: ResponseWriter) -> None:
         """Echo the body; never answer requests to /wait."""
