Deliver the rest of a response when its connection is closed

Callers that read slowly could lose the end of an answer that the gateway had whole, wherever it closed their connection: after a last response as soon as they took nothing for 2 s, with what the kernel had not yet accepted; at a stop or at the limit of connections with a reset, if bytes of theirs arrived at that moment (the kernel resets a connection that is closed with unread bytes); and, since the time between probes is limited, after the close, as the kernel then gives a closed connection up after 2.5 s.

A connection whose client has not taken all no longer counts as idle. After the last response it is closed once the client has taken all, or nothing for the idle timeout. A close reads what the kernel holds of the client first, and gives the kernel its usual time between probes back, also at the end of a stop. What the kernel can't deliver is reset, and logged as undelivered.

--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -81,15 +81,19 @@
         Return False if that takes longer than `timeout` seconds.
         """
         deadline = asyncio.get_running_loop().time() + timeout
-        while other_work() or any(
-            connection.busy or connection.is_delivering()
-            for connection in self.connections
-        ):
+        while other_work() or self._delivering():
             if asyncio.get_running_loop().time() > deadline:
                 return False
             await asyncio.sleep(DRAIN_INTERVAL)
         return True
 
+    def _delivering(self) -> bool:
+        """Return whether responses are on their way."""
+        return any(
+            connection.busy or connection.is_delivering()
+            for connection in self.connections
+        )
+
 
 def _ignore(response: UndeliveredResponse) -> None:
     """Ignore a response that was not delivered."""
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -15,7 +15,11 @@
 from .memory import HeldBytes, HeldMemory
 from .messages import Headers, RequestMessage, ResponseHead, find_header
 from .peer_monitor import PeerMonitor
-from .sockets import reset_on_close, undelivered_bytes
+from .sockets import (
+    deliver_after_close,
+    reset_on_close,
+    undelivered_bytes,
+)
 
 log = logbook.Logger("http")
 
@@ -27,9 +31,9 @@
 WRITE_BYTES = 64 * 1024
 # Seconds for a client to close its side after the last response, or to send anything.
 CLOSE_TIMEOUT = 1.0
-# Seconds without progress after which a client counts as not reading. Small windows are
-# opened in steps.
-STALL_TIMEOUT = 2.0
+# Seconds without progress after which a stop leaves the rest of a response to the
+# kernel, which goes on to deliver it. Clients open their windows in steps.
+STALL_TIMEOUT = 3.0
 # Seconds after which to retry a request whose body can't be held. Most open requests
 # end sooner.
 MEMORY_RETRY_AFTER = 1.0
@@ -210,9 +214,10 @@
         return transport.get_write_buffer_size() + kernel
 
     def is_delivering(self) -> bool:
-        """Return whether the client is still taking what was written for it.
+        """Return whether a stop waits until the client has taken the rest.
 
-        A client that has taken nothing for `STALL_TIMEOUT` does not count.
+        A client that has taken nothing for `STALL_TIMEOUT` does not count: whether it
+        reads slowly or not at all can't be told, and the kernel keeps the rest.
         """
         undelivered = self._observe_delivery()
         now = asyncio.get_running_loop().time()
@@ -316,23 +321,30 @@
 
     def finish(self) -> None:
         """Close the connection; the kernel delivers a whole response that it holds."""
+        if self.busy:
+            self.abort(STOPPED)
+        else:
+            self._close_in_order(STOPPED)
+
+    def _close_in_order(self, reason: str) -> None:
+        """Close the connection, or reset it if not all bytes were passed on."""
         transport = self._transport
         if transport is None:
             return
-        if self.busy or transport.get_write_buffer_size():
-            self.abort(STOPPED)
-        else:
-            self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
-            transport.abort()
+        if transport.get_write_buffer_size():
+            self.abort(reason)
+            return
+        self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
+        deliver_after_close(transport.get_extra_info("socket"))
+        transport.abort()
 
     def _close_for_memory(self) -> None:
         self.closed_for_memory = True
         self.abort("the memory limit")
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is open."""
-        if not self.busy and self._transport is not None:
-            self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
+        """Close the connection unless a request is open or a response on its way."""
+        if not self.busy and not self.undelivered and self._transport is not None:
             self._transport.close()
 
     def _handle_client_gone(self) -> None:
@@ -512,7 +524,7 @@
             await self.write(data)
 
     async def _close(self) -> None:
-        """Close the connection after the client has read the last response."""
+        """Close the connection after the client has taken the last response."""
         if self._transport is None:
             return
         if self._client_gone or not self._transport.can_write_eof():
@@ -521,25 +533,36 @@
         # Closing with unread bytes resets the connection, and the client may see
         # the reset before the response. So read until the client closes.
         self._transport.write_eof()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._server.limits.idle_timeout):
-                while not await self._client_closes() and self.is_delivering():
-                    pass
-        if self._transport is not None:
-            self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
-            self._transport.abort()
+        await self._wait_until_taken()
+        self._close_in_order("the client took nothing for the idle timeout")
 
-    async def _client_closes(self) -> bool:
-        """Discard what arrives; return False if nothing arrives for a time."""
+    async def _wait_until_taken(self) -> None:
+        """Wait until the client has closed, or has taken all and sends nothing.
+
+        The idle timeout bounds the time without progress, and the time in which a
+        client that has taken all goes on sending.
+        """
+        idle_timeout = self._server.limits.idle_timeout
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + idle_timeout
         while not self._client_gone:
-            self._received.clear()
-            self._count_received()
-            self._changed.clear()
-            try:
-                async with asyncio.timeout(CLOSE_TIMEOUT):
-                    await self._changed.wait()
-            except TimeoutError:
-                return False
+            received = await self._discard_received()
+            if self._observe_delivery():
+                if self.delivery.stalled(loop.time()) >= idle_timeout:
+                    return
+            elif not received or loop.time() >= ends_at:
+                return
+
+    async def _discard_received(self) -> bool:
+        """Discard what arrives; return whether something did in `CLOSE_TIMEOUT`."""
+        self._received.clear()
+        self._count_received()
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
         return True
 
 
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -5,6 +5,7 @@
 import array
 import contextlib
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -24,6 +25,7 @@
 # in milliseconds. Probes would otherwise be sent ever more rarely.
 TCP_RTO_MAX_MS = 44
 RTO_MAX_MS = 1000
+DEFAULT_RTO_MAX_MS = 120_000
 # `struct tcp_info` of linux/tcp.h.
 TCP_INFO_BYTES = 148
 PROBES_OFFSET = 3
@@ -31,6 +33,9 @@
 LAST_ACK_OFFSET = 56
 SEGMENTS_IN_OFFSET = 140
 NOT_SENT_OFFSET = 144
+# Bytes that are read and dropped before a close, and how often.
+UNREAD_BYTES = 64 * 1024
+MAX_UNREAD_READS = 64
 
 
 class Acknowledgements(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,6 +106,19 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def deliver_after_close(sock: socket.socket) -> None:
+    """Let the kernel deliver after the close what was written before it.
+
+    A close resets the connection if received bytes were not read, and the kernel gives
+    a closed connection up early if the time between probes is limited.
+    """
+    with contextlib.suppress(OSError):
+        for _ in range(MAX_UNREAD_READS):
+            if not os.read(sock.fileno(), UNREAD_BYTES):
+                break
+    _limit_retransmission_time(sock, DEFAULT_RTO_MAX_MS)
+
+
 def _limit_retransmission_time(sock: socket.socket, milliseconds: int) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, milliseconds)
