Let the kernel take the rest of responses at a planned stop

A stop waits for a client that takes nothing for 3 s at most, as it can't tell one that reads slowly from one that doesn't read; a window that opens in steps of some seconds is usual. What the kernel held was delivered nevertheless, what the gateway itself still held was lost with a reset. The send buffer of connections with a whole response is extended now, up to the usual limit of 208 KiB, so that the kernel takes the rest, and the stop ends without it being lost. A response that is still being received, or is larger, holds the stop up until its client's deadline, or the grace less its margin.

test_client_pauses_for_longer_than_a_stop_waits gets a reset on the code before.

--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -88,7 +88,9 @@
         return True
 
     def _delivering(self) -> bool:
-        """Return whether responses are on their way."""
+        """Return whether responses are on their way; pass their rest to the kernel."""
+        for connection in self.connections:
+            connection.hand_over()
         return any(
             connection.busy or connection.is_delivering()
             for connection in self.connections
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -17,6 +17,7 @@
 from .peer_monitor import PeerMonitor
 from .sockets import (
     deliver_after_close,
+    extend_send_buffer,
     reset_on_close,
     undelivered_bytes,
 )
@@ -319,6 +320,15 @@
             reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
 
+    def hand_over(self) -> None:
+        """Let the kernel take the unsent rest of a whole response."""
+        transport = self._transport
+        incomplete = self._http.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        if transport is None or transport.is_closing() or incomplete:
+            return
+        if size := transport.get_write_buffer_size():
+            extend_send_buffer(transport.get_extra_info("socket"), size)
+
     def finish(self) -> None:
         """Close the connection; the kernel delivers a whole response that it holds."""
         if self.busy:
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -36,6 +36,8 @@
 # Bytes that are read and dropped before a close, and how often.
 UNREAD_BYTES = 64 * 1024
 MAX_UNREAD_READS = 64
+# The default of net.core.wmem_max; the kernel refuses no more, but takes no more.
+MAX_SEND_BUFFER_BYTES = 212_992
 
 
 class Acknowledgements(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,6 +121,15 @@
     _limit_retransmission_time(sock, DEFAULT_RTO_MAX_MS)
 
 
+def extend_send_buffer(sock: socket.socket, size: int) -> None:
+    """Let the kernel take `size` bytes more, as far as its usual limit allows."""
+    # The kernel reports twice the size that was set.
+    present = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
+    extended = min(present + size, MAX_SEND_BUFFER_BYTES)
+    if extended > present:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, extended)
+
+
 def _limit_retransmission_time(sock: socket.socket, milliseconds: int) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, milliseconds)
--- a/sequoiaarch/tests/http1/closing_tests.py
+++ b/sequoiaarch/tests/http1/closing_tests.py
@@ -79,6 +79,13 @@
         await asyncio.sleep(0.1)
         return client
 
+    async def stop(self) -> None:
+        """Stop the server in order."""
+        self.server.stopping = True
+        self.server.stop_accepting()
+        await self.server.wait_drained(TIMEOUT)
+        self.server.finish()
+
     async def assert_whole(self, client: socket.socket, pause: float = 0.0) -> None:
         """Read to the end of the connection, with a pause before each step."""
         loop = asyncio.get_running_loop()
@@ -110,6 +117,14 @@
         await asyncio.sleep(PAUSE)
         await self.assert_whole(client)
 
+    async def test_client_pauses_for_longer_than_a_stop_waits(self) -> None:
+        """Guards against a reset by a stop that the kernel could have avoided."""
+        client = await self.request(send_buffer=SEND_BUFFER)
+        stop = asyncio.create_task(self.stop())
+        await asyncio.sleep(PAUSE)
+        await stop
+        await self.assert_whole(client)
+
     async def test_idle_clients_are_closed_at_the_limit(self) -> None:
         """Guards against an answer that is cut off to make room for another client."""
         client = await self.request(LAST_REQUEST)
