Soak with callers and targets that read slowly or in steps

No soak had a peer with a small window, so neither the cut answers nor the stops that reset connections could show. Callers of the new one read 512 B at a time or all in steps of up to 3.8 s, some stop to read; targets pause up to 2.8 s within long requests. Gateways are stopped in overlapping series, some with a second SIGTERM, get SIGHUPs and new configurations. Reported are answers that ran and were cut off before the caller's deadline (LOST), wrong bodies, and stops of more than 7.5 s of the 8.

It reports LOST with each of two planted faults: the time-out of closed windows, and resets at a stop.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: demo test bench soak soak-platform soak-limits lint format
+.PHONY: demo test bench soak soak-platform soak-limits soak-slow-peers lint format
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 soak-limits: $(STAMP)
 	$(BIN)/python -m sequoiaarch.tests.platform.soak.limits --seeds 5
 
+soak-slow-peers: $(STAMP)
+	$(BIN)/python -m sequoiaarch.tests.platform.soak.slow_peers --seeds 5
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -124,6 +124,11 @@
         """Return the address at which other gateways connect to this one."""
         return f"{LOOPBACK}:{self.peer_proxy.port}"
 
+    @property
+    def front_address(self) -> tuple[str, int]:
+        """Return the address for callers that is behind no proxy."""
+        return self._address, self._front_port
+
     @property
     def undisturbed_since(self) -> float:
         """Return since when the process and its links are undisturbed."""
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -15,8 +15,10 @@
 from ....fleet.placement_service import PlacementService, RefusedBy
 from ....fleet.program_table import ProgramTable
 from ....fleet.stream_origins import SharedOrigins
+from ....http1 import sockets
 from ....http1.client import ClientConnection
 from ....http1.messages import ExchangeError
+from ....http1.server_connection import STOPPED, ServerConnection
 from ....ids import HostName, LoanId, ProgramId
 from ....ingress import daemon
 from ....ingress.attempts import Attempts
@@ -291,6 +293,28 @@
     setattr(SharedOrigins, "find", find)  # noqa: B010
 
 
+def times_closed_windows_out() -> None:
+    """Let the kernel close connections whose peer keeps its window closed for 2 s."""
+
+    def read_nothing(sock: Any) -> None:
+        return None
+
+    setattr(sockets, "read_acknowledgements", read_nothing)  # noqa: B010
+
+
+def resets_at_stops() -> None:
+    """Wait for handlers only at a planned stop, and reset all connections then."""
+
+    def is_delivering(self: ServerConnection) -> bool:
+        return False
+
+    def finish(self: ServerConnection) -> None:
+        self.abort(STOPPED)
+
+    setattr(ServerConnection, "is_delivering", is_delivering)  # noqa: B010
+    setattr(ServerConnection, "finish", finish)  # noqa: B010
+
+
 PLANTED_FAULTS: dict[str, Callable[[], None]] = {
     fault.__name__: fault
     for fault in (
@@ -316,6 +340,8 @@
         frees_nothing,
         resumes_anywhere,
         forgets_streams,
+        times_closed_windows_out,
+        resets_at_stops,
     )
 }
 
