--- a/sequoiaarch/tests/platform/slow_readers_tests.py
+++ b/sequoiaarch/tests/platform/slow_readers_tests.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import json
+import re
 import socket
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from ...ids import InstanceId, ServiceName
@@ -33,11 +35,18 @@
 # Seconds; above the time after which a target counts as silent.
 UNREAD_SECONDS = 1.5
 MIB = 2**20
+ConnectionHandler = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
 ROUTES = [
     route("/free/", "stream", ENGINES, resumable=True, sticky=True, gapTargetMs=100),
     route("/safe/", "safe", TOOLS, maxAttempts=2, targetLatencyMs=100),
     route("/once/", "unsafe", TOOLS),
+    route("/long/", "unsafe", TOOLS, timeoutMs=10_000),
 ]
+# Seconds for which a slow target reads nothing, longer than a vanished one is
+# tolerated.
+TARGET_PAUSE = 2.5
 
 
 class SlowReaderTests(DeploymentTestCase):
@@ -194,6 +203,39 @@
         self.assertEqual(load.running(instance), 0)
         self.assertEqual(load._loads[instance].deadlines, {})
 
+    async def add_small_window_target(self, serve: ConnectionHandler) -> None:
+        """Register a service target with the smallest window."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
+        listener.bind((LOOPBACK, 0))
+        server = await asyncio.start_server(serve, sock=listener)
+        self.addCleanup(server.close)
+        address = f"{LOOPBACK}:{listener.getsockname()[1]}"
+        entry = json.dumps(registration(TOOLS, address)).encode()
+        await self.store.put("keyed.servers", "i-1", entry)
+
+    async def test_target_that_pauses_within_a_long_request(self) -> None:
+        """Guards against losing an unsafe request that its target reads slowly."""
+        body = bytes(MIB)
+
+        async def read_in_steps(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await asyncio.sleep(TARGET_PAUSE)
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            await reader.readexactly(len(body))
+            [attempt] = re.findall(rb"(?i)x-attempt-id: (\w+)", head)
+            headers = (("X-Attempt-Id", attempt.decode()), ("X-Server-Stamp", "s"))
+            writer.write(whole_answer(b"read", headers=headers))
+
+        await self.add_small_window_target(read_in_steps)
+        await self.add_target("i-2", ENGINES, stream_answer)
+        daemon = await self.add_watched_daemon()
+        answer = await self.call(daemon, "/long/x", body=body)
+        self.assertEqual((answer.status, answer.body), (200, b"read"))
+
     async def test_target_that_does_not_read_a_long_request(self) -> None:
         """Guards against unsent requests that no limit counts."""
         body = bytes(4 * MIB - 1)
@@ -205,14 +247,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.sleep(TIMEOUT)
 
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
-        listener.bind((LOOPBACK, 0))
-        server = await asyncio.start_server(ignore, sock=listener)
-        self.addCleanup(server.close)
-        address = f"{LOOPBACK}:{listener.getsockname()[1]}"
-        entry = json.dumps(registration(TOOLS, address)).encode()
-        await self.store.put("keyed.servers", "i-1", entry)
+        await self.add_small_window_target(ignore)
         await self.add_target("i-2", ENGINES, stream_answer)
         daemon = await self.add_watched_daemon()
         await self.call_without_reading(daemon, "/once/x", body)
