Limit the time between probes only while a window is closed

The limit was set on all connections, and also holds for retransmissions: a peer more than 1 s away would have got all data twice; read, not run. It is set now once data waits for a closed window and nothing else is on its way, and taken back after that.

The tests of peers that vanish with a closed window could pass without the limit, as the next probe happened to be due: the window is closed for 3.5 s in them now. Both fail without the limit. On kernels that don't know it the time that the window was closed is allowed in addition.

--- a/sequoiaarch/http1/peer_monitor.py
+++ b/sequoiaarch/http1/peer_monitor.py
@@ -7,7 +7,12 @@
 import socket
 from collections.abc import Callable
 
-from .sockets import Acknowledgements, detect_dead_peer, read_acknowledgements
+from .sockets import (
+    Acknowledgements,
+    detect_dead_peer,
+    limit_probe_interval,
+    read_acknowledgements,
+)
 
 # Seconds between two looks at a connection with data on its way.
 CHECK_INTERVAL = 0.25
@@ -38,6 +43,7 @@
         self._checked = checked
         self._reports = detect_dead_peer(sock)
         self._awaited_since = math.inf
+        self._window_closed = False
         self._handle: asyncio.TimerHandle | None = None
 
     def watch(self) -> None:
@@ -58,6 +64,10 @@
         if state is None:
             return
         self._checked()
+        window_closed = state.unsent and not state.data_awaited
+        if window_closed != self._window_closed:
+            self._window_closed = window_closed
+            limit_probe_interval(self._sock, limited=window_closed)
         if self._has_vanished(state):
             self._lost(f"the peer acknowledged nothing for {state.silence:.1f} s")
         elif state.data_awaited or state.probe_awaited or state.unsent:
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -22,9 +22,9 @@
 # as long, though it acknowledges every probe.
 USER_TIMEOUT_MS = 2000
 # Linux 6.15 and later: the longest time between two retransmissions or window probes,
-# in milliseconds. Probes would otherwise be sent ever more rarely.
+# in milliseconds. By default the kernel doubles the time up to two minutes.
 TCP_RTO_MAX_MS = 44
-RTO_MAX_MS = 1000
+MAX_PROBE_INTERVAL_MS = 1000
 DEFAULT_RTO_MAX_MS = 120_000
 # `struct tcp_info` of linux/tcp.h.
 TCP_INFO_BYTES = 148
@@ -72,7 +72,6 @@
     if read_acknowledgements(sock) is None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         return False
-    _limit_retransmission_time(sock, RTO_MAX_MS)
     return True
 
 
@@ -118,7 +117,7 @@
         for _ in range(MAX_UNREAD_READS):
             if not os.read(sock.fileno(), UNREAD_BYTES):
                 break
-    _limit_retransmission_time(sock, DEFAULT_RTO_MAX_MS)
+    limit_probe_interval(sock, limited=False)
 
 
 def extend_send_buffer(sock: socket.socket, size: int) -> None:
@@ -130,9 +129,18 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, extended)
 
 
-def _limit_retransmission_time(sock: socket.socket, milliseconds: int) -> None:
-    with contextlib.suppress(OSError):
+def limit_probe_interval(sock: socket.socket, *, limited: bool) -> bool:
+    """Let the kernel probe a closed window at least once a second, or as by default.
+
+    The limit also holds for retransmissions, so it must not be set while data is on
+    its way. Return False if the kernel is too old to know it.
+    """
+    milliseconds = MAX_PROBE_INTERVAL_MS if limited else DEFAULT_RTO_MAX_MS
+    try:
         sock.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, milliseconds)
+    except OSError:
+        return False
+    return True
 
 
 def _number(info: bytes, offset: int) -> int:
--- a/sequoiaarch/tests/http1/peer_monitor_tests.py
+++ b/sequoiaarch/tests/http1/peer_monitor_tests.py
@@ -12,6 +12,7 @@
 from ...http1.messages import ExchangeError, RequestMessage
 from ...http1.server import Server
 from ...http1.server_connection import ResponseWriter, ServerLimits
+from ...http1.sockets import limit_probe_interval
 from ..vanishing import vanish
 
 LOOPBACK = "127.0.0.1"
@@ -23,6 +24,9 @@
 STREAM_REQUEST = b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n"
 # Seconds for which a slow peer reads nothing: longer than a vanished one is tolerated.
 PAUSE = 2.5
+# Seconds for which a window is closed before its peer vanishes. With the time between
+# probes not limited, the next one is more than three seconds away.
+CLOSED_SECONDS = 3.5
 # Seconds within which a vanished peer must be noticed, which is about two.
 NOTICE = 3.0
 
@@ -34,6 +38,11 @@
     return sock
 
 
+def probe_delay(sock: socket.socket) -> float:
+    """Return by how much probes may be late, as older kernels can't limit that."""
+    return 0.0 if limit_probe_interval(sock, limited=False) else CLOSED_SECONDS
+
+
 class ClientOfServerTests(unittest.IsolatedAsyncioTestCase):
     """Serve clients that read in steps, and clients that vanish."""
 
@@ -66,9 +75,9 @@
         await loop.sock_sendall(client, request)
         return client
 
-    async def assert_noticed(self) -> None:
+    async def assert_noticed(self, delay: float = 0.0) -> None:
         """Check that the connection is closed within the time of a vanished peer."""
-        async with asyncio.timeout(NOTICE):
+        async with asyncio.timeout(NOTICE + delay):
             while self.server.connections:
                 await asyncio.sleep(0.01)
 
@@ -97,9 +106,9 @@
     async def test_vanishes_with_a_closed_window(self) -> None:
         """Guards against a vanished client that is taken for a slow one."""
         client = await self.request()
-        await asyncio.sleep(PAUSE)
+        await asyncio.sleep(CLOSED_SECONDS)
         vanish(client)
-        await self.assert_noticed()
+        await self.assert_noticed(probe_delay(client))
         [response] = self.undelivered
         self.assertIn("acknowledged nothing for 2", response.reason)
 
@@ -150,10 +159,12 @@
             await loop.sock_sendall(self.target, response)
             self.assertEqual(await exchange, 200)
 
-    async def assert_lost(self, exchange: asyncio.Task[int]) -> None:
+    async def assert_lost(
+        self, exchange: asyncio.Task[int], delay: float = 0.0
+    ) -> None:
         """Check that a request fails within the time of a vanished peer."""
         with contextlib.suppress(ExchangeError):
-            async with asyncio.timeout(NOTICE):
+            async with asyncio.timeout(NOTICE + delay):
                 self.fail(f"answered with {await exchange}")
         self.assertTrue(exchange.done())
 
@@ -165,9 +176,9 @@
     async def test_vanishes_with_a_closed_window(self) -> None:
         """Guards against a vanished target that is taken for a slow one."""
         exchange = asyncio.create_task(self.exchange(BODY))
-        await asyncio.sleep(PAUSE)
+        await asyncio.sleep(CLOSED_SECONDS)
         vanish(self.target)
-        await self.assert_lost(exchange)
+        await self.assert_lost(exchange, probe_delay(self.target))
 
     async def test_vanishes_while_it_works(self) -> None:
         """Guards against waiting for the response of a vanished target."""
