Reset connections whose clients take nothing for the idle timeout

A connection of which a client read nothing was closed in order after the idle timeout, and the kernel kept the answer for some minutes more: read, not measured. It is reset now. test_client_reads_nothing fails on the code before, as the client can read on.

--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -334,15 +334,15 @@
         if self.busy:
             self.abort(STOPPED)
         else:
-            self._close_in_order(STOPPED)
+            self._close_in_order()
 
-    def _close_in_order(self, reason: str) -> None:
+    def _close_in_order(self) -> None:
         """Close the connection, or reset it if not all bytes were passed on."""
         transport = self._transport
         if transport is None:
             return
         if transport.get_write_buffer_size():
-            self.abort(reason)
+            self.abort(STOPPED)
             return
         self.delivery.end(EndedBy.SERVER, LEFT_TO_KERNEL)
         deliver_after_close(transport.get_extra_info("socket"))
@@ -544,7 +544,10 @@
         # the reset before the response. So read until the client closes.
         self._transport.write_eof()
         await self._wait_until_taken()
-        self._close_in_order("the client took nothing for the idle timeout")
+        if self.undelivered:
+            self.abort("the client took nothing for the idle timeout")
+        else:
+            self._close_in_order()
 
     async def _wait_until_taken(self) -> None:
         """Wait until the client has closed, or has taken all and sends nothing.
--- a/sequoiaarch/tests/http1/closing_tests.py
+++ b/sequoiaarch/tests/http1/closing_tests.py
@@ -125,6 +125,19 @@
         await stop
         await self.assert_whole(client)
 
+    async def test_client_reads_nothing(self) -> None:
+        """Guards against kernel buffers that are kept for clients that never read."""
+        self.server.limits = ServerLimits(idle_timeout=IDLE_TIMEOUT)
+        client = await self.request()
+        loop = asyncio.get_running_loop()
+        # Once as an idle connection, and once while it is closed.
+        async with asyncio.timeout(2 * IDLE_TIMEOUT + 2.0):
+            while self.server.connections:
+                await asyncio.sleep(0.1)
+        with self.assertRaises(ConnectionResetError):
+            while await loop.sock_recv(client, len(BODY)):
+                pass
+
     async def test_idle_clients_are_closed_at_the_limit(self) -> None:
         """Guards against an answer that is cut off to make room for another client."""
         client = await self.request(LAST_REQUEST)
