Notice a client that vanishes as its connection is closed

The end of a connection is not data that is written, so nothing looked at whether it was acknowledged, and the connection stayed for the idle timeout. The new test fails on the code before.

--- a/sequoiaarch/http1/delivery.py
+++ b/sequoiaarch/http1/delivery.py
@@ -22,7 +22,7 @@
     """A connection that ended before its response was delivered.
 
     `written` and `undelivered` are in bytes, the latter as far as the kernel tells.
-    `stalled` is the time since it took or was sent something, in seconds.
+    `stalled` is the time since the client took or was sent something, in seconds.
     """
 
     request: str
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -307,12 +307,15 @@
             raise ClientGone
         if data:
             self._transport.write(data)
-            if self._monitor is not None:
-                self._monitor.watch()
+            self._watch_peer()
             self.delivery.wrote(len(data), asyncio.get_running_loop().time())
             self.count_buffers()
         await self._writable.wait()
 
+    def _watch_peer(self) -> None:
+        if self._monitor is not None:
+            self._monitor.watch()
+
     def abort(self, reason: str) -> None:
         """Reset the connection, so that no response on it looks complete."""
         self.delivery.end(EndedBy.SERVER, reason)
@@ -543,6 +546,7 @@
         # Closing with unread bytes resets the connection, and the client may see
         # the reset before the response. So read until the client closes.
         self._transport.write_eof()
+        self._watch_peer()
         await self._wait_until_taken()
         if self.undelivered:
             self.abort("the client took nothing for the idle timeout")
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -36,7 +36,7 @@
 # Bytes that are read and dropped before a close, and how often.
 UNREAD_BYTES = 64 * 1024
 MAX_UNREAD_READS = 64
-# The default of net.core.wmem_max; the kernel refuses no more, but takes no more.
+# The default of net.core.wmem_max, above which the kernel ignores the rest of a size.
 MAX_SEND_BUFFER_BYTES = 212_992
 
 
--- a/sequoiaarch/tests/http1/peer_monitor_tests.py
+++ b/sequoiaarch/tests/http1/peer_monitor_tests.py
@@ -27,6 +27,9 @@
 # Seconds for which a window is closed before its peer vanishes. With the time between
 # probes not limited, the next one is more than three seconds away.
 CLOSED_SECONDS = 3.5
+# Seconds after which an idle connection is closed, longer than a vanished peer may take
+# to be noticed.
+IDLE_TIMEOUT = 5.0
 # Seconds within which a vanished peer must be noticed, which is about two.
 NOTICE = 3.0
 
@@ -121,6 +124,15 @@
         [response] = self.undelivered
         self.assertEqual(response.ended_by.value, "kernel")
 
+    async def test_vanishes_as_its_connection_is_closed(self) -> None:
+        """Guards against a connection that waits for the end of a vanished client."""
+        self.server.limits = ServerLimits(idle_timeout=IDLE_TIMEOUT)
+        _, writer = await asyncio.open_connection(LOOPBACK, self.server.port)
+        await asyncio.sleep(IDLE_TIMEOUT - 0.1)
+        vanish(writer.get_extra_info("socket"))
+        await self.assert_noticed()
+        writer.transport.abort()
+
 
 class TargetOfClientTests(unittest.IsolatedAsyncioTestCase):
     """Send requests to targets that read in steps, and to targets that vanish."""
