Send requests of sidecars within their own time-out, not that of connecting

A service or engine that paused for more than a second while it read a long request lost it: the caller was told outcome_unknown, 'Connection aborted, timed out'. urllib3 sends a request within the time-out for connecting, 1 s in all. The time-out of connections is now the request's own, and being connected is limited apart from it. The same holds for the stand-alone product's log.

--- a/sequoiaarch/engines/http.py
+++ b/sequoiaarch/engines/http.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import msgspec
-import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -17,6 +16,7 @@
     ReadTimeoutError,
 )
 
+from ..connection_pool import connection_pool, timeouts
 from ..errors import ErrorKind, Failure, NotRun
 from ..ids import AttemptId, Epoch, ProgramId
 from ..mailbox import Mailbox
@@ -32,7 +32,6 @@
     ServiceRequest,
 )
 
-CONNECT_TIMEOUT = 1.0
 CONTROL_TIMEOUT = 5.0
 IDLE_TIMEOUT = 60.0
 MAX_RESUMES = 3
@@ -71,7 +70,7 @@
 
     def __init__(self, *, url: str, threads: int) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=threads, block=False, retries=False)
+        self._pool = connection_pool(threads)
         self._stream_threads = ThreadPoolExecutor(threads, thread_name_prefix="engine")
         self._control_threads = ThreadPoolExecutor(4, thread_name_prefix="control")
         self._mailbox: Mailbox | None = None
@@ -135,7 +134,7 @@
         self, request: EngineRequest, sent: int, resume: bool, deadline: float
     ) -> Iterator[bytes]:
         read_timeout = max(0.01, min(IDLE_TIMEOUT, deadline - time.monotonic()))
-        timeouts = urllib3.Timeout(connect=CONNECT_TIMEOUT, read=read_timeout)
+        limits = timeouts(read_timeout)
         headers = {
             "Content-Type": "application/json",
             "X-Cache-Key": request.program,
@@ -149,7 +148,7 @@
                 "GET",
                 self._url + path,
                 headers=headers,
-                timeout=timeouts,
+                timeout=limits,
                 preload_content=False,
             )
         else:
@@ -158,7 +157,7 @@
                 self._url + request.path,
                 body=request.body,
                 headers=headers,
-                timeout=timeouts,
+                timeout=limits,
                 preload_content=False,
             )
         if response.status != 200:
@@ -239,11 +238,11 @@
     def _control_request_blocking(
         self, method: str, path: str, body: bytes | None, epoch: int
     ) -> bytes | Failure:
-        timeouts = urllib3.Timeout(connect=CONNECT_TIMEOUT, read=CONTROL_TIMEOUT)
+        limits = timeouts(CONTROL_TIMEOUT)
         headers = {"X-Fencing": str(epoch)}
         try:
             response = self._pool.request(
-                method, self._url + path, body=body, headers=headers, timeout=timeouts
+                method, self._url + path, body=body, headers=headers, timeout=limits
             )
         except HTTPError as error:
             return _error_failure(ErrorKind.TARGET_FAILED, error, NotRun.UNKNOWN)
@@ -263,7 +262,7 @@
 
     def __init__(self, *, url: str, threads: int) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=threads, block=False, retries=False)
+        self._pool = connection_pool(threads)
         self._threads = ThreadPoolExecutor(threads, thread_name_prefix="service")
 
     async def call(self, request: ServiceRequest) -> ServiceAnswer | Failure:
@@ -272,7 +271,7 @@
         return await loop.run_in_executor(self._threads, self._call, request)
 
     def _call(self, request: ServiceRequest) -> ServiceAnswer | Failure:
-        timeouts = urllib3.Timeout(connect=CONNECT_TIMEOUT, read=request.timeout)
+        limits = timeouts(request.timeout)
         headers = {
             "Content-Type": "application/json",
             "X-Fencing": str(request.epoch),
@@ -286,7 +285,7 @@
                 self._url + request.path,
                 body=request.body or None,
                 headers=headers,
-                timeout=timeouts,
+                timeout=limits,
                 redirect=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
--- a/sequoiaarch/storage/http.py
+++ b/sequoiaarch/storage/http.py
@@ -7,13 +7,13 @@
 from typing import TypeVar
 
 import msgspec
-import urllib3
+from urllib3.exceptions import HTTPError
 
+from ..connection_pool import connection_pool, timeouts
 from ..errors import ErrorKind, Failure
 from ..ids import Offset
 from .interfaces import HostEntry, Page
 
-CONNECT_TIMEOUT = 1.0
 APPEND_TIMEOUT = 5.0
 REPLY_TIMEOUT = 5.0
 T = TypeVar("T")
@@ -43,7 +43,7 @@
 
     def __init__(self, *, url: str, threads: int = POOL_SIZE) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(maxsize=threads, block=False, retries=False)
+        self._pool = connection_pool(threads)
         self._threads = ThreadPoolExecutor(threads, thread_name_prefix="http")
 
     async def request(
@@ -58,12 +58,11 @@
     def _request(
         self, method: str, path: str, body: bytes | None, timeout: float
     ) -> bytes | Failure:
-        timeouts = urllib3.Timeout(connect=CONNECT_TIMEOUT, read=timeout)
         try:
             reply = self._pool.request(
-                method, self._url + path, body=body, timeout=timeouts
+                method, self._url + path, body=body, timeout=timeouts(timeout)
             )
-        except urllib3.exceptions.HTTPError as error:
+        except HTTPError as error:
             return _unavailable(f"{method} {path}: {type(error).__name__}")
         if reply.status != 200:
             return _unavailable(f"{method} {path} answered {reply.status}")
--- a/sequoiaarch/tests/engines/contract_tests.py
+++ b/sequoiaarch/tests/engines/contract_tests.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import time
 import unittest
 from typing import Any
 
@@ -22,9 +25,13 @@
 from ...ids import AttemptId, CallKey, Epoch, ProgramId
 from ...standins.engine import EngineOptions, EngineStandIn
 from ...standins.service import ServiceStandIn
-from ..base import wait_until
+from ..base import in_thread, wait_until
 
 PROGRAM = ProgramId("alpha:one")
+# Longer than the kernel's buffers.
+LONG_BODY = bytes(8 * 2**20)
+# Seconds; longer than a connection may take to be established.
+SERVICE_PAUSE = 2.5
 
 
 def request(attempt: str, tokens: int = 8, **body: Any) -> EngineRequest:
@@ -210,14 +217,16 @@
         self.service.start()
         self.addCleanup(self.service.stop)
 
-    def call(self, url: str, timeout: float = 10.0) -> ServiceAnswer | Failure:
+    def call(
+        self, url: str, timeout: float = 10.0, body: bytes = b"{}"
+    ) -> ServiceAnswer | Failure:
         """Call the service once."""
         client = HttpService(url=url, threads=2)
         self.addCleanup(client.close)
         service_request = ServiceRequest(
             method="POST",
             path="/pay",
-            body=b"{}",
+            body=body,
             key=CallKey("k"),
             epoch=Epoch(1),
             timeout=timeout,
@@ -246,6 +255,47 @@
         self.assertIs(answer.run_state, NotRun.UNKNOWN)
         self.assertEqual(self.service.executions, {"k": 1})
 
+    def test_service_pauses_within_a_long_request(self) -> None:
+        """Guards against giving up a request that its service reads slowly."""
+        url = slow_service()
+        answer = self.call(url, body=LONG_BODY)
+        assert isinstance(answer, ServiceAnswer), answer
+        self.assertEqual(answer.status, 200)
+
+    def test_service_that_reads_nothing(self) -> None:
+        """Guards against a request that is sent for longer than its timeout."""
+        url = slow_service()
+        started_at = time.monotonic()
+        answer = self.call(url, timeout=SERVICE_PAUSE / 2, body=LONG_BODY)
+        assert isinstance(answer, Failure)
+        self.assertIs(answer.run_state, NotRun.UNKNOWN)
+        self.assertLess(time.monotonic() - started_at, SERVICE_PAUSE)
+
+
+def slow_service() -> str:
+    """Return the URL of a service that pauses within the first request."""
+    listener = socket.socket()
+    # The kernel's smallest buffer, so that little of a request is hidden in it.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2304)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+
+    def serve() -> None:
+        with listener, contextlib.suppress(OSError):
+            connection, _ = listener.accept()
+            with connection:
+                received = connection.recv(1000)
+                time.sleep(SERVICE_PAUSE)
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, len(LONG_BODY)
+                )
+                while len(received) < len(LONG_BODY):
+                    received += connection.recv(len(LONG_BODY))
+                connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    in_thread(serve)
+    return f"http://127.0.0.1:{listener.getsockname()[1]}"
+
 
 def event_choices(payload: bytes) -> Any:
     """Return the part of the answer in an event."""
