Test that an additional response is not the answer to a sidecar's next call

Holds on the code as it is: urllib3 gives a connection up on which bytes arrived while no request was open. What arrives between a request and its own response isn't covered.

--- a/sequoiaarch/tests/engines/contract_tests.py
+++ b/sequoiaarch/tests/engines/contract_tests.py
@@ -255,6 +255,37 @@
         self.assertIs(answer.run_state, NotRun.UNKNOWN)
         self.assertEqual(self.service.executions, {"k": 1})
 
+    def test_additional_response(self) -> None:
+        """Guards against an additional response that answers the next call."""
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+
+        def serve() -> None:
+            for _ in range(2):
+                connection, _ = listener.accept()
+                self.addCleanup(connection.close)
+                connection.recv(65536)
+                for body in (b"own", b"another's"):
+                    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                    connection.sendall(head.encode() + body)
+
+        in_thread(serve)
+        client = HttpService(
+            url=f"http://127.0.0.1:{listener.getsockname()[1]}", threads=1
+        )
+        self.addCleanup(client.close)
+        call = ServiceRequest(
+            method="POST", path="/", body=b"{}", key=None, epoch=Epoch(1), timeout=5.0
+        )
+        for _ in range(2):
+            answer = asyncio.run(client.call(call))
+            assert isinstance(answer, ServiceAnswer), answer
+            self.assertEqual(answer.body, b"own")
+            # Time for the additional response to arrive.
+            time.sleep(0.2)
+
     def test_service_pauses_within_a_long_request(self) -> None:
         """Guards against giving up a request that its service reads slowly."""
         url = slow_service()
