--- a/sequoiaarch/tests/platform/deployment.py
+++ b/sequoiaarch/tests/platform/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -36,6 +37,8 @@
 # Turns request at most 100 tokens.
 MAX_EVENTS = 10
 LOOPBACK = "127.0.0.1"
+# Bytes; the kernel's smallest receive buffer.
+SMALLEST_BUFFER = 2304
 
 
 def route(prefix: str, kind: str, service: str, **extra: Any) -> dict[str, Any]:
@@ -275,6 +278,29 @@
         finally:
             connection.abort()
 
+    async def send_only(
+        self,
+        daemon: IngressDaemon,
+        path: str,
+        *,
+        body: bytes = b"",
+        attempt: str = "unread",
+        receive_buffer: int = SMALLEST_BUFFER,
+    ) -> socket.socket:
+        """Send a request on a connection with a small window; nothing is read."""
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        caller.setblocking(False)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Attempt-Id: {attempt}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(caller, (LOOPBACK, daemon.front.port))
+        await loop.sock_sendall(caller, head.encode() + body)
+        return caller
+
     async def turn(
         self,
         daemon: IngressDaemon,
--- a/sequoiaarch/tests/platform/planned_stops_tests.py
+++ b/sequoiaarch/tests/platform/planned_stops_tests.py
@@ -5,13 +5,10 @@
 import asyncio
 import socket
 
-from ...ingress.daemon import IngressDaemon
 from ...standins.target import TargetExchange, whole_answer
-from .deployment import HOST, LOOPBACK, TOOLS, DeploymentTestCase, attempt_of
+from .deployment import TOOLS, DeploymentTestCase, attempt_of
 
 BODY = bytes(range(256)) * 400
-# Bytes; the kernel's smallest buffer.
-SOCKET_BUFFER = 2304
 READ_BYTES = 2048
 READ_INTERVAL = 0.05
 # Seconds from the begin of the stop to the request, which callers may still send.
@@ -37,21 +34,6 @@
         await self.add_target("i-1", TOOLS, large_answer)
         self.daemon = await self.add_daemon("one")
 
-    async def send(self, daemon: IngressDaemon) -> socket.socket:
-        """Send a request on a connection with the smallest window."""
-        caller = socket.socket()
-        self.addCleanup(caller.close)
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
-        caller.setblocking(False)
-        request = (
-            f"POST /once/a HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Attempt-Id: slow\r\nContent-Length: 0\r\n\r\n"
-        )
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(caller, (LOOPBACK, daemon.front.port))
-        await loop.sock_sendall(caller, request.encode())
-        return caller
-
     async def read(self, caller: socket.socket) -> bytes:
         """Read slowly to the end of the connection."""
         loop = asyncio.get_running_loop()
@@ -65,7 +47,7 @@
         """A planned stop resets connections whose callers still read an answer."""
         stop = asyncio.create_task(self.daemon.stop())
         await asyncio.sleep(REQUEST_DELAY)
-        received = await self.read(await self.send(self.daemon))
+        received = await self.read(await self.send_only(self.daemon, "/once/a"))
         await stop
         self.assertEqual(received.partition(b"\r\n\r\n")[2], BODY)
 
@@ -74,7 +56,7 @@
         began_at = asyncio.get_running_loop().time()
         stop = asyncio.create_task(self.daemon.stop())
         await asyncio.sleep(REQUEST_DELAY)
-        await self.send(self.daemon)
+        await self.send_only(self.daemon, "/once/a")
         await stop
         seconds = asyncio.get_running_loop().time() - began_at
         self.assertLess(seconds, STOP_TIMEOUT - 1.0)
--- a/sequoiaarch/tests/platform/slow_readers_tests.py
+++ b/sequoiaarch/tests/platform/slow_readers_tests.py
@@ -16,7 +16,6 @@
 from ...standins.target import TargetExchange, chunk, stream_head, whole_answer
 from .deployment import (
     ENGINES,
-    HOST,
     LOOPBACK,
     TIMEOUT,
     TOOLS,
@@ -93,18 +92,9 @@
         self, daemon: IngressDaemon, path: str, body: bytes = b""
     ) -> socket.socket:
         """Send a request on a connection that nothing is read from."""
-        caller = socket.socket()
-        self.addCleanup(caller.close)
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
-        caller.setblocking(False)
-        head = (
-            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Attempt-Id: unread\r\nContent-Length: {len(body)}\r\n\r\n"
+        return await self.send_only(
+            daemon, path, body=body, receive_buffer=SOCKET_BUFFER
         )
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(caller, (LOOPBACK, daemon.front.port))
-        await loop.sock_sendall(caller, head.encode() + body)
-        return caller
 
     async def wait_until_released(self, daemon: IngressDaemon) -> None:
         """Wait until nothing is held any more."""
--- a/sequoiaarch/tests/platform/undelivered_tests.py
+++ b/sequoiaarch/tests/platform/undelivered_tests.py
@@ -12,8 +12,6 @@
 from ...observe.events import EventLog
 from ...standins.target import TargetExchange, whole_answer
 from .deployment import (
-    HOST,
-    LOOPBACK,
     TIMEOUT,
     TOOLS,
     DeploymentTestCase,
@@ -21,8 +19,6 @@
 )
 
 BODY = bytes(100_000)
-# Bytes; the kernel's smallest buffer.
-SOCKET_BUFFER = 2304
 
 
 async def large_answer(exchange: TargetExchange) -> None:
@@ -58,18 +54,8 @@
 
     async def start_answer(self) -> socket.socket:
         """Send a request and wait until its answer has begun to arrive."""
-        caller = socket.socket()
-        self.addCleanup(caller.close)
-        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
-        caller.setblocking(False)
-        request = (
-            f"POST /once/a HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Attempt-Id: slow\r\nContent-Length: 0\r\n\r\n"
-        )
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(caller, (LOOPBACK, self.daemon.front.port))
-        await loop.sock_sendall(caller, request.encode())
-        await loop.sock_recv(caller, 1)
+        caller = await self.send_only(self.daemon, "/once/a", attempt="slow")
+        await asyncio.get_running_loop().sock_recv(caller, 1)
         return caller
 
     def assert_undelivered(self, line: dict[str, Any], ended_by: str) -> None:
