Tolerate one lost probe of a closed window

A slow reader whose link lost one probe could be cut off: the peer counted as vanished once a probe was unanswered and nothing was acknowledged for 2 s, while the next probe was on its way. Two must be unanswered now, the last for 0.25 s. Vanished peers are noticed within 2.5 s all the same; on kernels that can't limit the time between probes it takes longer.

--- a/sequoiaarch/http1/peer_monitor.py
+++ b/sequoiaarch/http1/peer_monitor.py
@@ -18,9 +18,10 @@
 CHECK_INTERVAL = 0.25
 # Seconds without any acknowledgement after which a peer counts as vanished.
 SILENCE_LIMIT = 2.0
-# Seconds for which a probe must be unanswered by then. Without a limit on the time
-# between probes, the last one may have been sent just now.
-PROBE_LIMIT = 0.75
+# Probes that must be unanswered by then, as one may be lost, and the time in which the
+# last of them may still be answered, in seconds.
+MIN_PROBES = 2
+PROBE_LIMIT = 0.25
 
 
 class PeerMonitor:
@@ -70,12 +71,12 @@
             limit_probe_interval(self._sock, limited=window_closed)
         if self._has_vanished(state):
             self._lost(f"the peer acknowledged nothing for {state.silence:.1f} s")
-        elif state.data_awaited or state.probe_awaited or state.unsent:
+        elif state.data_awaited or state.probes or state.unsent:
             self.watch()
 
     def _has_vanished(self, state: Acknowledgements) -> bool:
         now = asyncio.get_running_loop().time()
-        if not (state.data_awaited or state.probe_awaited):
+        if not state.data_awaited and state.probes < MIN_PROBES:
             self._awaited_since = math.inf
             return False
         self._awaited_since = max(min(self._awaited_since, now), now - state.silence)
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -43,13 +43,13 @@
 class Acknowledgements(msgspec.Struct, frozen=True, kw_only=True):
     """What the kernel knows of a peer's acknowledgements.
 
-    `data_awaited` and `probe_awaited` tell whether data or a probe was sent that the
-    peer has not answered, `unsent` whether data waits for the peer's window. `silence`
-    is the time since the last acknowledgement, in seconds.
+    `data_awaited` tells whether data was sent that the peer has not acknowledged,
+    `unsent` whether data waits for its window. `probes` is the number of probes without
+    an answer since the last one, `silence` the time since then, in seconds.
     """
 
     data_awaited: bool
-    probe_awaited: bool
+    probes: int
     unsent: bool
     silence: float
 
@@ -85,7 +85,7 @@
         return None
     return Acknowledgements(
         data_awaited=bool(_number(info, UNACKED_OFFSET)),
-        probe_awaited=bool(info[PROBES_OFFSET]),
+        probes=info[PROBES_OFFSET],
         unsent=bool(_number(info, NOT_SENT_OFFSET)),
         silence=_number(info, LAST_ACK_OFFSET) / 1000,
     )
