--- a/sequoiaarch/http1/peer_monitor.py
+++ b/sequoiaarch/http1/peer_monitor.py
@@ -48,10 +48,10 @@
         self._handle: asyncio.TimerHandle | None = None
 
     def watch(self) -> None:
-        """Look at the connection until nothing is on its way any more."""
+        """Look at the connection until nothing is on its way; call it after a write."""
         if self._handle is None and self._reports:
-            loop = asyncio.get_running_loop()
-            self._handle = loop.call_later(CHECK_INTERVAL, self._check)
+            self._awaited_since = asyncio.get_running_loop().time()
+            self._schedule()
 
     def stop(self) -> None:
         """Stop to look at the connection."""
@@ -72,7 +72,11 @@
         if self._has_vanished(state):
             self._lost(f"the peer acknowledged nothing for {state.silence:.1f} s")
         elif state.data_awaited or state.probes or state.unsent:
-            self.watch()
+            self._schedule()
+
+    def _schedule(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(CHECK_INTERVAL, self._check)
 
     def _has_vanished(self, state: Acknowledgements) -> bool:
         now = asyncio.get_running_loop().time()
