Mend two stand-ins of services in tests

Its service served one request a connection; when both responses arrived at once, the client had read the additional one with its own and dropped it, and used the connection again. The service serves any number now; what is asserted is the same.

The service that pauses read without end once its client had left, and kept a thread busy to the end of the test process, which slowed all later tests there (470 s).

--- a/sequoiaarch/tests/engines/contract_tests.py
+++ b/sequoiaarch/tests/engines/contract_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 import time
 import unittest
@@ -262,16 +263,22 @@
         listener.bind(("127.0.0.1", 0))
         listener.listen()
 
-        def serve() -> None:
-            for _ in range(2):
-                connection, _ = listener.accept()
-                self.addCleanup(connection.close)
-                connection.recv(65536)
-                for body in (b"own", b"another's"):
-                    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-                    connection.sendall(head.encode() + body)
-
-        in_thread(serve)
+        def serve(connection: socket.socket) -> None:
+            with connection, contextlib.suppress(OSError):
+                while connection.recv(65536):
+                    for body in (b"own", b"another's"):
+                        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                        connection.sendall(head.encode() + body)
+
+        def accept() -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    connection, _ = listener.accept()
+                    in_thread(functools.partial(serve, connection))
+
+        accepting = in_thread(accept)
+        self.addCleanup(accepting.result, 5.0)
+        self.addCleanup(listener.shutdown, socket.SHUT_RDWR)
         client = HttpService(
             url=f"http://127.0.0.1:{listener.getsockname()[1]}", threads=1
         )
@@ -321,7 +328,10 @@
                     socket.SOL_SOCKET, socket.SO_RCVBUF, len(LONG_BODY)
                 )
                 while len(received) < len(LONG_BODY):
-                    received += connection.recv(len(LONG_BODY))
+                    data = connection.recv(len(LONG_BODY))
+                    if not data:
+                        return
+                    received += data
                 connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
     in_thread(serve)
