--- a/sequoiaarch/tests/platform/slow_peers_soak_tests.py
+++ b/sequoiaarch/tests/platform/slow_peers_soak_tests.py
@@ -15,6 +15,8 @@
 
 SECONDS = 20.0
 CALM_SECONDS = 10.0
+# Seconds in which several gateways stop.
+PLANTED_SECONDS = 40.0
 GATEWAYS = 3
 
 
@@ -41,7 +43,7 @@
         """Return the properties that a run with a planted fault violates."""
         plan = SlowPlan(
             seed=1,
-            seconds=SECONDS if planned else CALM_SECONDS,
+            seconds=PLANTED_SECONDS if planned else CALM_SECONDS,
             gateways=GATEWAYS,
             planned=planned,
             module=PLANTED_MODULE,
