Log the ends of targets under the requests that they had not answered

Nothing in the logs tells whether two attempts are of one request, or whether a target that left had one of its requests.

Requests that a target did not answer are remembered by a digest of what all attempts of their caller share. Their line names it with the number of sends, and a line target_end puts the end of a target to them. No request is refused or sent elsewhere.

--- a/sequoiaarch/ids.py
+++ b/sequoiaarch/ids.py
@@ -25,6 +25,7 @@
 OpeningId = NewType("OpeningId", str)
 SoftwareVersion = NewType("SoftwareVersion", str)
 StreamKey = NewType("StreamKey", bytes)
+RequestKey = NewType("RequestKey", bytes)
 
 RANDOM_ID_BYTES = 9
 CHILD_SEPARATOR = "."
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -6,10 +6,12 @@
 from dataclasses import dataclass
 
 from ..errors import ErrorKind, FailureError, fail
+from ..fleet.exposures import ABANDONED_SETTLES
 from ..http1.client import ClientConnection
 from ..http1.memory import HeldBytes
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
 from ..ids import InstanceId
+from ..policies.exposures import RequestIdentity
 from ..policies.health import next_event_due
 from ..policies.stream_origins import Origin
 from ..routing.list_age import ListState
@@ -82,6 +84,11 @@
         self._dispatcher = dispatcher
         self._held = held
         self._tried: set[InstanceId] = set()
+        self._identity = identity_of(message, info, caller, route)
+        # Whether a target did not answer the request.
+        self.exposed = False
+        # Targets that were sent the request, also those that did not run it.
+        self.sends = 0
         self._send_count = 0
         self.body = message.body
         self.home: InstanceId | None = None
@@ -130,8 +137,21 @@
                 return response
             refusals += 1
 
+    @property
+    def request_key(self) -> str:
+        """Return the key of the request, which all attempts of its caller share."""
+        return self._identity.key.hex()
+
     def close(self, response: TargetResponse, *, complete: bool) -> None:
         """End an exchange; abort its connection unless the response is complete."""
+        if complete:
+            self._dispatcher.exposures.answered(
+                self._identity,
+                response.target.incarnation,
+                ok=response.head.status < SERVER_ERROR,
+            )
+        else:
+            self._unanswered(response.target, settles=ABANDONED_SETTLES)
         load = self._dispatcher.load
         instance = response.target.incarnation
         load.discard(instance, self)
@@ -159,6 +179,7 @@
 
     def response_broken(self, response: TargetResponse) -> None:
         """Record that a target's response ended early."""
+        self._unanswered(response.target)
         self._dispatcher.load.record_result(response.target.incarnation, ok=False)
 
     def first_event_received(self, response: TargetResponse) -> None:
@@ -220,6 +241,7 @@
         response: TargetResponse | None = None
         connection: ClientConnection | None = None
         token: Token | None = None
+        exposures = self._dispatcher.exposures
         try:
             connection = await self._dispatcher.pool.acquire(target)
             connection.count_for(self._held)
@@ -234,6 +256,8 @@
                 self.steps.append(self._request_token.describe(token))
             self.steps.append(self._dispatcher.describe_send(target))
             self.targets_age = self._dispatcher.targets_age()
+            exposures.sent(self._identity, target.incarnation)
+            self.sends += 1
             await connection.send(self._outgoing_request(target))
             self._send_count += 1
             self._dispatcher.request_sent(target, self._route, self._info, self)
@@ -243,11 +267,15 @@
         except ExchangeError as error:
             load.record_result(target.incarnation, ok=False)
             self._abort(connection)
-            if not error.sent:
+            if error.sent:
+                self._unanswered(target)
+            else:
                 self._request_token.restore(token)
+                exposures.not_run(self._identity, target.incarnation)
             if error.sent and not self.may_repeat(error):
                 raise fail(ErrorKind.INTERRUPTED, str(error)) from error
         except BaseException:
+            self._unanswered(target, settles=ABANDONED_SETTLES)
             self._abort(connection)
             raise
         finally:
@@ -256,6 +284,13 @@
                 load.request_ended(target.incarnation)
         return response
 
+    def _unanswered(self, target: TargetEntry, *, settles: float = 0.0) -> None:
+        """Record that a target did not answer a request that it was sent."""
+        if self._dispatcher.exposures.unanswered(
+            self._identity, target.incarnation, settles=settles
+        ):
+            self.exposed = True
+
     def _abort(self, connection: ClientConnection | None) -> None:
         if connection is not None:
             connection.abort()
@@ -263,10 +298,14 @@
     async def _await_head(
         self, target: TargetEntry, connection: ClientConnection
     ) -> TargetResponse | None:
+        sent_at = asyncio.get_running_loop().time()
         head, info = await self._read_own_head(connection)
+        exposures = self._dispatcher.exposures
         if info.not_run:
+            exposures.not_run(self._identity, target.incarnation)
             await self._finish_not_run(target, connection, head, info)
             return None
+        exposures.target_responded(target.incarnation, sent_at)
         if info.coded:
             # No content encoding was requested.
             raise _garbled("the response has an unexpected content encoding")
@@ -362,5 +401,28 @@
         )
 
 
+def identity_of(
+    message: RequestMessage, info: RequestInfo, caller: Caller, route: Route
+) -> RequestIdentity:
+    """Return what all attempts of a request share.
+
+    Without the session: a program may repeat a request in another line of its turns.
+    """
+    parts = (
+        route.name.encode(),
+        message.method,
+        message.target,
+        info.program.encode(),
+        (info.previous or "").encode(),
+        message.body,
+    )
+    return RequestIdentity(
+        attempt=info.attempt,
+        workspace=caller.workspace,
+        common=not info.program,
+        parts=parts,
+    )
+
+
 def _garbled(reason: str) -> ExchangeError:
     return ExchangeError(ExchangeFault.GARBLED, reason, sent=True)
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -13,6 +13,7 @@
 import logbook
 
 from ..background import BackgroundTasks, Factory
+from ..fleet.exposures import TargetEnd
 from ..fleet.fleet import Fleet, PlacementOptions, QuotaOptions
 from ..fleet.peers import Peers
 from ..fleet.placement_service import PlacementService
@@ -218,6 +219,8 @@
         self._targets_path = StorePath.NONE
         self.targets.age = lambda: boottime_clock() - self._targets_follower.as_of
         self.targets.on_leaving = self._metrics.observe_leaving_known
+        self.targets.on_left = self.dispatcher.exposures.target_left
+        self.dispatcher.exposures.on_end = self._log_end
         self.dispatcher.targets_read = lambda: self._targets_path
         self.dispatcher.list_age = ListAge(
             topic=self._targets_follower,
@@ -376,6 +379,19 @@
             stalled=response.stalled,
         )
 
+    def _log_end(self, end: TargetEnd) -> None:
+        self._metrics.count_end(end.evidence)
+        if self._events is None:
+            return
+        self._events.emit(
+            "target_end",
+            request_key=end.key.hex(),
+            target=end.target,
+            evidence=end.evidence,
+            age=round(end.age, 3),
+            ends=end.ends,
+        )
+
     def _update_gauges(self) -> None:
         self.memory.count_buffers()
         routes = self.dispatcher.routes
@@ -391,6 +407,8 @@
             "held_bytes_largest": float(self.memory.largest),
             "closed_for_memory": float(self.memory.closed),
             "task_failures": float(self.background.failures.total()),
+            "requests_exposed": float(len(self.dispatcher.exposures.table)),
+            "requests_exposed_dropped": float(self.dispatcher.exposures.table.dropped),
         }
         if self._fleet is not None:
             state["loans_lent"] = float(self._fleet.loans.loans_lent)
@@ -440,6 +458,8 @@
 
     def _targets_read(self, since: float) -> None:
         self._targets_path = self.dispatcher.store_path()
+        now = asyncio.get_running_loop().time()
+        self.dispatcher.exposures.targets_listed(now - self.targets.age())
 
     def _forget_target(self, instance: InstanceId) -> None:
         self.dispatcher.forget(instance)
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from ..fleet.engine_owner import Engine
+from ..fleet.exposures import ExposureTracker
 from ..fleet.placement_service import PlacementService
 from ..fleet.stream_origins import LocalOrigins, StreamOrigins
 from ..ids import DataCentre, InstanceId, ServiceName
@@ -64,6 +65,7 @@
         self.routes: RouteTable | None = None
         self.placements: PlacementService | None = None
         self.origins: StreamOrigins = LocalOrigins()
+        self.exposures = ExposureTracker()
         # Without a bound if the targets are not followed.
         self.list_age: ListAge | None = None
         # How the list of targets was last read.
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -102,6 +102,16 @@
         """Return the routing decisions so far, for the request log."""
         return self._attempts.steps
 
+    @property
+    def request_key(self) -> str | None:
+        """Return the key of a request that a target did not answer, for the log."""
+        return self._attempts.request_key if self._attempts.exposed else None
+
+    @property
+    def sends(self) -> int:
+        """Return how many targets were sent the request, for the request log."""
+        return self._attempts.sends
+
     @property
     def answered_by(self) -> TargetEntry | None:
         """Return the target whose response was last received, for the request log."""
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -182,6 +182,7 @@
             outcome=request.outcome,
             reason=request.reason,
             **_target_fields(request.exchange),
+            **_exposure_fields(request.exchange),
             **_retry_field(request.retry_after),
             milliseconds=round((now - request.started) * 1000, 1),
             steps=request.exchange.steps if request.exchange else [],
@@ -203,6 +204,13 @@
     return {"service": target.service, "version": target.version}
 
 
+def _exposure_fields(exchange: Exchange | None) -> dict[str, str | int]:
+    """Return the key and sends of a request that a target did not answer."""
+    if exchange is None or exchange.request_key is None:
+        return {}
+    return {"request_key": exchange.request_key, "sends": exchange.sends}
+
+
 def _retry_field(retry_after: float | None) -> dict[str, float]:
     """Return the field with the retry time that the caller was told, if any."""
     return {} if retry_after is None else {"retry_after": round(retry_after, 3)}
--- a/sequoiaarch/observe/request_metrics.py
+++ b/sequoiaarch/observe/request_metrics.py
@@ -51,6 +51,10 @@
             "undelivered_total",
             "Connections that ended before their response was delivered, by who ended.",
         )
+        self._ends = self._counter(
+            "target_ends_total",
+            "Ends of targets put to requests that they had not answered, by evidence.",
+        )
         self._duration = self._histogram("request_seconds", "Time to the last byte.")
         self._first_event = self._histogram(
             "first_event_seconds", "Time to the first event."
@@ -77,6 +81,10 @@
         """Count a connection that ended before its response was delivered."""
         self._undelivered.inc({"ended_by": ended_by})
 
+    def count_end(self, evidence: str) -> None:
+        """Count the end of a target that is put to a request."""
+        self._ends.inc({"evidence": evidence})
+
     def observe_first_event(self, route: str, seconds: float) -> None:
         """Observe the time to the first event of a stream."""
         self._first_event.observe({"route": route}, seconds)
--- /dev/null
+++ b/sequoiaarch/policies/exposures.py
@@ -0,0 +1,226 @@
+"""Remember which targets may have ended under a request.
+
+A caller sends a request again under a new attempt id and through any gateway, so what
+it does to targets is remembered by its content.
+"""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+from collections import OrderedDict, defaultdict
+from enum import IntEnum
+
+import msgspec
+
+from ..ids import AttemptId, InstanceId, RequestKey, Workspace
+
+KEY_BYTES = 16
+# Seconds for which a request is remembered after the last change. Without a program,
+# other callers may send the same content, so a wrong verdict would harm them as well.
+PROGRAM_LIFE = 600.0
+COMMON_LIFE = 30.0
+# Requests remembered by one process, about 3 MB.
+MAX_REQUESTS = 4096
+# Exposures kept of one request: several gateways may send it at the same time.
+MAX_EXPOSURES = 16
+
+
+class ExposureState(IntEnum):
+    """What is known of a target that was sent a request; the highest one prevails."""
+
+    OPEN = 1  # the target has not answered yet
+    BROKEN = 2  # it did not answer, and may have ended
+    ENDED = 3
+
+
+class Exposure(msgspec.Struct, frozen=True, kw_only=True):
+    """A send of a request that the target has not answered.
+
+    `at` is the time of the last change. An answer of the target to another request,
+    sent `settles` seconds after that or later, shows that it has not ended.
+    """
+
+    target: InstanceId
+    state: ExposureState
+    at: float
+    settles: float = 0.0
+
+
+class RequestIdentity:
+    """What all attempts of a request share; `attempt` names the present one."""
+
+    def __init__(
+        self,
+        *,
+        attempt: AttemptId,
+        workspace: Workspace | None,
+        common: bool,
+        parts: tuple[bytes, ...],
+    ) -> None:
+        """Identify a request by the parts of its content.
+
+        Several callers may send a `common` one.
+        """
+        self.attempt = attempt
+        self.workspace = workspace or Workspace("")
+        self.life = COMMON_LIFE if common else PROGRAM_LIFE
+        self._parts = parts
+
+    @functools.cached_property
+    def key(self) -> RequestKey:
+        """Return the digest of the content; callers choose it in their workspace."""
+        digest = hashlib.blake2b(digest_size=KEY_BYTES)
+        for part in (self.workspace.encode(), *self._parts):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return RequestKey(digest.digest())
+
+
+class _Record(msgspec.Struct, kw_only=True):
+    workspace: Workspace
+    life: float
+    until: float
+    exposures: dict[InstanceId, Exposure]
+
+
+class ExposureTable:
+    """Exposures of requests by key, limited in number and time.
+
+    If there are too many, the oldest of the workspace with most of them is dropped, so
+    that no workspace can push out those of others.
+    """
+
+    def __init__(self, *, max_requests: int = MAX_REQUESTS) -> None:
+        self._max_requests = max_requests
+        self._records: dict[RequestKey, _Record] = {}
+        # Keys of each workspace by the time of the last change.
+        self._by_workspace: defaultdict[Workspace, OrderedDict[RequestKey, None]] = (
+            defaultdict(OrderedDict)
+        )
+        self._by_target: defaultdict[InstanceId, set[RequestKey]] = defaultdict(set)
+        # Records dropped for want of room.
+        self.dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._records
+
+    def put(
+        self,
+        key: RequestKey,
+        exposure: Exposure,
+        *,
+        workspace: Workspace,
+        life: float,
+        now: float,
+    ) -> None:
+        """Add an exposure, unless more is known of the target already."""
+        self._drop_expired(now)
+        record = self._records.get(key)
+        if record is None:
+            record = _Record(workspace=workspace, life=life, until=now, exposures={})
+            self._records[key] = record
+        known = record.exposures.get(exposure.target)
+        if known is not None and known.state >= exposure.state:
+            return
+        if known is None and len(record.exposures) >= MAX_EXPOSURES:
+            return
+        record.exposures[exposure.target] = exposure
+        record.until = max(record.until, exposure.at + record.life)
+        self._by_target[exposure.target].add(key)
+        self._by_workspace[record.workspace][key] = None
+        self._by_workspace[record.workspace].move_to_end(key)
+        if len(self._records) > self._max_requests:
+            self._drop_one()
+
+    def exposures(self, key: RequestKey, now: float) -> list[Exposure]:
+        """Return the exposures of a request."""
+        record = self._records.get(key)
+        if record is None or record.until <= now:
+            return []
+        return list(record.exposures.values())
+
+    def life_left(self, key: RequestKey, now: float) -> float:
+        """Return the seconds for which a request is still remembered."""
+        record = self._records.get(key)
+        return 0.0 if record is None else max(0.0, record.until - now)
+
+    def withdraw(self, key: RequestKey, target: InstanceId) -> None:
+        """Remove an exposure whose target has not ended."""
+        record = self._records.get(key)
+        if record is None or record.exposures.pop(target, None) is None:
+            return
+        self._unlink(key, target)
+        if not record.exposures:
+            self.clear(key)
+
+    def clear(self, key: RequestKey) -> bool:
+        """Forget a request; return whether it was known."""
+        record = self._records.pop(key, None)
+        if record is None:
+            return False
+        for target in record.exposures:
+            self._unlink(key, target)
+        keys = self._by_workspace[record.workspace]
+        keys.pop(key, None)
+        if not keys:
+            del self._by_workspace[record.workspace]
+        return True
+
+    def concerns(self, target: InstanceId) -> bool:
+        """Return whether a target has exposures."""
+        return target in self._by_target
+
+    def target_ended(
+        self, target: InstanceId, now: float
+    ) -> list[tuple[RequestKey, Exposure]]:
+        """Record the end of a target; return what it was exposed to before."""
+        ended = []
+        for key in list(self._by_target.get(target, ())):
+            record = self._records[key]
+            exposure = record.exposures[target]
+            if exposure.state is not ExposureState.ENDED and record.until > now:
+                ended.append((key, exposure))
+                record.exposures[target] = msgspec.structs.replace(
+                    exposure, state=ExposureState.ENDED, at=now
+                )
+                record.until = now + record.life
+        return ended
+
+    def target_lived(self, target: InstanceId, at: float) -> None:
+        """Remove the exposures of a target that was sent a request at a time."""
+        for key in list(self._by_target.get(target, ())):
+            exposure = self._records[key].exposures[target]
+            settled = exposure.at + exposure.settles
+            if exposure.state is ExposureState.BROKEN and settled <= at:
+                self.withdraw(key, target)
+
+    def items(self, now: float) -> list[tuple[RequestKey, Workspace, list[Exposure]]]:
+        """Return all requests that are remembered."""
+        return [
+            (key, record.workspace, list(record.exposures.values()))
+            for key, record in self._records.items()
+            if record.until > now
+        ]
+
+    def _unlink(self, key: RequestKey, target: InstanceId) -> None:
+        keys = self._by_target[target]
+        keys.discard(key)
+        if not keys:
+            del self._by_target[target]
+
+    def _drop_expired(self, now: float) -> None:
+        for keys in list(self._by_workspace.values()):
+            while keys:
+                oldest = next(iter(keys))
+                if self._records[oldest].until > now:
+                    break
+                self.clear(oldest)
+
+    def _drop_one(self) -> None:
+        largest = max(self._by_workspace.values(), key=len)
+        self.clear(next(iter(largest)))
+        self.dropped += 1
