Test that three targets at most end under one request

Callers that send a request again under which targets end lose targets with each attempt, through any gateway.

Beside them stand tests of requests that are not the cause: served through waves of ends and lost answers, and cleared once a target served them.

--- a/sequoiaarch/standins/target.py
+++ b/sequoiaarch/standins/target.py
@@ -58,9 +58,9 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
-    async def start(self) -> None:
-        """Start listening."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        """Start listening, on any free port unless one is given."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
 
     async def stop(self) -> None:
         """Stop listening, abort open connections and cancel running behaviours."""
--- a/sequoiaarch/tests/platform/ending_targets.py
+++ b/sequoiaarch/tests/platform/ending_targets.py
@@ -4,17 +4,11 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Sequence
 from typing import Any
 
-from ...standins.target import TargetExchange
-from .deployment import (
-    ENGINES,
-    Answer,
-    Behaviour,
-    stream_answer,
-    tool_answer,
-)
+from ...standins.target import TargetExchange, TargetStandIn
+from .deployment import ENGINES, Answer, Behaviour, stream_answer, tool_answer
 from .versioned_deployment import GatewayProcess, VersionedDeploymentTestCase
 
 TARGETS = 10
@@ -25,97 +19,104 @@
 # Targets that may end under one request.
 MAX_ENDS = 3
 FATAL = b"ends its target"
-
-
-@dataclass(kw_only=True)
-class FatalCalls:
-    """Answers to the sends of one request."""
-
-    answers: list[Answer] = field(default_factory=list)
-
-    @property
-    def statuses(self) -> Counter[int]:
-        """Return how many answers had each status."""
-        return Counter(answer.status for answer in self.answers)
+FIRST_BORN = 1000
 
 
 class EndingTargetsTestCase(VersionedDeploymentTestCase):
     """Run targets that end soon after they begin a request with a certain body."""
 
-    # Seconds from the request until its target ends.
+    # Seconds from the request until its target ends, and that other requests take.
     end_delay = 0.01
+    work = 0.02
     # Whether the registration of a target stays when it ends.
     entry_stays = False
+    # Whether a target that ended starts again under its name and port.
+    restarts = False
 
     async def asyncSetUp(self) -> None:
         """Start without ends."""
         await super().asyncSetUp()
-        # Names of the targets that have ended, with the body of the request.
-        self.ended: dict[str, bytes] = {}
-        self._ending: set[asyncio.Task[None]] = set()
+        # Bodies of the requests that targets were working on when they ended.
+        self.ends: Counter[bytes] = Counter()
+        self.ended: set[str] = set()
+        self._working: dict[str, list[bytes]] = {}
+        self._born: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def asyncTearDown(self) -> None:
         """Stop everything."""
-        await asyncio.gather(*self._ending)
+        await asyncio.gather(*self._tasks)
         await super().asyncTearDown()
 
-    def ends_under(self, body: bytes = FATAL) -> int:
-        """Return how many targets have ended under a request."""
-        return sum(under == body for under in self.ended.values())
-
     async def add_targets(
-        self, service: str, count: int = TARGETS, first: int = 0, **extra: Any
+        self, service: str, count: int = TARGETS, first: int = 0
     ) -> None:
         """Start and register targets."""
         for number in range(first, first + count):
             name = f"i-{service}-{number}"
-            answer = stream_answer if service == ENGINES else tool_answer
-            await self.add_target(name, service, self.behaviour(name, answer), **extra)
+            self._born[name] = FIRST_BORN
+            await self.add_target(
+                name, service, self.behaviour(name, service), born=FIRST_BORN
+            )
 
-    def behaviour(self, name: str, answer: Behaviour) -> Behaviour:
+    def behaviour(self, name: str, service: str) -> Behaviour:
         """Return the behaviour of a target that ends under fatal requests."""
+        answer = stream_answer if service == ENGINES else tool_answer
 
         async def run(exchange: TargetExchange) -> None:
-            if not exchange.request.body.endswith(FATAL):
-                await asyncio.sleep(0.05)
+            body = exchange.request.body
+            working = self._working.setdefault(name, [])
+            working.append(body)
+            if not body.endswith(FATAL):
+                await asyncio.sleep(self.work)
+                working.remove(body)
                 await answer(exchange)
                 return
             await asyncio.sleep(self.end_delay)
-            if name not in self.ended:
-                self.ended[name] = exchange.request.body
-                self._spawn_end(name)
+            if name in self.targets:
+                # A task of its own, as the end cancels the behaviours.
+                self._spawn(self.end_target(name, service))
 
         return run
 
-    def _spawn_end(self, name: str) -> None:
-        """End a target in a task of its own, as this cancels the behaviour."""
-        task = asyncio.create_task(self.end_target(name))
-        self._ending.add(task)
-        task.add_done_callback(self._ending.discard)
-
-    async def end_target(self, name: str) -> None:
-        """Close the port of a target, reset its connections, remove its entry."""
-        target = self.targets.pop(name)
+    async def end_target(self, name: str, service: str) -> None:
+        """Close the port of a target and reset its connections."""
+        target = self.targets.pop(name, None)
+        if target is None:
+            return
+        self.ended.add(name)
+        self.ends.update(set(self._working.pop(name, [])))
+        port = target.port
         await target.stop()
-        if not self.entry_stays:
+        if self.restarts:
+            self._born[name] += FIRST_BORN
+            target = TargetStandIn(behaviour=self.behaviour(name, service))
+            await target.start(port)
+            self.targets[name] = target
+            await self.register(name, service, born=self._born[name])
+        elif not self.entry_stays:
             await self.store.put("keyed.servers", name, b"")
 
+    def working_on(self, body: bytes) -> str:
+        """Return the name of a target that works on a request."""
+        return next(name for name, bodies in self._working.items() if body in bodies)
+
     async def send_repeatedly(
         self,
         path: str,
-        gateways: list[GatewayProcess],
+        gateways: Sequence[GatewayProcess],
         *,
         sends: int = SENDS,
         body: bytes = FATAL,
         **headers: str,
-    ) -> FatalCalls:
+    ) -> list[Answer]:
         """Send a request again and again, by turns through the gateways."""
-        calls = FatalCalls()
+        answers = []
         for number in range(sends):
             gateway = gateways[number % len(gateways)]
-            calls.answers.append(await self.send(path, gateway, body=body, **headers))
+            answers.append(await self.send(path, gateway, body=body, **headers))
             await asyncio.sleep(RETRY_INTERVAL)
-        return calls
+        return answers
 
     async def send(
         self,
@@ -137,3 +138,8 @@
             X_Deadline_Ms="3000",
             **headers,
         )
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/sequoiaarch/tests/platform/fatal_requests_tests.py
+++ b/sequoiaarch/tests/platform/fatal_requests_tests.py
@@ -3,10 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from collections import Counter
+from collections.abc import Sequence
 from typing import Any
 
-from .deployment import TOOLS
-from .ending_targets import GATEWAYS, EndingTargetsTestCase
+from .deployment import ENGINES, TOOLS, Answer
+from .ending_targets import (
+    FATAL,
+    GATEWAYS,
+    MAX_ENDS,
+    RETRY_INTERVAL,
+    SENDS,
+    TARGETS,
+    EndingTargetsTestCase,
+)
+from .versioned_deployment import GatewayProcess
+
+# Rounds in which a caller sends a request through all gateways at the same time.
+ROUNDS = 4
+# Seconds between two ends of targets in a wave, and the targets at any time.
+WAVE_INTERVAL = 0.3
+WAVE_TARGETS = 6
+WAVE_SECONDS = 6.0
+MAX_SENDS = 6
 
 
 class LogTests(EndingTargetsTestCase):
@@ -22,7 +42,8 @@
         self.assertEqual(len({line["request_key"] for line in requests}), 1)
         self.assertEqual([line["sends"] for line in requests], [1, 1])
         ends = [line for line in lines if line["event"] == "target_end"]
-        self.assertEqual({line["target"] for line in ends}, set(self.ended))
+        names = {line["target"].split("@")[0] for line in ends}
+        self.assertEqual(names, self.ended)
         self.assertEqual(ends[0]["request_key"], requests[0]["request_key"])
         self.assertEqual(ends[0]["evidence"], "its registration was removed")
         metrics = gateways[0].daemon.metrics_text().decode()
@@ -43,3 +64,225 @@
             while not (lines := gateway.log()):
                 await asyncio.sleep(0.02)
         return [line for line in lines if line["event"] == "request"]
+
+
+class FatalRequestTests(EndingTargetsTestCase):
+    """Send a request again and again under which targets end."""
+
+    async def test_turn_of_a_kept_chain(self) -> None:
+        """End three targets at most under a turn that its caller sends again."""
+        await self.check_repeated("/kept/a", ENGINES)
+
+    async def test_resumable_stream(self) -> None:
+        """End three targets at most under a stream that its caller sends again."""
+        await self.check_repeated("/free/a", ENGINES)
+
+    async def test_unsafe_call(self) -> None:
+        """End three targets at most under a call that its caller sends again."""
+        await self.check_repeated("/once/a", TOOLS)
+
+    async def test_safe_call(self) -> None:
+        """End three targets at most under a call that gateways repeat as well."""
+        await self.check_repeated("/safe/a", TOOLS)
+
+    async def test_targets_end_after_the_attempt(self) -> None:
+        """Count targets that end when the gateway has already tried another one."""
+        self.end_delay = 0.7
+        await self.check_repeated("/safe/a", TOOLS)
+
+    async def test_registrations_stay(self) -> None:
+        """Count targets whose end no registration shows."""
+        self.entry_stays = True
+        await self.check_repeated("/once/a", TOOLS)
+
+    async def test_targets_start_again(self) -> None:
+        """Count targets that start again at once under their name and address."""
+        self.restarts = True
+        await self.check_repeated("/once/a", TOOLS)
+
+    async def test_gateways_are_replaced(self) -> None:
+        """Count ends that gateways saw which have been killed since."""
+        await self.add_targets(TOOLS)
+        gateways = await self.add_gateways(*GATEWAYS)
+        answers = []
+        for number in range(SENDS):
+            answers.append(await self.send("/once/a", gateways[0]))
+            await self.kill(gateways.pop(0).name)
+            gateways += await self.add_gateways(f"new-{number}")
+        self.check_ends(answers)
+
+    async def test_several_gateways_at_once(self) -> None:
+        """Count the requests that other gateways have sent and wait for."""
+        await self.add_targets(TOOLS)
+        gateways = await self.add_gateways(*GATEWAYS)
+        answers: list[Answer] = []
+        for _ in range(ROUNDS):
+            calls = (self.send("/once/a", gateway) for gateway in gateways[:2])
+            answers += await asyncio.gather(*calls)
+            await asyncio.sleep(RETRY_INTERVAL)
+        self.check_ends(answers)
+
+    async def test_all_gateways_at_once(self) -> None:
+        """Send nothing more after three gateways have each ended a target."""
+        await self.add_targets(TOOLS)
+        gateways = await self.add_gateways(*GATEWAYS)
+        answers: list[Answer] = []
+        for _ in range(ROUNDS):
+            calls = (self.send("/once/a", gateway) for gateway in gateways)
+            answers += await asyncio.gather(*calls)
+            await asyncio.sleep(RETRY_INTERVAL)
+        self.check_ends(answers)
+
+    async def check_repeated(self, path: str, service: str) -> None:
+        """Send a request by turns through all gateways, beside other requests."""
+        await self.add_targets(service)
+        gateways = await self.add_gateways(*GATEWAYS)
+        await self.wait_for_targets(TARGETS)
+        stopped = asyncio.Event()
+        beside = asyncio.create_task(self.send_others(path, gateways, stopped))
+        answers = await self.send_repeatedly(path, gateways)
+        stopped.set()
+        statuses = await beside
+        self.check_ends(answers)
+        # Each end may break a request of another caller.
+        broken = statuses.total() - statuses[200]
+        self.assertLessEqual(broken, 2 * MAX_ENDS, statuses)
+
+    async def send_others(
+        self, path: str, gateways: Sequence[GatewayProcess], stopped: asyncio.Event
+    ) -> Counter[int]:
+        """Send other requests until stopped, and return their statuses."""
+        statuses: Counter[int] = Counter()
+        number = 0
+        while not stopped.is_set():
+            number += 1
+            answer = await self.send(
+                path,
+                gateways[number % len(gateways)],
+                body=f"harmless {number}".encode(),
+                program=f"program {number}",
+            )
+            statuses[answer.status] += 1
+        return statuses
+
+    def check_ends(self, answers: Sequence[Answer]) -> None:
+        """Check the ends, and that later answers tell why nothing was sent."""
+        self.assertLessEqual(self.ends[FATAL], MAX_ENDS)
+        self.assertEqual(answers[-1].status, 503)
+        self.assertEqual(json.loads(answers[-1].body)["kind"], "targets_lost")
+        self.assertGreater(float(answers[-1].headers["retry-after"]), 0.0)
+
+
+class HarmlessRequestTests(EndingTargetsTestCase):
+    """Send requests that don't end the targets that end while they run."""
+
+    async def test_waves_of_ends(self) -> None:
+        """Serve all requests but those under which three targets ended."""
+        self.work = 0.6
+        await self.add_targets(TOOLS, WAVE_TARGETS)
+        gateways = await self.add_gateways(*GATEWAYS)
+        await self.wait_for_targets(WAVE_TARGETS)
+        ends = asyncio.create_task(self.end_in_waves())
+        calls: list[asyncio.Task[bool]] = []
+        while not ends.done():
+            call = self.send_until_served(f"call {len(calls)}", gateways)
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(0.06)
+        await ends
+        served = await asyncio.gather(*calls)
+        met = [
+            self.ends[f"call {number}".encode()]
+            for number, ok in enumerate(served)
+            if not ok
+        ]
+        self.assertTrue(all(ends >= MAX_ENDS for ends in met), met)
+        # As many as a caller that sends six times would lose without any limit.
+        self.assertGreater(sum(served), 0.9 * len(served))
+
+    async def test_lost_answers(self) -> None:
+        """Serve a request whose answers living targets lost several times."""
+        self.lost = 5
+        await self.add_targets(TOOLS)
+        gateways = await self.add_gateways(*GATEWAYS)
+        for target in self.targets.values():
+            target.behaviour = self.losing(target.behaviour)
+        stopped = asyncio.Event()
+        beside = asyncio.create_task(self.send_others(gateways, stopped))
+        async with asyncio.timeout(10.0):
+            while (await self.send("/once/a", gateways[0], body=b"lost")).status != 200:
+                await asyncio.sleep(RETRY_INTERVAL)
+        stopped.set()
+        await beside
+        self.assertEqual(self.lost, 0)
+
+    async def test_served_request_is_cleared(self) -> None:
+        """Forget the ends under a request that a target has served since."""
+        await self.add_targets(TOOLS)
+        gateways = await self.add_gateways(*GATEWAYS)
+        await self.wait_for_targets(TARGETS)
+        self.work = 0.5
+        for _ in range(3):
+            for _ in range(MAX_ENDS - 1):
+                self.work = 0.5
+                call = asyncio.create_task(
+                    self.send("/once/a", gateways[0], body=b"harmless")
+                )
+                await asyncio.sleep(0.1)
+                await self.end_target(self.working_on(b"harmless"), TOOLS)
+                self.assertEqual((await call).status, 502)
+            self.work = 0.01
+            answer = await self.send("/once/a", gateways[1], body=b"harmless")
+            self.assertEqual(answer.status, 200)
+
+    def losing(self, behaviour: Any) -> Any:
+        """Return a behaviour that resets the first connections with a body."""
+
+        async def run(exchange: Any) -> None:
+            if exchange.request.body == b"lost" and self.lost:
+                self.lost -= 1
+                exchange.reset()
+                return
+            await behaviour(exchange)
+
+        return run
+
+    async def send_others(
+        self, gateways: Sequence[GatewayProcess], stopped: asyncio.Event
+    ) -> None:
+        """Send other requests through all gateways until stopped."""
+        number = 0
+        while not stopped.is_set():
+            number += 1
+            await self.send(
+                "/once/a",
+                gateways[number % len(gateways)],
+                body=b"harmless",
+                program=f"program {number}",
+            )
+
+    async def send_until_served(
+        self, body: str, gateways: Sequence[GatewayProcess]
+    ) -> bool:
+        """Send a request up to six times; return whether it was served."""
+        for number in range(MAX_SENDS):
+            answer = await self.send(
+                "/once/a",
+                gateways[number % len(gateways)],
+                body=body.encode(),
+                program=body,
+            )
+            if answer.status == 200:
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def end_in_waves(self) -> None:
+        """End and replace one target after the other."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAVE_SECONDS
+        number = WAVE_TARGETS
+        while loop.time() < until:
+            await asyncio.sleep(WAVE_INTERVAL)
+            await self.add_targets(TOOLS, 1, first=number)
+            await self.end_target(next(iter(self.targets)), TOOLS)
+            number += 1
--- a/sequoiaarch/tests/platform/versioned_deployment.py
+++ b/sequoiaarch/tests/platform/versioned_deployment.py
@@ -78,6 +78,7 @@
 class GatewayProcess:
     """One gateway with the server for its peers."""
 
+    name: str
     daemon: IngressDaemon
     peers: Peers
     server: PeerServer
@@ -148,7 +149,12 @@
         )
         server.fallback = daemon.answer_peer
         self.gateways[name] = GatewayProcess(
-            daemon=daemon, peers=peers, server=server, serving=serving, lines=lines
+            name=name,
+            daemon=daemon,
+            peers=peers,
+            server=server,
+            serving=serving,
+            lines=lines,
         )
 
     async def kill(self, name: str) -> None:
