Limit how many targets may end under one request

Callers saw 502 for each attempt of a request under which targets end, and everybody else saw the targets go: 8 ended in 8 attempts of turns, streams and unsafe calls, all 10 in 5 attempts of a safe one. The limit of sends is counted in one attempt of one gateway, while the request, which its caller sends again under a new id through any gateway, does the harm.

A gateway now remembers a request that a target did not answer by its content, tells the other gateways before it tells the caller, and announces further sends of such a request before it makes them. A request with three targets that did not answer and are not known to live is refused at once (503 targets_lost, with the time until it may be sent again). An answer of the target to a later request, with a list of targets read after it, shows that it lives; a served request is forgotten. Nothing is added to a request that all targets answer but the lookup.

--- a/sequoiaarch/errors.py
+++ b/sequoiaarch/errors.py
@@ -37,6 +37,7 @@
     MOVED = "moved"
     NO_TARGET = "no_target"
     NOT_RESUMABLE = "not_resumable"
+    TARGETS_LOST = "targets_lost"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTDATED = "outdated"
     LIMIT_UNKNOWN = "limit_unknown"
@@ -82,6 +83,9 @@
     ErrorKind.NOT_RESUMABLE: ErrorResponse(
         status=503, not_run=NotRun.YES, retry_after=0.2
     ),
+    ErrorKind.TARGETS_LOST: ErrorResponse(
+        status=503, not_run=NotRun.YES, retry_after=1.0
+    ),
     ErrorKind.LOG_UNAVAILABLE: ErrorResponse(
         status=503, not_run=NotRun.YES, retry_after=2.0
     ),
--- /dev/null
+++ b/sequoiaarch/fleet/exposure_reports.py
@@ -0,0 +1,244 @@
+"""Share exposures of requests between gateways."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+from typing import Any
+
+from ..ids import HostName, InstanceId, RequestKey
+from ..policies.exposures import PROGRAM_LIFE, Exposure
+from ..wire.messages import (
+    MAX_LISTED_REPORTS,
+    MAX_REPORTED_EXPOSURES,
+    Accepted,
+    ClearExposuresRequest,
+    ExposureReport,
+    ExposuresKnown,
+    ListExposuresRequest,
+    Reply,
+    ReportedExposure,
+    ReportExposuresRequest,
+    Request,
+)
+from .exposures import ExposureTracker, KnownRequest
+from .peer_health import PeerHealth
+from .peers import Peers
+
+# Hosts answer from memory. A caller is told of a broken attempt at the latest after
+# this time, in seconds.
+REPORT_TIMEOUT = 0.15
+# Seconds for which a report is retried at a host that does not answer.
+RETRY_SECONDS = 5.0
+RETRY_INTERVAL = 0.2
+# Messages a second that this process sends, and their burst. With 539 other hosts, the
+# burst is that of four reports; beyond it, only some hosts are told.
+MESSAGE_RATE = 1000.0
+MESSAGE_BURST = 2000.0
+# Hosts asked for all exposures at the same time, and the seconds within which they must
+# answer; others are asked if none does, as the registrations of lost hosts stay.
+LIST_HOSTS = 8
+LIST_TIMEOUT = 0.3
+# A process that could not run for this time may have missed reports, as peers give up
+# a host that is silent for a second. Seconds.
+MISSED_SECONDS = 0.8
+CHECK_INTERVAL = 0.2
+# Requests wait no longer than this for the exposures known to other hosts. Seconds.
+MAX_WAIT = 0.3
+
+
+class SharedExposures:
+    """Tell all gateways of requests under which targets may have ended.
+
+    A caller may come back to any of them, and ends are rare while requests are not.
+    So gateways keep what they are told, and requests need no message.
+    """
+
+    def __init__(
+        self, *, own: HostName, peers: Peers, tracker: ExposureTracker
+    ) -> None:
+        self._own = own
+        self._peers = peers
+        self._tracker = tracker
+        # Separate from the health of peers for other requests, as processes of an older
+        # build are healthy but take no reports.
+        self._peer_health = PeerHealth()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._synchronised = asyncio.Event()
+        self._tokens = MESSAGE_BURST
+        self._refilled_at = 0.0
+        # Messages that were not sent for the limit of their rate.
+        self.omitted = 0
+
+    async def synchronised(self) -> None:
+        """Return once the exposures known to other gateways are known here."""
+        if self._synchronised.is_set():
+            return
+        try:
+            async with asyncio.timeout(MAX_WAIT):
+                await self._synchronised.wait()
+        except TimeoutError:
+            pass
+
+    async def tell(self, known: KnownRequest) -> list[KnownRequest]:
+        """Tell the other gateways of a request; return what they know of it."""
+        request = ReportExposuresRequest(report=_encode(known))
+        hosts = self._within_rate(self._peers.hosts())
+        asked = [host for host in hosts if self._peer_health.usable(host)]
+        for host in hosts:
+            if host not in asked:
+                self._start(self._deliver(host, request))
+        replies = await asyncio.gather(*(self._ask(host, request) for host in asked))
+        for host, reply in zip(asked, replies, strict=True):
+            if not isinstance(reply, ExposuresKnown):
+                self._start(self._deliver(host, request))
+        return [
+            _decode(report)
+            for reply in replies
+            if isinstance(reply, ExposuresKnown)
+            for report in reply.reports
+            if report.key == known.key
+        ]
+
+    def notify(self, known: KnownRequest, *, withdrawn: InstanceId | None) -> None:
+        """Tell the other gateways of a request in the background."""
+        targets = [] if withdrawn is None else [withdrawn]
+        request = ReportExposuresRequest(report=_encode(known), withdrawn=targets)
+        for host in self._within_rate(self._peers.hosts()):
+            self._start(self._deliver(host, request))
+
+    def cleared(self, key: RequestKey) -> None:
+        """Tell the other gateways that a request ended no target."""
+        for host in self._within_rate(self._peers.hosts()):
+            self._start(self._deliver(host, ClearExposuresRequest(key=key)))
+
+    def answer(
+        self,
+        request: ReportExposuresRequest | ClearExposuresRequest | ListExposuresRequest,
+    ) -> Reply:
+        """Handle a request of another gateway."""
+        if isinstance(request, ClearExposuresRequest):
+            self._tracker.told_cleared(request.key)
+            return Accepted()
+        if isinstance(request, ListExposuresRequest):
+            newest = self._tracker.all_known()[-MAX_LISTED_REPORTS:]
+            return ExposuresKnown(reports=[_encode(known) for known in newest])
+        answer = self._tracker.told(_decode(request.report), request.withdrawn)
+        return ExposuresKnown(reports=[] if answer is None else [_encode(answer)])
+
+    async def run(self) -> None:
+        """Ask other gateways at the start, and after each time without processor."""
+        await self._peers.wait_listed()
+        loop = asyncio.get_running_loop()
+        try:
+            await self._synchronise()
+            while True:
+                before = loop.time()
+                await asyncio.sleep(CHECK_INTERVAL)
+                if loop.time() - before > CHECK_INTERVAL + MISSED_SECONDS:
+                    self._synchronised.clear()
+                    await self._synchronise()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    async def _synchronise(self) -> None:
+        hosts = sorted(
+            self._peers.hosts(),
+            key=lambda host: not self._peer_health.usable(host),
+        )
+        for first in range(0, len(hosts), LIST_HOSTS):
+            if await self._list(hosts[first : first + LIST_HOSTS]):
+                return
+        self._synchronised.set()
+
+    async def _list(self, hosts: Sequence[HostName]) -> bool:
+        """Add what hosts know; return whether one of them answered."""
+        answered = False
+        asked = [
+            self._ask(host, ListExposuresRequest(), LIST_TIMEOUT) for host in hosts
+        ]
+        for reply in asyncio.as_completed(asked):
+            known = await reply
+            if isinstance(known, ExposuresKnown):
+                self._tracker.merge(map(_decode, known.reports))
+                self._synchronised.set()
+                answered = True
+        return answered
+
+    async def _ask(
+        self, host: HostName, request: Request, timeout: float = REPORT_TIMEOUT
+    ) -> Reply | None:
+        link = self._peers.link(host)
+        if link is None:
+            return None
+        reply = await link.call(request, timeout=timeout)
+        if isinstance(reply, ExposuresKnown | Accepted):
+            self._peer_health.request_succeeded(host)
+        else:
+            self._peer_health.request_failed(host, str(reply))
+        return reply
+
+    async def _deliver(self, host: HostName, request: Request) -> None:
+        """Send a request again and again until a host accepts it, or for a while."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + RETRY_SECONDS
+        while loop.time() < deadline:
+            reply = await self._ask(host, request, RETRY_SECONDS)
+            if isinstance(reply, ExposuresKnown | Accepted):
+                return
+            await asyncio.sleep(RETRY_INTERVAL)
+
+    def _within_rate(self, hosts: Sequence[HostName]) -> Sequence[HostName]:
+        """Return the hosts that may be sent a message now."""
+        now = asyncio.get_running_loop().time()
+        self._tokens += (now - self._refilled_at) * MESSAGE_RATE
+        self._tokens = min(self._tokens, MESSAGE_BURST)
+        self._refilled_at = now
+        allowed = min(len(hosts), int(self._tokens))
+        self._tokens -= allowed
+        self.omitted += len(hosts) - allowed
+        return hosts[:allowed]
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _encode(known: KnownRequest) -> ExposureReport:
+    now = asyncio.get_running_loop().time()
+    return ExposureReport(
+        key=known.key,
+        workspace=known.workspace,
+        life=known.life,
+        exposures=[
+            ReportedExposure(
+                target=exposure.target,
+                state=exposure.state,
+                age=now - exposure.at,
+                settles=exposure.settles,
+                source=exposure.source,
+            )
+            for exposure in known.exposures[:MAX_REPORTED_EXPOSURES]
+        ],
+    )
+
+
+def _decode(report: ExposureReport) -> KnownRequest:
+    now = asyncio.get_running_loop().time()
+    return KnownRequest(
+        key=report.key,
+        workspace=report.workspace,
+        life=min(max(report.life, 0.0), PROGRAM_LIFE),
+        exposures=[
+            Exposure(
+                target=exposure.target,
+                state=exposure.state,
+                at=now - max(exposure.age, 0.0),
+                settles=exposure.settles,
+                source=exposure.source,
+            )
+            for exposure in report.exposures
+        ],
+    )
--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -27,13 +27,16 @@
 from ..storage.keyed import KeyedLog, KeyedRecord, ListedRecord
 from ..wire.links import Send
 from ..wire.messages import (
+    ClearExposuresRequest,
     FindOriginRequest,
     LendRequest,
+    ListExposuresRequest,
     LoadReportRequest,
     PlaceProgramRequest,
     RecordOriginRequest,
     RegistrationSeenRequest,
     Reply,
+    ReportExposuresRequest,
     Request,
     SettleRequest,
     TakeTokensRequest,
@@ -48,6 +51,8 @@
 from .claims import TOPIC as CLAIMS_TOPIC, Claims
 from .delegates import DelegatedTurns, DelegateSelector
 from .engine_owner import Engine
+from .exposure_reports import SharedExposures
+from .exposures import ExposureTracker
 from .loan_service import LoanService
 from .peer_health import PeerHealth
 from .peers import TOPIC as PEERS_TOPIC, PeerRecord, Peers
@@ -113,6 +118,7 @@
         ledger: Ledger,
         split: BudgetSplit,
         health: TargetHealth,
+        exposures: ExposureTracker,
         quota_options: QuotaOptions,
         placement_options: PlacementOptions,
     ) -> None:
@@ -165,6 +171,8 @@
             ledger=ledger,
         )
         self.origins = SharedOrigins(own=own, peers=peers)
+        self.exposures = SharedExposures(own=own, peers=peers, tracker=exposures)
+        exposures.sharing = self.exposures
         self.reports = TargetReports(own=own, peers=peers, health=health)
         self.host_lease = HostLease(lease=quota_options.lease, clock=boottime_clock)
         self._registrations = TopicFollower(
@@ -236,6 +244,7 @@
             self._registration_check.run,
             self._mark_settled,
             self.placements.run,
+            self.exposures.run,
         ]
 
     async def _register(self) -> None:
@@ -255,6 +264,11 @@
             return self.reports.receive(request)
         if isinstance(request, RecordOriginRequest | FindOriginRequest):
             return self.origins.answer(request)
+        if isinstance(
+            request,
+            ReportExposuresRequest | ClearExposuresRequest | ListExposuresRequest,
+        ):
+            return self.exposures.answer(request)
         if isinstance(request, TakeTokensRequest):
             return self.quotas.answer(request)
         if isinstance(request, PlaceProgramRequest):
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -112,6 +112,10 @@
             self._notify_own_registration(ordered=True)
         self._rebuild_indexes()
 
+    async def wait_listed(self) -> None:
+        """Wait for the first list of registrations."""
+        await self._listed.wait()
+
     def own_registration_is(self, writer: WriterId) -> bool:
         """Return whether this host's registration names a process."""
         return self._own_record is not None and self._own_record.writer == writer
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -6,12 +6,11 @@
 from dataclasses import dataclass
 
 from ..errors import ErrorKind, FailureError, fail
-from ..fleet.exposures import ABANDONED_SETTLES
 from ..http1.client import ClientConnection
 from ..http1.memory import HeldBytes
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
 from ..ids import InstanceId
-from ..policies.exposures import RequestIdentity
+from ..policies.exposures import MAX_ENDS, RequestIdentity, Verdict
 from ..policies.health import next_event_due
 from ..policies.stream_origins import Origin
 from ..routing.list_age import ListState
@@ -85,8 +84,9 @@
         self._held = held
         self._tried: set[InstanceId] = set()
         self._identity = identity_of(message, info, caller, route)
-        # Whether a target did not answer the request.
+        # Whether a target did not answer the request, and targets that were given up.
         self.exposed = False
+        self._given_up: list[InstanceId] = []
         # Targets that were sent the request, also those that did not run it.
         self.sends = 0
         self._send_count = 0
@@ -121,8 +121,14 @@
         """Send the request until a target runs it, and return its response."""
         refusals = 0
         while True:
+            self.check_ends()
             target, why = self._dispatcher.choose(
-                self._route, self._info, self._tried, self.home, self.origin
+                self._route,
+                self._info,
+                self._tried,
+                self.home,
+                self.origin,
+                suspected=self._dispatcher.exposures.suspected(self._identity),
             )
             if target is None or refusals >= MAX_REFUSALS:
                 raise self._placement_failure(refusals)
@@ -142,6 +148,32 @@
         """Return the key of the request, which all attempts of its caller share."""
         return self._identity.key.hex()
 
+    def check_ends(self) -> None:
+        """Raise FailureError if the request may not be sent to a further target."""
+        exposures = self._dispatcher.exposures
+        verdict = exposures.verdict(self._identity)
+        if verdict is not None:
+            raise self._targets_lost(verdict)
+        if exposures.count(self._identity) < MAX_ENDS - 1:
+            return
+        if self._dispatcher.count_targets(self._route) <= 1:
+            raise self._not_sent("the last target is kept for others", None)
+
+    async def tell_unanswered(self) -> None:
+        """Tell the other gateways of targets that did not answer the request.
+
+        The caller may come back to any of them as soon as it has its answer.
+        """
+        if self.exposed:
+            self._count_given_up()
+            await self._dispatcher.exposures.tell(self._identity)
+
+    def tell_unanswered_later(self) -> None:
+        """Tell the other gateways in the background."""
+        if self.exposed:
+            self._count_given_up()
+            self._dispatcher.exposures.tell_later(self._identity)
+
     def close(self, response: TargetResponse, *, complete: bool) -> None:
         """End an exchange; abort its connection unless the response is complete."""
         if complete:
@@ -151,7 +183,7 @@
                 ok=response.head.status < SERVER_ERROR,
             )
         else:
-            self._unanswered(response.target, settles=ABANDONED_SETTLES)
+            self._abandoned(response.target)
         load = self._dispatcher.load
         instance = response.target.incarnation
         load.discard(instance, self)
@@ -179,7 +211,7 @@
 
     def response_broken(self, response: TargetResponse) -> None:
         """Record that a target's response ended early."""
-        self._unanswered(response.target)
+        self._broken(response.target)
         self._dispatcher.load.record_result(response.target.incarnation, ok=False)
 
     def first_event_received(self, response: TargetResponse) -> None:
@@ -242,9 +274,11 @@
         connection: ClientConnection | None = None
         token: Token | None = None
         exposures = self._dispatcher.exposures
+        sent = False
         try:
             connection = await self._dispatcher.pool.acquire(target)
             connection.count_for(self._held)
+            await self._admit(target)
             await self._authorise_send()
             while self._dispatcher.targets_too_old:
                 await self._renew_targets()
@@ -256,7 +290,7 @@
                 self.steps.append(self._request_token.describe(token))
             self.steps.append(self._dispatcher.describe_send(target))
             self.targets_age = self._dispatcher.targets_age()
-            exposures.sent(self._identity, target.incarnation)
+            sent = True
             self.sends += 1
             await connection.send(self._outgoing_request(target))
             self._send_count += 1
@@ -268,14 +302,19 @@
             load.record_result(target.incarnation, ok=False)
             self._abort(connection)
             if error.sent:
-                self._unanswered(target)
+                self._broken(target)
             else:
                 self._request_token.restore(token)
                 exposures.not_run(self._identity, target.incarnation)
+            if error.sent:
+                await self.tell_unanswered()
             if error.sent and not self.may_repeat(error):
                 raise fail(ErrorKind.INTERRUPTED, str(error)) from error
         except BaseException:
-            self._unanswered(target, settles=ABANDONED_SETTLES)
+            if sent:
+                self._abandoned(target)
+            else:
+                exposures.not_run(self._identity, target.incarnation)
             self._abort(connection)
             raise
         finally:
@@ -284,12 +323,43 @@
                 load.request_ended(target.incarnation)
         return response
 
-    def _unanswered(self, target: TargetEntry, *, settles: float = 0.0) -> None:
-        """Record that a target did not answer a request that it was sent."""
-        if self._dispatcher.exposures.unanswered(
-            self._identity, target.incarnation, settles=settles
-        ):
+    async def _admit(self, target: TargetEntry) -> None:
+        """Raise FailureError if too many targets may have ended under the request."""
+        verdict = await self._dispatcher.exposures.admit(
+            self._identity, target.incarnation
+        )
+        if verdict is not None:
+            raise self._targets_lost(verdict)
+
+    def _targets_lost(self, verdict: Verdict) -> FailureError:
+        now = asyncio.get_running_loop().time()
+        reason = f"targets did not answer it: {verdict.describe(now)}"
+        return self._not_sent(reason, verdict.retry_after)
+
+    def _not_sent(self, reason: str, retry_after: float | None) -> FailureError:
+        """Return the failure of a request that is kept from further targets."""
+        self.exposed = True
+        if self._send_count:
+            # An earlier send may have run, so it can't be reported as not run.
+            return fail(ErrorKind.INTERRUPTED, reason)
+        return fail(ErrorKind.TARGETS_LOST, reason, retry_after=retry_after)
+
+    def _broken(self, target: TargetEntry) -> None:
+        """Record that the exchange with a target broke."""
+        if self._dispatcher.exposures.broken(self._identity, target.incarnation):
+            self.exposed = True
+
+    def _abandoned(self, target: TargetEntry) -> None:
+        """Record that a target is not waited for any longer."""
+        if self._dispatcher.exposures.abandoned(self._identity, target.incarnation):
             self.exposed = True
+            self._given_up.append(target.incarnation)
+
+    def _count_given_up(self) -> None:
+        """Count the targets that did not answer in time."""
+        for target in self._given_up:
+            self._dispatcher.exposures.timed_out(self._identity, target)
+        self._given_up.clear()
 
     def _abort(self, connection: ClientConnection | None) -> None:
         if connection is not None:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -13,7 +13,7 @@
 import logbook
 
 from ..background import BackgroundTasks, Factory
-from ..fleet.exposures import TargetEnd
+from ..fleet.exposures import ExposureTracker, TargetEnd
 from ..fleet.fleet import Fleet, PlacementOptions, QuotaOptions
 from ..fleet.peers import Peers
 from ..fleet.placement_service import PlacementService
@@ -136,6 +136,7 @@
             prefix_index=prefix_index,
             service_placement=NearestFree(rng=rng),
             health=health,
+            exposures=ExposureTracker(own=options.host),
             access=access,
             rng=rng,
         )
@@ -155,6 +156,7 @@
                 ledger=self.ledger,
                 split=split,
                 health=health,
+                exposures=self.dispatcher.exposures,
                 quota_options=QuotaOptions(
                     of=access.limit_of,
                     bounds=bounds,
@@ -412,6 +414,7 @@
         }
         if self._fleet is not None:
             state["loans_lent"] = float(self._fleet.loans.loans_lent)
+            state["exposure_messages_omitted"] = float(self._fleet.exposures.omitted)
             state["stream_origins"] = float(len(self._fleet.origins))
             state["stream_origins_uncopied"] = float(self._fleet.origins.uncopied)
             state["loans_refused"] = float(self._fleet.loans.loans_refused)
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -54,18 +54,19 @@
         prefix_index: PrefixIndex,
         service_placement: EnginePlacement,
         health: TargetHealth,
+        exposures: ExposureTracker,
         access: Access,
         rng: random.Random,
     ) -> None:
         self.codec = codec
         self.access = access
+        self.exposures = exposures
         self.pool = ConnectionPool()
         self.load = LoadTracker(health=health)
         self.retries: RetryPolicy = RetryBudget()
         self.routes: RouteTable | None = None
         self.placements: PlacementService | None = None
         self.origins: StreamOrigins = LocalOrigins()
-        self.exposures = ExposureTracker()
         # Without a bound if the targets are not followed.
         self.list_age: ListAge | None = None
         # How the list of targets was last read.
@@ -93,11 +94,14 @@
         tried: set[InstanceId],
         home: InstanceId | None = None,
         origin: Origin | None = None,
+        *,
+        suspected: bool = False,
     ) -> tuple[TargetEntry | None, str]:
         """Return an untried target for a request and the reason for the choice.
 
         `home` is the engine that the request's program was assigned to. A stream with
-        an `origin` goes on only at its version.
+        an `origin` goes on only at its version. A `suspected` request goes where the
+        end of the target would break the fewest others.
         """
         if origin is None:
             entries = self._targets.of(self._service_for(route, home))
@@ -106,6 +110,13 @@
         entries = [entry for entry in entries if entry.incarnation not in tried]
         if not entries:
             return None, ""
+        if suspected:
+            running = {
+                entry.incarnation: self.load.running(entry.incarnation)
+                for entry in entries
+            }
+            least = min(running.values())
+            entries = [e for e in entries if running[e.incarnation] == least]
         candidates = [self._engine_candidate(entry) for entry in entries]
         if route.sticky and self.placements is not None and self.placements.uneven:
             candidates = self._with_slowdowns(candidates)
@@ -122,6 +133,10 @@
             for entry in self._targets.of(share.service)
         )
 
+    def count_targets(self, route: Route) -> int:
+        """Return how many targets of a route may take new work."""
+        return self.count_untried(route, set())
+
     def targets_of_origin(self, route: Route, origin: Origin) -> list[TargetEntry]:
         """Return the targets at which a stream of a route may go on.
 
--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -137,7 +137,12 @@
             self._collected = size
             self._held.add(change)
 
+    def deadline_passed(self) -> None:
+        """Tell the other gateways if a target did not answer until the deadline."""
+        self._attempts.tell_unanswered_later()
+
     async def _run(self) -> None:
+        self._attempts.check_ends()
         if self._route.kind is not RouteKind.STREAM:
             await self._forward_whole()
             return
@@ -242,10 +247,11 @@
                     self._attempt_scope = scope
                     response, body = await self._whole_response()
             except ExchangeError as error:
-                self._check_retry(error)
+                await self._check_retry(error)
                 continue
             except TimeoutError:
-                self._check_retry(ExchangeError(ExchangeFault.TIMEOUT, sent=True))
+                timeout = ExchangeError(ExchangeFault.TIMEOUT, sent=True)
+                await self._check_retry(timeout)
                 continue
             await self._send_whole(response, body)
             return
@@ -315,8 +321,9 @@
         while self._held.memory.must_wait(self._held):
             await asyncio.sleep(PAUSE_INTERVAL)
 
-    def _check_retry(self, error: ExchangeError) -> None:
+    async def _check_retry(self, error: ExchangeError) -> None:
         """Raise FailureError unless a request with a broken response may be retried."""
+        await self._attempts.tell_unanswered()
         if not self._attempts.may_repeat(error):
             raise fail(ErrorKind.INTERRUPTED, str(error)) from error
 
@@ -332,6 +339,7 @@
         except ExchangeError as error:
             self._attempts.response_broken(response)
             self.steps.append(f"broken:{error.fault.name}")
+            await self._attempts.tell_unanswered()
             if not self._writer.started:
                 raise fail(ErrorKind.INTERRUPTED, str(error)) from error
             self._writer.abort(str(error))
@@ -348,6 +356,7 @@
             body = await self._collect(response)
         except ExchangeError as error:
             self.steps.append(f"broken:{error.fault.name}")
+            await self._attempts.tell_unanswered()
             raise fail(ErrorKind.INTERRUPTED, str(error)) from error
         await self._send_whole(response, body)
 
--- a/sequoiaarch/ingress/handler.py
+++ b/sequoiaarch/ingress/handler.py
@@ -125,6 +125,7 @@
             async with asyncio.timeout_at(deadline):
                 await exchange.run()
         except TimeoutError:
+            exchange.deadline_passed()
             reason = f"no answer in {timeout:.3f} s"
             raise fail(ErrorKind.DEADLINE_EXCEEDED, reason) from None
 
--- a/sequoiaarch/policies/exposures.py
+++ b/sequoiaarch/policies/exposures.py
@@ -9,11 +9,12 @@
 import functools
 import hashlib
 from collections import OrderedDict, defaultdict
+from collections.abc import Sequence
 from enum import IntEnum
 
 import msgspec
 
-from ..ids import AttemptId, InstanceId, RequestKey, Workspace
+from ..ids import AttemptId, HostName, InstanceId, RequestKey, Workspace
 
 KEY_BYTES = 16
 # Seconds for which a request is remembered after the last change. Without a program,
@@ -22,6 +23,12 @@
 COMMON_LIFE = 30.0
 # Requests remembered by one process, about 3 MB.
 MAX_REQUESTS = 4096
+# Targets that may end under a request: one or two may have ended by chance.
+MAX_ENDS = 3
+# Seconds after which a request may be sent again if its targets may live: until the
+# next read of their list, or until another attempt is over.
+UNCLEAR_RETRY_AFTER = 1.0
+OPEN_RETRY_AFTER = 0.3
 # Exposures kept of one request: several gateways may send it at the same time.
 MAX_EXPOSURES = 16
 
@@ -29,22 +36,66 @@
 class ExposureState(IntEnum):
     """What is known of a target that was sent a request; the highest one prevails."""
 
-    OPEN = 1  # the target has not answered yet
-    BROKEN = 2  # it did not answer, and may have ended
-    ENDED = 3
+    ABANDONED = 1  # the caller left before the target answered
+    OPEN = 2  # the target has not answered yet
+    BROKEN = 3  # it did not answer, and may have ended
+    ENDED = 4
 
 
 class Exposure(msgspec.Struct, frozen=True, kw_only=True):
     """A send of a request that the target has not answered.
 
     `at` is the time of the last change. An answer of the target to another request,
-    sent `settles` seconds after that or later, shows that it has not ended.
+    sent `settles` seconds after that or later, shows that it has not ended. `source` is
+    the host that sent the request.
     """
 
     target: InstanceId
     state: ExposureState
     at: float
     settles: float = 0.0
+    source: HostName = HostName("")
+
+    @property
+    def counts(self) -> bool:
+        """Return whether the target counts as ended.
+
+        Callers leave requests that are no danger to any target.
+        """
+        return self.state is not ExposureState.ABANDONED
+
+
+class Verdict(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a request may not be sent to a further target."""
+
+    exposures: tuple[Exposure, ...]
+    retry_after: float
+
+    def describe(self, now: float) -> str:
+        """Return the targets with what is known of them and by whom."""
+        return ", ".join(
+            f"{exposure.target} {exposure.state.name.lower()} {now - exposure.at:.2f} s"
+            f" ago at {exposure.source}"
+            for exposure in self.exposures
+        )
+
+
+def judge(exposures: Sequence[Exposure], life_left: float) -> Verdict | None:
+    """Return why a request with these exposures may not be sent; None if it may.
+
+    Each target that has not answered counts as ended until it is known to live: its
+    end may come to light only after the next attempt.
+    """
+    if len(exposures) < MAX_ENDS:
+        return None
+    states = [exposure.state for exposure in exposures]
+    if states.count(ExposureState.ENDED) >= MAX_ENDS:
+        retry_after = life_left
+    elif ExposureState.OPEN in states:
+        retry_after = OPEN_RETRY_AFTER
+    else:
+        retry_after = UNCLEAR_RETRY_AFTER
+    return Verdict(exposures=tuple(exposures), retry_after=retry_after)
 
 
 class RequestIdentity:
@@ -148,6 +199,10 @@
         record = self._records.get(key)
         return 0.0 if record is None else max(0.0, record.until - now)
 
+    def workspace_of(self, key: RequestKey) -> Workspace:
+        """Return the workspace of a request that is remembered."""
+        return self._records[key].workspace
+
     def withdraw(self, key: RequestKey, target: InstanceId) -> None:
         """Remove an exposure whose target has not ended."""
         record = self._records.get(key)
@@ -195,16 +250,27 @@
         for key in list(self._by_target.get(target, ())):
             exposure = self._records[key].exposures[target]
             settled = exposure.at + exposure.settles
-            if exposure.state is ExposureState.BROKEN and settled <= at:
+            unclear = exposure.state in (ExposureState.ABANDONED, ExposureState.BROKEN)
+            if unclear and settled <= at:
                 self.withdraw(key, target)
 
-    def items(self, now: float) -> list[tuple[RequestKey, Workspace, list[Exposure]]]:
-        """Return all requests that are remembered."""
-        return [
-            (key, record.workspace, list(record.exposures.values()))
-            for key, record in self._records.items()
-            if record.until > now
-        ]
+    def timed_out(self, key: RequestKey, target: InstanceId) -> None:
+        """Count a target that was given up without an answer in time."""
+        record = self._records.get(key)
+        exposure = record.exposures.get(target) if record is not None else None
+        if exposure is not None and exposure.state is ExposureState.ABANDONED:
+            assert record is not None
+            record.exposures[target] = msgspec.structs.replace(
+                exposure, state=ExposureState.BROKEN
+            )
+
+    def keys(self, now: float) -> list[RequestKey]:
+        """Return the keys of all requests that are remembered."""
+        return [key for key, record in self._records.items() if record.until > now]
+
+    def life_of(self, key: RequestKey) -> float:
+        """Return for how many seconds a request is remembered after a change."""
+        return self._records[key].life
 
     def _unlink(self, key: RequestKey, target: InstanceId) -> None:
         keys = self._by_target[target]
--- a/sequoiaarch/tests/ingress/dispatcher_tests.py
+++ b/sequoiaarch/tests/ingress/dispatcher_tests.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest import mock
 
+from ...fleet.exposures import ExposureTracker
 from ...fleet.placement_service import PlacementService
 from ...ids import (
     AttemptId,
@@ -123,6 +124,7 @@
             prefix_index=index,
             service_placement=NearestFree(rng=rng),
             health=TargetHealth(own=HostName("own")),
+            exposures=ExposureTracker(own=HostName("here")),
             access=Access(limit=None),
             rng=rng,
         )
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -23,6 +23,7 @@
     Offset,
     OpeningId,
     ProgramId,
+    RequestKey,
     Seq,
     StreamKey,
     TargetName,
@@ -37,6 +38,7 @@
     TurnStart,
     TurnTerms,
 )
+from ..policies.exposures import ExposureState
 from ..policies.pace import PaceSample
 from ..policies.program_placement import ProgramDemand
 from ..policies.stream_origins import Origin
@@ -50,6 +52,9 @@
 from ..storage.calls import StoreCall, StoreReply
 from ..workspaces.limiter import TokenGrant
 
+# Exposures in one report, and reports in one list: about 200 bytes each.
+MAX_REPORTED_EXPOSURES = 32
+MAX_LISTED_REPORTS = 1024
 # A stream is found by its first attempt or by its request.
 MAX_STREAM_KEYS = 2
 
@@ -410,6 +415,55 @@
     key: StreamKey
 
 
+class ReportedExposure(msgspec.Struct, frozen=True, kw_only=True):
+    """A target that has not answered a request, as known to `source`.
+
+    `age` is in seconds; for `settles` see `Exposure`.
+    """
+
+    target: InstanceId
+    state: ExposureState
+    age: float
+    settles: float
+    source: HostName
+
+
+class ExposureReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What a gateway knows of a request that targets have not answered.
+
+    `life` is the time in seconds for which it is remembered after the last change.
+    """
+
+    key: RequestKey
+    workspace: Workspace
+    life: float
+    exposures: Annotated[
+        list[ReportedExposure], msgspec.Meta(max_length=MAX_REPORTED_EXPOSURES)
+    ]
+
+
+class ReportExposuresRequest(Message, frozen=True, kw_only=True, tag="exposures"):
+    """Report the exposures of a request and ask for those that the peer knows.
+
+    `withdrawn` targets did not run the request.
+    """
+
+    report: ExposureReport
+    withdrawn: Annotated[
+        list[InstanceId], msgspec.Meta(max_length=MAX_REPORTED_EXPOSURES)
+    ] = []
+
+
+class ClearExposuresRequest(Message, frozen=True, kw_only=True, tag="clear_exposures"):
+    """Report that a request is not what ended its targets."""
+
+    key: RequestKey
+
+
+class ListExposuresRequest(Message, frozen=True, kw_only=True, tag="list_exposures"):
+    """Ask for all exposures that the peer knows."""
+
+
 class Ping(Message, frozen=True, kw_only=True, tag="ping"):
     """Check that the peer is alive."""
 
@@ -429,6 +483,9 @@
     | TargetReport
     | RecordOriginRequest
     | FindOriginRequest
+    | ReportExposuresRequest
+    | ClearExposuresRequest
+    | ListExposuresRequest
     | PlaceProgramRequest
     | LoadReportRequest
     | DispatchRequest
@@ -661,6 +718,14 @@
     age: float = 0.0
 
 
+class ExposuresKnown(Message, frozen=True, kw_only=True, tag="exposures_known"):
+    """Report the exposures of one request, or of all."""
+
+    reports: Annotated[
+        list[ExposureReport], msgspec.Meta(max_length=MAX_LISTED_REPORTS)
+    ]
+
+
 class Accepted(Message, frozen=True, kw_only=True, tag="accepted"):
     """Report that a request was carried out."""
 
@@ -677,6 +742,7 @@
     | Lent
     | TokensTaken
     | OriginFound
+    | ExposuresKnown
     | ProgramPlaced
     | LoadReported
     | CallAdmitted
