Count a send before it is made

A safe request of 4 MB to targets that accept connections and read nothing reached all five of them with maxAttempts 2: each send timed out while the request was written, and was counted only after that. With the limit of targets that may end under a request it still reached three.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -292,8 +292,9 @@
             self.targets_age = self._dispatcher.targets_age()
             sent = True
             self.sends += 1
-            await connection.send(self._outgoing_request(target))
+            # Before the send, as it may time out while the request is written.
             self._send_count += 1
+            await connection.send(self._outgoing_request(target))
             self._dispatcher.request_sent(target, self._route, self._info, self)
             response = await self._await_head(target, connection)
             if response is None:
@@ -304,6 +305,8 @@
             if error.sent:
                 self._broken(target)
             else:
+                if sent:
+                    self._send_count -= 1
                 self._request_token.restore(token)
                 exposures.not_run(self._identity, target.incarnation)
             if error.sent:
--- a/sequoiaarch/tests/platform/fatal_requests_tests.py
+++ b/sequoiaarch/tests/platform/fatal_requests_tests.py
@@ -4,11 +4,20 @@
 
 import asyncio
 import json
+import socket
 from collections import Counter
 from collections.abc import Sequence
 from typing import Any
 
-from .deployment import ENGINES, TOOLS, Answer
+from .deployment import (
+    ENGINES,
+    LOOPBACK,
+    SMALLEST_BUFFER,
+    TOOLS,
+    Answer,
+    DeploymentTestCase,
+    registration,
+)
 from .ending_targets import (
     FATAL,
     GATEWAYS,
@@ -286,3 +295,42 @@
             await self.add_targets(TOOLS, 1, first=number)
             await self.end_target(next(iter(self.targets)), TOOLS)
             number += 1
+
+
+class SlowTargetTests(DeploymentTestCase):
+    """Send a request to targets that don't read it."""
+
+    async def test_sends_that_time_out(self) -> None:
+        """Count sends that time out while the request is written."""
+        reached: list[int] = []
+        for number in range(TARGETS):
+            await self.add_silent_target(number, reached)
+        daemon = await self.add_daemon("a")
+        answer = await self.call(
+            daemon, "/safe/a", body=bytes(4 * 1024 * 1024), X_Deadline_Ms="3000"
+        )
+        self.assertGreaterEqual(answer.status, 500)
+        self.assertEqual(len(reached), 2)
+
+    async def add_silent_target(self, number: int, reached: list[int]) -> None:
+        """Register a target with a small window that reads nothing."""
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALLEST_BUFFER)
+        listener.bind((LOOPBACK, 0))
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            reached.append(number)
+            await stopped.wait()
+            writer.transport.abort()
+
+        stopped = asyncio.Event()
+        server = await asyncio.start_server(serve, sock=listener)
+        self.addCleanup(server.close)
+        self.addCleanup(stopped.set)
+        address = f"{LOOPBACK}:{listener.getsockname()[1]}"
+        entry = json.dumps(registration(TOOLS, address)).encode()
+        await self.store.put("keyed.servers", f"i-{number}", entry)
