Give up interim responses without end

A target that repeats 100 Continue was read until the request's deadline: 504 after 3.0 s, for unsafe and safe requests, with the processor busy. The number of interim responses had no limit. The new test fails before (3.0 s) and passes; a few of them ahead of an answer are skipped as before.

--- a/sequoiaarch/http1/client.py
+++ b/sequoiaarch/http1/client.py
@@ -20,6 +20,8 @@
 from .peer_monitor import PeerMonitor
 
 MAX_INCOMPLETE_BYTES = 64 * 1024
+# Interim responses (1xx) before the response; each request asks for none.
+MAX_INTERIM_RESPONSES = 8
 # Bytes read ahead of the reader before reading from the target stops.
 READ_BUFFER_BYTES = 64 * 1024
 # Bytes of a read buffer: for events, and for the rest of longer responses, also while
@@ -182,7 +184,7 @@
 
     async def read_head(self) -> ResponseHead:
         """Return the status and headers of the response; raise ExchangeError."""
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -192,6 +194,8 @@
             return ResponseHead(
                 status=event.status_code, reason=bytes(event.reason), headers=headers
             )
+        reason = "too many interim responses"
+        raise ExchangeError(ExchangeFault.GARBLED, reason, sent=True)
 
     async def read_body_part(self) -> bytes | None:
         """Return the next bytes of the body, None at its end; raise ExchangeError."""
--- /dev/null
+++ b/sequoiaarch/tests/platform/endless_bytes_tests.py
@@ -0,0 +1,106 @@
+"""Test that bytes without end are not read until a request's deadline."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ...ingress.daemon import IngressDaemon
+from ...standins.target import TargetExchange, stream_head
+from .deployment import (
+    TOOLS,
+    Answer,
+    Behaviour,
+    DeploymentTestCase,
+    attempt_of,
+    tool_answer,
+)
+
+# Seconds of the 3 s that a request has, in which bytes that are no answer have to be
+# given up: others need the processor time, and callers can still try again.
+MAX_SECONDS = 1.0
+PIECE_BYTES = 8192
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+TINY_CHUNKS = b"1\r\nx\r\n" * (PIECE_BYTES // 6)
+LONG_CHUNK = b"2000\r\n" + bytes(PIECE_BYTES) + b"\r\n"
+
+Head = Callable[[TargetExchange], bytes]
+
+
+def nothing(exchange: TargetExchange) -> bytes:
+    """Return no bytes."""
+    return b""
+
+
+def signed(exchange: TargetExchange) -> bytes:
+    """Return the head of a signed response."""
+    attempt = attempt_of(exchange)
+    return stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s")))
+
+
+class EndlessBytesTests(DeploymentTestCase):
+    """Send requests to targets that write until their connection is closed."""
+
+    async def asyncSetUp(self) -> None:
+        """Start without targets."""
+        await super().asyncSetUp()
+        self.began = 0
+        self.closed = 0
+
+    def endless(self, head: Head, piece: bytes) -> Behaviour:
+        """Return the behaviour of a target that repeats some bytes."""
+
+        async def run(exchange: TargetExchange) -> None:
+            self.began += 1
+            exchange.send(head(exchange))
+            try:
+                while not exchange.disconnected.is_set():
+                    exchange.send(piece)
+                    await exchange.writer.drain()
+                    await asyncio.sleep(0)
+            except ConnectionError:
+                pass
+            self.closed += 1
+
+        return run
+
+    async def start(self, service: str, behaviour: Behaviour) -> IngressDaemon:
+        """Start a gateway and two targets with a behaviour."""
+        for name in ("i-1", "i-2"):
+            await self.add_target(name, service, behaviour)
+        daemon = await self.add_daemon("one")
+        async with asyncio.timeout(MAX_SECONDS):
+            while len(daemon.targets) < 2:
+                await asyncio.sleep(0.01)
+        return daemon
+
+    async def timed_call(self, daemon: IngressDaemon, path: str) -> Answer:
+        """Send a request, and check that it does not take until its deadline."""
+        began_at = asyncio.get_running_loop().time()
+        answer = await self.call(daemon, path, X_Deadline_Ms="3000")
+        seconds = asyncio.get_running_loop().time() - began_at
+        self.assertLess(seconds, MAX_SECONDS)
+        return answer
+
+    async def check_closed(self) -> None:
+        """Check that all connections to targets were closed."""
+        async with asyncio.timeout(MAX_SECONDS):
+            while self.closed < self.began:
+                await asyncio.sleep(0.01)
+
+    async def test_interim_responses(self) -> None:
+        """Give up interim responses that are followed by no answer."""
+        daemon = await self.start(TOOLS, self.endless(nothing, INTERIM * 100))
+        for path in ("/once/a", "/safe/a"):
+            self.assertEqual((await self.timed_call(daemon, path)).status, 502)
+        await self.check_closed()
+
+    async def test_some_interim_responses(self) -> None:
+        """Serve a request whose answer follows a few interim responses."""
+
+        async def behaviour(exchange: TargetExchange) -> None:
+            exchange.send(INTERIM * 3)
+            await tool_answer(exchange)
+
+        daemon = await self.start(TOOLS, behaviour)
+        self.assertEqual((await self.timed_call(daemon, "/once/a")).status, 200)
