Believe the head of a response that a request was not run

The body of such a response was read to its end before the request went on. Without an end, or without progress, the caller got 504 at its deadline of 3.0 s, and 502 if it broke off, although the target's word was in. The rest is read for 0.1 s and 64 KiB now, and the connection closed otherwise. Three new tests fail before (3.0 s, 3.0 s, 502) and pass.

--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -13,6 +13,7 @@
 from ..policies.exposures import MAX_ENDS, RequestIdentity, Verdict
 from ..policies.health import next_event_due
 from ..policies.stream_origins import Origin
+from ..reply_timeout import reply_timeout
 from ..routing.list_age import ListState
 from ..routing.routes import Route
 from ..routing.targets import TargetEntry
@@ -34,6 +35,10 @@
 # bytes: a target may repeat the longest response.
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BYTES = 16 * 1024 * 1024
+# Bytes and seconds for the rest of a response which tells that the request was not run.
+MAX_REFUSAL_BYTES = 64 * 1024
+MAX_REFUSAL_SECONDS = 0.1
+MIN_SKIPPED_BYTES = 64
 # The pace of a target is learned from streams of which this process spent at least this
 # fraction waiting for the target.
 MIN_WAITED_FRACTION = 0.5
@@ -417,12 +422,21 @@
         head: ResponseHead,
         info: ResponseInfo,
     ) -> None:
-        """Read the rest of a response that reports the request as not run."""
+        """Read the rest of a response that reports the request as not run.
+
+        The head is enough to know it. The connection is closed unless the rest follows.
+        """
         self._send_count -= 1
         self.steps.append(f"{target.instance}:not run {head.status}")
-        while await connection.read_body_part() is not None:
-            pass
-        self._dispatcher.pool.release(target, connection, info.idle_limit)
+        try:
+            async with reply_timeout(MAX_REFUSAL_SECONDS):
+                complete = await _skip_body(connection, MAX_REFUSAL_BYTES)
+        except (ExchangeError, TimeoutError):
+            complete = False
+        if complete:
+            self._dispatcher.pool.release(target, connection, info.idle_limit)
+        else:
+            connection.abort()
 
     def _outgoing_request(self, target: TargetEntry) -> RequestMessage:
         remaining = self._deadline - asyncio.get_running_loop().time()
@@ -497,5 +511,15 @@
     )
 
 
+async def _skip_body(connection: ClientConnection, limit: int) -> bool:
+    """Read the rest of a body; return whether it has at most so many bytes."""
+    while (part := await connection.read_body_part()) is not None:
+        # Each part costs time, also a short one.
+        limit -= max(len(part), MIN_SKIPPED_BYTES)
+        if limit < 0:
+            return False
+    return True
+
+
 def _garbled(reason: str) -> ExchangeError:
     return ExchangeError(ExchangeFault.GARBLED, reason, sent=True)
--- a/sequoiaarch/tests/platform/endless_bytes_tests.py
+++ b/sequoiaarch/tests/platform/endless_bytes_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable
 
 from ...ingress.daemon import IngressDaemon
@@ -38,6 +39,14 @@
     return stream_head((("X-Attempt-Id", attempt), ("X-Server-Stamp", "s")))
 
 
+def refusal(exchange: TargetExchange) -> bytes:
+    """Return the head of a response which tells that the request was not run."""
+    head = stream_head(
+        (("X-Attempt-Id", attempt_of(exchange)), ("X-Not-Executed", "1"))
+    )
+    return head.replace(b"200 OK", b"503 Busy")
+
+
 class EndlessBytesTests(DeploymentTestCase):
     """Send requests to targets that write until their connection is closed."""
 
@@ -104,3 +113,34 @@
 
         daemon = await self.start(TOOLS, behaviour)
         self.assertEqual((await self.timed_call(daemon, "/once/a")).status, 200)
+
+    async def test_body_of_a_refusal(self) -> None:
+        """Believe a target that did not run a request, whatever its body is."""
+        daemon = await self.start(TOOLS, self.endless(refusal, LONG_CHUNK))
+        for path in ("/once/a", "/safe/a"):
+            answer = await self.timed_call(daemon, path)
+            self.assertEqual(answer.status, 429)
+            self.assertEqual(json.loads(answer.body)["reason"], "2 targets refused")
+        await self.check_closed()
+
+    async def test_body_of_a_refusal_without_progress(self) -> None:
+        """Believe a target that did not run a request and stops within its body."""
+
+        async def behaviour(exchange: TargetExchange) -> None:
+            exchange.send(refusal(exchange))
+            await exchange.disconnected.wait()
+
+        daemon = await self.start(TOOLS, behaviour)
+        answer = await self.timed_call(daemon, "/once/a")
+        self.assertEqual(answer.status, 429)
+
+    async def test_broken_body_of_a_refusal(self) -> None:
+        """Believe a target that did not run a request and breaks off its body."""
+
+        async def behaviour(exchange: TargetExchange) -> None:
+            exchange.send(refusal(exchange) + b"1000\r\nonly the begin")
+            exchange.close()
+
+        daemon = await self.start(TOOLS, behaviour)
+        answer = await self.timed_call(daemon, "/once/a")
+        self.assertEqual(answer.status, 429)
