Limit the size of an event and the number of small parts

A stream whose event never ends, and a body in chunks of one byte, were read until the deadline (504 after 3.0 s). Each piece of an event was searched from its begin, so an event of 1 MB in 20,000 pieces took 22.8 s of processor time, during which nothing else was served.

--- a/sequoiaarch/ingress/exchange.py
+++ b/sequoiaarch/ingress/exchange.py
@@ -7,7 +7,7 @@
 from ..errors import ErrorKind, FailureError, fail
 from ..fleet.placed_turns import ENGINES_FULL
 from ..fleet.stream_origins import HERE
-from ..http1.events import EventSplitter, event_data
+from ..http1.events import EventSplitter, EventTooLongError, event_data
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
 from ..http1.server_connection import ResponseWriter
 from ..ids import TurnId
@@ -41,6 +41,12 @@
 # Tokens; the budget of retained turns whose request sets none.
 UNLIMITED_BUDGET = 2**52
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Parts of a whole response, and bytes in each further one: the parser needs as much
+# time for an empty part as for a long one.
+MAX_SMALL_PARTS = 4096
+MIN_PART_BYTES = 64
+# Events of one part after which other tasks run.
+EVENTS_AT_ONCE = 100
 # Seconds between checks whether a paused response body may be read on.
 PAUSE_INTERVAL = 0.05
 OK = 200
@@ -294,9 +300,13 @@
         memory.collecting[self._held] = None
         before = self._collected
         body = bytearray()
+        parts = 0
         try:
             while (part := await response.connection.read_body_part()) is not None:
                 body += part
+                parts += 1
+                if parts > MAX_SMALL_PARTS + len(body) // MIN_PART_BYTES:
+                    raise fail(ErrorKind.TARGET_FAILED, "the parts are too small")
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise fail(ErrorKind.TARGET_FAILED, "the response is too large")
                 self._count_collected(before + len(body))
@@ -371,12 +381,14 @@
         splitter = EventSplitter()
         history = self._collected
         while (part := await self._attempts.next_part(response)) is not None:
-            for event in splitter.feed(part):
+            for number, event in enumerate(_split(splitter, part), 1):
                 self._attempts.event_received()
                 await self._forward_event(response, output, event)
+                if number % EVENTS_AT_ONCE == 0:
+                    await asyncio.sleep(0)
             produced = output.size if output is not None else 0
-            self._count_collected(history + produced + len(splitter.pending))
-        if splitter.pending:
+            self._count_collected(history + produced + splitter.pending_bytes)
+        if splitter.pending_bytes:
             raise fail(ErrorKind.INTERRUPTED, "the stream ended inside an event")
         if output is not None:
             if not output.produced:
@@ -499,6 +511,14 @@
         self.turn.close()
 
 
+def _split(splitter: EventSplitter, part: bytes) -> list[bytes]:
+    """Return the events that a part completes; raises ExchangeError."""
+    try:
+        return splitter.feed(part)
+    except EventTooLongError as error:
+        raise ExchangeError(ExchangeFault.GARBLED, str(error), sent=True) from None
+
+
 def _placement_step(engine: TurnEngine) -> str:
     """Return where a program was placed, for the request log."""
     if engine.home is None:
--- a/sequoiaarch/tests/platform/endless_bytes_tests.py
+++ b/sequoiaarch/tests/platform/endless_bytes_tests.py
@@ -6,9 +6,11 @@
 import json
 from collections.abc import Callable
 
+from ...http1.events import EventSplitter
 from ...ingress.daemon import IngressDaemon
 from ...standins.target import TargetExchange, stream_head
 from .deployment import (
+    ENGINES,
     TOOLS,
     Answer,
     Behaviour,
@@ -144,3 +146,43 @@
         daemon = await self.start(TOOLS, behaviour)
         answer = await self.timed_call(daemon, "/once/a")
         self.assertEqual(answer.status, 429)
+
+    async def test_tiny_chunks(self) -> None:
+        """Give up a body in chunks that take more time than they have content."""
+        daemon = await self.start(TOOLS, self.endless(signed, TINY_CHUNKS))
+        self.assertEqual((await self.timed_call(daemon, "/once/a")).status, 502)
+        await self.check_closed()
+
+    async def test_event_without_end(self) -> None:
+        """Give up a stream whose event never ends."""
+        daemon = await self.start(ENGINES, self.endless(signed, LONG_CHUNK))
+        answer = await self.timed_call(daemon, "/free/a")
+        self.assertEqual(answer.status, 502)
+        await self.check_closed()
+
+    async def test_long_event(self) -> None:
+        """Split a long event in time that grows with its length only."""
+        splitter = EventSplitter()
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        for _ in range(4_000):
+            self.assertEqual(splitter.feed(b"x" * 250), [])
+        [event] = splitter.feed(b"\n\n")
+        self.assertEqual(len(event), 1_000_002)
+        self.assertLess(loop.time() - began_at, MAX_SECONDS)
+
+    async def test_other_requests(self) -> None:
+        """Serve other requests while many targets write without end."""
+        daemon = await self.start(TOOLS, self.endless(signed, TINY_CHUNKS))
+        calls = [
+            asyncio.create_task(self.call(daemon, "/once/a", X_Deadline_Ms="3000"))
+            for _ in range(20)
+        ]
+        await asyncio.sleep(0.1)
+        for name in ("i-1", "i-2"):
+            self.targets[name].behaviour = tool_answer
+        began_at = asyncio.get_running_loop().time()
+        answer = await self.call(daemon, "/safe/a", X_Deadline_Ms="3000")
+        self.assertEqual(answer.status, 200)
+        self.assertLess(asyncio.get_running_loop().time() - began_at, 2 * MAX_SECONDS)
+        await asyncio.gather(*calls)
