Limit the size of the store's responses

A response of the store without an end was collected until the timeout of the call, as fast as it came, and counted in no limit of memory. It ends at 8 MiB, eight times the largest page. The new test fails before (3.0 s, the timeout of the test's call).

--- a/sequoiaarch/storage/direct.py
+++ b/sequoiaarch/storage/direct.py
@@ -7,13 +7,16 @@
 from ..errors import Failure
 from ..http1.client import ClientConnection, connect
 from ..http1.idle import IdleConnections
-from ..http1.messages import ExchangeError, RequestMessage
+from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage
 from .calls import StoreCall, StoreReply, unavailable
 
 # Seconds. An unavailable store drops connections instead of refusing them.
 CONNECT_TIMEOUT = 0.5
 IDLE_LIMIT = 10.0
 MAX_IDLE_CONNECTIONS = 16
+# Bytes of a response. Reads ask for 1 MiB at most, and pages of lists have 1 MB of
+# values, in base64 and with their keys.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 class DirectClient:
@@ -62,4 +65,7 @@
         body = bytearray()
         while (part := await connection.read_body_part()) is not None:
             body += part
+            if len(body) > MAX_RESPONSE_BYTES:
+                reason = f"more than {MAX_RESPONSE_BYTES} bytes"
+                raise ExchangeError(ExchangeFault.GARBLED, reason, sent=True)
         return StoreReply(status=head.status, body=bytes(body))
--- a/sequoiaarch/tests/platform/endless_bytes_tests.py
+++ b/sequoiaarch/tests/platform/endless_bytes_tests.py
@@ -4,13 +4,18 @@
 
 import asyncio
 import json
+import unittest
 from collections.abc import Callable
 
+from ...errors import Failure
 from ...http1.events import EventSplitter
 from ...ingress.daemon import IngressDaemon
 from ...standins.target import TargetExchange, stream_head
+from ...storage.calls import StoreCall, StoreReply
+from ...storage.direct import DirectClient
 from .deployment import (
     ENGINES,
+    LOOPBACK,
     TOOLS,
     Answer,
     Behaviour,
@@ -186,3 +191,41 @@
         self.assertEqual(answer.status, 200)
         self.assertLess(asyncio.get_running_loop().time() - began_at, 2 * MAX_SECONDS)
         await asyncio.gather(*calls)
+
+
+class EndlessStoreTests(unittest.IsolatedAsyncioTestCase):
+    """Call a store that writes until its connection is closed."""
+
+    async def call(self, head: bytes, piece: bytes) -> StoreReply | Failure:
+        """Call a store that repeats some bytes; check that it does not take long."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(head)
+            try:
+                while True:
+                    writer.write(piece)
+                    await writer.drain()
+            except ConnectionError:
+                closed.set()
+
+        closed = asyncio.Event()
+        server = await asyncio.start_server(serve, LOOPBACK, 0)
+        self.addCleanup(server.close)
+        client = DirectClient(address=server.sockets[0].getsockname()[:2])
+        began_at = asyncio.get_running_loop().time()
+        call = StoreCall(method="GET", path="/-/log-read", timeout=3.0)
+        reply = await client.call(call)
+        self.assertLess(asyncio.get_running_loop().time() - began_at, MAX_SECONDS)
+        async with asyncio.timeout(MAX_SECONDS):
+            await closed.wait()
+        return reply
+
+    async def test_body(self) -> None:
+        """Give up the body of a store's response."""
+        self.assertIsInstance(await self.call(stream_head(), LONG_CHUNK), Failure)
+
+    async def test_interim_responses(self) -> None:
+        """Give up interim responses of a store."""
+        self.assertIsInstance(await self.call(b"", INTERIM * 100), Failure)
