Count each send of a request, and compare reports between gateways

Each send counts by itself now, and further ones go to other targets if there are some. - A gateway that had been frozen admitted a request before it had asked for the reports that it missed. Requests wait for them. - A peer that had failed once was not waited for during its backoff of up to 60 s, so two gateways announced sends to each other in the background and made both. Peers are waited for again with their first answer. Reports that a gateway missed, as a link is harmed in one direction or for the limit of messages, come with a comparison twice a second.

A target also counts as living if its registration outlives its exposures by 8 s without an outage of the store, as there may be no other requests.

--- a/sequoiaarch/fleet/exposure_reports.py
+++ b/sequoiaarch/fleet/exposure_reports.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import random
 from collections.abc import Coroutine, Sequence
 from typing import Any
 
-from ..ids import HostName, InstanceId, RequestKey
+from ..ids import HostName, RequestKey, SendId
 from ..policies.exposures import PROGRAM_LIFE, Exposure
 from ..wire.messages import (
     MAX_LISTED_REPORTS,
@@ -22,7 +24,6 @@
     Request,
 )
 from .exposures import ExposureTracker, KnownRequest
-from .peer_health import PeerHealth
 from .peers import Peers
 
 # Hosts answer from memory. A caller is told of a broken attempt at the latest after
@@ -35,6 +36,9 @@
 # burst is that of four reports; beyond it, only some hosts are told.
 MESSAGE_RATE = 1000.0
 MESSAGE_BURST = 2000.0
+# Seconds after which another host is asked for what is not known here: reports are not
+# retried for ever, and links may be harmed in one direction.
+COMPARE_INTERVAL = 0.5
 # Hosts asked for all exposures at the same time, and the seconds within which they must
 # answer; others are asked if none does, as the registrations of lost hosts stay.
 LIST_HOSTS = 8
@@ -42,7 +46,6 @@
 # A process that could not run for this time may have missed reports, as peers give up
 # a host that is silent for a second. Seconds.
 MISSED_SECONDS = 0.8
-CHECK_INTERVAL = 0.2
 # Requests wait no longer than this for the exposures known to other hosts. Seconds.
 MAX_WAIT = 0.3
 
@@ -60,11 +63,13 @@
         self._own = own
         self._peers = peers
         self._tracker = tracker
-        # Separate from the health of peers for other requests, as processes of an older
-        # build are healthy but take no reports.
-        self._peer_health = PeerHealth()
+        # Hosts that did not answer the last time. They are told in the background, and
+        # waited for again as soon as they answer.
+        self._silent: set[HostName] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._synchronised = asyncio.Event()
+        self._compared_at = -math.inf
+        self._rng = random.Random(own)
         self._tokens = MESSAGE_BURST
         self._refilled_at = 0.0
         # Messages that were not sent for the limit of their rate.
@@ -72,6 +77,9 @@
 
     async def synchronised(self) -> None:
         """Return once the exposures known to other gateways are known here."""
+        # A request may be handled before `run` after a time without processor.
+        if self._missed_reports:
+            self._synchronised.clear()
         if self._synchronised.is_set():
             return
         try:
@@ -84,7 +92,7 @@
         """Tell the other gateways of a request; return what they know of it."""
         request = ReportExposuresRequest(report=_encode(known))
         hosts = self._within_rate(self._peers.hosts())
-        asked = [host for host in hosts if self._peer_health.usable(host)]
+        asked = [host for host in hosts if host not in self._silent]
         for host in hosts:
             if host not in asked:
                 self._start(self._deliver(host, request))
@@ -100,10 +108,9 @@
             if report.key == known.key
         ]
 
-    def notify(self, known: KnownRequest, *, withdrawn: InstanceId | None) -> None:
+    def notify(self, known: KnownRequest, *, withdrawn: SendId | None) -> None:
         """Tell the other gateways of a request in the background."""
-        targets = [] if withdrawn is None else [withdrawn]
-        request = ReportExposuresRequest(report=_encode(known), withdrawn=targets)
+        request = ReportExposuresRequest(report=_encode(known), withdrawn=withdrawn)
         for host in self._within_rate(self._peers.hosts()):
             self._start(self._deliver(host, request))
 
@@ -121,43 +128,60 @@
             self._tracker.told_cleared(request.key)
             return Accepted()
         if isinstance(request, ListExposuresRequest):
+            if request.digest == self._tracker.digest():
+                return ExposuresKnown(reports=[])
             newest = self._tracker.all_known()[-MAX_LISTED_REPORTS:]
             return ExposuresKnown(reports=[_encode(known) for known in newest])
         answer = self._tracker.told(_decode(request.report), request.withdrawn)
         return ExposuresKnown(reports=[] if answer is None else [_encode(answer)])
 
     async def run(self) -> None:
-        """Ask other gateways at the start, and after each time without processor."""
+        """Compare what is known with other gateways.
+
+        All of it at the start, and after each time without processor.
+        """
         await self._peers.wait_listed()
         loop = asyncio.get_running_loop()
         try:
-            await self._synchronise()
             while True:
-                before = loop.time()
-                await asyncio.sleep(CHECK_INTERVAL)
-                if loop.time() - before > CHECK_INTERVAL + MISSED_SECONDS:
+                if self._missed_reports:
                     self._synchronised.clear()
                     await self._synchronise()
+                else:
+                    await self._compare()
+                self._compared_at = loop.time()
+                await asyncio.sleep(COMPARE_INTERVAL)
         finally:
             for task in self._tasks:
                 task.cancel()
 
+    @property
+    def _missed_reports(self) -> bool:
+        """Return whether this process has just started, or could not run."""
+        now = asyncio.get_running_loop().time()
+        return now - self._compared_at > COMPARE_INTERVAL + MISSED_SECONDS
+
+    async def _compare(self) -> None:
+        """Ask one other gateway for what is not known here."""
+        hosts = self._peers.hosts()
+        if hosts:
+            request = ListExposuresRequest(digest=self._tracker.digest())
+            await self._list([self._rng.choice(hosts)], request)
+
     async def _synchronise(self) -> None:
-        hosts = sorted(
-            self._peers.hosts(),
-            key=lambda host: not self._peer_health.usable(host),
-        )
+        hosts = sorted(self._peers.hosts(), key=lambda host: host in self._silent)
         for first in range(0, len(hosts), LIST_HOSTS):
-            if await self._list(hosts[first : first + LIST_HOSTS]):
+            asked = hosts[first : first + LIST_HOSTS]
+            if await self._list(asked, ListExposuresRequest()):
                 return
         self._synchronised.set()
 
-    async def _list(self, hosts: Sequence[HostName]) -> bool:
+    async def _list(
+        self, hosts: Sequence[HostName], request: ListExposuresRequest
+    ) -> bool:
         """Add what hosts know; return whether one of them answered."""
         answered = False
-        asked = [
-            self._ask(host, ListExposuresRequest(), LIST_TIMEOUT) for host in hosts
-        ]
+        asked = [self._ask(host, request, LIST_TIMEOUT) for host in hosts]
         for reply in asyncio.as_completed(asked):
             known = await reply
             if isinstance(known, ExposuresKnown):
@@ -174,9 +198,9 @@
             return None
         reply = await link.call(request, timeout=timeout)
         if isinstance(reply, ExposuresKnown | Accepted):
-            self._peer_health.request_succeeded(host)
+            self._silent.discard(host)
         else:
-            self._peer_health.request_failed(host, str(reply))
+            self._silent.add(host)
         return reply
 
     async def _deliver(self, host: HostName, request: Request) -> None:
@@ -185,6 +209,8 @@
         deadline = loop.time() + RETRY_SECONDS
         while loop.time() < deadline:
             reply = await self._ask(host, request, RETRY_SECONDS)
+            if isinstance(reply, ExposuresKnown):
+                self._tracker.merge(map(_decode, reply.reports))
             if isinstance(reply, ExposuresKnown | Accepted):
                 return
             await asyncio.sleep(RETRY_INTERVAL)
@@ -214,6 +240,7 @@
         life=known.life,
         exposures=[
             ReportedExposure(
+                send=exposure.send,
                 target=exposure.target,
                 state=exposure.state,
                 age=now - exposure.at,
@@ -233,6 +260,7 @@
         life=min(max(report.life, 0.0), PROGRAM_LIFE),
         exposures=[
             Exposure(
+                send=exposure.send,
                 target=exposure.target,
                 state=exposure.state,
                 at=now - max(exposure.age, 0.0),
--- a/sequoiaarch/fleet/exposures.py
+++ b/sequoiaarch/fleet/exposures.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import math
+import secrets
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import msgspec
 
-from ..ids import HostName, InstanceId, RequestKey, Workspace
+from ..ids import HostName, InstanceId, RequestKey, SendId, Workspace
 from ..policies.exposures import (
     MAX_REQUESTS,
     Exposure,
@@ -18,11 +21,15 @@
     RequestIdentity,
     Verdict,
     judge,
+    request_key,
 )
 
 # A target goes on with a request for a while after its connection was closed here.
 # Seconds.
 ABANDONED_SETTLES = 2.0
+PROCESS_ID_BYTES = 4
+# Seconds; three heartbeats of the usual length, and as much for a late one.
+REGISTRATION_LIFE = 8.0
 
 
 class KnownRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,7 +50,7 @@
     async def tell(self, known: KnownRequest) -> list[KnownRequest]:
         """Tell the other gateways of a request; return what they know of it."""
 
-    def notify(self, known: KnownRequest, *, withdrawn: InstanceId | None) -> None:
+    def notify(self, known: KnownRequest, *, withdrawn: SendId | None) -> None:
         """Tell the other gateways of a request in the background."""
 
     def cleared(self, key: RequestKey) -> None:
@@ -60,7 +67,7 @@
         """Learn nothing."""
         return []
 
-    def notify(self, known: KnownRequest, *, withdrawn: InstanceId | None) -> None:
+    def notify(self, known: KnownRequest, *, withdrawn: SendId | None) -> None:
         """Tell nobody."""
 
     def cleared(self, key: RequestKey) -> None:
@@ -93,10 +100,18 @@
         # Called when the end of a target is put to a request that this process sent.
         self.on_end: Callable[[TargetEnd], None] = lambda end: None
         self._own = own
-        # Requests that targets have not answered yet, with the time of each send.
-        self._open: defaultdict[RequestIdentity, dict[InstanceId, float]] = defaultdict(
-            dict
+        # Sends of this process that targets have not answered yet.
+        self._open: defaultdict[RequestIdentity, dict[InstanceId, Exposure]] = (
+            defaultdict(dict)
         )
+        self._process = secrets.token_hex(PROCESS_ID_BYTES)
+        self._numbers = itertools.count(1)
+        # Tells whether a target is registered by a list that is up to date.
+        self.registered: Callable[[InstanceId], bool] = lambda target: False
+        # Seconds after which the registration of a target that has ended is gone.
+        self.registration_life = REGISTRATION_LIFE
+        # When the store was last unavailable: registrations may outlive that time.
+        self._store_away_at = -math.inf
         # Requests with exposures that the other gateways were not told of.
         self._untold: dict[RequestKey, None] = {}
         # Requests that other gateways may remember.
@@ -133,14 +148,14 @@
         """
         await self.sharing.synchronised()
         if not self.suspected(request):
-            self._open[request][target] = asyncio.get_running_loop().time()
+            self._begin(request, target)
             return None
         verdict = self.verdict(request)
         if verdict is not None:
             return verdict
-        self._open[request][target] = asyncio.get_running_loop().time()
+        own = self._begin(request, target)
         await self.tell(request)
-        others = [known for known in self._known(request.key) if known.target != target]
+        others = [known for known in self._known(request.key) if known.send != own.send]
         verdict = self._judge(request.key, others)
         if verdict is not None:
             self.not_run(request, target)
@@ -148,11 +163,10 @@
 
     def not_run(self, request: RequestIdentity, target: InstanceId) -> None:
         """Record that a target does not run a request that it may have been sent."""
-        if self._close(request, target) and self.suspected(request):
-            self.table.withdraw(request.key, target)
-            if request.key in self._shared:
-                known = self._known_request(request.key, request)
-                self.sharing.notify(known, withdrawn=target)
+        own = self._close(request, target)
+        if own is not None and request.key in self._shared:
+            known = self._known_request(request.key, request)
+            self.sharing.notify(known, withdrawn=own.send)
 
     def answered(
         self, request: RequestIdentity, target: InstanceId, *, ok: bool
@@ -178,40 +192,38 @@
 
     def broken(self, request: RequestIdentity, target: InstanceId) -> bool:
         """Record that the exchange with a target broke; return whether it was open."""
-        return self._unanswered(request, target, ExposureState.BROKEN, settles=0.0)
+        return self._unanswered(request, target, ExposureState.BROKEN) is not None
 
-    def abandoned(self, request: RequestIdentity, target: InstanceId) -> bool:
+    def abandoned(
+        self, request: RequestIdentity, target: InstanceId
+    ) -> Exposure | None:
         """Record that a target is not waited for any longer.
 
-        Returns whether the exchange was open.
+        Returns the send if it was open.
         """
-        if not self._unanswered(
-            request, target, ExposureState.ABANDONED, settles=ABANDONED_SETTLES
-        ):
-            return False
-        if request.key in self._shared:
+        own = self._unanswered(request, target, ExposureState.ABANDONED)
+        if own is not None and request.key in self._shared:
             known = self._known_request(request.key, request)
-            self.sharing.notify(known, withdrawn=target)
-        return True
+            self.sharing.notify(known, withdrawn=None)
+        return own
 
-    def timed_out(self, request: RequestIdentity, target: InstanceId) -> None:
+    def timed_out(self, request: RequestIdentity, send: SendId) -> None:
         """Count a target that was given up as it did not answer in time."""
-        self.table.timed_out(request.key, target)
+        self.table.timed_out(request.key, send)
 
     def _unanswered(
         self,
         request: RequestIdentity,
         target: InstanceId,
         state: ExposureState,
-        *,
-        settles: float,
-    ) -> bool:
-        if not self._close(request, target):
-            return False
+    ) -> Exposure | None:
+        own = self._close(request, target)
+        if own is None:
+            return None
         now = asyncio.get_running_loop().time()
-        exposure = Exposure(
-            target=target, state=state, at=now, settles=settles, source=self._own
-        )
+        abandoned = state is ExposureState.ABANDONED
+        settles = ABANDONED_SETTLES if abandoned else 0.0
+        exposure = msgspec.structs.replace(own, state=state, at=now, settles=settles)
         self.table.put(
             request.key,
             exposure,
@@ -220,7 +232,7 @@
             now=now,
         )
         self._remember(self._untold, request.key)
-        return True
+        return exposure
 
     async def tell(self, request: RequestIdentity) -> None:
         """Tell the other gateways of a request, and learn what they know of it."""
@@ -249,12 +261,12 @@
                 )
 
     def told(
-        self, report: KnownRequest, withdrawn: Iterable[InstanceId]
+        self, report: KnownRequest, withdrawn: SendId | None
     ) -> KnownRequest | None:
         """Add what another gateway tells; return what is known of the request here."""
         self.merge([report])
-        for target in withdrawn:
-            self.table.withdraw(report.key, target)
+        if withdrawn is not None:
+            self.table.withdraw(report.key, withdrawn)
         own = next((open for open in self._open if open.key == report.key), None)
         if own is None and report.key not in self.table:
             return None
@@ -287,6 +299,20 @@
             if answered_at <= as_of:
                 del self._life_signs[target]
                 self.table.target_lived(target, sent_at)
+        # Without requests of others, only its registration shows that a target lives.
+        lived_at = as_of - self.registration_life
+        if lived_at > self._store_away_at:
+            for target in self.table.targets():
+                if self.registered(target):
+                    self.table.target_lived(target, lived_at)
+
+    def store_lost(self) -> None:
+        """Record that the list of targets can't be read."""
+        self._store_away_at = math.inf
+
+    def store_regained(self) -> None:
+        """Record that the list of targets can be read again."""
+        self._store_away_at = asyncio.get_running_loop().time()
 
     def target_left(self, target: InstanceId, evidence: str) -> None:
         """Put the end of a target to the requests that it had not answered."""
@@ -309,34 +335,55 @@
                 )
             )
 
-    def _close(self, request: RequestIdentity, target: InstanceId) -> bool:
-        """Stop tracking a send; return whether it was tracked."""
+    def exposed_targets(self, request: RequestIdentity) -> set[InstanceId]:
+        """Return the targets that may have ended under a request."""
+        if not self.suspected(request):
+            return set()
+        return {exposure.target for exposure in self._known(request.key)}
+
+    def digest(self) -> bytes:
+        """Return a digest of the sends that other gateways should know."""
+        now = asyncio.get_running_loop().time()
+        sends = sorted(
+            exposure.send
+            for key in self.table.keys(now)
+            for exposure in self.table.exposures(key, now)
+            if exposure.state >= ExposureState.BROKEN
+        )
+        return request_key("\0".join(sends).encode())
+
+    def _begin(self, request: RequestIdentity, target: InstanceId) -> Exposure:
+        """Track a send."""
+        exposure = self._open[request][target] = Exposure(
+            send=SendId(f"{self._process}/{next(self._numbers)}"),
+            target=target,
+            state=ExposureState.OPEN,
+            at=asyncio.get_running_loop().time(),
+            source=self._own,
+        )
+        return exposure
+
+    def _close(self, request: RequestIdentity, target: InstanceId) -> Exposure | None:
+        """Stop tracking a send, and return it."""
         targets = self._open.get(request)
-        if targets is None or targets.pop(target, None) is None:
-            return False
+        if targets is None:
+            return None
+        exposure = targets.pop(target, None)
         if not targets:
             del self._open[request]
-        return True
+        return exposure
 
     def _known(self, key: RequestKey) -> list[Exposure]:
         """Return the exposures of a request, with those that are open here."""
+        return [exposure for exposure in self._all_known(key) if exposure.counts]
+
+    def _all_known(self, key: RequestKey) -> list[Exposure]:
         now = asyncio.get_running_loop().time()
-        known = {
-            exposure.target: exposure
-            for exposure in self.table.exposures(key, now)
-            if exposure.counts
-        }
+        known = {exposure.send: exposure for exposure in self.table.exposures(key, now)}
         for request, targets in self._open.items():
-            if request.key != key:
-                continue
-            for target, sent_at in targets.items():
-                exposure = Exposure(
-                    target=target,
-                    state=ExposureState.OPEN,
-                    at=sent_at,
-                    source=self._own,
-                )
-                known.setdefault(target, exposure)
+            if request.key == key:
+                for exposure in targets.values():
+                    known.setdefault(exposure.send, exposure)
         return list(known.values())
 
     def _known_request(
@@ -349,7 +396,7 @@
         # Only the gateway that waits for an answer knows when it comes.
         exposures = [
             known
-            for known in self._known(key)
+            for known in self._all_known(key)
             if known.state is not ExposureState.OPEN or known.source == self._own
         ]
         return KnownRequest(
--- a/sequoiaarch/ids.py
+++ b/sequoiaarch/ids.py
@@ -26,6 +26,7 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 StreamKey = NewType("StreamKey", bytes)
 RequestKey = NewType("RequestKey", bytes)
+SendId = NewType("SendId", str)
 
 RANDOM_ID_BYTES = 9
 CHILD_SEPARATOR = "."
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -9,7 +9,7 @@
 from ..http1.client import ClientConnection
 from ..http1.memory import HeldBytes
 from ..http1.messages import ExchangeError, ExchangeFault, RequestMessage, ResponseHead
-from ..ids import InstanceId
+from ..ids import InstanceId, SendId
 from ..policies.exposures import MAX_ENDS, RequestIdentity, Verdict
 from ..policies.health import next_event_due
 from ..policies.stream_origins import Origin
@@ -91,7 +91,7 @@
         self._identity = identity_of(message, info, caller, route)
         # Whether a target did not answer the request, and targets that were given up.
         self.exposed = False
-        self._given_up: list[InstanceId] = []
+        self._given_up: list[SendId] = []
         # Targets that were sent the request, also those that did not run it.
         self.sends = 0
         self._send_count = 0
@@ -133,7 +133,7 @@
                 self._tried,
                 self.home,
                 self.origin,
-                suspected=self._dispatcher.exposures.suspected(self._identity),
+                exposed=self._dispatcher.exposures.exposed_targets(self._identity),
             )
             if target is None or refusals >= MAX_REFUSALS:
                 raise self._placement_failure(refusals)
@@ -359,14 +359,15 @@
 
     def _abandoned(self, target: TargetEntry) -> None:
         """Record that a target is not waited for any longer."""
-        if self._dispatcher.exposures.abandoned(self._identity, target.incarnation):
+        send = self._dispatcher.exposures.abandoned(self._identity, target.incarnation)
+        if send is not None:
             self.exposed = True
-            self._given_up.append(target.incarnation)
+            self._given_up.append(send.send)
 
     def _count_given_up(self) -> None:
         """Count the targets that did not answer in time."""
-        for target in self._given_up:
-            self._dispatcher.exposures.timed_out(self._identity, target)
+        for send in self._given_up:
+            self._dispatcher.exposures.timed_out(self._identity, send)
         self._given_up.clear()
 
     def _abort(self, connection: ClientConnection | None) -> None:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -214,8 +214,8 @@
             apply=registrations.apply,
             batch_delay=TARGETS_BATCH_DELAY,
             wait=TARGETS_WAIT,
-            on_lost=self.targets.store_lost,
-            on_regained=self.targets.store_regained,
+            on_lost=self._targets_lost,
+            on_regained=self._targets_regained,
             on_read=self._targets_read,
         )
         self._targets_path = StorePath.NONE
@@ -223,6 +223,7 @@
         self.targets.on_leaving = self._metrics.observe_leaving_known
         self.targets.on_left = self.dispatcher.exposures.target_left
         self.dispatcher.exposures.on_end = self._log_end
+        self.dispatcher.exposures.registered = self.targets.registered
         self.dispatcher.targets_read = lambda: self._targets_path
         self.dispatcher.list_age = ListAge(
             topic=self._targets_follower,
@@ -464,6 +465,14 @@
         now = asyncio.get_running_loop().time()
         self.dispatcher.exposures.targets_listed(now - self.targets.age())
 
+    def _targets_lost(self) -> None:
+        self.targets.store_lost()
+        self.dispatcher.exposures.store_lost()
+
+    def _targets_regained(self) -> None:
+        self.targets.store_regained()
+        self.dispatcher.exposures.store_regained()
+
     def _forget_target(self, instance: InstanceId) -> None:
         self.dispatcher.forget(instance)
 
--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 import msgspec
 import xxhash
@@ -95,13 +95,13 @@
         home: InstanceId | None = None,
         origin: Origin | None = None,
         *,
-        suspected: bool = False,
+        exposed: Set[InstanceId] = frozenset(),
     ) -> tuple[TargetEntry | None, str]:
         """Return an untried target for a request and the reason for the choice.
 
         `home` is the engine that the request's program was assigned to. A stream with
-        an `origin` goes on only at its version. A `suspected` request goes where the
-        end of the target would break the fewest others.
+        an `origin` goes on only at its version. If targets may have ended under the
+        request, `exposed` ones, it goes where an end would break the fewest others.
         """
         if origin is None:
             entries = self._targets.of(self._service_for(route, home))
@@ -110,7 +110,9 @@
         entries = [entry for entry in entries if entry.incarnation not in tried]
         if not entries:
             return None, ""
-        if suspected:
+        if exposed:
+            others = [entry for entry in entries if entry.incarnation not in exposed]
+            entries = others or entries
             running = {
                 entry.incarnation: self.load.running(entry.incarnation)
                 for entry in entries
--- a/sequoiaarch/policies/exposures.py
+++ b/sequoiaarch/policies/exposures.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ..ids import AttemptId, HostName, InstanceId, RequestKey, Workspace
+from ..ids import AttemptId, HostName, InstanceId, RequestKey, SendId, Workspace
 
 KEY_BYTES = 16
 # Seconds for which a request is remembered after the last change. Without a program,
@@ -31,13 +31,15 @@
 OPEN_RETRY_AFTER = 0.3
 # Exposures kept of one request: several gateways may send it at the same time.
 MAX_EXPOSURES = 16
+# Sends remembered that ended no target.
+MAX_SETTLED = 8192
 
 
 class ExposureState(IntEnum):
     """What is known of a target that was sent a request; the highest one prevails."""
 
-    ABANDONED = 1  # the caller left before the target answered
-    OPEN = 2  # the target has not answered yet
+    OPEN = 1  # the target has not answered yet
+    ABANDONED = 2  # the caller left before the target answered
     BROKEN = 3  # it did not answer, and may have ended
     ENDED = 4
 
@@ -45,11 +47,13 @@
 class Exposure(msgspec.Struct, frozen=True, kw_only=True):
     """A send of a request that the target has not answered.
 
-    `at` is the time of the last change. An answer of the target to another request,
-    sent `settles` seconds after that or later, shows that it has not ended. `source` is
-    the host that sent the request.
+    A target that starts again at once may end twice under one name, so each send counts
+    by itself. `at` is the time of the last change. An answer of the target to another
+    request, sent `settles` seconds after that or later, shows that it has not ended.
+    `source` is the host that sent the request.
     """
 
+    send: SendId
     target: InstanceId
     state: ExposureState
     at: float
@@ -128,11 +132,16 @@
         return RequestKey(digest.digest())
 
 
+def request_key(content: bytes) -> RequestKey:
+    """Return a digest of the size of a request's key."""
+    return RequestKey(hashlib.blake2b(content, digest_size=KEY_BYTES).digest())
+
+
 class _Record(msgspec.Struct, kw_only=True):
     workspace: Workspace
     life: float
     until: float
-    exposures: dict[InstanceId, Exposure]
+    exposures: dict[SendId, Exposure]
 
 
 class ExposureTable:
@@ -149,7 +158,11 @@
         self._by_workspace: defaultdict[Workspace, OrderedDict[RequestKey, None]] = (
             defaultdict(OrderedDict)
         )
-        self._by_target: defaultdict[InstanceId, set[RequestKey]] = defaultdict(set)
+        self._by_target: defaultdict[InstanceId, set[tuple[RequestKey, SendId]]] = (
+            defaultdict(set)
+        )
+        # Sends that ended no target: other gateways may still report them.
+        self._settled: OrderedDict[SendId, None] = OrderedDict()
         # Records dropped for want of room.
         self.dropped = 0
 
@@ -168,20 +181,22 @@
         life: float,
         now: float,
     ) -> None:
-        """Add an exposure, unless more is known of the target already."""
+        """Add an exposure, unless more is known of the send already."""
         self._drop_expired(now)
+        if exposure.send in self._settled:
+            return
         record = self._records.get(key)
         if record is None:
             record = _Record(workspace=workspace, life=life, until=now, exposures={})
             self._records[key] = record
-        known = record.exposures.get(exposure.target)
+        known = record.exposures.get(exposure.send)
         if known is not None and known.state >= exposure.state:
             return
         if known is None and len(record.exposures) >= MAX_EXPOSURES:
             return
-        record.exposures[exposure.target] = exposure
+        record.exposures[exposure.send] = exposure
         record.until = max(record.until, exposure.at + record.life)
-        self._by_target[exposure.target].add(key)
+        self._by_target[exposure.target].add((key, exposure.send))
         self._by_workspace[record.workspace][key] = None
         self._by_workspace[record.workspace].move_to_end(key)
         if len(self._records) > self._max_requests:
@@ -203,12 +218,14 @@
         """Return the workspace of a request that is remembered."""
         return self._records[key].workspace
 
-    def withdraw(self, key: RequestKey, target: InstanceId) -> None:
+    def withdraw(self, key: RequestKey, send: SendId) -> None:
         """Remove an exposure whose target has not ended."""
         record = self._records.get(key)
-        if record is None or record.exposures.pop(target, None) is None:
+        exposure = record.exposures.pop(send, None) if record is not None else None
+        if record is None or exposure is None:
             return
-        self._unlink(key, target)
+        self._unlink(key, exposure)
+        self._settle(send)
         if not record.exposures:
             self.clear(key)
 
@@ -217,8 +234,9 @@
         record = self._records.pop(key, None)
         if record is None:
             return False
-        for target in record.exposures:
-            self._unlink(key, target)
+        for exposure in record.exposures.values():
+            self._unlink(key, exposure)
+            self._settle(exposure.send)
         keys = self._by_workspace[record.workspace]
         keys.pop(key, None)
         if not keys:
@@ -234,33 +252,37 @@
     ) -> list[tuple[RequestKey, Exposure]]:
         """Record the end of a target; return what it was exposed to before."""
         ended = []
-        for key in list(self._by_target.get(target, ())):
+        for key, send in list(self._by_target.get(target, ())):
             record = self._records[key]
-            exposure = record.exposures[target]
+            exposure = record.exposures[send]
             if exposure.state is not ExposureState.ENDED and record.until > now:
                 ended.append((key, exposure))
-                record.exposures[target] = msgspec.structs.replace(
+                record.exposures[send] = msgspec.structs.replace(
                     exposure, state=ExposureState.ENDED, at=now
                 )
                 record.until = now + record.life
         return ended
 
     def target_lived(self, target: InstanceId, at: float) -> None:
-        """Remove the exposures of a target that was sent a request at a time."""
-        for key in list(self._by_target.get(target, ())):
-            exposure = self._records[key].exposures[target]
+        """Remove the exposures of a target that has been alive at a time."""
+        for key, send in list(self._by_target.get(target, ())):
+            exposure = self._records[key].exposures[send]
             settled = exposure.at + exposure.settles
             unclear = exposure.state in (ExposureState.ABANDONED, ExposureState.BROKEN)
             if unclear and settled <= at:
-                self.withdraw(key, target)
+                self.withdraw(key, send)
 
-    def timed_out(self, key: RequestKey, target: InstanceId) -> None:
+    def targets(self) -> list[InstanceId]:
+        """Return the targets that have exposures."""
+        return list(self._by_target)
+
+    def timed_out(self, key: RequestKey, send: SendId) -> None:
         """Count a target that was given up without an answer in time."""
         record = self._records.get(key)
-        exposure = record.exposures.get(target) if record is not None else None
+        exposure = record.exposures.get(send) if record is not None else None
         if exposure is not None and exposure.state is ExposureState.ABANDONED:
             assert record is not None
-            record.exposures[target] = msgspec.structs.replace(
+            record.exposures[send] = msgspec.structs.replace(
                 exposure, state=ExposureState.BROKEN
             )
 
@@ -272,11 +294,16 @@
         """Return for how many seconds a request is remembered after a change."""
         return self._records[key].life
 
-    def _unlink(self, key: RequestKey, target: InstanceId) -> None:
-        keys = self._by_target[target]
-        keys.discard(key)
-        if not keys:
-            del self._by_target[target]
+    def _settle(self, send: SendId) -> None:
+        self._settled[send] = None
+        if len(self._settled) > MAX_SETTLED:
+            self._settled.popitem(last=False)
+
+    def _unlink(self, key: RequestKey, exposure: Exposure) -> None:
+        sends = self._by_target[exposure.target]
+        sends.discard((key, exposure.send))
+        if not sends:
+            del self._by_target[exposure.target]
 
     def _drop_expired(self, now: float) -> None:
         for keys in list(self._by_workspace.values()):
--- a/sequoiaarch/routing/targets.py
+++ b/sequoiaarch/routing/targets.py
@@ -239,6 +239,11 @@
         """Return the target with the given name, if it is registered."""
         return self._entries.get(instance)
 
+    def registered(self, incarnation: InstanceId) -> bool:
+        """Return whether the newest list has a target since its last start."""
+        entry = self._by_incarnation.get(incarnation)
+        return entry is not None and entry.instance not in self._lapsed
+
     def describe(self, instance: InstanceId) -> str:
         """Return what is known of a target's registration, for the request log."""
         entry = self._entries.get(instance)
--- a/sequoiaarch/tests/policies/exposures_tests.py
+++ b/sequoiaarch/tests/policies/exposures_tests.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from ...ids import AttemptId, InstanceId, RequestKey, Workspace
+from ...ids import AttemptId, InstanceId, RequestKey, SendId, Workspace
 from ...policies.exposures import (
     COMMON_LIFE,
     MAX_EXPOSURES,
@@ -20,6 +20,11 @@
 OTHER = InstanceId("i-2")
 
 
+def send_at(target: InstanceId, key: RequestKey = KEY) -> SendId:
+    """Return the send of a request to a target."""
+    return SendId(f"{key.hex()}/{target}")
+
+
 class IdentityTests(unittest.TestCase):
     """Derive the key of a request."""
 
@@ -92,6 +97,31 @@
         self.put(TARGET, at=2.0, state=ExposureState.OPEN)
         self.assertEqual(self.states(), [ExposureState.BROKEN])
 
+    def test_two_ends_under_one_name(self) -> None:
+        """Count each send, as a target may start again before others know."""
+        self.put(TARGET, at=1.0)
+        self.put(TARGET, at=2.0, send=SendId("second"))
+        self.assertEqual(len(self.states()), 2)
+
+    def test_settled_send_is_reported_again(self) -> None:
+        """Ignore reports of sends that are known to have ended no target."""
+        self.put(TARGET, at=1.0)
+        self.table.target_lived(TARGET, 2.0)
+        self.put(OTHER, at=2.0)
+        self.table.clear(KEY)
+        self.put(TARGET, at=1.0)
+        self.put(OTHER, at=2.0)
+        self.assertEqual(self.states(), [])
+
+    def test_caller_that_left(self) -> None:
+        """Count no target whose caller has left, unless it ends."""
+        self.put(TARGET, at=1.0, state=ExposureState.ABANDONED)
+        [exposure] = self.table.exposures(KEY, 1.0)
+        self.assertFalse(exposure.counts)
+        self.table.target_ended(TARGET, 2.0)
+        [exposure] = self.table.exposures(KEY, 2.0)
+        self.assertTrue(exposure.counts)
+
     def test_cleared(self) -> None:
         """Forget a request, and its targets with it."""
         self.put(TARGET, at=1.0)
@@ -103,9 +133,9 @@
         """Keep the other exposures of a request if one is withdrawn."""
         self.put(TARGET, at=1.0)
         self.put(OTHER, at=1.0)
-        self.table.withdraw(KEY, TARGET)
+        self.table.withdraw(KEY, send_at(TARGET))
         self.assertEqual(len(self.states()), 1)
-        self.table.withdraw(KEY, OTHER)
+        self.table.withdraw(KEY, send_at(OTHER))
         self.assertEqual(len(self.table), 0)
 
     def test_life(self) -> None:
@@ -142,11 +172,18 @@
         state: ExposureState = ExposureState.BROKEN,
         settles: float = 0.0,
         workspace: str = "one",
+        send: SendId | None = None,
     ) -> None:
         """Add an exposure with a life of ten seconds."""
         self.table.put(
             key,
-            Exposure(target=target, state=state, at=at, settles=settles),
+            Exposure(
+                send=send or send_at(target, key),
+                target=target,
+                state=state,
+                at=at,
+                settles=settles,
+            ),
             workspace=Workspace(workspace),
             life=10.0,
             now=at,
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -24,6 +24,7 @@
     OpeningId,
     ProgramId,
     RequestKey,
+    SendId,
     Seq,
     StreamKey,
     TargetName,
@@ -421,6 +422,7 @@
     `age` is in seconds; for `settles` see `Exposure`.
     """
 
+    send: SendId
     target: InstanceId
     state: ExposureState
     age: float
@@ -445,13 +447,12 @@
 class ReportExposuresRequest(Message, frozen=True, kw_only=True, tag="exposures"):
     """Report the exposures of a request and ask for those that the peer knows.
 
-    `withdrawn` targets did not run the request.
+    The target of the `withdrawn` send did not run the request, or need not be waited
+    for.
     """
 
     report: ExposureReport
-    withdrawn: Annotated[
-        list[InstanceId], msgspec.Meta(max_length=MAX_REPORTED_EXPOSURES)
-    ] = []
+    withdrawn: SendId | None = None
 
 
 class ClearExposuresRequest(Message, frozen=True, kw_only=True, tag="clear_exposures"):
@@ -461,7 +462,12 @@
 
 
 class ListExposuresRequest(Message, frozen=True, kw_only=True, tag="list_exposures"):
-    """Ask for all exposures that the peer knows."""
+    """Ask for all exposures that the peer knows.
+
+    The peer leaves them out if they have the `digest`.
+    """
+
+    digest: bytes = b""
 
 
 class Ping(Message, frozen=True, kw_only=True, tag="ping"):
