Send nothing to a last target before all gateways have answered

A request whose next target would be the third waits for an answer of every gateway that answered before, and is refused for 0.3 s otherwise.

A send that a lost gateway had announced counted for up to ten minutes.

--- a/sequoiaarch/fleet/exposure_reports.py
+++ b/sequoiaarch/fleet/exposure_reports.py
@@ -23,7 +23,7 @@
     ReportExposuresRequest,
     Request,
 )
-from .exposures import ExposureTracker, KnownRequest
+from .exposures import ExposureTracker, KnownRequest, Told
 from .peers import Peers
 
 # Hosts answer from memory. A caller is told of a broken attempt at the latest after
@@ -88,7 +88,7 @@
         except TimeoutError:
             pass
 
-    async def tell(self, known: KnownRequest) -> list[KnownRequest]:
+    async def tell(self, known: KnownRequest) -> Told:
         """Tell the other gateways of a request; return what they know of it."""
         request = ReportExposuresRequest(report=_encode(known))
         hosts = self._within_rate(self._peers.hosts())
@@ -100,13 +100,16 @@
         for host, reply in zip(asked, replies, strict=True):
             if not isinstance(reply, ExposuresKnown):
                 self._start(self._deliver(host, request))
-        return [
-            _decode(report)
-            for reply in replies
-            if isinstance(reply, ExposuresKnown)
-            for report in reply.reports
-            if report.key == known.key
-        ]
+        answers = [reply for reply in replies if isinstance(reply, ExposuresKnown)]
+        return Told(
+            known=[
+                _decode(report)
+                for answer in answers
+                for report in answer.reports
+                if report.key == known.key
+            ],
+            complete=len(answers) == len(asked),
+        )
 
     def notify(self, known: KnownRequest, *, withdrawn: SendId | None) -> None:
         """Tell the other gateways of a request in the background."""
--- a/sequoiaarch/fleet/exposures.py
+++ b/sequoiaarch/fleet/exposures.py
@@ -14,7 +14,9 @@
 
 from ..ids import HostName, InstanceId, RequestKey, SendId, Workspace
 from ..policies.exposures import (
+    MAX_ENDS,
     MAX_REQUESTS,
+    OPEN_RETRY_AFTER,
     Exposure,
     ExposureState,
     ExposureTable,
@@ -41,13 +43,23 @@
     exposures: list[Exposure]
 
 
+class Told(msgspec.Struct, frozen=True, kw_only=True):
+    """What other gateways know of a request; `complete` if all of them answered.
+
+    Those that have not answered for a while are left out.
+    """
+
+    known: list[KnownRequest]
+    complete: bool
+
+
 class Sharing(Protocol):
     """Tell other gateways of exposures, and learn theirs."""
 
     async def synchronised(self) -> None:
         """Return once the exposures known to other gateways are known here."""
 
-    async def tell(self, known: KnownRequest) -> list[KnownRequest]:
+    async def tell(self, known: KnownRequest) -> Told:
         """Tell the other gateways of a request; return what they know of it."""
 
     def notify(self, known: KnownRequest, *, withdrawn: SendId | None) -> None:
@@ -63,9 +75,9 @@
     async def synchronised(self) -> None:
         """Return at once."""
 
-    async def tell(self, known: KnownRequest) -> list[KnownRequest]:
+    async def tell(self, known: KnownRequest) -> Told:
         """Learn nothing."""
-        return []
+        return Told(known=[], complete=True)
 
     def notify(self, known: KnownRequest, *, withdrawn: SendId | None) -> None:
         """Tell nobody."""
@@ -154,9 +166,12 @@
         if verdict is not None:
             return verdict
         own = self._begin(request, target)
-        await self.tell(request)
+        complete = await self.tell(request)
         others = [known for known in self._known(request.key) if known.send != own.send]
         verdict = self._judge(request.key, others)
+        if len(others) == MAX_ENDS - 1 and not complete:
+            # Another gateway may be sending the request to the last allowed target.
+            verdict = Verdict(exposures=tuple(others), retry_after=OPEN_RETRY_AFTER)
         if verdict is not None:
             self.not_run(request, target)
         return verdict
@@ -234,12 +249,17 @@
         self._remember(self._untold, request.key)
         return exposure
 
-    async def tell(self, request: RequestIdentity) -> None:
-        """Tell the other gateways of a request, and learn what they know of it."""
+    async def tell(self, request: RequestIdentity) -> bool:
+        """Tell the other gateways of a request, and learn what they know of it.
+
+        Returns whether all of them answered.
+        """
         self._untold.pop(request.key, None)
         self._remember(self._shared, request.key)
         known = self._known_request(request.key, request)
-        self.merge(await self.sharing.tell(known))
+        told = await self.sharing.tell(known)
+        self.merge(told.known)
+        return told.complete
 
     def tell_later(self, request: RequestIdentity) -> None:
         """Tell the other gateways of a request in the background."""
--- a/sequoiaarch/policies/exposures.py
+++ b/sequoiaarch/policies/exposures.py
@@ -29,6 +29,9 @@
 # next read of their list, or until another attempt is over.
 UNCLEAR_RETRY_AFTER = 1.0
 OPEN_RETRY_AFTER = 0.3
+# Seconds after which a send of another gateway that is still open may be one of a lost
+# gateway; most requests end before.
+OPEN_SETTLES = 5.0
 # Exposures kept of one request: several gateways may send it at the same time.
 MAX_EXPOSURES = 16
 # Sends remembered that ended no target.
@@ -220,14 +223,8 @@
 
     def withdraw(self, key: RequestKey, send: SendId) -> None:
         """Remove an exposure whose target has not ended."""
-        record = self._records.get(key)
-        exposure = record.exposures.pop(send, None) if record is not None else None
-        if record is None or exposure is None:
-            return
-        self._unlink(key, exposure)
-        self._settle(send)
-        if not record.exposures:
-            self.clear(key)
+        if self._remove(key, send):
+            self._settle(send)
 
     def clear(self, key: RequestKey) -> bool:
         """Forget a request; return whether it was known."""
@@ -267,9 +264,13 @@
         """Remove the exposures of a target that has been alive at a time."""
         for key, send in list(self._by_target.get(target, ())):
             exposure = self._records[key].exposures[send]
-            settled = exposure.at + exposure.settles
-            unclear = exposure.state in (ExposureState.ABANDONED, ExposureState.BROKEN)
-            if unclear and settled <= at:
+            if exposure.state is ExposureState.ENDED:
+                continue
+            if exposure.state is ExposureState.OPEN:
+                # Its gateway may be lost, or still tell of its end.
+                if exposure.at + OPEN_SETTLES <= at:
+                    self._remove(key, send)
+            elif exposure.at + exposure.settles <= at:
                 self.withdraw(key, send)
 
     def targets(self) -> list[InstanceId]:
@@ -294,6 +295,16 @@
         """Return for how many seconds a request is remembered after a change."""
         return self._records[key].life
 
+    def _remove(self, key: RequestKey, send: SendId) -> bool:
+        record = self._records.get(key)
+        exposure = record.exposures.pop(send, None) if record is not None else None
+        if record is None or exposure is None:
+            return False
+        self._unlink(key, exposure)
+        if not record.exposures:
+            self.clear(key)
+        return True
+
     def _settle(self, send: SendId) -> None:
         self._settled[send] = None
         if len(self._settled) > MAX_SETTLED:
--- a/sequoiaarch/tests/fleet/exposure_reports_tests.py
+++ b/sequoiaarch/tests/fleet/exposure_reports_tests.py
@@ -186,6 +186,17 @@
         self.hosts[1].frozen = False
         await self.wait_known(self.hosts[1], 1)
 
+    async def test_late_host(self) -> None:
+        """Send nothing to a last target while another host may do so as well."""
+        first, second, third, *_ = self.hosts
+        await self.fail_at(first, "i-1")
+        await self.fail_at(first, "i-2")
+        second.frozen = True
+        verdict = await first.tracker.admit(self.identity(), InstanceId("i-3"))
+        self.assertIsNotNone(verdict)
+        # A host that has failed to answer is not waited for again.
+        self.assertIsNone(await first.tracker.admit(self.request, InstanceId("i-3")))
+
     async def test_older_build(self) -> None:
         """Tell the others if a host can't read reports."""
         self.hosts[1].older = True
