Show and clear exposed requests with a command

An operator who mended the targets that ended under a request could not let it run before ten minutes had passed, and saw the requests that gateways remember only one by one in the logs. The ready address lists them, and `sequoiaarch exposures URL` shows them and clears one at all gateways.

--- a/sequoiaarch/__main__.py
+++ b/sequoiaarch/__main__.py
@@ -8,6 +8,7 @@
 from .commands.config import config
 from .commands.drain import drain
 from .commands.engines import engines
+from .commands.exposures import exposures
 from .commands.failures import failures
 from .commands.placements import placements
 from .commands.program import program
@@ -41,6 +42,7 @@
 cli.add_command(config)
 cli.add_command(drain)
 cli.add_command(engines)
+cli.add_command(exposures)
 cli.add_command(failures)
 cli.add_command(placements)
 cli.add_command(program)
--- a/sequoiaarch/fleet/exposures.py
+++ b/sequoiaarch/fleet/exposures.py
@@ -303,6 +303,27 @@
         now = asyncio.get_running_loop().time()
         return [self._known_request(key, None) for key in self.table.keys(now)]
 
+    def describe(self) -> list[dict[str, object]]:
+        """Return all requests that are remembered, for operators."""
+        now = asyncio.get_running_loop().time()
+        return [
+            {
+                "request_key": known.key.hex(),
+                "workspace": known.workspace,
+                "left": self.table.life_left(known.key, now),
+                "exposures": [
+                    {
+                        "target": exposure.target,
+                        "state": exposure.state.name.lower(),
+                        "age": now - exposure.at,
+                        "source": exposure.source,
+                    }
+                    for exposure in known.exposures
+                ],
+            }
+            for known in self.all_known()
+        ]
+
     def target_responded(self, target: InstanceId, sent_at: float) -> None:
         """Record a response of a target to a request that was sent at a time."""
         if self.table.concerns(target) and target not in self._life_signs:
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import logbook
+import msgspec
 
 from ..background import BackgroundTasks, Factory
 from ..fleet.exposures import ExposureTracker, TargetEnd
@@ -23,7 +24,7 @@
 from ..http1.messages import RequestMessage
 from ..http1.server import Server
 from ..http1.server_connection import ResponseWriter, ServerLimits
-from ..ids import InstanceId, WriterId
+from ..ids import InstanceId, RequestKey, WriterId
 from ..ledger.ledger import Ledger
 from ..ledger.partition_map import PartitionMap
 from ..ledger.split import BudgetSplit, LendingSplit, LogOnlySplit
@@ -77,6 +78,7 @@
 # peers need the rest.
 CALLER_CONNECTIONS_FRACTION = 0.6
 METRICS_PATH = b"/metrics"
+EXPOSURES_PATH = b"/exposures"
 # Seconds for which a process that can't read the registrations still owns its shares
 # of rate limits, where keys have no age limit.
 DEFAULT_LEASE = 10.0
@@ -257,6 +259,11 @@
             and self.background.sound
         )
 
+    @property
+    def ready_port(self) -> int:
+        """Return the port of the ready address."""
+        return self._ready.port
+
     async def run(self) -> None:
         """Start the daemon and run it until SIGTERM or SIGINT."""
         await self.start()
@@ -331,12 +338,37 @@
     async def _handle_ready(
         self, message: RequestMessage, writer: ResponseWriter
     ) -> None:
-        if message.target.split(b"?")[0] == METRICS_PATH:
+        path = message.target.split(b"?")[0]
+        if path == METRICS_PATH:
             headers = [(b"Content-Type", b"text/plain")]
             await writer.send_response(200, headers, self.metrics_text())
             return
+        if path.startswith(EXPOSURES_PATH):
+            await self._handle_exposures(message.method, path, writer)
+            return
         await writer.send_response(200 if self.ready else 503, [], b"")
 
+    async def _handle_exposures(
+        self, method: bytes, path: bytes, writer: ResponseWriter
+    ) -> None:
+        """List the requests that targets did not answer, or clear one of them."""
+        tracker = self.dispatcher.exposures
+        headers = [(b"Content-Type", b"application/json")]
+        key = path.removeprefix(EXPOSURES_PATH).removeprefix(b"/").decode("latin-1")
+        if method == b"GET" and not key:
+            body = msgspec.json.encode({"requests": tracker.describe()})
+            await writer.send_response(200, headers, body)
+            return
+        try:
+            known = method == b"DELETE" and tracker.clear(
+                RequestKey(bytes.fromhex(key))
+            )
+        except ValueError:
+            known = False
+        if known:
+            log.info("request {} is cleared by an operator", key)
+        await writer.send_response(200 if known else 404, headers, b"{}")
+
     def metrics_text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         self._update_gauges()
--- a/sequoiaarch/tests/platform/fatal_requests_tests.py
+++ b/sequoiaarch/tests/platform/fatal_requests_tests.py
@@ -9,6 +9,9 @@
 from collections.abc import Sequence
 from typing import Any
 
+from click.testing import CliRunner, Result
+
+from ...__main__ import cli
 from .deployment import (
     ENGINES,
     LOOPBACK,
@@ -182,6 +185,51 @@
         self.assertGreater(float(answers[-1].headers["retry-after"]), 0.0)
 
 
+class OperatorTests(EndingTargetsTestCase):
+    """Show and clear requests under which targets ended."""
+
+    async def test_cleared_request(self) -> None:
+        """Send a request again, through any gateway, once an operator cleared it."""
+        await self.add_targets(TOOLS)
+        gateways = await self.add_gateways(*GATEWAYS)
+        await self.send_repeatedly("/once/a", gateways, sends=4)
+        shown = await self.run_command(gateways[0], "--json")
+        [request] = json.loads(shown.output)["requests"]
+        states = [exposure["state"] for exposure in request["exposures"]]
+        self.assertEqual(states, ["ended"] * MAX_ENDS)
+        key = request["request_key"]
+        table = await self.run_command(gateways[0])
+        self.assertEqual(table.output.count(key), MAX_ENDS)
+        cleared = await self.run_command(gateways[0], "--clear", key)
+        self.assertEqual(cleared.output, f"{key} is cleared\n")
+        await self.wait_until_sent(gateways[1])
+        self.assertEqual(self.ends[FATAL], MAX_ENDS + 1)
+
+    async def test_unknown_request(self) -> None:
+        """Say that a request is not known, or no request at all."""
+        await self.add_targets(TOOLS, 1)
+        [gateway] = await self.add_gateways("a")
+        for key in ("00ff", "no key"):
+            result = await self.run_command(gateway, "--clear", key)
+            self.assertEqual(result.exit_code, 1)
+            self.assertIn("no request", result.output)
+        shown = await self.run_command(gateway)
+        self.assertEqual(shown.output, "no request is exposed\n")
+
+    async def wait_until_sent(self, gateway: GatewayProcess) -> None:
+        """Send the request until it is not refused."""
+        async with asyncio.timeout(10.0):
+            while (await self.send("/once/a", gateway)).status == 503:
+                await asyncio.sleep(0.02)
+
+    async def run_command(self, gateway: GatewayProcess, *options: str) -> Result:
+        """Run the command for a gateway in a thread, as that gateway answers here."""
+        url = f"http://{LOOPBACK}:{gateway.daemon.ready_port}"
+        runner = CliRunner()
+        arguments = ["exposures", url, *options]
+        return await asyncio.to_thread(runner.invoke, cli, arguments)
+
+
 class HarmlessRequestTests(EndingTargetsTestCase):
     """Send requests that don't end the targets that end while they run."""
 
