Fail requests on a closed link

Background tasks that notify peers ended with ZMQError (Socket operation on non-socket) when their gateway stopped in between, and Python printed "Task exception was never retrieved" for each. The request was not sent, and says so now.

--- a/sequoiaarch/tests/wire/links_tests.py
+++ b/sequoiaarch/tests/wire/links_tests.py
@@ -74,6 +74,21 @@
 
         return asyncio.run(run())
 
+    def test_closed_link(self) -> None:
+        """Fail a request that a task still sends after the link was closed."""
+
+        async def run() -> Reply:
+            context = zmq.asyncio.Context()
+            link = Link(context=context, address=f"tcp://127.0.0.1:{free_port()}")
+            link.close()
+            reply = await link.call(LoadRequest(), timeout=1.0)
+            context.destroy(linger=0)
+            return reply
+
+        reply = asyncio.run(run())
+        assert isinstance(reply, Failed)
+        self.assertIs(reply.failure.run_state, NotRun.YES)
+
     def test_replies_in_order(self) -> None:
         """The replies to a request arrive in order."""
 
--- a/sequoiaarch/wire/links.py
+++ b/sequoiaarch/wire/links.py
@@ -240,6 +240,8 @@
 
     async def _send(self, frames: list[bytes]) -> bool:
         """Send frames; return False if they have not left this process."""
+        if self._socket.closed:
+            return False
         sent = asyncio.ensure_future(self._socket.send_multipart(frames))
         # Without a full queue or a lost connection the message has left already.
         if sent.done():
