Count the targets of suspected requests whose callers left

A gateway that was frozen sent a request with two ends known to a third target after its caller had left. Sends of suspected requests count also when they are given up.

--- a/sequoiaarch/fleet/exposures.py
+++ b/sequoiaarch/fleet/exposures.py
@@ -207,7 +207,8 @@
 
     def broken(self, request: RequestIdentity, target: InstanceId) -> bool:
         """Record that the exchange with a target broke; return whether it was open."""
-        return self._unanswered(request, target, ExposureState.BROKEN) is not None
+        own = self._unanswered(request, target, ExposureState.BROKEN, settles=0.0)
+        return own is not None
 
     def abandoned(
         self, request: RequestIdentity, target: InstanceId
@@ -216,7 +217,11 @@
 
         Returns the send if it was open.
         """
-        own = self._unanswered(request, target, ExposureState.ABANDONED)
+        # The caller of a suspected request may leave as its target hangs, and be back
+        # before that ends.
+        suspected = self.suspected(request)
+        state = ExposureState.BROKEN if suspected else ExposureState.ABANDONED
+        own = self._unanswered(request, target, state, settles=ABANDONED_SETTLES)
         if own is not None and request.key in self._shared:
             known = self._known_request(request.key, request)
             self.sharing.notify(known, withdrawn=None)
@@ -231,13 +236,13 @@
         request: RequestIdentity,
         target: InstanceId,
         state: ExposureState,
+        *,
+        settles: float,
     ) -> Exposure | None:
         own = self._close(request, target)
         if own is None:
             return None
         now = asyncio.get_running_loop().time()
-        abandoned = state is ExposureState.ABANDONED
-        settles = ABANDONED_SETTLES if abandoned else 0.0
         exposure = msgspec.structs.replace(own, state=state, at=now, settles=settles)
         self.table.put(
             request.key,
--- a/sequoiaarch/tests/fleet/exposure_reports_tests.py
+++ b/sequoiaarch/tests/fleet/exposure_reports_tests.py
@@ -197,6 +197,24 @@
         # A host that has failed to answer is not waited for again.
         self.assertIsNone(await first.tracker.admit(self.request, InstanceId("i-3")))
 
+    async def test_suspected_request_that_was_given_up(self) -> None:
+        """Count the target of a suspected request whose caller has left."""
+        await self.fail_at(self.hosts[0], "i-1")
+        other = self.hosts[1]
+        await other.tracker.admit(self.request, InstanceId("i-2"))
+        other.tracker.abandoned(self.request, InstanceId("i-2"))
+        async with asyncio.timeout(TEST_TIMEOUT):
+            while self.state_at(self.hosts[2], "i-2") is not ExposureState.BROKEN:
+                await asyncio.sleep(0.01)
+
+    def state_at(self, host: _Host, target: str) -> ExposureState | None:
+        """Return what a host knows of a target of the request."""
+        for known in host.tracker.all_known():
+            for exposure in known.exposures:
+                if exposure.target == target:
+                    return exposure.state
+        return None
+
     async def test_older_build(self) -> None:
         """Tell the others if a host can't read reports."""
         self.hosts[1].older = True
--- a/sequoiaarch/tests/platform/soak/ends.py
+++ b/sequoiaarch/tests/platform/soak/ends.py
@@ -368,6 +368,7 @@
             path = self._rng.choice(list(PATHS))
             request = self._requests[body] = RequestRecord(fatal=False)
             outcome = "given up"
+            unsure = 0
             for _ in range(MAX_SENDS):
                 status, kind = await self._call(
                     self._rng.choice(self._gateways), path, body
@@ -376,8 +377,13 @@
                     outcome = "served"
                     break
                 if kind == REFUSED and request.unanswered < MAX_ENDS:
-                    outcome = "refused without cause"
-                    break
+                    # Once at each gateway that waits in vain for another one, which
+                    # may be sending the request to the last target.
+                    unsure += 1
+                    self._counts["refused for a gateway that did not answer"] += 1
+                    if unsure >= len(self._gateways):
+                        outcome = "refused without cause"
+                        break
                 await asyncio.sleep(self._rng.uniform(*RESEND_PAUSE))
             self._counts[f"others {outcome}"] += 1
             self._counts[f"others with {len(request.ends)} ends"] += 1
