--- a/sequoiaarch/policies/exposures.py
+++ b/sequoiaarch/policies/exposures.py
@@ -21,8 +21,8 @@
 # other callers may send the same content, so a wrong verdict would harm them as well.
 PROGRAM_LIFE = 600.0
 COMMON_LIFE = 30.0
-# Requests remembered by one process, about 3 MB.
-MAX_REQUESTS = 4096
+# Requests remembered by one process; three exposures each are 1.7 KB.
+MAX_REQUESTS = 2048
 # Targets that may end under a request: one or two may have ended by chance.
 MAX_ENDS = 3
 # Seconds after which a request may be sent again if its targets may live: until the
