--- a/sequoiaarch/fleet/exposures.py
+++ b/sequoiaarch/fleet/exposures.py
@@ -292,7 +292,7 @@
         self.merge([report])
         if withdrawn is not None:
             self.table.withdraw(report.key, withdrawn)
-        own = next((open for open in self._open if open.key == report.key), None)
+        own = next((sent for sent in self._open if sent.key == report.key), None)
         if own is None and report.key not in self.table:
             return None
         return self._known_request(report.key, own)
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -505,7 +505,6 @@
         message.body,
     )
     return RequestIdentity(
-        attempt=info.attempt,
         workspace=caller.workspace,
         common=not info.program,
         parts=parts,
--- a/sequoiaarch/policies/exposures.py
+++ b/sequoiaarch/policies/exposures.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ..ids import AttemptId, HostName, InstanceId, RequestKey, SendId, Workspace
+from ..ids import HostName, InstanceId, RequestKey, SendId, Workspace
 
 KEY_BYTES = 16
 # Seconds for which a request is remembered after the last change. Without a program,
@@ -106,12 +106,11 @@
 
 
 class RequestIdentity:
-    """What all attempts of a request share; `attempt` names the present one."""
+    """What all attempts of a request share."""
 
     def __init__(
         self,
         *,
-        attempt: AttemptId,
         workspace: Workspace | None,
         common: bool,
         parts: tuple[bytes, ...],
@@ -120,7 +119,6 @@
 
         Several callers may send a `common` one.
         """
-        self.attempt = attempt
         self.workspace = workspace or Workspace("")
         self.life = COMMON_LIFE if common else PROGRAM_LIFE
         self._parts = parts
