--- a/sequoiaarch/fleet/exposure_reports.py
+++ b/sequoiaarch/fleet/exposure_reports.py
@@ -29,6 +29,8 @@
 # Hosts answer from memory. A caller is told of a broken attempt at the latest after
 # this time, in seconds.
 REPORT_TIMEOUT = 0.15
+# The same for a request that is sent to its last target only with all answers. Seconds.
+PATIENT_TIMEOUT = 0.5
 # Seconds for which a report is retried at a host that does not answer.
 RETRY_SECONDS = 5.0
 RETRY_INTERVAL = 0.2
@@ -89,7 +91,7 @@
         except TimeoutError:
             pass
 
-    async def tell(self, known: KnownRequest) -> Told:
+    async def tell(self, known: KnownRequest, *, patient: bool) -> Told:
         """Tell the other gateways of a request; return what they know of it."""
         request = ReportExposuresRequest(report=_encode(known))
         hosts = self._within_rate(self._peers.hosts())
@@ -97,7 +99,10 @@
         for host in hosts:
             if host not in asked:
                 self._start(self._deliver(host, request))
-        replies = await asyncio.gather(*(self._ask(host, request) for host in asked))
+        timeout = PATIENT_TIMEOUT if patient else REPORT_TIMEOUT
+        replies = await asyncio.gather(
+            *(self._ask(host, request, timeout) for host in asked)
+        )
         for host, reply in zip(asked, replies, strict=True):
             if not isinstance(reply, ExposuresKnown):
                 self._start(self._deliver(host, request))
@@ -197,7 +202,7 @@
         return answered
 
     async def _ask(
-        self, host: HostName, request: Request, timeout: float = REPORT_TIMEOUT
+        self, host: HostName, request: Request, timeout: float
     ) -> Reply | None:
         link = self._peers.link(host)
         if link is None:
--- a/sequoiaarch/fleet/exposures.py
+++ b/sequoiaarch/fleet/exposures.py
@@ -59,8 +59,11 @@
     async def synchronised(self) -> None:
         """Return once the exposures known to other gateways are known here."""
 
-    async def tell(self, known: KnownRequest) -> Told:
-        """Tell the other gateways of a request; return what they know of it."""
+    async def tell(self, known: KnownRequest, *, patient: bool) -> Told:
+        """Tell the other gateways of a request; return what they know of it.
+
+        A `patient` caller would be refused without the answer of each.
+        """
 
     def notify(self, known: KnownRequest, *, withdrawn: SendId | None) -> None:
         """Tell the other gateways of a request in the background."""
@@ -75,7 +78,7 @@
     async def synchronised(self) -> None:
         """Return at once."""
 
-    async def tell(self, known: KnownRequest) -> Told:
+    async def tell(self, known: KnownRequest, *, patient: bool) -> Told:
         """Learn nothing."""
         return Told(known=[], complete=True)
 
@@ -166,7 +169,8 @@
         if verdict is not None:
             return verdict
         own = self._begin(request, target)
-        complete = await self.tell(request)
+        last = len(self._known(request.key)) == MAX_ENDS
+        complete = await self.tell(request, patient=last)
         others = [known for known in self._known(request.key) if known.send != own.send]
         verdict = self._judge(request.key, others)
         if len(others) == MAX_ENDS - 1 and not complete:
@@ -254,7 +258,7 @@
         self._remember(self._untold, request.key)
         return exposure
 
-    async def tell(self, request: RequestIdentity) -> bool:
+    async def tell(self, request: RequestIdentity, *, patient: bool = False) -> bool:
         """Tell the other gateways of a request, and learn what they know of it.
 
         Returns whether all of them answered.
@@ -262,7 +266,7 @@
         self._untold.pop(request.key, None)
         self._remember(self._shared, request.key)
         known = self._known_request(request.key, request)
-        told = await self.sharing.tell(known)
+        told = await self.sharing.tell(known, patient=patient)
         self.merge(told.known)
         return told.complete
 
--- a/sequoiaarch/tests/platform/ending_targets.py
+++ b/sequoiaarch/tests/platform/ending_targets.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ...standins.target import TargetExchange, TargetStandIn
-from .deployment import ENGINES, Answer, Behaviour, stream_answer, tool_answer
+from .deployment import ENGINES, TIMEOUT, Answer, Behaviour, stream_answer, tool_answer
 from .versioned_deployment import GatewayProcess, VersionedDeploymentTestCase
 
 TARGETS = 10
@@ -97,9 +97,14 @@
         elif not self.entry_stays:
             await self.store.put("keyed.servers", name, b"")
 
-    def working_on(self, body: bytes) -> str:
-        """Return the name of a target that works on a request."""
-        return next(name for name, bodies in self._working.items() if body in bodies)
+    async def working_on(self, body: bytes) -> str:
+        """Return the name of a target that works on a request, once one does."""
+        async with asyncio.timeout(TIMEOUT):
+            while True:
+                for name, bodies in self._working.items():
+                    if body in bodies:
+                        return name
+                await asyncio.sleep(0.01)
 
     async def send_repeatedly(
         self,
--- a/sequoiaarch/tests/platform/fatal_requests_tests.py
+++ b/sequoiaarch/tests/platform/fatal_requests_tests.py
@@ -284,8 +284,7 @@
                 call = asyncio.create_task(
                     self.send("/once/a", gateways[0], body=b"harmless")
                 )
-                await asyncio.sleep(0.1)
-                await self.end_target(self.working_on(b"harmless"), TOOLS)
+                await self.end_target(await self.working_on(b"harmless"), TOOLS)
                 self.assertEqual((await call).status, 502)
             self.work = 0.01
             answer = await self.send("/once/a", gateways[1], body=b"harmless")
@@ -330,7 +329,8 @@
             )
             if answer.status == 200:
                 return True
-            await asyncio.sleep(0.1)
+            told = float(answer.headers.get("retry-after", 0.0))
+            await asyncio.sleep(min(max(told, 0.1), 1.0))
         return False
 
     async def end_in_waves(self) -> None:
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -323,7 +323,9 @@
 def tells_no_ends() -> None:
     """Keep to this process which targets did not answer a request."""
 
-    async def tell(self: SharedExposures, known: KnownRequest) -> Told:
+    async def tell(
+        self: SharedExposures, known: KnownRequest, *, patient: bool
+    ) -> Told:
         return Told(known=[], complete=True)
 
     def notify(self: SharedExposures, known: KnownRequest, **_: Any) -> None:
