Suspect no common requests, and no targets that answer as callers leave

Since each send counts a failing service would refuse all callers of such a request for seconds after it recovered. Of a request that several callers may send, only targets that are known to have ended count. - test_request_was_sent_anew: targets were removed whose streams the caller had left, which counted as ends under the request. A target that is answering when the caller leaves is not remembered, unless the request is suspected.

--- a/sequoiaarch/fleet/exposure_reports.py
+++ b/sequoiaarch/fleet/exposure_reports.py
@@ -71,7 +71,7 @@
         self._silent: set[HostName] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._synchronised = asyncio.Event()
-        self._compared_at = -math.inf
+        self._ran_at = -math.inf
         self._rng = random.Random(own)
         self._tokens = MESSAGE_BURST
         self._refilled_at = 0.0
@@ -157,8 +157,9 @@
                     self._synchronised.clear()
                     await self._synchronise()
                 else:
-                    await self._compare()
-                self._compared_at = loop.time()
+                    # Not awaited, as a busy host answers late.
+                    self._start(self._compare())
+                self._ran_at = loop.time()
                 await asyncio.sleep(COMPARE_INTERVAL)
         finally:
             for task in self._tasks:
@@ -168,7 +169,7 @@
     def _missed_reports(self) -> bool:
         """Return whether this process has just started, or could not run."""
         now = asyncio.get_running_loop().time()
-        return now - self._compared_at > COMPARE_INTERVAL + MISSED_SECONDS
+        return now - self._ran_at > COMPARE_INTERVAL + MISSED_SECONDS
 
     async def _compare(self) -> None:
         """Ask one other gateway for what is not known here."""
--- a/sequoiaarch/fleet/exposures.py
+++ b/sequoiaarch/fleet/exposures.py
@@ -145,9 +145,7 @@
         """Return whether a target may have ended under a request."""
         if not self.table or request.key not in self.table:
             return False
-        now = asyncio.get_running_loop().time()
-        known = self.table.exposures(request.key, now)
-        return any(exposure.counts for exposure in known)
+        return bool(self._known(request.key))
 
     def count(self, request: RequestIdentity) -> int:
         """Return how many targets may have ended under a request."""
@@ -215,15 +213,19 @@
         return own is not None
 
     def abandoned(
-        self, request: RequestIdentity, target: InstanceId
+        self, request: RequestIdentity, target: InstanceId, *, answering: bool
     ) -> Exposure | None:
         """Record that a target is not waited for any longer.
 
-        Returns the send if it was open.
+        `answering` tells that it has sent a part of its answer. Returns the send if it
+        is remembered.
         """
         # The caller of a suspected request may leave as its target hangs, and be back
         # before that ends.
         suspected = self.suspected(request)
+        if answering and not suspected:
+            self._close(request, target)
+            return None
         state = ExposureState.BROKEN if suspected else ExposureState.ABANDONED
         own = self._unanswered(request, target, state, settles=ABANDONED_SETTLES)
         if own is not None and request.key in self._shared:
@@ -425,7 +427,11 @@
 
     def _known(self, key: RequestKey) -> list[Exposure]:
         """Return the exposures of a request, with those that are open here."""
-        return [exposure for exposure in self._all_known(key) if exposure.counts]
+        known = [exposure for exposure in self._all_known(key) if exposure.counts]
+        if self.table.is_common(key):
+            # Breaks of one caller's connections must not refuse the others.
+            return [sent for sent in known if sent.state is ExposureState.ENDED]
+        return known
 
     def _all_known(self, key: RequestKey) -> list[Exposure]:
         now = asyncio.get_running_loop().time()
--- a/sequoiaarch/ingress/attempts.py
+++ b/sequoiaarch/ingress/attempts.py
@@ -188,7 +188,7 @@
                 ok=response.head.status < SERVER_ERROR,
             )
         else:
-            self._abandoned(response.target)
+            self._abandoned(response.target, answering=response.body_started)
         load = self._dispatcher.load
         instance = response.target.incarnation
         load.discard(instance, self)
@@ -357,9 +357,11 @@
         if self._dispatcher.exposures.broken(self._identity, target.incarnation):
             self.exposed = True
 
-    def _abandoned(self, target: TargetEntry) -> None:
+    def _abandoned(self, target: TargetEntry, *, answering: bool = False) -> None:
         """Record that a target is not waited for any longer."""
-        send = self._dispatcher.exposures.abandoned(self._identity, target.incarnation)
+        send = self._dispatcher.exposures.abandoned(
+            self._identity, target.incarnation, answering=answering
+        )
         if send is not None:
             self.exposed = True
             self._given_up.append(send.send)
@@ -506,7 +508,7 @@
     )
     return RequestIdentity(
         workspace=caller.workspace,
-        common=not info.program,
+        common=not info.program and not message.body,
         parts=parts,
     )
 
--- a/sequoiaarch/policies/exposures.py
+++ b/sequoiaarch/policies/exposures.py
@@ -17,8 +17,8 @@
 from ..ids import HostName, InstanceId, RequestKey, SendId, Workspace
 
 KEY_BYTES = 16
-# Seconds for which a request is remembered after the last change. Without a program,
-# other callers may send the same content, so a wrong verdict would harm them as well.
+# Seconds for which a request is remembered after the last change. Without a program and
+# a body, other callers may send the same one, and a wrong verdict would harm them too.
 PROGRAM_LIFE = 600.0
 COMMON_LIFE = 30.0
 # Requests remembered by one process; three exposures each are 1.7 KB.
@@ -289,6 +289,11 @@
         """Return the keys of all requests that are remembered."""
         return [key for key, record in self._records.items() if record.until > now]
 
+    def is_common(self, key: RequestKey) -> bool:
+        """Return whether several callers may send a request."""
+        record = self._records.get(key)
+        return record is not None and record.life <= COMMON_LIFE
+
     def life_of(self, key: RequestKey) -> float:
         """Return for how many seconds a request is remembered after a change."""
         return self._records[key].life
