--- a/sequoiaarch/tests/platform/fatal_requests_tests.py
+++ b/sequoiaarch/tests/platform/fatal_requests_tests.py
@@ -49,11 +49,17 @@
         await self.add_targets(TOOLS)
         gateways = await self.add_gateways(*GATEWAYS)
         await self.send_repeatedly("/once/a", gateways, sends=2)
-        lines = [line for gateway in gateways for line in gateway.log()]
+        # The list of targets shows an end up to a second later.
+        async with asyncio.timeout(10.0):
+            while True:
+                lines = [line for gateway in gateways for line in gateway.log()]
+                ends = [line for line in lines if line["event"] == "target_end"]
+                if len(ends) == 2:
+                    break
+                await asyncio.sleep(0.02)
         requests = [line for line in lines if "request_key" in line and "id" in line]
         self.assertEqual(len({line["request_key"] for line in requests}), 1)
         self.assertEqual([line["sends"] for line in requests], [1, 1])
-        ends = [line for line in lines if line["event"] == "target_end"]
         names = {line["target"].split("@")[0] for line in ends}
         self.assertEqual(names, self.ended)
         self.assertEqual(ends[0]["request_key"], requests[0]["request_key"])
