Log why no owner of a limit could be asked

The log of a gateway did not tell which hosts own the shares, nor whether they are lost, not asked since they failed before, or running without a right to grant. These are different causes: owners that follow from the registrations of lost hosts, a backoff that outlasts the return of a host, and leases that are not renewed.

The new line names the owner of each share and the outcome, once a second at most.

--- a/sequoiaarch/fleet/quotas.py
+++ b/sequoiaarch/fleet/quotas.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+import logbook
+
 from ..ids import HostName, Workspace
 from ..wire.messages import Reply, TakeTokensRequest, TokensTaken
 from ..workspaces.access import Caller
@@ -12,9 +16,13 @@
 from .peer_health import PeerHealth
 from .peers import Peers
 
+log = logbook.Logger("limits")
+
 # Timeout of requests to share owners, which answer from memory: one that does not
 # answer by then is dead, frozen or overloaded. Seconds.
 ASK_TIMEOUT = 0.1
+# Seconds between log lines about the owners of a limit that can't be asked.
+UNKNOWN_LOG_INTERVAL = 1.0
 
 
 class FleetQuotas:
@@ -36,6 +44,7 @@
         self._owners = owners
         self._limiter = limiter
         self._token_cache = token_cache
+        self._logged_unknown_at = float("-inf")
 
     async def take(self, caller: Caller, *, begins: bool) -> Token | Refusal:
         """Take a token, or return the refusal."""
@@ -48,9 +57,10 @@
         if wait is not None:
             return Refusal(wait=wait)
         grants = []
+        outcomes = []
         for share, host in self._shares_nearest_first(workspace):
             asked_at = self._token_cache.now()
-            tokens = await self._take_from(host, workspace, share, begins)
+            tokens, outcome = await self._take_from(host, workspace, share, begins)
             if tokens.count:
                 return self._token_cache.put(
                     workspace,
@@ -59,9 +69,12 @@
                     source=f"share {share} at {host}",
                 )
             grants.append(tokens)
+            outcomes.append(f"share {share} at {host}: {outcome}")
         refusal = combined_refusal(grants)
         if refusal.kept:
             self._token_cache.record_refusal(workspace, refusal.wait, begins=begins)
+        else:
+            self._log_unknown(workspace, outcomes)
         return refusal
 
     def release(self, caller: Caller, token: Token) -> None:
@@ -89,19 +102,37 @@
 
     async def _take_from(
         self, host: HostName, workspace: Workspace, share: int, begins: bool
-    ) -> TokenGrant:
+    ) -> tuple[TokenGrant, str]:
+        """Return the tokens of a share, and the outcome for the log."""
         count = self._token_cache.wanted(workspace)
         if host == self._own:
-            return self._limiter.grant(workspace, share, count, begins=begins)
+            tokens = self._limiter.grant(workspace, share, count, begins=begins)
+            return tokens, _describe(tokens)
         link = self._peers.link(host)
-        if link is None or not self._peer_health.usable(host):
-            return NOT_OWNED
+        if link is None:
+            return NOT_OWNED, "not registered"
+        if not self._peer_health.usable(host):
+            return NOT_OWNED, "not asked, as it failed before"
         request = TakeTokensRequest(
             workspace=workspace, share=share, count=count, begins=begins
         )
         reply = await link.call(request, timeout=ASK_TIMEOUT)
         if not isinstance(reply, TokensTaken):
             self._peer_health.request_failed(host, str(reply))
-            return NOT_OWNED
+            return NOT_OWNED, "no answer"
         self._peer_health.request_succeeded(host)
-        return reply.tokens
+        return reply.tokens, _describe(reply.tokens)
+
+    def _log_unknown(self, workspace: Workspace, outcomes: Sequence[str]) -> None:
+        """Log why no owner of a limit could be asked."""
+        now = self._token_cache.now()
+        if now < self._logged_unknown_at + UNKNOWN_LOG_INTERVAL:
+            return
+        self._logged_unknown_at = now
+        log.warning(
+            "no owner of the limit of {} answered: {}", workspace, "; ".join(outcomes)
+        )
+
+
+def _describe(tokens: TokenGrant) -> str:
+    return "does not own it" if tokens.wait is None else "no tokens"
