Remove the registrations of lost hosts

Cause: only a process itself removed its registration, so that of a lost host stayed, and each share of a limit goes to one of all registered hosts of a data centre. Nobody took over a share whose owner was gone; a workspace with three such owners got nothing.

Now each host probes the hosts that follow it in an order that all share, up to the first that answers, so every lost host is watched by one live one. It takes the process out of the registration, so a process of any build that reads it stops granting; a live one registers again. If the suspicion stands for a lease and a twentieth, the process has not read it, or has stopped: its lease has ended either way. Only then is the registration removed, by an append that is bound to the end of the topic. So whoever owns the shares next may grant at once, whether the lost host is gone, frozen, or cut off from the store alone.

A process now registers whenever its registration is suspected, removed or replaced by a late one of an earlier process at its address; before, it did so once. A refusal while all owners of a limit are suspected names the time when others take over.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -29,6 +29,7 @@
 from ..wire.messages import (
     ClearExposuresRequest,
     FindOriginRequest,
+    HostCheckRequest,
     LendRequest,
     ListExposuresRequest,
     LoadReportRequest,
@@ -53,6 +54,7 @@
 from .engine_owner import Engine
 from .exposure_reports import SharedExposures
 from .exposures import ExposureTracker
+from .host_watch import HostWatch
 from .loan_service import LoanService
 from .peer_health import PeerHealth
 from .peers import TOPIC as PEERS_TOPIC, PeerRecord, Peers
@@ -126,8 +128,9 @@
         self._writer = writer
         self._peers = peers
         self._log = keyed_log
+        self._stopping = False
         claims = Claims()
-        peer_health = PeerHealth()
+        peer_health = self._peer_health = PeerHealth()
         self.loans = LoanBook(split=split, carried=claims.carried)
         self._claimer = SlotClaimer(
             writer=writer,
@@ -181,8 +184,19 @@
             replace=self._replace_peers,
             apply=self._apply_peer,
             wait=quota_options.wait,
+            on_regained=self._registrations_regained,
             on_read=self._renew_lease,
         )
+        self._host_watch = HostWatch(
+            own=own,
+            writer=writer,
+            peers=peers,
+            wait=quota_options.lease * CLOCK_MARGIN,
+            view_as_of=lambda: self._registrations.as_of,
+        )
+        # Set while this process has to register, or to register that it is settled.
+        self._unregistered = asyncio.Event()
+        self._unsettled = asyncio.Event()
         self._registration_check = RegistrationCheck(
             own=own, writer=writer, peers=peers, host_lease=self.host_lease
         )
@@ -214,6 +228,7 @@
             peer_health=peer_health,
             owners=self._owners,
             limiter=self.limiter,
+            takeover_in=self._host_watch.takeover_in,
             token_cache=TokenCache(clock=boottime_clock),
         )
         self._followers = [
@@ -243,12 +258,21 @@
             self._claim_slots(retention),
             self._registration_check.run,
             self._mark_settled,
+            self._watch_hosts,
             self.placements.run,
             self.exposures.run,
         ]
 
     async def _register(self) -> None:
-        await self._peers.register(self._log, self._writer)
+        """Register, and again when the registration is suspected, removed or lost."""
+        await self._peers.wait_previous()
+        while not self._stopping:
+            self._unregistered.clear()
+            await self._peers.register(self._log, self._writer)
+            await self._unregistered.wait()
+
+    async def _watch_hosts(self) -> None:
+        await self._host_watch.run(self._log)
 
     def _claim_slots(self, retention: Callable[[], float]) -> Factory:
         async def claim_slots() -> None:
@@ -275,6 +299,8 @@
             return self.placements.answer_place(request)
         if isinstance(request, LoadReportRequest):
             return self.placements.answer_report(request)
+        if isinstance(request, HostCheckRequest):
+            return self._host_watch.answer(request)
         if isinstance(request, RegistrationSeenRequest):
             return self._registration_check.answer(request)
         return await self._server.answer(request, send)
@@ -289,6 +315,8 @@
         Other hosts take over the shares of a host that is not registered, which an
         earlier process of it may still serve.
         """
+        self._stopping = True
+        self._host_watch.stop()
         await self._claimer.stop(self._log)
         self.host_lease.release()
         if self.host_lease.earlier_may_act:
@@ -301,10 +329,20 @@
 
     def _replace_peers(self, records: Sequence[KeyedRecord]) -> None:
         self._peers.replace(records)
+        self._host_watch.registrations_changed()
         self._hosts_changed()
 
+    def _registrations_regained(self) -> None:
+        self._host_watch.store_regained()
+
     def _apply_peer(self, record: ListedRecord) -> None:
+        host = HostName(record.key)
+        before = self._peers.registrations().get(host)
         self._peers.apply(record)
+        after = self._peers.registrations().get(host)
+        if after is not None and (before is None or before.process != after.process):
+            self._peer_health.restarted(host)
+        self._host_watch.registrations_changed()
         self._hosts_changed()
 
     def _hosts_changed(self) -> None:
@@ -335,8 +373,22 @@
     def _on_own_registration(self, record: PeerRecord | None, ordered: bool) -> None:
         if record is None:
             self.host_lease.unregistered()
+            self._unregistered.set()
             log.info("this host is not registered")
             return
+        if record.writer != self._writer and self._peers.listens_at(record):
+            # Nobody else listens here: the registration is a suspicion, or one of an
+            # earlier process that was written late.
+            self._unregistered.set()
+        if record.writer == self._writer and not record.settled:
+            self._unsettled.set()
+        if record.suspicion is not None and record.process == self._writer:
+            self.host_lease.suspected()
+            log.warning(
+                "this host is suspected to be lost, by {}; it registers again",
+                record.suspicion.author,
+            )
+            return
         registration = Registration(
             own=record.writer == self._writer,
             ended=self._peers.listens_at(record),
@@ -353,13 +405,16 @@
         )
 
     async def _mark_settled(self) -> None:
-        """Write that this process owns its shares once it does."""
-        while not self.host_lease.active:
-            await asyncio.sleep(SETTLED_CHECK_INTERVAL)
-        # All hosts may have started at once, and each write excludes the others.
-        most = SETTLED_DELAY + SETTLED_DELAY_PER_HOST * len(self._peers)
-        await asyncio.sleep(random.uniform(0.0, most))
-        await self._peers.mark_settled(self._log, self._writer)
+        """Write that this process owns its shares whenever it does."""
+        while True:
+            await self._unsettled.wait()
+            while not self.host_lease.active:
+                await asyncio.sleep(SETTLED_CHECK_INTERVAL)
+            # All hosts may have started at once, and each write excludes the others.
+            most = SETTLED_DELAY + SETTLED_DELAY_PER_HOST * len(self._peers)
+            await asyncio.sleep(random.uniform(0.0, most))
+            self._unsettled.clear()
+            await self._peers.mark_settled(self._log, self._writer)
 
     def _owns_share(self, workspace: Workspace, share: int) -> bool:
         """Return whether this host owns a share by its view of the hosts."""
--- a/sequoiaarch/fleet/peer_health.py
+++ b/sequoiaarch/fleet/peer_health.py
@@ -46,6 +46,11 @@
         self._backoff_until[host] = asyncio.get_running_loop().time() + backoff
         log.info("peer {} is not sent requests for {} s: {}", host, backoff, reason)
 
+    def restarted(self, host: HostName) -> None:
+        """Forget the failures of a host, as another process of it has started."""
+        self._backoff_until.pop(host, None)
+        self.request_succeeded(host)
+
     def request_succeeded(self, host: HostName) -> None:
         """Reset the backoff of a peer that answered."""
         self._backoff.pop(host, None)
--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -5,8 +5,9 @@
 import asyncio
 import contextlib
 import random
+import secrets
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 import logbook
 import msgspec
@@ -14,6 +15,7 @@
 
 from ..errors import ErrorKind, Failure
 from ..ids import DataCentre, HostName, WriterId
+from ..policies.lost_hosts import Suspicion
 from ..storage.calls import StoreCall, StoreClient, StoreReply, unavailable
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition, Writer
 from ..wire.links import Handler, Link, Links, Responder, Send
@@ -36,13 +38,18 @@
 MAX_CONFLICT_DELAY = 0.1
 # How long registration waits for the first list of registrations. Seconds.
 FIRST_LIST_TIMEOUT = 1.0
+SUSPICION_ID_BYTES = 6
 
 
 class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Registration of a daemon: its address, data centre and process.
 
     `settled` tells that the process has waited until it owned its shares of limits.
-    `capacity` is that of the host in cores; 0 if it is unknown.
+    `capacity` is that of the host in cores; 0 if it is unknown. `refutes` tells that
+    the process registers again if it is suspected.
+
+    A `suspicion` names the process in place of `writer`, so that a process of any build
+    stops acting by a registration that is no longer its own.
     """
 
     address: str
@@ -50,6 +57,13 @@
     writer: WriterId = WriterId("")
     settled: bool = False
     capacity: float = 0.0
+    refutes: bool = False
+    suspicion: Suspicion | None = None
+
+    @property
+    def process(self) -> WriterId:
+        """Return the registered process, suspected or not."""
+        return self.writer if self.suspicion is None else self.suspicion.process
 
 
 class Peers:
@@ -91,6 +105,7 @@
         self._own_record: PeerRecord | None = None
         self._deprioritised_until: dict[str, float] = {}
         self._preferred: str | None = None
+        self._registrations_written = 0
 
     def __len__(self) -> int:
         return len(self._known)
@@ -116,6 +131,15 @@
         """Wait for the first list of registrations."""
         await self._listed.wait()
 
+    async def wait_previous(self) -> None:
+        """Wait for the previous registration of this host, but not for long.
+
+        It tells whether this process replaces a lost one.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LIST_TIMEOUT):
+                await self._listed.wait()
+
     def own_registration_is(self, writer: WriterId) -> bool:
         """Return whether this host's registration names a process."""
         return self._own_record is not None and self._own_record.writer == writer
@@ -146,7 +170,11 @@
     def has_registration(self, host: HostName, writer: WriterId) -> bool:
         """Return whether another host's registration names a process."""
         record = self._known.get(host)
-        return record is not None and record.writer == writer
+        return record is not None and record.process == writer
+
+    def registrations(self) -> Mapping[HostName, PeerRecord]:
+        """Return the registrations of all other hosts."""
+        return self._known
 
     def registered(self, host: HostName) -> bool:
         """Return whether another host is registered."""
@@ -159,14 +187,13 @@
     async def register(self, keyed_log: KeyedLog, writer: WriterId) -> None:
         """Write this process's registration, retrying until the store accepts it."""
         record = self._registration(writer, settled=False)
-        log_writer = Writer(name=f"peer-{writer}", epoch=1, sequence=0)
-        # The previous registration tells whether this process replaces a lost one.
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(FIRST_LIST_TIMEOUT):
-                await self._listed.wait()
+        log_writer = Writer(
+            name=f"peer-{writer}", epoch=1, sequence=self._registrations_written
+        )
         while True:
             result = await keyed_log.append(PARTITION, [record], writer=log_writer)
             if not isinstance(result, Failure):
+                self._registrations_written += 1
                 return
             await asyncio.sleep(REGISTER_RETRY_INTERVAL)
 
@@ -183,6 +210,28 @@
         if failure is not None:
             log.warning("own registration was not removed: {}", failure.reason)
 
+    async def judge(
+        self,
+        keyed_log: KeyedLog,
+        *,
+        suspect: Collection[HostName],
+        remove: Collection[HostName],
+    ) -> Failure | None:
+        """Register that some hosts are suspected, and remove suspected ones.
+
+        Hosts whose registrations differ from those known here are left as they are.
+        """
+        seen = {host: self._known.get(host) for host in (*suspect, *remove)}
+        changes = [KeyedRecord(key=host, value=b"") for host in remove]
+        for host in suspect:
+            record = seen[host]
+            if record is not None and record.suspicion is None:
+                value = msgspec.json.encode(self._suspected(record))
+                changes.append(KeyedRecord(key=host, value=value))
+        return await self._replace(
+            keyed_log, changes, unless=lambda host, now: now != seen[host]
+        )
+
     async def relay(self, call: StoreCall) -> StoreReply | Failure:
         """Relay a store call through a peer that reaches the store."""
         failure = Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="no peer is known")
@@ -219,28 +268,56 @@
             writer=writer,
             settled=settled,
             capacity=self._capacity,
+            refutes=True,
         )
         return KeyedRecord(key=self._own, value=msgspec.json.encode(registration))
 
+    def _suspected(self, record: PeerRecord) -> PeerRecord:
+        """Return a registration with a suspicion of its process."""
+        suspicion = Suspicion(
+            id=secrets.token_hex(SUSPICION_ID_BYTES),
+            process=record.process,
+            author=self._own,
+        )
+        return msgspec.structs.replace(record, writer=WriterId(""), suspicion=suspicion)
+
     async def _replace_own(
         self, keyed_log: KeyedLog, writer: WriterId, record: KeyedRecord
     ) -> Failure | None:
-        """Replace this process's registration while it is this host's latest.
+        """Replace this process's registration while it is this host's latest."""
+        return await self._replace(
+            keyed_log,
+            [record],
+            unless=lambda host, now: now is None or now.writer != writer,
+        )
 
-        The store may carry out an append late, when the next process of this host has
-        registered. It is therefore bound to the end of the topic.
+    async def _replace(
+        self,
+        keyed_log: KeyedLog,
+        changes: Sequence[KeyedRecord],
+        *,
+        unless: Callable[[HostName, PeerRecord | None], bool],
+    ) -> Failure | None:
+        """Write changes of registrations, `unless` the latest one rules a change out.
+
+        The store may carry out an append late, when the registrations have changed. It
+        is therefore bound to the end of the topic.
         """
         while True:
             newest = await keyed_log.newest(PARTITION)
             if isinstance(newest, Failure):
                 return newest
-            current = [found for found in newest.records if found.key == self._own]
-            registered = _decode(current[0]) if current else None
-            if registered is None or registered.writer != writer:
-                return None
-            if current[0].value == record.value:
+            values = {found.key: found.value for found in newest.records}
+            latest = {found.key: _decode(found) for found in newest.records}
+            due = [
+                change
+                for change in changes
+                if values.get(change.key) != change.value
+                and not unless(HostName(change.key), latest.get(change.key))
+            ]
+            if not due:
                 return None
-            replaced = await keyed_log.append_at(PARTITION, [record], end=newest.resume)
+            replaced = await keyed_log.append_at(PARTITION, due, end=newest.resume)
             if isinstance(replaced, Failure):
                 return replaced
             if replaced:
@@ -269,7 +346,7 @@
             if record.data_centre == self._data_centre
         ]
         self._hosts_by_writer = {
-            record.writer: host for host, record in self._known.items()
+            record.process: host for host, record in self._known.items()
         }
         by_centre = defaultdict(list)
         for host, record in sorted(self._known.items()):
--- a/sequoiaarch/fleet/quotas.py
+++ b/sequoiaarch/fleet/quotas.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import logbook
 
@@ -10,7 +10,7 @@
 from ..wire.messages import Reply, TakeTokensRequest, TokensTaken
 from ..workspaces.access import Caller
 from ..workspaces.limiter import NOT_OWNED, Limiter, TokenGrant
-from ..workspaces.quotas import Refusal, combined_refusal
+from ..workspaces.quotas import UNKNOWN_RETRY_AFTER, Refusal, combined_refusal
 from ..workspaces.shares import ShareOwners
 from ..workspaces.token_cache import Token, TokenCache
 from .peer_health import PeerHealth
@@ -37,13 +37,16 @@
         owners: ShareOwners,
         limiter: Limiter,
         token_cache: TokenCache,
+        takeover_in: Callable[[HostName], float | None] = lambda host: None,
     ) -> None:
+        """Refuse for `takeover_in` seconds while all owners are suspected lost."""
         self._own = own
         self._peers = peers
         self._peer_health = peer_health
         self._owners = owners
         self._limiter = limiter
         self._token_cache = token_cache
+        self._takeover_in = takeover_in
         self._logged_unknown_at = float("-inf")
 
     async def take(self, caller: Caller, *, begins: bool) -> Token | Refusal:
@@ -73,9 +76,9 @@
         refusal = combined_refusal(grants)
         if refusal.kept:
             self._token_cache.record_refusal(workspace, refusal.wait, begins=begins)
-        else:
-            self._log_unknown(workspace, outcomes)
-        return refusal
+            return refusal
+        self._log_unknown(workspace, outcomes)
+        return Refusal(wait=self._owner_in(workspace), kept=False)
 
     def release(self, caller: Caller, token: Token) -> None:
         """Keep an unused token for another request of this process."""
@@ -93,6 +96,17 @@
         )
         return TokensTaken(tokens=tokens)
 
+    def _owner_in(self, workspace: Workspace) -> float:
+        """Return the seconds after which some share is likely to have an owner.
+
+        An owner that is not suspected may be back at any moment.
+        """
+        waits = [self._takeover_in(host) for host in self._owners.of(workspace)]
+        known = [wait for wait in waits if wait is not None]
+        if not known or len(known) < len(waits):
+            return UNKNOWN_RETRY_AFTER
+        return max(UNKNOWN_RETRY_AFTER, min(known))
+
     def _shares_nearest_first(self, workspace: Workspace) -> list[tuple[int, HostName]]:
         """Return the shares with their owners, nearest first."""
         near = {self._own, *self._peers.neighbours()}
--- a/sequoiaarch/wire/messages.py
+++ b/sequoiaarch/wire/messages.py
@@ -391,6 +391,12 @@
     writer: WriterId
 
 
+class HostCheckRequest(Message, frozen=True, kw_only=True, tag="host_check"):
+    """Ask a peer whether it is the host `host`."""
+
+    host: HostName
+
+
 class TargetReport(Message, frozen=True, kw_only=True, tag="target"):
     """Report that a target failed, or works again, as seen from a host."""
 
@@ -486,6 +492,7 @@
     | SettleRequest
     | TakeTokensRequest
     | RegistrationSeenRequest
+    | HostCheckRequest
     | TargetReport
     | RecordOriginRequest
     | FindOriginRequest
@@ -712,6 +719,12 @@
     tokens: TokenGrant
 
 
+class HostChecked(Message, frozen=True, kw_only=True, tag="host_checked"):
+    """Reply to a HostCheckRequest: the name of the host that answers."""
+
+    host: HostName
+
+
 class OriginFound(Message, frozen=True, kw_only=True, tag="origin"):
     """Report where a stream began, if it is `known`.
 
@@ -747,6 +760,7 @@
     | TurnCovered
     | Lent
     | TokensTaken
+    | HostChecked
     | OriginFound
     | ExposuresKnown
     | ProgramPlaced
--- a/sequoiaarch/workspaces/host_lease.py
+++ b/sequoiaarch/workspaces/host_lease.py
@@ -30,7 +30,10 @@
     old. A newly registered host waits for a lease, or until all other hosts confirm
     that they see its registration: the previous owner has then seen it too, or its
     lease has ended. A process that stops releases its lease before it removes its
-    registration, so that its successor need not wait. A process that replaces a lost
+    registration, so that its successor need not wait. The registration of a lost
+    process is removed by others a lease after a suspicion of it was registered: a live
+    process that has read the suspicion acts no more until it has read a registration of
+    its own behind it. A process that replaces a lost
     one of the same host need not wait either while that registration still exists,
     provided that the lost one has ended and had waited itself.
 
@@ -50,6 +53,7 @@
         self._previous: Registration | None = None
         self._was_registered = False
         self._released = False
+        self._suspected = False
         self.last_read = float("-inf")
         self._shares_changed_at = float("-inf")
         self.term = 0
@@ -64,7 +68,9 @@
     def active(self) -> bool:
         """Return whether this process may act now."""
         now = self._clock()
-        if self._released or self._active_from is None or now < self._active_from:
+        if self._released or self._suspected:
+            return False
+        if self._active_from is None or now < self._active_from:
             return False
         return now - self.last_read <= self._lease
 
@@ -73,11 +79,16 @@
 
         `ordered` tells that no change between it and the previous one was missed.
         """
+        refuted, self._suspected = self._suspected, False
         if not registration.own:
             self._previous = registration
             self._active_from = None
             self.term += 1
             return
+        if refuted and not ordered:
+            # The host may have been removed in between.
+            self._active_from = None
+            self.term += 1
         if self._active_from is not None:
             return
         inherits = ordered and not self._was_registered and self._previous_settled
@@ -87,6 +98,10 @@
             self._started_at if inherits else now + self._lease * CLOCK_MARGIN
         )
 
+    def suspected(self) -> None:
+        """Stop acting until this process's registration is read again."""
+        self._suspected = True
+
     def activate(self) -> None:
         """Activate the lease, as all other hosts see this host's registration."""
         if self.confirmable and self._active_from is not None:
@@ -110,8 +125,11 @@
 
     def unregistered(self) -> None:
         """Deactivate the lease, as this host is not registered."""
+        if self._active_from is not None:
+            self.term += 1
         self._previous = None
         self._active_from = None
+        self._suspected = False
 
     @property
     def _previous_settled(self) -> bool:
