Test that removed hosts and their successors keep to the limits

The simulation of windows suspects hosts that are lost, frozen, cut off or sound, has registrations carried out late, and removes what is not refuted. Two planted faults are caught: a removal that does not wait for the lease, and an owner that goes on granting by a view that names a suspicion of it.

--- a/sequoiaarch/tests/workspaces/simulation.py
+++ b/sequoiaarch/tests/workspaces/simulation.py
@@ -36,6 +36,7 @@
     address: int
     centre: DataCentre
     settled: bool = False
+    suspected: bool = False
 
 
 @dataclass(kw_only=True, eq=False)
@@ -59,6 +60,8 @@
     tokens_never_expire: bool = False
     new_owner_starts_full: bool = False
     waiting_is_inherited: bool = False
+    suspicion_is_ignored: bool = False
+    lost_hosts_are_removed_at_once: bool = False
 
 
 def centre_number(host: HostName) -> int:
@@ -86,6 +89,8 @@
         self.version = 0
         self.filled: set[int] = set()
         self.inherited = False
+        self.unregistered = False
+        self.can_write = True
         self.host_lease = HostLease(lease=LEASE, clock=fleet.clock)
         self.token_cache = TokenCache(clock=fleet.clock)
         self.owners = ShareOwners(hosts=self._centres, version=lambda: self.version)
@@ -123,6 +128,9 @@
 
         A process that wakes up may handle requests before the answer.
         """
+        if self.unregistered and self.can_write and self.reaches_store:
+            self.unregistered = False
+            self.fleet.register(self)
         read = self.read
         if read is None:
             if self.fleet.rng.random() < 0.2:
@@ -223,6 +231,8 @@
         own = self.view.get(self.host)
         if own is None or own.process != self.process_id or own.settled:
             return
+        if own.suspected:
+            return
         if self.host_lease.active and self.fleet.rng.random() < 0.5:
             own = replace(own, settled=True)
             self.fleet.append_at(self.version, self.host, own)
@@ -238,6 +248,11 @@
         own = self.view.get(self.host)
         if own is None:
             self.host_lease.unregistered()
+            self.unregistered = self.read_at > float("-inf")
+        elif own.suspected and own.process == self.process_id:
+            if not self.fleet.missing.suspicion_is_ignored:
+                self.host_lease.suspected()
+            self.unregistered = True
         else:
             registration = HostRegistration(
                 own=own.process == self.process_id,
@@ -295,6 +310,11 @@
         self.changes: list[tuple[HostName, Registration | None]] = []
         self.ran: list[float] = []
         self.sending: list[tuple[float, Process]] = []
+        # Suspicions with the times at which their hosts may be removed.
+        self.suspicions: list[tuple[float, HostName, Registration]] = []
+        # Registrations that the store carries out at some time.
+        self.late: list[tuple[float, HostName, Registration]] = []
+        self.write_seconds = 0.0
         self._started = 0
 
     def clock(self) -> float:
@@ -316,16 +336,46 @@
         )
         process.read_registrations()
         process.read_registrations()
-        centre = DataCentre(f"dc{centre_number(host)}")
-        self.changes.append(
-            (
-                host,
-                Registration(
-                    process=process.process_id, address=address, centre=centre
-                ),
-            )
+        self.changes.append((host, self._registration(process)))
+
+    def register(self, process: Process) -> None:
+        """Register a process again; the store may carry it out late."""
+        at = self.now + self.rng.uniform(0.0, self.write_seconds)
+        self.late.append((at, process.host, self._registration(process)))
+
+    def _registration(self, process: Process) -> Registration:
+        return Registration(
+            process=process.process_id,
+            address=process.address,
+            centre=DataCentre(f"dc{centre_number(process.host)}"),
         )
 
+    def registered(self, host: HostName) -> Registration | None:
+        """Return the newest registration of a host."""
+        newest = (change for name, change in reversed(self.changes) if name == host)
+        return next(newest, None)
+
+    def suspect(self, host: HostName) -> None:
+        """Register that a host is suspected; it is removed unless it refutes that."""
+        registration = self.registered(host)
+        if registration is None or registration.suspected:
+            return
+        suspicion = replace(registration, suspected=True)
+        self.changes.append((host, suspicion))
+        at_once = self.missing.lost_hosts_are_removed_at_once
+        wait = 0.0 if at_once else LEASE * CLOCK_MARGIN
+        self.suspicions.append((self.now + wait, host, suspicion))
+
+    def _change_registrations(self) -> None:
+        """Carry out late registrations, and remove hosts that refuted nothing."""
+        for entry in [one for one in self.late if one[0] <= self.now]:
+            self.late.remove(entry)
+            self.changes.append(entry[1:])
+        for entry in [one for one in self.suspicions if one[0] <= self.now]:
+            self.suspicions.remove(entry)
+            if self.registered(entry[1]) is entry[2]:
+                self.changes.append((entry[1], None))
+
     def replace(self, host: HostName) -> None:
         """Start a process at another address of a host whose process still runs."""
         self.replaced.append(self.processes[host])
@@ -374,6 +424,7 @@
     def step(self) -> None:
         """Advance the time, read registrations and send queued requests."""
         self.now += STEP
+        self._change_registrations()
         for process in self.running:
             process.advance_read()
         waiting, self.sending = self.sending, []
--- a/sequoiaarch/tests/workspaces/windows_tests.py
+++ b/sequoiaarch/tests/workspaces/windows_tests.py
@@ -89,6 +89,48 @@
             fleet.processes[host].partitioned_until = fleet.now + rng.uniform(0.5, 12.0)
 
 
+def simulate_lost_hosts(limit: RateLimit, seed: int) -> Fleet:
+    """Simulate bursts while hosts are suspected, lost, removed and come back."""
+    rng = random.Random(seed)
+    fleet = Fleet(limit=limit, rng=rng)
+    fleet.write_seconds = rng.choice((0.0, 0.5, 2 * LEASE))
+    for host in HOSTS:
+        fleet.start(host)
+    spare = list(SPARE)
+    while fleet.now < SETTLING_SECONDS + SECONDS:
+        if fleet.now > SETTLING_SECONDS and rng.random() < 0.05:
+            lose_or_suspect(fleet, rng, spare)
+        fleet.step()
+        if fleet.now % BURST_PERIOD < BURST_SECONDS:
+            fleet.exhaust()
+    return fleet
+
+
+def lose_or_suspect(fleet: Fleet, rng: random.Random, spare: list[HostName]) -> None:
+    """Disturb some hosts, and suspect some that are lost, disturbed or sound."""
+    fault = rng.choice(("lose", "freeze", "cut", "read", "restart", "add", "none"))
+    hosts = sorted(fleet.processes)
+    affected = rng.sample(hosts, min(len(hosts), rng.randint(1, 3)))
+    if fault == "add" and spare:
+        fleet.start(spare.pop())
+    for host in affected:
+        process = fleet.processes[host]
+        if fault == "lose" and len(fleet.processes) > 3:
+            fleet.kill(host)
+        elif fault == "restart":
+            fleet.kill(host)
+            fleet.start(host)
+        elif fault == "freeze":
+            process.frozen_until = fleet.now + rng.uniform(0.2, 4 * LEASE)
+        elif fault == "cut":
+            process.partitioned_until = fleet.now + rng.uniform(0.5, 4 * LEASE)
+        elif fault == "read":
+            process.slow_reads_until = fleet.now + rng.uniform(1.0, 8.0)
+            process.read_seconds = rng.uniform(0.5, 1.2 * LEASE)
+        if rng.random() < 0.7:
+            fleet.suspect(host)
+
+
 def send_requests(fleet: Fleet, rate: float, rng: random.Random) -> int:
     """Send the requests of one step to running hosts; return how many were refused."""
     count = int(rate * STEP) + (rng.random() < rate * STEP % 1)
@@ -226,6 +268,52 @@
             )
         )
 
+    def test_limit_holds_while_hosts_are_removed(self) -> None:
+        """Guards against grants of a removed host and its successor at once."""
+        for limit in LIMITS[:2]:
+            for seed in range(REAL_MACHINE_SEEDS):
+                with self.subTest(limit=limit, seed=seed):
+                    self.check_within_bound(simulate_lost_hosts(limit, seed))
+
+    def test_owners_are_cut_off_and_removed(self) -> None:
+        """Guards against a removal while its host may still act on an older view."""
+        self.check_within_bound(remove_owners_cut_off(MissingSafeguards()))
+        self.check_exceeded(
+            remove_owners_cut_off(
+                MissingSafeguards(lost_hosts_are_removed_at_once=True)
+            )
+        )
+
+    def test_owners_read_the_suspicion_and_are_removed(self) -> None:
+        """Guards against grants by a view that names a suspicion of this host."""
+        self.check_within_bound(remove_owners_that_read(MissingSafeguards()))
+        self.check_exceeded(
+            remove_owners_that_read(MissingSafeguards(suspicion_is_ignored=True))
+        )
+
+    def test_frozen_owners_wake_after_their_removal(self) -> None:
+        """Guards against a frozen owner that grants once more when it wakes."""
+        fleet = idle_fleet(MissingSafeguards())
+        owners = set(fleet.processes[HOSTS[0]].owners.of(fleet.workspace))
+        for host in owners:
+            fleet.processes[host].frozen_until = fleet.now + 3 * LEASE
+            fleet.suspect(host)
+        fleet.advance(3 * LEASE - 0.5)
+        self.assertEqual([fleet.registered(host) for host in owners], [None] * 3)
+        exhaust_for(fleet, 3 * LEASE)
+        self.check_within_bound(fleet)
+        self.assertTrue(all(fleet.processes[host].host_lease.active for host in owners))
+
+    def test_sound_owners_are_suspected(self) -> None:
+        """Guards against a live owner that forgets what it granted, or its shares."""
+        fleet = idle_fleet(MissingSafeguards())
+        for _ in range(10):
+            for host in HOSTS:
+                fleet.suspect(host)
+            exhaust_for(fleet, 0.8)
+        self.check_within_bound(fleet)
+        self.assertTrue(all(one.host_lease.active for one in fleet.running))
+
     def test_tokens_expire_before_sends(self) -> None:
         """Send no request with a token of a past window."""
         self.check_within_bound(delay_sends(MissingSafeguards()))
@@ -299,6 +387,33 @@
     return fleet
 
 
+def remove_owners_cut_off(missing: MissingSafeguards) -> Fleet:
+    """Suspect the owners of all shares while they can't reach the store."""
+    fleet = idle_fleet(missing)
+    for host in fleet.processes[HOSTS[0]].owners.of(fleet.workspace):
+        fleet.processes[host].partitioned_until = fleet.now + 4 * LEASE
+        fleet.suspect(host)
+    exhaust_for(fleet, 4 * LEASE)
+    return fleet
+
+
+def remove_owners_that_read(missing: MissingSafeguards) -> Fleet:
+    """Suspect the owners of all shares, which read that but can't write.
+
+    They can't read any more shortly before they are removed.
+    """
+    fleet = idle_fleet(missing)
+    owners = set(fleet.processes[HOSTS[0]].owners.of(fleet.workspace))
+    for host in owners:
+        fleet.processes[host].can_write = False
+        fleet.suspect(host)
+    fleet.advance(LEASE)
+    for host in owners:
+        fleet.processes[host].partitioned_until = fleet.now + 4 * LEASE
+    exhaust_for(fleet, 3 * LEASE)
+    return fleet
+
+
 def delay_sends(missing: MissingSafeguards) -> Fleet:
     """Delay all requests between taking their token and being sent."""
     fleet = idle_fleet(missing)
