Lose hosts for good in the soak of limits

The soak paused gateways for less than a lease, restarted what it killed under the same name, and looked at windows alone, so it could see neither a limit without owners nor an owner that wakes after its removal. It now pauses gateways for 4 to 14 s, loses some for good, ends with the loss of all but one, and checks that this one serves each workspace within recoveryS. The planted fault (no lost host is removed) is caught; it was not when new hosts took the places of the lost ones before the check, as too few limits then had no owner.

Found on the way, by reading: a process must register again on a suspicion even if the registration has another address than its own, as behind the soak's proxies; 16 hosts are suspected at once at first, as one after the other took more than recoveryS for four of eight; hosts of an old build watch nobody, so those behind them are watched as well.

--- a/sequoiaarch/fleet/fleet.py
+++ b/sequoiaarch/fleet/fleet.py
@@ -377,13 +377,14 @@
             log.info("this host is not registered")
             return
         if record.writer != self._writer and self._peers.listens_at(record):
-            # Nobody else listens here: the registration is a suspicion, or one of an
-            # earlier process that was written late.
+            # Nobody else listens here: the registration of an earlier process was
+            # written late.
             self._unregistered.set()
         if record.writer == self._writer and not record.settled:
             self._unsettled.set()
         if record.suspicion is not None and record.process == self._writer:
             self.host_lease.suspected()
+            self._unregistered.set()
             log.warning(
                 "this host is suspected to be lost, by {}; it registers again",
                 record.suspicion.author,
--- a/sequoiaarch/fleet/host_watch.py
+++ b/sequoiaarch/fleet/host_watch.py
@@ -94,14 +94,13 @@
     async def run(self, keyed_log: KeyedLog) -> None:
         """Probe and judge hosts until cancelled."""
         while True:
-            watched = self._lost.watched(self._hosts_in_order())
+            old = self._old_hosts()
+            watched = self._lost.watched(self._hosts_in_order(), old)
             await asyncio.gather(
                 asyncio.sleep(PROBE_INTERVAL), *(self._probe(host) for host in watched)
             )
             if not self._may_judge:
                 continue
-            records = self._peers.registrations()
-            old = {host for host, record in records.items() if not record.refutes}
             verdict = self._lost.judge(watched, old, boottime_clock())
             if verdict != Verdict():
                 await self._carry_out(keyed_log, verdict)
@@ -116,6 +115,11 @@
             and self._peers.own_registration_is(self._writer)
         )
 
+    def _old_hosts(self) -> set[HostName]:
+        """Return the hosts whose build neither watches others nor refutes."""
+        records = self._peers.registrations()
+        return {host for host, record in records.items() if not record.refutes}
+
     def _hosts_in_order(self) -> list[HostName]:
         """Return all hosts; those of a data centre follow each other.
 
--- a/sequoiaarch/policies/lost_hosts.py
+++ b/sequoiaarch/policies/lost_hosts.py
@@ -17,6 +17,10 @@
 SILENT_PROBES_OLD = 30
 # Hosts that are probed at the same time.
 MAX_WATCHED = 64
+# Hosts that are suspected at the same time: at first, and again this many seconds after
+# the last refuted suspicion.
+INITIAL_LIMIT = 16
+LIMIT_RESTORED_AFTER = 300.0
 # Seconds for which a host that refuted a suspicion is not suspected again, doubled
 # each time.
 MIN_PATIENCE = 10.0
@@ -63,7 +67,7 @@
     A suspicion is registered before a host is removed. A live host that reaches the
     store refutes it; any other one has stopped acting by its registration `wait`
     seconds later. The number of hosts that are suspected at the same time doubles with
-    each removal, and is one again after a refuted suspicion.
+    each removal, and drops to one after a refuted suspicion.
     """
 
     def __init__(self, *, own: HostName, wait: float) -> None:
@@ -73,7 +77,7 @@
         self._suspicions: dict[HostName, Suspicion] = {}
         self._suspected_at: dict[HostName, float] = {}
         self._refuted: dict[HostName, _Refuted] = {}
-        self._limit = 1
+        self._limit = INITIAL_LIMIT
         self._pause = 0.0
         self._paused_until = float("-inf")
 
@@ -92,19 +96,25 @@
             None if suspected_at is None else max(0.0, suspected_at + self._wait - now)
         )
 
-    def watched(self, ring: Sequence[HostName]) -> Sequence[HostName]:
+    def watched(
+        self, ring: Sequence[HostName], old: Collection[HostName]
+    ) -> Sequence[HostName]:
         """Return the hosts to probe now, of all hosts in their common order.
 
-        Up to the first that answers; as many again beyond a run of silent ones.
+        Up to the first that answers, and as many again beyond a run of silent ones.
+        Hosts in `old` watch nobody, so those behind them are watched as well.
         """
         if self._own not in ring:
             return ()
         own = ring.index(self._own)
         others = [*ring[own + 1 :], *ring[:own]]
-        silent = 0
-        while silent < len(others) and others[silent] in self._silent:
-            silent += 1
-        watched = others[: min(MAX_WATCHED, 2 * silent + 1)]
+        silent = passed = 0
+        for host in others:
+            if host not in self._silent and host not in old:
+                break
+            passed += 1
+            silent += host in self._silent
+        watched = others[: min(MAX_WATCHED, passed + 1 + silent)]
         for host in set(self._silent).difference(watched):
             del self._silent[host]
         return watched
@@ -168,6 +178,8 @@
         ]
         if now < self._paused_until:
             suspect = []
+        if now >= self._paused_until + LIMIT_RESTORED_AFTER:
+            self._limit = max(self._limit, INITIAL_LIMIT)
         most = max(0, self._limit - outstanding)
         return Verdict(suspect=tuple(suspect[:most]), remove=tuple(remove))
 
--- a/sequoiaarch/tests/platform/limits_soak_tests.py
+++ b/sequoiaarch/tests/platform/limits_soak_tests.py
@@ -48,6 +48,15 @@
         with mock.patch.dict(os.environ, environment):
             self.assertNotEqual(run(plan).broken, [])
 
+    def test_lost_hosts_that_stay_are_caught(self) -> None:
+        """Report workspaces that are refused for good if no lost host is removed."""
+        environment = {planted.FAULT_VARIABLE: planted.removes_no_hosts.__name__}
+        plan = LimitPlan(
+            seed=1, seconds=PLANTED_SECONDS, gateways=GATEWAYS, module=PLANTED_MODULE
+        )
+        with mock.patch.dict(os.environ, environment):
+            self.assertTrue(any("not served" in text for text in run(plan).broken))
+
 
 class LimitWindowsTests(unittest.TestCase):
     """Test which requests count in a window."""
--- a/sequoiaarch/tests/platform/soak/limit_callers.py
+++ b/sequoiaarch/tests/platform/soak/limit_callers.py
@@ -118,6 +118,20 @@
         reachable = [one for one in chosen if one in self._gateways]
         return self._rng.choice(reachable or self._gateways)
 
+    async def call_once(self, gateway: Gateway) -> int:
+        """Send a request on its own connection; return its status, 0 without one."""
+        address = (LOOPBACK, gateway.caller_proxy.port)
+        try:
+            connection = await connect(address, timeout=CONNECT_SECONDS)
+        except (ExchangeError, TimeoutError):
+            return 0
+        try:
+            return await self._exchange(connection)
+        except (ExchangeError, TimeoutError):
+            return 0
+        finally:
+            connection.abort()
+
     async def _call(self, gateway: Gateway) -> None:
         connection = self._idle.acquire(gateway)
         try:
--- a/sequoiaarch/tests/platform/soak/limit_faults.py
+++ b/sequoiaarch/tests/platform/soak/limit_faults.py
@@ -16,6 +16,9 @@
 SERIES_INTERVAL = (1.0, 5.0)
 STEP_INTERVAL = (0.0, 0.6)
 PAUSE = (3.0, 6.0)
+# Long enough to be suspected, and mostly to be removed.
+LONG_PAUSE = (4.0, 14.0)
+NEW_HOST_DELAY = (0.5, 3.0)
 HOLD_UP = (0.1, 0.8)
 HOLD_UPS = 12
 SLOW_READ = (0.3, 6.0)
@@ -30,8 +33,9 @@
 class LimitFaults:
     """Apply series of faults to gateways; one gateway may be in several series.
 
-    `replace` starts another process of a gateway's host and returns once it runs. Half
-    of the series start shortly after a burst.
+    `replace` starts another process of a gateway's host and returns once it runs, and
+    `add` a gateway of another host in a zone. Half of the series start shortly after a
+    burst.
     """
 
     def __init__(
@@ -39,6 +43,7 @@
         *,
         gateways: list[Gateway],
         replace: Callable[[Gateway], Awaitable[None]],
+        add: Callable[[str], Awaitable[None]],
         publish: Callable[[], Awaitable[None]],
         bursts: Bursts,
         rng: random.Random,
@@ -46,6 +51,7 @@
         self.counts: Counter[str] = Counter()
         self._gateways = gateways
         self._replace_process = replace
+        self._add = add
         self._publish = publish
         self._bursts = bursts
         self._rng = rng
@@ -53,6 +59,8 @@
         self._waiting_for_burst: set[asyncio.Task[None]] = set()
         self._actions: list[tuple[Action, int]] = [
             (self._pause, 4),
+            (self._pause_long, 2),
+            (self._lose, 2),
             (self._hold_up, 4),
             (self._slow_reads, 4),
             (self._kill, 2),
@@ -72,6 +80,16 @@
             for task in self._waiting_for_burst:
                 task.cancel()
 
+    async def lose_all_but_one(self) -> None:
+        """Lose all hosts but one for good; the one that is left had neighbours."""
+        zones = [gateway.zone for gateway in self._gateways]
+        left = max(self._gateways, key=lambda gateway: zones.count(gateway.zone))
+        lost = [gateway for gateway in self._gateways if gateway is not left]
+        self.counts["lost_at_the_end"] += len(lost)
+        for gateway in lost:
+            self._gateways.remove(gateway)
+        await asyncio.gather(*(gateway.close() for gateway in lost))
+
     def _draw(self, bounds: tuple[float, float]) -> float:
         return self._rng.uniform(*bounds)
 
@@ -106,6 +124,21 @@
         await asyncio.sleep(self._draw(PAUSE))
         gateway.signal(signal.SIGCONT)
 
+    async def _pause_long(self, gateway: Gateway) -> None:
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._draw(LONG_PAUSE))
+        gateway.signal(signal.SIGCONT)
+
+    async def _lose(self, gateway: Gateway) -> None:
+        """Lose a host for good; another one takes its place later."""
+        if gateway in self._restarting or gateway not in self._gateways:
+            return
+        self._restarting.add(gateway)
+        self._gateways.remove(gateway)
+        await gateway.close()
+        await asyncio.sleep(self._draw(NEW_HOST_DELAY))
+        await self._add(gateway.zone)
+
     async def _hold_up(self, gateway: Gateway) -> None:
         """Hold up the event loop again and again."""
         for _ in range(HOLD_UPS):
--- a/sequoiaarch/tests/platform/soak/limits.py
+++ b/sequoiaarch/tests/platform/soak/limits.py
@@ -43,6 +43,11 @@
 SETTLING_SECONDS = 6.0
 FAULT_FREE_SECONDS = 2.0
 HARMED_LINKS_FRACTION = 0.3
+# Seconds within which a deployment of this kind recovers from a loss (`recoveryS`).
+TAKEOVER_SECONDS = 15.0
+SERVED = 200
+SERVED_TRIES = 5
+SERVED_INTERVAL = 0.5
 
 
 class LimitPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -86,12 +91,14 @@
         self._gateways: list[Gateway] = []
         self._all_gateways: list[Gateway] = []
         self._targets: list[TargetStandIn] = []
+        self._unserved: list[str] = []
 
     async def run(self) -> LimitReport:
         """Run callers and faults, and report the fullest windows."""
         faults = LimitFaults(
             gateways=self._gateways,
             replace=self._replace,
+            add=self._add,
             publish=self._publish,
             bursts=self._bursts,
             rng=self._fresh_rng(),
@@ -105,6 +112,8 @@
                 self._harm_links(until - FAULT_FREE_SECONDS),
                 *(self._caller(name).run(until) for name in self._limits),
             )
+            await faults.lose_all_but_one()
+            await self._check_served()
         finally:
             await asyncio.gather(*(gateway.close() for gateway in self._all_gateways))
             await asyncio.gather(*(target.stop() for target in self._targets))
@@ -115,7 +124,7 @@
             counts=dict(sorted(self._windows.counts.items())),
             faults=dict(sorted(faults.counts.items())),
             fullest=round(self._windows.fullest_share(), 3),
-            broken=self._windows.violations(),
+            broken=self._windows.violations() + self._unserved,
             folder=str(self._folder),
         )
 
@@ -173,6 +182,32 @@
         await replacement.start()
         self._gateways[self._gateways.index(gateway)] = replacement
 
+    async def _add(self, zone: str) -> None:
+        """Start a gateway of a host that is new."""
+        gateway = await self._gateway(zone)
+        await gateway.start()
+        self._gateways.append(gateway)
+
+    async def _check_served(self) -> None:
+        """Check that each gateway serves each workspace once hosts were taken over."""
+        await asyncio.sleep(TAKEOVER_SECONDS)
+        callers = {name: self._caller(name) for name in self._limits}
+        checks = [
+            self._check_one(name, callers[name], gateway)
+            for gateway in self._gateways
+            for name in self._limits
+        ]
+        await asyncio.gather(*checks)
+
+    async def _check_one(
+        self, name: str, caller: LimitCaller, gateway: Gateway
+    ) -> None:
+        for _ in range(SERVED_TRIES):
+            if await caller.call_once(gateway) == SERVED:
+                return
+            await asyncio.sleep(SERVED_INTERVAL)
+        self._unserved.append(f"{name} is not served at {gateway.name}")
+
     async def _publish(self) -> None:
         self._version += 1
         workspaces = [
--- a/sequoiaarch/tests/platform/soak/planted.py
+++ b/sequoiaarch/tests/platform/soak/planted.py
@@ -15,6 +15,7 @@
 from ....fleet.delegates import DelegatedTurns
 from ....fleet.exposure_reports import SharedExposures
 from ....fleet.exposures import ExposureTracker, KnownRequest, Told
+from ....fleet.host_watch import HostWatch
 from ....fleet.placement_service import PlacementService, RefusedBy
 from ....fleet.program_table import ProgramTable
 from ....fleet.stream_origins import SharedOrigins
@@ -233,6 +234,15 @@
     setattr(ShareWindow, "grant", grant)  # noqa: B010
 
 
+def removes_no_hosts() -> None:
+    """Leave the registrations of lost hosts as they are."""
+
+    async def carry_out(*_: Any) -> None:
+        pass
+
+    setattr(HostWatch, "_carry_out", carry_out)  # noqa: B010
+
+
 def refuses_late() -> None:
     """Return the refusals of owners only after some time."""
     place = PlacementService.place
@@ -381,6 +391,7 @@
         stops_at_once,
         keeps_keys,
         hands_out_everything,
+        removes_no_hosts,
         refuses_late,
         refuses_without_time,
         starves_workspace,
--- a/sequoiaarch/tests/platform/soak/proxied_store.py
+++ b/sequoiaarch/tests/platform/soak/proxied_store.py
@@ -41,12 +41,14 @@
         self, partition: Partition, records: list[KeyedRecord], writer: Writer
     ) -> Offset | Failure:
         """Append to the shared store."""
+        records = [self._direct(partition, record) for record in records]
         return await self._shared.append(partition, records, writer)
 
     async def append_at(
         self, partition: Partition, records: list[KeyedRecord], end: Offset
     ) -> bool:
         """Append to the shared store if the partition ends at an offset."""
+        records = [self._direct(partition, record) for record in records]
         return await self._shared.append_at(partition, records, end)
 
     async def read(
@@ -67,6 +69,22 @@
         records = [self._via_proxy(record) for record in newest.records]
         return msgspec.structs.replace(newest, records=records)
 
+    def _direct(self, partition: Partition, record: KeyedRecord) -> KeyedRecord:
+        """Return a record with the address that its host has registered.
+
+        Gateways write the registrations of others, too.
+        """
+        if partition.topic != TOPIC or not record.value:
+            return record
+        peer = msgspec.json.decode(record.value, type=PeerRecord)
+        for address, proxy in self._proxies.items():
+            if peer.address == proxy:
+                direct = msgspec.structs.replace(peer, address=address)
+                return msgspec.structs.replace(
+                    record, value=msgspec.json.encode(direct)
+                )
+        return record
+
     def _via_proxy(self, record: RecordT) -> RecordT:
         if not record.value:
             return record
--- a/sequoiaarch/tests/policies/lost_hosts_tests.py
+++ b/sequoiaarch/tests/policies/lost_hosts_tests.py
@@ -50,7 +50,11 @@
         """Let each live host probe, judge, and refute suspicions of itself."""
         self.now += PROBE_INTERVAL
         registered = self.registered()
-        verdicts = {host: self._judge(host, registered) for host in self.live()}
+        verdicts = {
+            host: self._judge(host, registered)
+            for host in self.live()
+            if host not in self.old
+        }
         for author, verdict in verdicts.items():
             self._carry_out(author, verdict)
         if any(verdict != Verdict() for verdict in verdicts.values()):
@@ -70,7 +74,7 @@
 
     def _judge(self, host: HostName, registered: list[HostName]) -> Verdict:
         watch = self.watches[host]
-        watched = watch.watched(registered)
+        watched = watch.watched(registered, self.old)
         unreachable = self.lost | self.cut.get(host, set())
         for other in watched:
             self.probes += 1
@@ -212,6 +216,14 @@
         store.run(WAIT + 3)
         self.check_left(store)
 
+    def test_hosts_of_old_builds_watch_nobody(self) -> None:
+        """Guards against a lost host that only hosts of an old build would watch."""
+        store = _Store(6)
+        store.old = set(store.ring[1:4])
+        store.lost = {store.ring[4]}
+        store.run(12)
+        self.check_left(store)
+
     def test_limits(self) -> None:
         """Guards against more probes at once, or longer pauses, than are bounded."""
         store = _Store(540)
