--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -356,8 +356,16 @@
         if self._hosts_by_centre != by_centre:
             self._hosts_by_centre = dict(by_centre)
             self.hosts_version += 1
+            self._close_unused_links()
         self._rebuild_weights()
 
+    def _close_unused_links(self) -> None:
+        """Close the links to hosts that have left, which would reconnect for ever."""
+        addresses = {record.address for record in self._known.values()}
+        self._links.close_unused(
+            {f"tcp://{address}" for address in addresses.union(self._seeds)}
+        )
+
     def _rebuild_weights(self) -> None:
         # The other hosts see the registration of this one and not its settings.
         record = self._own_record
--- a/sequoiaarch/tests/fleet/peers_tests.py
+++ b/sequoiaarch/tests/fleet/peers_tests.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import zmq.asyncio
@@ -13,13 +13,15 @@
 from ...errors import ErrorKind, Failure
 from ...fleet.peers import TOPIC, PeerRecord, Peers, PeerServer
 from ...ids import DataCentre, HostName, WriterId
-from ...standins.keyed_store import KeyedStore
+from ...standins.keyed_store import KeyedStore, KeyedStoreClient
 from ...storage.calls import StoreCall, StoreReply
 from ...storage.keyed import KeyedRecord, Partition
+from ...wire.messages import StoreAnswer, StoreRequest
 
 CALL = StoreCall(method="GET", path="/x", timeout=5.0)
 LOCAL_CENTRE = DataCentre("here")
 REMOTE_CENTRE = DataCentre("away")
+PARTITION = Partition(topic=TOPIC, number=0)
 FAILED = Failure(kind=ErrorKind.LOG_UNAVAILABLE, reason="denied too")
 
 
@@ -32,10 +34,12 @@
         self.throttled = False
         self.calls = 0
         self.reaches_store = True
+        self.delay = 0.0
 
     async def call(self, call: StoreCall) -> StoreReply | Failure:
         """Return this peer's name, or fail as configured."""
         self.calls += 1
+        await asyncio.sleep(self.delay)
         if self.denied:
             return FAILED
         if self.throttled:
@@ -162,6 +166,27 @@
         newest = store.newest(Partition(topic=TOPIC, number=0))
         self.assertEqual(newest.records, [])
 
+    async def test_links_to_hosts_that_left(self) -> None:
+        """Guards against links to lost hosts that reconnect for ever."""
+        for name in ("near", "far"):
+            await self.add(name, LOCAL_CENTRE)
+            self.assertIsNotNone(self.peers.link(HostName(name)))
+        self.assertEqual(len(self.peers._links), 2)
+        self.peers.apply(KeyedRecord(key="far", value=b""))
+        self.assertEqual(len(self.peers._links), 1)
+        self.assertEqual(await self.relay_call(), "near")
+
+    async def test_link_with_a_pending_request(self) -> None:
+        """Guards against requests that end with the registration of their host."""
+        client = await self.add("near", LOCAL_CENTRE)
+        client.delay = 0.2
+        link = self.peers.link(HostName("near"))
+        assert link is not None
+        pending = asyncio.create_task(link.call(StoreRequest(call=CALL), timeout=5.0))
+        await asyncio.sleep(0.05)
+        self.peers.apply(KeyedRecord(key="near", value=b""))
+        self.assertIsInstance(await pending, StoreAnswer)
+
     async def test_hosts_settle_at_once(self) -> None:
         """Keep the registration of every host when all of them write at once."""
         store = KeyedStore()
@@ -197,3 +222,111 @@
             for record in newest.records
         ]
         self.assertEqual(registered, ["second"])
+
+    async def test_suspicion_is_carried_out_late(self) -> None:
+        """Guards against a suspicion or removal of a host that has registered again."""
+        for remove in (False, True):
+            with self.subTest(remove=remove):
+                store = KeyedStore()
+                own, other = store.client(), store.client()
+                await self.write_registration(store, "other", WriterId("first"))
+                await self.read_registrations(store)
+                if remove:
+                    await self.judge(own, suspect=["other"])
+                    await self.read_registrations(store)
+                own.faults.lost_replies, own.faults.append_delay = 1, 0.1
+                change = "remove" if remove else "suspect"
+                await self.judge(own, **{change: ["other"]})
+                host = self.host("other")
+                await host.register(other, WriterId("first"))
+                await asyncio.sleep(0.2)
+                registered = self.registered(store)["other"]
+                self.assertEqual(registered.writer, "first")
+                self.assertIsNone(registered.suspicion)
+
+    async def test_older_view(self) -> None:
+        """Guards against the removal of a host by a view before its refutation."""
+        store = KeyedStore()
+        client = store.client()
+        await self.write_registration(store, "other", WriterId("first"))
+        await self.read_registrations(store)
+        await self.judge(client, suspect=["other"])
+        await self.read_registrations(store)
+        await self.host("other").register(client, WriterId("first"))
+        await self.judge(client, remove=["other"])
+        self.assertEqual(self.registered(store)["other"].writer, "first")
+        await self.read_registrations(store)
+        await self.judge(client, suspect=["other"])
+        await self.judge(client, remove=["other"])
+        self.assertIsNotNone(self.registered(store)["other"].suspicion)
+
+    async def test_removal_by_several_hosts(self) -> None:
+        """Guards against two hosts that remove the same one, or undo each other."""
+        store = KeyedStore()
+        hosts = [self.host(f"h{number}") for number in range(4)]
+        for name in ("lost", "next"):
+            await self.write_registration(store, name, WriterId(name))
+        for change in ("suspect", "remove"):
+            newest = store.newest(PARTITION).records
+            for host in hosts:
+                host.replace(newest)
+            nobody: dict[str, list[HostName]] = {"suspect": [], "remove": []}
+            lost = {**nobody, change: [HostName("lost")]}
+            await asyncio.gather(
+                *(host.judge(store.client(), **lost) for host in hosts)
+            )
+        self.assertEqual(self.registered(store).keys(), {"next"})
+
+    async def test_suspicion_stops_old_builds(self) -> None:
+        """Guards against a process of an old build that grants while suspected."""
+        store = KeyedStore()
+        await self.write_registration(store, "other", WriterId("first"), settled=True)
+        before = self.registered(store)["other"]
+        await self.read_registrations(store)
+        await self.judge(store.client(), suspect=["other"])
+        suspected = self.registered(store)["other"]
+        self.assertNotEqual(suspected.writer, "first")
+        # The next process of the host inherits its shares by these.
+        self.assertEqual(suspected.address, before.address)
+        self.assertTrue(suspected.settled)
+        await self.read_registrations(store)
+        self.assertTrue(
+            self.peers.has_registration(HostName("other"), WriterId("first"))
+        )
+
+    async def write_registration(
+        self, store: KeyedStore, name: str, writer: WriterId, *, settled: bool = False
+    ) -> None:
+        """Write the registration of another host."""
+        record = PeerRecord(
+            address=f"127.0.0.1:{name}",
+            data_centre=LOCAL_CENTRE,
+            writer=writer,
+            settled=settled,
+        )
+        await store.put(TOPIC, name, msgspec.json.encode(record))
+
+    async def read_registrations(self, store: KeyedStore) -> None:
+        """Let this host read all registrations."""
+        self.peers.replace(store.newest(PARTITION).records)
+
+    async def judge(
+        self,
+        client: KeyedStoreClient,
+        *,
+        suspect: Sequence[str] = (),
+        remove: Sequence[str] = (),
+    ) -> None:
+        """Suspect or remove hosts."""
+        await self.peers.judge(
+            client,
+            suspect=[HostName(name) for name in suspect],
+            remove=[HostName(name) for name in remove],
+        )
+
+    def registered(self, store: KeyedStore) -> dict[str, PeerRecord]:
+        """Return the newest registrations."""
+        return {
+            record.key: msgspec.json.decode(record.value, type=PeerRecord)
+            for record in store.newest(PARTITION).records
+        }
--- a/sequoiaarch/wire/links.py
+++ b/sequoiaarch/wire/links.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -192,6 +192,11 @@
         """Return the address of the peer."""
         return self._address
 
+    @property
+    def pending(self) -> int:
+        """Return the number of requests without a last reply."""
+        return len(self._pending)
+
     def _start_tasks(self) -> list[asyncio.Task[None]]:
         monitor = self._socket.get_monitor_socket(
             zmq.EVENT_DISCONNECTED | zmq.EVENT_HANDSHAKE_SUCCEEDED
@@ -374,6 +379,16 @@
             self._links[address] = link
         return link
 
+    def __len__(self) -> int:
+        return len(self._links)
+
+    def close_unused(self, kept: Collection[str]) -> None:
+        """Close the links to all but some addresses that no request is pending on."""
+        for address, link in list(self._links.items()):
+            if address not in kept and not link.pending:
+                link.close()
+                del self._links[address]
+
     def close(self) -> None:
         """Close all links."""
         for link in self._links.values():
