Count the tokens of turns at services that left the configuration

Cause: the tokens in an event were looked up in the newest routes for each event; a service that they don't list counted one token an event. Turns under way go on at the old service. The dispatcher now remembers the tokens of services that have left.

--- a/sequoiaarch/ingress/dispatcher.py
+++ b/sequoiaarch/ingress/dispatcher.py
@@ -37,6 +37,8 @@
 from .load import LoadTracker
 from .pool import ConnectionPool
 
+# Services whose events can be counted, with those that have left.
+MAX_SERVICES_REMEMBERED = 10_000
 # Seconds for which the list of engines that take programs is kept.
 ENGINES_LIFE = 0.1
 
@@ -64,7 +66,9 @@
         self.pool = ConnectionPool()
         self.load = LoadTracker(health=health)
         self.retries: RetryPolicy = RetryBudget()
-        self.routes: RouteTable | None = None
+        self._routes: RouteTable | None = None
+        # Tokens in each event by service, also of services that have left.
+        self._event_tokens: dict[ServiceName, int] = {}
         self.placements: PlacementService | None = None
         self.origins: StreamOrigins = LocalOrigins()
         # Without a bound if the targets are not followed.
@@ -87,6 +91,21 @@
         # new connection fails, the request moves on to the next target.
         health.on_ejected = self.pool.forget
 
+    @property
+    def routes(self) -> RouteTable | None:
+        """Return the newest routes; None before the first are known."""
+        return self._routes
+
+    @routes.setter
+    def routes(self, routes: RouteTable | None) -> None:
+        self._routes = routes
+        for name, settings in routes.services.items() if routes is not None else ():
+            self._event_tokens.pop(name, None)
+            if settings.engine is not None:
+                self._event_tokens[name] = settings.engine.event_tokens
+        while len(self._event_tokens) > MAX_SERVICES_REMEMBERED:
+            del self._event_tokens[next(iter(self._event_tokens))]
+
     def choose(
         self,
         route: Route,
@@ -240,11 +259,11 @@
         )
 
     def event_tokens(self, service: ServiceName) -> int:
-        """Return the number of tokens in each stream event of a service."""
-        settings = self.routes.services.get(service) if self.routes else None
-        if settings is None or settings.engine is None:
-            return 1
-        return settings.engine.event_tokens
+        """Return the number of tokens in each stream event of a service.
+
+        Turns go on at a service that the newest routes don't list any more.
+        """
+        return self._event_tokens.get(service, 1)
 
     def urgency(
         self, route: Route, info: RequestInfo, priority: int, budget_used: float
