Wait for the new engines in the test of three versions

The test removes two engines and adds two, and then waits until a gateway knows four, which it does before it has read the change; v1 is then still there, and the stream rightly goes on at it. It now waits for the names.

The gateways are not at fault.

--- a/sequoiaarch/tests/platform/resumed_streams_tests.py
+++ b/sequoiaarch/tests/platform/resumed_streams_tests.py
@@ -173,7 +173,8 @@
             await self.store.put("keyed.servers", name, b"")
         for name in ("i-5", "i-6"):
             await self.add_engine(name, "v1.2")
-        await self.wait_for_targets(4)
+        # As many as before: their number does not tell that the change is known.
+        await self.wait_for_engines("i-3", "i-4", "i-5", "i-6")
         for stream in streams:
             await self.resume(second, stream)
         self.assertFalse([stream for stream in streams if stream.mixed])
--- a/sequoiaarch/tests/platform/versioned_deployment.py
+++ b/sequoiaarch/tests/platform/versioned_deployment.py
@@ -13,7 +13,7 @@
 from ...fleet.peers import Peers, PeerServer
 from ...http1.client import connect
 from ...http1.messages import ExchangeError, RequestMessage
-from ...ids import DataCentre, HostName
+from ...ids import DataCentre, HostName, ServiceName
 from ...ingress.daemon import IngressDaemon
 from ...observe.events import EventLog
 from ...standins.target import TargetExchange, TargetStandIn, chunk, stream_head
@@ -173,6 +173,16 @@
                 while len(gateway.daemon.targets) != count:
                     await asyncio.sleep(0.01)
 
+    async def wait_for_engines(self, *names: str) -> None:
+        """Wait until all gateways know these engines and no others."""
+        async with asyncio.timeout(TIMEOUT):
+            for gateway in self.gateways.values():
+                while set(names) != {
+                    entry.instance
+                    for entry in gateway.daemon.targets.of(ServiceName(ENGINES))
+                }:
+                    await asyncio.sleep(0.01)
+
     async def begin(self, gateway: GatewayProcess, events: int = 2) -> Stream:
         """Begin a stream and break it off after some events."""
         stream = Stream(first=self.fresh_id())
