Suspect one host at a time only while a live one does not answer

Their logs: paused gateways had refuted suspicions, so the watcher suspected one host, then two, then four, a lease apart each.

A refuted suspicion alone does not show that its author is cut off: the host may have been paused. It does if the host does not answer after that either. The limit of one and the pauses now hold only while such a host is silent. A host without links and regions that lose each other still write a few records a minute, by the tests that were there.

test_many_are_lost_after_a_pause fails without the change and passes with it.

--- a/sequoiaarch/policies/lost_hosts.py
+++ b/sequoiaarch/policies/lost_hosts.py
@@ -17,16 +17,14 @@
 SILENT_PROBES_OLD = 30
 # Hosts that are probed at the same time.
 MAX_WATCHED = 64
-# Hosts that are suspected at the same time: at first, and again this many seconds after
-# the last refuted suspicion.
+# Hosts that are suspected at the same time at first.
 INITIAL_LIMIT = 16
-LIMIT_RESTORED_AFTER = 300.0
 # Seconds for which a host that refuted a suspicion is not suspected again, doubled
 # each time.
 MIN_PATIENCE = 10.0
 MAX_PATIENCE = 300.0
-# Seconds for which nobody is suspected after a suspicion was refuted, doubled each time
-# until a host is removed: whoever suspects live hosts is probably cut off itself.
+# Seconds between suspicions, doubled each time, while a host that has refuted one does
+# not answer: whoever can't reach live hosts is probably cut off itself.
 MIN_PAUSE = 1.0
 MAX_PAUSE = 60.0
 
@@ -67,7 +65,7 @@
     A suspicion is registered before a host is removed. A live host that reaches the
     store refutes it; any other one has stopped acting by its registration `wait`
     seconds later. The number of hosts that are suspected at the same time doubles with
-    each removal, and drops to one after a refuted suspicion.
+    each removal; it is one while a live host does not answer here.
     """
 
     def __init__(self, *, own: HostName, wait: float) -> None:
@@ -176,13 +174,21 @@
             for host in silent
             if host not in self._suspicions and not self._is_patient(host, now)
         ]
-        if now < self._paused_until:
-            suspect = []
-        if now >= self._paused_until + LIMIT_RESTORED_AFTER:
-            self._limit = max(self._limit, INITIAL_LIMIT)
         most = max(0, self._limit - outstanding)
+        if any(self._is_patient(host, now) for host in silent):
+            most = self._most_while_cut_off(bool(suspect), now)
+        else:
+            self._pause = 0.0
         return Verdict(suspect=tuple(suspect[:most]), remove=tuple(remove))
 
+    def _most_while_cut_off(self, wanted: bool, now: float) -> int:
+        """Return how many hosts to suspect while a live one does not answer."""
+        if not wanted or now < self._paused_until:
+            return 0
+        self._pause = min(max(MIN_PAUSE, 2 * self._pause), MAX_PAUSE)
+        self._paused_until = now + self._pause
+        return 1
+
     def _is_patient(self, host: HostName, now: float) -> bool:
         refuted = self._refuted.get(host)
         return refuted is not None and now < refuted.until
@@ -200,11 +206,7 @@
             return
         if process != suspicion.process:
             self._limit = min(2 * self._limit, MAX_WATCHED)
-            self._pause = 0.0
             return
-        self._limit = 1
-        self._pause = min(max(MIN_PAUSE, 2 * self._pause), MAX_PAUSE)
-        self._paused_until = now + self._pause
         refuted = self._refuted.get(host)
         patience = MIN_PATIENCE if refuted is None else 2 * refuted.patience
         patience = min(patience, MAX_PATIENCE)
--- a/sequoiaarch/tests/policies/lost_hosts_tests.py
+++ b/sequoiaarch/tests/policies/lost_hosts_tests.py
@@ -19,6 +19,8 @@
 WAIT = 5.0
 PROBE_INTERVAL = 1.0
 MINUTE = 60.0
+# The smallest recoveryS of a deployment.
+RECOVERY = 12.0
 
 
 class _Store:
@@ -183,6 +185,18 @@
         self.assertEqual(watch.judge([b], (), 2 * WAIT - 0.1), Verdict())
         self.assertEqual(watch.judge([b], (), 2 * WAIT), Verdict(remove=(b,)))
 
+    def test_many_are_lost_after_a_pause(self) -> None:
+        """Guards against losses that are found slowly as a paused host had refuted."""
+        store = _Store(8)
+        for paused in store.ring[1:4]:
+            store.lost = {paused}
+            store.run(SILENT_PROBES + 1)
+            store.lost = set()
+            store.run(2)
+        store.lost = set(store.ring[1:])
+        store.run(RECOVERY)
+        self.check_left(store)
+
     def test_store_was_away(self) -> None:
         """Guards against the removal of a host that had no store to refute by."""
         watch = LostHosts(own=HostName("a"), wait=WAIT)
