End the blocking of a proxy of the soaks when it is stopped

Its stack (faulthandler, through gdb) names _forward of the proxy: stop() released those that wait, but left the fault, so a forward on a blocked connection waited for an event that was set, for ever and without yielding. It takes a gateway that is closed while its links are silent.

--- a/sequoiaarch/tests/platform/soak/proxy.py
+++ b/sequoiaarch/tests/platform/soak/proxy.py
@@ -99,6 +99,7 @@
 
     async def stop(self) -> None:
         """Reset all connections and stop listening."""
+        self.fault = ProxyFault.NONE
         self._unblocked.set()
         self.reset()
         if self._server is not None:
