Play crowds of clients against processes, before they are limited

Clients that ignore the limits of the pages end a gateway by memory: many requests sent ahead on a few connections, answers unread. Neither that crowd nor others were played by a test.

Tests of crowds run one at a time, after all others.

--- a/sequoiaarch/tests/__main__.py
+++ b/sequoiaarch/tests/__main__.py
@@ -21,9 +21,11 @@
 PACKAGE_PREFIX = "sequoiaarch.tests."
 # Most tests use much processor time, and one process uses a single core.
 PROCESSES = 4
+# Tests that measure a process; they run one at a time, after all others.
+ALONE_PREFIX = f"{PACKAGE_PREFIX}crowds."
 # Limit for threads to end after the tests, on a busy machine. Seconds.
 THREAD_END_TIMEOUT = 30.0
-# Limit for all tests, in case one hangs. Seconds.
+# Limit for the tests of a group, in case one hangs. Seconds.
 SUITE_TIMEOUT = 900.0
 # Lists tests whose failures are ignored, one a line, with columns separated by bars:
 # test, command and seed, what was seen, cause, issue.
@@ -111,22 +113,31 @@
 def run_all() -> int:
     """Run all tests in several processes and return the exit code."""
     names = all_classes()
+    alone = [name for name in names if name.startswith(ALONE_PREFIX)]
+    others = [name for name in names if name not in alone]
+    parts = [others[part::PROCESSES] for part in range(PROCESSES)]
     totals = [0, 0, 0]
     code = 0
+    for group in (parts, [alone]):
+        code |= _run_group(group, totals)
+    print("{} passed, {} failed, {} skipped".format(*totals))
+    return code
+
+
+def _run_group(parts: list[list[str]], totals: list[int]) -> int:
+    """Run each part in a process, add to the totals and return the exit code."""
+    code = 0
     deadline = time.monotonic() + SUITE_TIMEOUT
     with tempfile.TemporaryDirectory() as folder:
-        parts = [names[part::PROCESSES] for part in range(PROCESSES)]
-        outputs = [Path(folder) / str(part) for part in range(PROCESSES)]
+        outputs = [Path(folder) / str(part) for part in range(len(parts))]
         runs = [_start(*arguments) for arguments in zip(parts, outputs, strict=True)]
         for process, output in zip(runs, outputs, strict=True):
             code |= _finish(process, deadline)
             text = output.read_text()
             print(text)
             for counts in COUNTS.findall(text)[-1:]:
-                totals = [
-                    sum(pair) for pair in zip(totals, map(int, counts), strict=True)
-                ]
-    print("{} passed, {} failed, {} skipped".format(*totals))
+                for kind, count in enumerate(counts):
+                    totals[kind] += int(count)
     return code
 
 
--- a/sequoiaarch/tests/platform/soak/gateways.py
+++ b/sequoiaarch/tests/platform/soak/gateways.py
@@ -33,8 +33,8 @@
 ready = "{ip}:{ready}"
 control = "{ip}:{control}"
 [limits]
-memoryMb = 200
-maxFds = 2000
+memoryMb = {memory_mb}
+maxFds = {descriptors}
 [bounds]
 graceS = {grace}
 revokeStrict = true
@@ -83,6 +83,8 @@
         module: str,
         name: str | None = None,
         contracts: tuple[str, ...] = (),
+        memory_mb: int = 200,
+        descriptors: int = 2000,
     ) -> None:
         self.name = name or f"gateway-{number}"
         self._address = own_address(number)
@@ -107,6 +109,8 @@
         self._front_port = free_port(self._address)
         self._module = module
         self._contracts = list(contracts)
+        self._memory_mb = memory_mb
+        self._descriptors = descriptors
         self._settings = folder / f"gateway-{number}.toml"
         self._log = folder / f"gateway-{number}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -129,6 +133,22 @@
         """Return the address for callers that is behind no proxy."""
         return self._address, self._front_port
 
+    @property
+    def ready_address(self) -> tuple[str, int]:
+        """Return the address of the readiness probe."""
+        return self._address, self._ready_port
+
+    @property
+    def inner_address(self) -> tuple[str, int]:
+        """Return the address for other gateways that is behind no proxy."""
+        return self._address, self.control_port
+
+    @property
+    def pid(self) -> int:
+        """Return the id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def undisturbed_since(self) -> float:
         """Return since when the process and its links are undisturbed."""
@@ -170,6 +190,8 @@
             zone=self.zone,
             seeds=seeds,
             contracts=self._contracts,
+            memory_mb=self._memory_mb,
+            descriptors=self._descriptors,
             front=self._front_port,
             ready=self._ready_port,
             control=self.control_port,
