Bound what the connections of clients make a gateway hold

Callers saw: a gateway that ended by memory, or answered nobody, beside clients that sent requests ahead and read no answers, sent bytes behind a refused request, sent bodies in chunks of one byte, or opened connections only to reset them.

Causes, each shown by a test that failed on: - Up to 512 KiB of a connection were read ahead and as much went to the parser, where nothing counted it. Now reading stops after one read (4 KiB; 64 KiB within a body) until the parser has taken it, the parser is fed by 16 KiB, and both are counted. The kernel's receive buffer is bounded (32 KiB set, before it grew to 32 MiB) and counted while it isn't read. A client with unread answers is read no further. - Bytes after the last response filled the buffers that nobody read. They are discarded, as many as one request may have. - A client whose bytes wait unread was not seen to leave; the kernel is asked for it. - Whatever was parsed kept the event loop for as long as it lasted. What clients can pile up (chunks, fields, requests sent ahead) now waits its turn, one piece in each turn of the loop. Heads have at most 512 fields. - Up to 1,024 connections were accepted in a turn of the loop, before any could be closed. It is 16 now. Above the limit the connection that is missed least is reset: closing, new, idle, receiving, then one whose answer was not read for 3 s. A request that is handled is never given up; if all are, the new connection is. - Connections and open requests had no limit by memory. - The readiness address had the limits of no host; it has 32 connections of its own. - Requests of clients that have left already were sent to targets.

Failed tries: counting received bytes with enforcement closed other callers for a new body (memory_tests); evicting any connection that closes cut an answer off (closing_tests).

--- a/sequoiaarch/http1/delivery.py
+++ b/sequoiaarch/http1/delivery.py
@@ -39,6 +39,7 @@
     def __init__(self) -> None:
         self.request = ""
         self.written = 0
+        self.responses = 0
         self._ended_by: EndedBy | None = None
         self._reason = ""
         self._undelivered = 0
@@ -47,6 +48,7 @@
     def begin(self) -> None:
         """Start with the next request of the connection."""
         self.request = ""
+        self.responses += 1
         self.written = 0
 
     def wrote(self, size: int, now: float) -> None:
--- a/sequoiaarch/http1/memory.py
+++ b/sequoiaarch/http1/memory.py
@@ -110,6 +110,11 @@
         """Return the bytes held for the connection that holds most."""
         return max((held.size for held in self.connections), default=0)
 
+    @property
+    def full(self) -> bool:
+        """Return whether nothing more can be held."""
+        return not self.fits(0)
+
     def fits(self, size: int) -> bool:
         """Return whether bytes can be added below the limit."""
         if self.total + size < self.limit:
--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
+from .admission import OpenConnections, TurnQueue
 from .delivery import UndeliveredResponse
 from .memory import HeldMemory
 from .server_connection import STOPPED, Handler, ServerConnection, ServerLimits
 
 # Seconds between checks whether all responses are delivered.
 DRAIN_INTERVAL = 0.05
+# Connections that the kernel keeps until they are accepted, and how many of them are
+# accepted in one turn of the event loop. All that wait would delay what is open, and
+# exceed the number of descriptors before any is closed.
+BACKLOG = 1024
+ACCEPTED_AT_ONCE = 16
+# Bytes that the kernel receives for a connection before they are read; it takes twice
+# as much, and up to 32 MB by default.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 
 
 class Server:
@@ -26,6 +36,11 @@
         self.handle = handle
         self.limits = limits
         self.connections: set[ServerConnection] = set()
+        self.open = OpenConnections()
+        self.turns = TurnQueue()
+        self.open_requests = 0
+        # Requests refused as too many others were open.
+        self.requests_refused = 0
         self.stopping = False
         self.held_bytes = 0
         self.memory = memory or HeldMemory()
@@ -40,21 +55,23 @@
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen on an address."""
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: ServerConnection(server=self), host, port, backlog=1024
-        )
-
-    def close_excess_idle(self) -> None:
-        """Close the idle connections if there are more than the limit.
-
-        Without free file descriptors no connection to a target or to the store
-        can be opened, and every request fails.
-        """
-        if len(self.connections) <= self.limits.links:
-            return
-        for connection in list(self.connections):
-            connection.close_idle()
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # Accepted connections inherit it; set later, it would not bound the window.
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+            listener.bind((host, port))
+            self._listener = await asyncio.get_running_loop().create_server(
+                lambda: ServerConnection(server=self),
+                sock=listener,
+                backlog=ACCEPTED_AT_ONCE,
+            )
+        except OSError:
+            listener.close()
+            raise
+        listener.listen(BACKLOG)
 
     def stop_accepting(self) -> None:
         """Close the listening socket and all idle connections."""
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -11,6 +11,7 @@
 import logbook
 import msgspec
 
+from .admission import STALL_TIMEOUT, ConnectionState, OpenConnections, TurnQueue
 from .delivery import Delivery, EndedBy, UndeliveredResponse
 from .memory import HeldBytes, HeldMemory
 from .messages import Headers, RequestMessage, ResponseHead, find_header
@@ -18,13 +19,33 @@
 from .sockets import (
     deliver_after_close,
     extend_send_buffer,
+    peer_has_closed,
     reset_on_close,
     undelivered_bytes,
+    unread_bytes,
 )
 
 log = logbook.Logger("http")
 
-READ_BUFFER_BYTES = 256 * 1024
+# Bytes that are read at once: of heads, and of bodies or what is discarded. Reading
+# stops until the parser has taken them. What a client sends ahead of its open request
+# is left to the kernel after one read.
+HEAD_READ_BYTES = 4 * 1024
+READ_BYTES = 64 * 1024
+# Bytes passed to the parser at once.
+PARSE_BYTES = 16 * 1024
+# Events of the parser after which other connections go first. Each costs the same,
+# whether it is a chunk of one byte or a whole head.
+EVENTS_AT_ONCE = 32
+# Lines of a head after which others go first, and which it may have. Each takes 2.5 us.
+MANY_HEAD_LINES = 64
+MAX_HEADER_FIELDS = 512
+# Bytes that a client may leave unread of its answers before its next request is read,
+# and seconds between checks.
+UNTAKEN_BYTES = 8 * 1024
+UNTAKEN_INTERVAL = 0.05
+# Seconds between looks at a client that has sent ahead and isn't read.
+PAUSED_INTERVAL = 0.25
 # Unsent bytes above which a response waits, in addition to the kernel's buffer.
 UNSENT_BYTES = 16 * 1024
 # Bytes of a response body that are written at once. The transport copies what the
@@ -32,11 +53,8 @@
 WRITE_BYTES = 64 * 1024
 # Seconds for a client to close its side after the last response, or to send anything.
 CLOSE_TIMEOUT = 1.0
-# Seconds without progress after which a stop leaves the rest of a response to the
-# kernel, which goes on to deliver it. Clients open their windows in steps.
-STALL_TIMEOUT = 3.0
-# Seconds after which to retry a request whose body can't be held. Most open requests
-# end sooner.
+# Seconds after which to retry a request for which there is no memory. Most open
+# requests end sooner.
 MEMORY_RETRY_AFTER = 1.0
 # Reasons for which a connection ends.
 STOPPED = "the server stopped"
@@ -47,7 +65,8 @@
     """Limits of a server; sizes in bytes, times in seconds.
 
     `header_bytes` and `body_bytes` limit one request, `held_bytes` the bodies
-    of all open requests together, `links` the number of connections.
+    of all open requests together, `links` the number of connections, `requests` the
+    number of open requests.
     """
 
     header_bytes: int = 16384
@@ -56,6 +75,7 @@
     idle_timeout: float = 15.0
     held_bytes: int = 64 * 1024 * 1024
     links: int = 4096
+    requests: int = 4096
 
 
 class _RequestRejected(Exception):
@@ -160,16 +180,21 @@
     handle: Handler
     limits: ServerLimits
     connections: set[ServerConnection]
+    open: OpenConnections
+    turns: TurnQueue
+    open_requests: int
+    requests_refused: int
     stopping: bool
     held_bytes: int
     memory: HeldMemory
     on_undelivered: Callable[[UndeliveredResponse], None]
 
-    def close_excess_idle(self) -> None:
-        """Close the idle connections if there are more than the limit."""
 
+# Received bytes are copied from here at once, so one buffer serves all connections.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
-class ServerConnection(asyncio.Protocol):
+
+class ServerConnection(asyncio.BufferedProtocol):
     """Server side of one connection, with the task that serves its requests."""
 
     def __init__(self, *, server: ServerState) -> None:
@@ -180,6 +205,14 @@
         self._transport: asyncio.Transport | None = None
         self._monitor: PeerMonitor | None = None
         self._received = bytearray()
+        self._in_parser = 0
+        self._head_lines = 0
+        self._events = 0
+        self._reading_body = False
+        self._paused: asyncio.TimerHandle | None = None
+        self._unread = 0
+        self._discarding = False
+        self._discarded = 0
         self._changed = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -218,7 +251,7 @@
         """Return whether a stop waits until the client has taken the rest.
 
         A client that has taken nothing for `STALL_TIMEOUT` does not count: whether it
-        reads slowly or not at all can't be told, and the kernel keeps the rest.
+        reads slowly or not at all can't be told, and the kernel goes on to deliver.
         """
         undelivered = self._observe_delivery()
         now = asyncio.get_running_loop().time()
@@ -234,16 +267,71 @@
             checked=self._observe_delivery,
         )
         self._server.connections.add(self)
-        self._server.close_excess_idle()
+        if not self._server.open.admit(self, limit=self._server.limits.links):
+            self.abort("all connections are busy")
+            return
         self._task = asyncio.create_task(self._run())
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer received bytes."""
-        self._received += data
-        if len(self._received) > READ_BUFFER_BYTES and self._transport is not None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        if self._reading_body or self._discarding:
+            return _READ_BUFFER
+        return _READ_BUFFER[:HEAD_READ_BYTES]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Keep the bytes read, and read no more until they are parsed."""
+        self._changed.set()
+        if self._discarding:
+            self._discarded += nbytes
+            limits = self._server.limits
+            if self._discarded > limits.header_bytes + limits.body_bytes:
+                self.abort("the client went on to send after its last response")
+            return
+        self._received += _READ_BUFFER[:nbytes]
+        self._pause_reading()
+        self._count_received()
+
+    def evict(self, state: ConnectionState) -> None:
+        """Reset the connection to make room for others."""
+        self.abort(f"too many connections, this one was {state.value}")
+
+    @property
+    def stalled(self) -> float:
+        """Return the seconds for which the client has taken nothing of its answer."""
+        return self.delivery.stalled(asyncio.get_running_loop().time())
+
+    def _enter(self, state: ConnectionState) -> None:
+        if self._transport is not None:
+            self._server.open.enter(self, state)
+
+    def _pause_reading(self) -> None:
+        if self._paused is None and self._transport is not None:
             self._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            self._paused = loop.call_later(PAUSED_INTERVAL, self._check_paused)
+
+    def _resume_reading(self) -> None:
+        if self._paused is not None:
+            self._paused.cancel()
+            self._paused = None
+            self._unread = 0
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def _check_paused(self) -> None:
+        """Notice that a client has left, though what it sent is not read."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        sock = transport.get_extra_info("socket")
+        loop = asyncio.get_running_loop()
+        self._paused = loop.call_later(PAUSED_INTERVAL, self._check_paused)
+        self._unread = unread_bytes(sock)
         self._count_received()
-        self._changed.set()
+        if peer_has_closed(sock):
+            self.eof_received()
+        elif self._unread and self._server.memory.full:
+            self._close_for_memory()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the client."""
@@ -258,8 +346,11 @@
         self._report_undelivered()
         if self._monitor is not None:
             self._monitor.stop()
+        if self._paused is not None:
+            self._paused.cancel()
         self._transport = None
         self._server.connections.discard(self)
+        self._server.open.remove(self)
         self.held.release()
         self._writable.set()
         self._handle_client_gone()
@@ -280,11 +371,14 @@
     def pause_writing(self) -> None:
         """Block writers while the write buffer is full."""
         self._writable.clear()
+        self._enter(ConnectionState.BLOCKED)
 
     def resume_writing(self) -> None:
         """Unblock writers."""
         self._writable.set()
         self.count_buffers()
+        if self._handling is not None:
+            self._enter(ConnectionState.HANDLING)
 
     def count_buffers(self) -> None:
         """Update the number of bytes counted for the buffers."""
@@ -297,9 +391,11 @@
             self.held.add(change)
 
     def _count_received(self) -> None:
-        size = len(self._received)
-        self.held.add_request(size - self._counted_received)
-        self._counted_received = size
+        size = len(self._received) + self._in_parser + self._unread
+        change = size - self._counted_received
+        if change:
+            self._counted_received = size
+            self.held.add_request(change)
 
     async def write(self, data: bytes) -> None:
         """Send bytes and wait while the write buffer is full; raise ClientGone."""
@@ -377,15 +473,17 @@
         except Exception:
             log.exception("unexpected error while serving a connection")
         finally:
+            self._close_request()
             self._release_body()
             await self._close()
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether another may follow."""
         message = await self._read_request()
-        if message is None:
+        if message is None or self._has_left():
             return False
         self.delivery.begin()
+        self._enter(ConnectionState.HANDLING)
         writer = ResponseWriter(connection=self, http=self._http)
         self._handling = asyncio.create_task(self._server.handle(message, writer))
         try:
@@ -396,7 +494,7 @@
             raise
         finally:
             self._handling = None
-            self._request_open = False
+            self._close_request()
             self.held.request = ""
             self._release_body()
         if not writer.ended:
@@ -404,12 +502,17 @@
             return False
         return self._http.our_state is h11.DONE and not self.closing
 
+    def _has_left(self) -> bool:
+        """Return whether the client has left, which a read may not have shown yet."""
+        transport = self._transport
+        return transport is None or peer_has_closed(transport.get_extra_info("socket"))
+
     async def _read_request(self) -> RequestMessage | None:
         limits = self._server.limits
-        arrived = await self._wait_for_request(limits.idle_timeout)
-        if not arrived:
+        if not await self._wait_for_request(limits.idle_timeout):
             return None
-        self._request_open = True
+        self._open_request(limits)
+        self._enter(ConnectionState.RECEIVING)
         try:
             async with asyncio.timeout(limits.header_timeout):
                 head = await self._next_event()
@@ -421,7 +524,15 @@
             return None
         _check_framing(head)
         self._check_declared_body(head, limits)
-        body = await self._read_body(limits)
+        self._reading_body = True
+        try:
+            body = await self._read_body(limits)
+        finally:
+            self._reading_body = False
+        self._in_parser = len(self._http.trailing_data[0])
+        if not self._in_parser and not self._received:
+            self._resume_reading()
+        self._count_received()
         return RequestMessage(
             method=bytes(head.method),
             target=bytes(head.target),
@@ -429,9 +540,30 @@
             body=body,
         )
 
+    def _open_request(self, limits: ServerLimits) -> None:
+        """Count an open request, or reject it if there are too many."""
+        if self._server.open_requests >= limits.requests:
+            self._server.requests_refused += 1
+            raise _RequestRejected(
+                503, "too many requests are open", MEMORY_RETRY_AFTER
+            )
+        self._request_open = True
+        self._server.open_requests += 1
+
+    def _close_request(self) -> None:
+        if self._request_open:
+            self._request_open = False
+            self._server.open_requests -= 1
+
     async def _wait_for_request(self, timeout: float) -> bool:
-        if self._http.trailing_data[0]:
-            return True
+        if not await self._wait_until_read(timeout):
+            return False
+        self._head_lines = 0
+        if self._in_parser or self._received:
+            await self._server.turns.wait()
+            return not self._client_gone
+        if self.delivery.responses:
+            self._enter(ConnectionState.WAITING)
         try:
             async with asyncio.timeout(timeout):
                 while not self._received and not self._client_gone:
@@ -441,6 +573,23 @@
             return False
         return not self._client_gone
 
+    async def _wait_until_read(self, timeout: float) -> bool:
+        """Wait until the client has read most of its answers; return False if not.
+
+        Its next request needs no answer before, and would only add to the unread ones.
+        """
+        blocked = False
+        while self._observe_delivery() > UNTAKEN_BYTES:
+            if not blocked:
+                blocked = True
+                self._enter(ConnectionState.BLOCKED)
+            if self.delivery.stalled(asyncio.get_running_loop().time()) >= timeout:
+                self.abort("the client read nothing for the idle timeout")
+            if self._client_gone or self._transport is None:
+                return False
+            await asyncio.sleep(UNTAKEN_INTERVAL)
+        return True
+
     async def _read_body(self, limits: ServerLimits) -> bytes:
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
@@ -493,31 +642,52 @@
 
     async def _next_event(self) -> h11.Event:
         while True:
+            await self._take_turn()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 # The text after the colon quotes the request, maybe an API key.
                 reason = str(error).partition(":")[0]
                 raise _RequestRejected(error.error_status_hint, reason) from None
+            self._events += 1
             if event is h11.NEED_DATA:
+                if self._head_lines > MAX_HEADER_FIELDS and not self._reading_body:
+                    raise _too_many_fields()
                 await self._feed_parser()
                 continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 raise ClientGone
+            if isinstance(event, h11.Request):
+                self._head_lines = 0
+                if len(event.headers) > MAX_HEADER_FIELDS:
+                    raise _too_many_fields()
             return cast(h11.Event, event)
 
+    async def _take_turn(self) -> None:
+        """Let other connections go first if this one has much to parse."""
+        if self._events < EVENTS_AT_ONCE and self._head_lines < MANY_HEAD_LINES:
+            return
+        self._events = 0
+        await self._server.turns.wait()
+
     async def _feed_parser(self) -> None:
+        if self._reading_body:
+            self._in_parser = 0
+        if not self._received:
+            self._resume_reading()
+            self._events = 0
         while not self._received:
             if self._client_gone:
                 raise ClientGone
             self._changed.clear()
             await self._changed.wait()
-        data = bytes(self._received)
-        self._received.clear()
+        data = bytes(self._received[:PARSE_BYTES])
+        del self._received[:PARSE_BYTES]
+        self._in_parser += len(data)
         self._count_received()
+        if not self._reading_body:
+            self._head_lines += data.count(b"\n")
         self._http.receive_data(data)
-        if self._transport is not None:
-            self._transport.resume_reading()
 
     async def _reject(self, error: _RequestRejected) -> None:
         log.info("request rejected with status {}: {}", error.status, error)
@@ -536,16 +706,33 @@
         with contextlib.suppress(ClientGone):
             await self.write(data)
 
+    def _discard_all(self) -> None:
+        """Discard what was received and what follows."""
+        self._discarding = True
+        self._http = h11.Connection(h11.SERVER)
+        self._received.clear()
+        self._in_parser = 0
+        self._resume_reading()
+        self._count_received()
+
     async def _close(self) -> None:
         """Close the connection after the client has taken the last response."""
         if self._transport is None:
             return
-        if self._client_gone or not self._transport.can_write_eof():
+        if self._client_gone or self._has_left():
             self._transport.abort()
             return
         # Closing with unread bytes resets the connection, and the client may see
         # the reset before the response. So read until the client closes.
-        self._transport.write_eof()
+        undelivered = self._observe_delivery()
+        self._enter(ConnectionState.BLOCKED if undelivered else ConnectionState.CLOSING)
+        self._discard_all()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection since.
+            self._transport.abort()
+            return
         self._watch_peer()
         await self._wait_until_taken()
         if self.undelivered:
@@ -571,9 +758,7 @@
                 return
 
     async def _discard_received(self) -> bool:
-        """Discard what arrives; return whether something did in `CLOSE_TIMEOUT`."""
-        self._received.clear()
-        self._count_received()
+        """Return whether something arrived in `CLOSE_TIMEOUT`; it is discarded."""
         self._changed.clear()
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT):
@@ -583,6 +768,10 @@
         return True
 
 
+def _too_many_fields() -> _RequestRejected:
+    return _RequestRejected(431, f"more than {MAX_HEADER_FIELDS} header fields")
+
+
 def _body_rejected() -> _RequestRejected:
     """Return the rejection of a request whose body can't be held.
 
--- a/sequoiaarch/http1/sockets.py
+++ b/sequoiaarch/http1/sockets.py
@@ -26,7 +26,8 @@
 TCP_RTO_MAX_MS = 44
 MAX_PROBE_INTERVAL_MS = 1000
 DEFAULT_RTO_MAX_MS = 120_000
-# `struct tcp_info` of linux/tcp.h.
+# `struct tcp_info` of linux/tcp.h, and its state of an open connection.
+ESTABLISHED = 1
 TCP_INFO_BYTES = 148
 PROBES_OFFSET = 3
 UNACKED_OFFSET = 24
@@ -91,11 +92,32 @@
     )
 
 
+def peer_has_closed(sock: socket.socket) -> bool:
+    """Return whether the peer has closed or reset a connection; False if unknown.
+
+    The kernel knows it while received bytes are unread, which hide it from reads.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return False
+    return bool(info) and info[0] not in (0, ESTABLISHED)
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many received bytes were not read; 0 if unknown."""
+    return _queued(sock, termios.FIONREAD)
+
+
 def undelivered_bytes(sock: socket.socket) -> int:
     """Return how many written bytes the peer has not acknowledged; 0 if unknown."""
+    return _queued(sock, termios.TIOCOUTQ)
+
+
+def _queued(sock: socket.socket, request: int) -> int:
     size = array.array("i", [0])
     try:
-        fcntl.ioctl(sock, termios.TIOCOUTQ, size)
+        fcntl.ioctl(sock, request, size)
     except OSError:
         return 0
     return size[0]
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -75,9 +75,20 @@
 HELD_MEMORY_FRACTION = 0.35
 # Fraction of the memory for the cache of committed turns.
 TURN_MEMORY_FRACTION = 0.1
-# Fraction of the file descriptors for connections of callers; targets, store and
-# peers need the rest.
-CALLER_CONNECTIONS_FRACTION = 0.6
+# Fractions of the file descriptors for connections of callers and for open requests,
+# each of which may need a connection to a target. Store and peers need the rest.
+CALLER_CONNECTIONS_FRACTION = 0.5
+REQUESTS_FRACTION = 0.2
+# Fractions of the memory for the fixed parts of connections and of open requests, and
+# bytes of one of them.
+CONNECTION_MEMORY_FRACTION = 0.08
+CONNECTION_BYTES = 12 * 1024
+REQUEST_MEMORY_FRACTION = 0.12
+REQUEST_BYTES = 40 * 1024
+# The readiness address serves probes and operators only.
+READY_LIMITS = ServerLimits(
+    header_bytes=8 * 1024, body_bytes=8 * 1024, links=32, requests=32
+)
 METRICS_PATH = b"/metrics"
 EXPOSURES_PATH = b"/exposures"
 # Seconds for which a process that can't read the registrations still owns its shares
@@ -200,7 +211,9 @@
             memory=self.memory,
         )
         self.front.on_undelivered = self._log_undelivered
-        self._ready = Server(handle=self._handle_ready, limits=ServerLimits())
+        self._ready = Server(
+            handle=self._handle_ready, limits=READY_LIMITS, memory=self.memory
+        )
         configuration = ConfigurationFollower(
             keyed_log=keyed_log,
             sources=sources,
@@ -513,13 +526,24 @@
         self.front.limits = self._server_limits(routes.limits)
 
     def _server_limits(self, limits: ClientLimits) -> ServerLimits:
+        memory, descriptors = self._options.memory_bytes, self._options.descriptors
+        connection_memory = memory * CONNECTION_MEMORY_FRACTION
+        request_memory = memory * REQUEST_MEMORY_FRACTION
         return ServerLimits(
             header_bytes=limits.header_bytes,
             body_bytes=limits.body_bytes,
             header_timeout=limits.header_timeout,
             idle_timeout=limits.idle_timeout,
-            held_bytes=int(self._options.memory_bytes * BODY_MEMORY_FRACTION),
-            links=int(self._options.descriptors * CALLER_CONNECTIONS_FRACTION),
+            held_bytes=int(memory * BODY_MEMORY_FRACTION),
+            links=int(
+                min(
+                    descriptors * CALLER_CONNECTIONS_FRACTION,
+                    connection_memory / CONNECTION_BYTES,
+                )
+            ),
+            requests=int(
+                min(descriptors * REQUESTS_FRACTION, request_memory / REQUEST_BYTES)
+            ),
         )
 
     def _targets_read(self, since: float) -> None:
--- a/sequoiaarch/tests/crowds/gateway_crowds_tests.py
+++ b/sequoiaarch/tests/crowds/gateway_crowds_tests.py
@@ -98,6 +98,7 @@
         document["services"] = services
         await self.store.put("keyed.op", "config", json.dumps(document).encode())
         self._targets: list[TargetStandIn] = []
+        self.addAsyncCleanup(self._stop_targets)
         for service, behaviour in (
             (TOOLS, tool_answer),
             (TOOLS, tool_answer),
@@ -135,12 +136,17 @@
         """Start and register a target."""
         target = TargetStandIn(behaviour=behaviour)
         await target.start()
-        self.addAsyncCleanup(target.stop)
         self._targets.append(target)
         entry = registration(service, f"{LOOPBACK}:{target.port}", slots=100)
         name = f"i-{len(self._targets)}"
         await self.store.put("keyed.servers", name, json.dumps(entry).encode())
 
+    async def _stop_targets(self) -> None:
+        for target in self._targets:
+            await target.stop()
+        # The connections that the targets know of are closed while the loop runs.
+        self._targets.clear()
+
     def ordinary(self) -> RequestMessage:
         """Return a request of an ordinary caller."""
         attempt = f"ordinary-{next(self._ids)}".encode()
