Bound the connections and messages of peers

Processes that reach the inner address of a gateway or a sidecar could end it: a frame that announces 1 GiB was read into memory, and connections took all descriptors.

Messages have at most 16 MiB now, peers have 3 s to introduce themselves, ZeroMQ reads 1,000 messages of a peer ahead in place of 100,000, and 4,096 requests are handled at once. A monitor of the socket shuts connections down above 0.15 of the descriptors, those from addresses of no registered host first, so that gateways still reach each other. Callers have 0.4 and open requests 0.15 of the descriptors, so that the sum fits.

Frames just below the limit on many connections are not bounded in sum.

--- a/sequoiaarch/fleet/peers.py
+++ b/sequoiaarch/fleet/peers.py
@@ -19,6 +19,7 @@
 from ..policies.lost_hosts import Suspicion
 from ..storage.calls import StoreCall, StoreClient, StoreReply, unavailable
 from ..storage.keyed import KeyedLog, KeyedRecord, Partition, Writer
+from ..wire.accepted import MAX_CONNECTIONS, AcceptedConnections
 from ..wire.links import Handler, Link, Links, Responder, Send
 from ..wire.messages import Failed, Reply, Request, StoreAnswer, StoreRequest
 from .ranking import known_weights
@@ -254,6 +255,12 @@
         """Return the other registered hosts of this data centre."""
         return self._neighbours
 
+    def knows_address(self, ip: str) -> bool:
+        """Return whether another registered host has an IP address."""
+        return any(
+            record.address.rpartition(":")[0] == ip for record in self._known.values()
+        )
+
     def link(self, host: HostName) -> Link | None:
         """Return the link to a host; None if it is not registered."""
         record = self._known.get(host)
@@ -422,14 +429,23 @@
         address: str,
         client: StoreClient,
         reaches_store: Callable[[], bool] = lambda: True,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._client = client
         self._reaches_store = reaches_store
         self.fallback: Handler = _reject_request
         self._responder = Responder(
-            context=context, address=f"tcp://{address}", handler=self._answer
+            context=context,
+            address=f"tcp://{address}",
+            handler=self._answer,
+            max_connections=max_connections,
         )
 
+    @property
+    def connections(self) -> AcceptedConnections:
+        """Return the connections of peers."""
+        return self._responder.connections
+
     @property
     def address(self) -> str:
         """Return the address that the server is bound to."""
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -76,9 +76,11 @@
 # Fraction of the memory for the cache of committed turns.
 TURN_MEMORY_FRACTION = 0.1
 # Fractions of the file descriptors for connections of callers and for open requests,
-# each of which may need a connection to a target. Store and peers need the rest.
-CALLER_CONNECTIONS_FRACTION = 0.5
-REQUESTS_FRACTION = 0.2
+# each of which may need a connection to a target, and for connections of peers. The
+# store, files and own connections to peers need the rest.
+CALLER_CONNECTIONS_FRACTION = 0.4
+REQUESTS_FRACTION = 0.15
+PEER_CONNECTIONS_FRACTION = 0.15
 # Fractions of the memory for the fixed parts of connections and of open requests, and
 # bytes of one of them.
 CONNECTION_MEMORY_FRACTION = 0.08
@@ -563,6 +565,11 @@
         self.dispatcher.forget(instance)
 
 
+def peer_connections(options: IngressOptions) -> int:
+    """Return the limit of the connections from other gateways."""
+    return int(options.descriptors * PEER_CONNECTIONS_FRACTION)
+
+
 def held_limit(options: IngressOptions) -> int:
     """Return the limit of the bytes held for callers and targets."""
     return int(options.memory_bytes * HELD_MEMORY_FRACTION)
--- a/sequoiaarch/platform/program.py
+++ b/sequoiaarch/platform/program.py
@@ -11,7 +11,7 @@
 import zmq.asyncio
 
 from ..fleet.peers import Peers, PeerServer
-from ..ingress.daemon import IngressDaemon
+from ..ingress.daemon import IngressDaemon, peer_connections
 from ..ingress.sources import Sources
 from ..observe.events import EventLog, events_written_to
 from ..storage.direct import DirectClient
@@ -61,7 +61,9 @@
         address=options.inner,
         client=direct,
         reaches_store=lambda: client.path is StorePath.DIRECT,
+        max_connections=peer_connections(options),
     )
+    server.connections.known = peers.knows_address
     daemon = IngressDaemon(
         options=options,
         keyed_log=PlatformLog(client=client),
--- a/sequoiaarch/wire/links.py
+++ b/sequoiaarch/wire/links.py
@@ -16,6 +16,7 @@
 
 from ..errors import ErrorKind, Failure, NotRun
 from ..reply_timeout import reply_clock, reply_timeout
+from .accepted import MAX_CONNECTIONS, AcceptedConnections
 from .messages import (
     Accepted,
     Failed,
@@ -38,6 +39,14 @@
 MORE_REPLIES = b"+"
 LAST_REPLY = b"."
 HIGH_WATER_MARK = 100_000
+# Bytes of a message, above any whole body with its history.
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# Messages of one peer that ZeroMQ reads ahead of the event loop.
+READ_AHEAD_MESSAGES = 1000
+# Milliseconds for a peer to introduce itself.
+HANDSHAKE_TIMEOUT_MS = 3000
+# Requests that are handled at once.
+MAX_OPEN_REQUESTS = 4096
 PING_ID = (0).to_bytes(ID_BYTES, "big")
 
 
@@ -64,16 +73,22 @@
         address: str,
         handler: Handler,
         keys: CurveKeys | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._handler = handler
         self._socket = context.socket(zmq.ROUTER)
+        self._socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         self._socket.setsockopt(zmq.LINGER, 1000)
         self._socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
-        self._socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+        self._socket.setsockopt(zmq.RCVHWM, READ_AHEAD_MESSAGES)
         if keys is not None:
             self._socket.curve_server = True
             self._socket.curve_secretkey = keys.secret.encode()
             self._socket.curve_publickey = keys.public.encode()
+        self.connections = AcceptedConnections(
+            router=self._socket, limit=max_connections
+        )
         self._socket.bind(address)
         self._outbox: dict[bytes, list[bytes]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -85,6 +100,13 @@
 
     async def run(self) -> None:
         """Receive requests and handle each in its own task, until cancelled."""
+        following = asyncio.create_task(self.connections.run())
+        try:
+            await self._receive()
+        finally:
+            following.cancel()
+
+    async def _receive(self) -> None:
         while True:
             frames = await self._socket.recv_multipart()
             if len(frames) != 3:
@@ -94,6 +116,12 @@
             if isinstance(request, Ping):
                 self._queue_reply(peer, request_id, LAST_REPLY, Accepted())
                 continue
+            if len(self._tasks) >= MAX_OPEN_REQUESTS:
+                failure = Failure(
+                    kind=ErrorKind.OVERLOADED, reason="too many requests are open"
+                )
+                self._queue_reply(peer, request_id, LAST_REPLY, Failed(failure=failure))
+                continue
             task = asyncio.create_task(self._handle(peer, request_id, request))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -150,6 +178,7 @@
         for task in self._tasks:
             task.cancel()
         self._flush()
+        self.connections.close()
         self._socket.close()
 
 
