Give a connection to the stand-alone daemon a thread once its request has come

Callers saw no answer while others kept connections open: each took a thread of 512 before it had sent anything. And a body took memory before its key was looked at: the server read the rest of a refused one whole to keep the connection.

- A gate looks at what has arrived and passes a connection on with its whole head and up to 16 KiB of its body.
It holds four connections a thread, closes the oldest above that, and each after 10 s.
- A refused body longer than 16 KiB is discarded by pieces for at most 1 s, and the connection closed.
- Longer bodies take one of a quarter of the threads and together at most 64 MiB; others get 503 with Retry-After.
Chunks are read by 1 KiB, with rests that follow the processor time of all of them, and a body has 30 s.

--- a/sequoiaarch/gateway/requests.py
+++ b/sequoiaarch/gateway/requests.py
@@ -13,6 +13,7 @@
 from ..config.settings import Settings
 from ..errors import ErrorKind, FailureError, fail
 from ..ids import CHILD_SEPARATOR, ProgramId, Seq, Workspace
+from ..webserver import BODIES_KEY, BodyError, LongBodies
 from ..workspaces.access import Access, Caller
 from ..workspaces.directory import ANONYMOUS, Directory, RateLimit, WorkspaceEntry
 from ..workspaces.quotas import Refusal, local_quotas, quota_failure
@@ -21,6 +22,8 @@
 PROGRAM_ID = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
 IDEMPOTENCY_KEY = re.compile(r"^[\x21-\x7e]{1,255}$")
 WORKSPACE_SEPARATOR = ":"
+# Seconds until a place for a long body is likely to be free.
+BUSY_RETRY_AFTER = 1.0
 DEFAULT_DEADLINE = 600.0  # seconds
 TRUE_VALUES = {"true", "1", "yes"}
 FALSE_VALUES = {"", "false", "0", "no"}
@@ -81,7 +84,13 @@
         raise fail(
             ErrorKind.TOO_LARGE, f"the body has {length} bytes, the limit is {limit}"
         )
-    body = request.stream.read(limit + 1)
+    bodies: LongBodies = request.environ[BODIES_KEY]
+    try:
+        body = bodies.read(request.stream, length=length, limit=limit)
+    except BodyError as error:
+        kind = ErrorKind.OVERLOADED if error.busy else ErrorKind.MALFORMED
+        retry_after = BUSY_RETRY_AFTER if error.busy else None
+        raise fail(kind, str(error), retry_after=retry_after) from None
     if len(body) > limit:
         raise fail(ErrorKind.TOO_LARGE, f"the body has more than {limit} bytes")
     return body
