Return freed bodies of the daemon's threads to the system

Bodies of known callers took 113 to 134 MiB of 128 beside the crowd of test_bodies_with_key, though the bodies that are received hold 16 MiB: each thread's arena keeps what was freed there, and the mapping threshold rises with the longest block.

--- a/sequoiaarch/daemon/run.py
+++ b/sequoiaarch/daemon/run.py
@@ -19,6 +19,7 @@
 from ..ids import TargetName
 from ..sidecar.sidecar import Sidecar
 from ..webserver import WebServer, WsgiApp, make_routes
+from .allocator import bound_arenas
 from .base import Core, connect_platform, make_core
 from .standalone import run_standalone
 
@@ -110,6 +111,7 @@
 
 def run_daemon(settings: Settings) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
+    bound_arenas()
 
     async def main() -> None:
         stopped = asyncio.Event()
