Tell what was refused to stay within the limits

Operators could not tell a crowd of clients from load: connections that made room for others, refused requests and connections of peers left no line and no counter.

One line a second at most (event refused) has the counts since the line before; the same counts are in the metrics.

--- a/sequoiaarch/http1/server.py
+++ b/sequoiaarch/http1/server.py
@@ -41,6 +41,8 @@
         self.open_requests = 0
         # Requests refused as too many others were open.
         self.requests_refused = 0
+        # Requests refused as their heads have too many fields.
+        self.heads_refused = 0
         self.stopping = False
         self.held_bytes = 0
         self.memory = memory or HeldMemory()
--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -184,6 +184,7 @@
     turns: TurnQueue
     open_requests: int
     requests_refused: int
+    heads_refused: int
     stopping: bool
     held_bytes: int
     memory: HeldMemory
@@ -652,7 +653,7 @@
             self._events += 1
             if event is h11.NEED_DATA:
                 if self._head_lines > MAX_HEADER_FIELDS and not self._reading_body:
-                    raise _too_many_fields()
+                    raise self._too_many_fields()
                 await self._feed_parser()
                 continue
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
@@ -660,9 +661,13 @@
             if isinstance(event, h11.Request):
                 self._head_lines = 0
                 if len(event.headers) > MAX_HEADER_FIELDS:
-                    raise _too_many_fields()
+                    raise self._too_many_fields()
             return cast(h11.Event, event)
 
+    def _too_many_fields(self) -> _RequestRejected:
+        self._server.heads_refused += 1
+        return _RequestRejected(431, f"more than {MAX_HEADER_FIELDS} header fields")
+
     async def _take_turn(self) -> None:
         """Let other connections go first if this one has much to parse."""
         if self._events < EVENTS_AT_ONCE and self._head_lines < MANY_HEAD_LINES:
@@ -768,10 +773,6 @@
         return True
 
 
-def _too_many_fields() -> _RequestRejected:
-    return _RequestRejected(431, f"more than {MAX_HEADER_FIELDS} header fields")
-
-
 def _body_rejected() -> _RequestRejected:
     """Return the rejection of a request whose body can't be held.
 
--- a/sequoiaarch/ingress/daemon.py
+++ b/sequoiaarch/ingress/daemon.py
@@ -43,6 +43,7 @@
 from ..routing.targets import TargetEntry, Targets
 from ..storage.keyed import KeyedLog
 from ..storage.relayed import StorePath
+from ..wire.accepted import AcceptedConnections
 from ..wire.links import Send
 from ..wire.messages import Reply as PeerReply, Request
 from ..workspaces.access import Access
@@ -53,6 +54,7 @@
 from .dispatcher import Dispatcher
 from .handler import RequestHandler
 from .options import IngressOptions
+from .refusals import RefusalLog, front_counts, peer_counts
 from .sources import Sources
 
 log = logbook.Logger("daemon")
@@ -237,6 +239,8 @@
             on_read=self._targets_read,
         )
         self._targets_path = StorePath.NONE
+        # Connections of peers, for the log and the metrics.
+        self.peer_connections: AcceptedConnections | None = None
         self.targets.age = lambda: boottime_clock() - self._targets_follower.as_of
         self.targets.on_leaving = self._metrics.observe_leaving_known
         self.targets.on_left = self._target_left
@@ -261,6 +265,8 @@
         ]
         if events is not None:
             self._background.append(events.run)
+            refusals = RefusalLog(events=events, counts=self._refusal_counts)
+            self._background.append(refusals.run)
         if self._fleet is not None:
             self._background += self._fleet.background_tasks(self._longest_retention)
         self._stopping = asyncio.Event()
@@ -472,6 +478,15 @@
             **({} if verdict is None else {"retry_after": verdict.retry_after}),
         )
 
+    def _refusal_counts(self) -> dict[str, int]:
+        ready = front_counts(self._ready)
+        return {
+            **front_counts(self.front),
+            **peer_counts(self.peer_connections),
+            "ready_refused": sum(ready.values()),
+            "closed_for_memory": self.memory.closed,
+        }
+
     def _update_gauges(self) -> None:
         self.memory.count_buffers()
         routes = self.dispatcher.routes
@@ -482,10 +497,11 @@
             "targets_age": self.targets.age(),
             "turns": float(self.ledger.turns),
             "connections": float(len(self.front.connections)),
+            "requests_open": float(self.front.open_requests),
             "target_connections_opened": float(self.dispatcher.pool.opened),
             "held_bytes": float(self.memory.total),
             "held_bytes_largest": float(self.memory.largest),
-            "closed_for_memory": float(self.memory.closed),
+            **{name: float(n) for name, n in self._refusal_counts().items()},
             "task_failures": float(self.background.failures.total()),
             "requests_exposed": float(len(self.dispatcher.exposures.table)),
             "requests_exposed_dropped": float(self.dispatcher.exposures.table.dropped),
--- a/sequoiaarch/platform/program.py
+++ b/sequoiaarch/platform/program.py
@@ -75,6 +75,7 @@
         store_path=lambda: client.path,
     )
     server.fallback = daemon.answer_peer
+    daemon.peer_connections = server.connections
     server_task = asyncio.create_task(server.run())
     await daemon.run()
     server_task.cancel()
