--- a/sequoiaarch/tests/__main__.py
+++ b/sequoiaarch/tests/__main__.py
@@ -22,7 +22,7 @@
 # Most tests use much processor time, and one process uses a single core.
 PROCESSES = 4
 # Tests that measure a process; they run one at a time, after all others.
-ALONE_PREFIX = f"{PACKAGE_PREFIX}crowds."
+ALONE_SUFFIX = "_crowds_tests"
 # Limit for threads to end after the tests, on a busy machine. Seconds.
 THREAD_END_TIMEOUT = 30.0
 # Limit for the tests of a group, in case one hangs. Seconds.
@@ -113,7 +113,7 @@
 def run_all() -> int:
     """Run all tests in several processes and return the exit code."""
     names = all_classes()
-    alone = [name for name in names if name.startswith(ALONE_PREFIX)]
+    alone = [name for name in names if ALONE_SUFFIX in name]
     others = [name for name in names if name not in alone]
     parts = [others[part::PROCESSES] for part in range(PROCESSES)]
     totals = [0, 0, 0]
--- a/sequoiaarch/tests/crowds/standalone_crowds_tests.py
+++ b/sequoiaarch/tests/crowds/standalone_crowds_tests.py
@@ -13,12 +13,7 @@
 from ..platform.soak.gateways import free_port, own_address
 from .base import CROWD_SECONDS, CrowdTestCase
 from .crowd import Crowd
-from .gateway_crowds_tests import (
-    CHUNKED,
-    GREETING,
-    LONG_FRAME,
-    READY_COMMAND,
-)
+from .frames import CHUNKED, GREETING, LONG_FRAME, READY_COMMAND
 from .measure import LISTENING, MIB
 
 # The smallest machine of a deployment. MiB.
--- a/sequoiaarch/tests/crowds/gateway_crowds_tests.py
+++ b/sequoiaarch/tests/platform/gateway_crowds_tests.py
@@ -9,7 +9,11 @@
 from ...http1.messages import RequestMessage
 from ...standins.keyed_store import KeyedStore
 from ...standins.target import TargetExchange, TargetStandIn, whole_answer
-from ..platform.deployment import (
+from ..crowds.base import CROWD_SECONDS, PATIENCE, CrowdTestCase
+from ..crowds.crowd import Crowd
+from ..crowds.frames import CHUNKED, GREETING, LONG_FRAME, READY_COMMAND
+from ..crowds.measure import MIB
+from .deployment import (
     ENGINES,
     HOST,
     LOOPBACK,
@@ -22,10 +26,7 @@
     stream_answer,
     tool_answer,
 )
-from ..platform.soak.gateways import MODULE, Gateway
-from .base import CROWD_SECONDS, PATIENCE, CrowdTestCase
-from .crowd import Crowd
-from .measure import MIB
+from .soak.gateways import MODULE, Gateway
 
 # The smallest machine of a deployment. MiB.
 MEMORY_MIB = 128
@@ -39,7 +40,6 @@
 PATHS = {"/tool/": TOOLS, "/hang/": HANGING, "/large/": LARGE}
 # Requests of a connection before it begins with the first one again.
 REQUESTS = 50
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 async def hang(exchange: TargetExchange) -> None:
@@ -317,12 +317,3 @@
                 repeated=bytes(65536),
             )
         )
-
-
-# ZMTP 3.0: the greeting of a client, its READY command as a DEALER, and the head of a
-# message of 1 GiB.
-GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
-_SOCKET_TYPE = b"\x0bSocket-Type" + (6).to_bytes(4, "big") + b"DEALER"
-_READY = b"\x05READY" + _SOCKET_TYPE
-READY_COMMAND = b"\x04" + bytes([len(_READY)]) + _READY
-LONG_FRAME = b"\x02" + (1 << 30).to_bytes(8, "big")
