Count a request as open once it was received whole

A crowd that began requests and never ended them took the places of open requests: 150 of a gateway with 1,000 descriptors, until each met the idle timeout of 15 s. Ordinary callers got 503 meanwhile, though nothing was handled (read in the code; the new test of 380 short bodies that never end also passes before, as places come free within the 30 s of its caller). Places are now checked with the head and taken when a request is handed on; what is received is bounded by connections and by bytes.

--- a/sequoiaarch/http1/server_connection.py
+++ b/sequoiaarch/http1/server_connection.py
@@ -474,7 +474,6 @@
         except Exception:
             log.exception("unexpected error while serving a connection")
         finally:
-            self._close_request()
             self._release_body()
             await self._close()
 
@@ -485,6 +484,7 @@
             return False
         self.delivery.begin()
         self._enter(ConnectionState.HANDLING)
+        self._server.open_requests += 1
         writer = ResponseWriter(connection=self, http=self._http)
         self._handling = asyncio.create_task(self._server.handle(message, writer))
         try:
@@ -495,7 +495,8 @@
             raise
         finally:
             self._handling = None
-            self._close_request()
+            self._server.open_requests -= 1
+            self._request_open = False
             self.held.request = ""
             self._release_body()
         if not writer.ended:
@@ -512,7 +513,7 @@
         limits = self._server.limits
         if not await self._wait_for_request(limits.idle_timeout):
             return None
-        self._open_request(limits)
+        self._request_open = True
         self._enter(ConnectionState.RECEIVING)
         try:
             async with asyncio.timeout(limits.header_timeout):
@@ -524,12 +525,15 @@
         if not isinstance(head, h11.Request):
             return None
         _check_framing(head)
+        self._check_place(limits)
         self._check_declared_body(head, limits)
         self._reading_body = True
         try:
             body = await self._read_body(limits)
         finally:
             self._reading_body = False
+        # A request that is still received takes no place, as it may never end.
+        self._check_place(limits)
         self._in_parser = len(self._http.trailing_data[0])
         if not self._in_parser and not self._received:
             self._resume_reading()
@@ -541,20 +545,13 @@
             body=body,
         )
 
-    def _open_request(self, limits: ServerLimits) -> None:
-        """Count an open request, or reject it if there are too many."""
+    def _check_place(self, limits: ServerLimits) -> None:
+        """Reject a request if too many others are handled."""
         if self._server.open_requests >= limits.requests:
             self._server.requests_refused += 1
             raise _RequestRejected(
                 503, "too many requests are open", MEMORY_RETRY_AFTER
             )
-        self._request_open = True
-        self._server.open_requests += 1
-
-    def _close_request(self) -> None:
-        if self._request_open:
-            self._request_open = False
-            self._server.open_requests -= 1
 
     async def _wait_for_request(self, timeout: float) -> bool:
         if not await self._wait_until_read(timeout):
--- a/sequoiaarch/tests/platform/gateway_crowds_tests.py
+++ b/sequoiaarch/tests/platform/gateway_crowds_tests.py
@@ -269,6 +269,12 @@
         opening = head("/tool/a", method="POST", fields=length) + bytes(3 * MIB)
         await self.check(Crowd.of(self.front, 200, opening=opening))
 
+    async def test_begun_short_bodies(self) -> None:
+        """Requests that never end keep the process from handling others."""
+        fields = b"Content-Length: 1000\r\n"
+        opening = head("/tool/a", method="POST", fields=fields) + bytes(10)
+        await self.check(Crowd.of(self.front, 380, opening=opening))
+
 
 class ConnectionsTests(GatewayCrowdTestCase):
     """Open more connections than there are descriptors."""
