Close the copy of a descriptor that is no socket any more

A look at the address of an accepted connection copies its descriptor. If that had been closed and used again for a file or a pipe, the copy stayed open (read in the code, not seen). A connection whose address was never known is left to the limit of the next one.

--- a/sequoiaarch/wire/accepted.py
+++ b/sequoiaarch/wire/accepted.py
@@ -81,19 +81,26 @@
                 self.refused,
             )
         # ZeroMQ owns the descriptor and closes it. If it has been closed and used again
-        # meanwhile, it belongs to a connection from another address.
-        if _remote_address(descriptor) != remote:
-            return
-        with contextlib.suppress(OSError):
-            duplicate = socket.socket(fileno=os.dup(descriptor))
-            with duplicate:
+        # meanwhile, it most likely belongs to a connection from another address.
+        if remote and _remote_address(descriptor) == remote:
+            with contextlib.suppress(OSError), _duplicate(descriptor) as duplicate:
                 duplicate.shutdown(socket.SHUT_RDWR)
 
 
 def _remote_address(descriptor: int) -> str:
     """Return the IP address of a connection's peer; empty if it has left."""
     try:
-        with socket.socket(fileno=os.dup(descriptor)) as duplicate:
+        with _duplicate(descriptor) as duplicate:
             return str(duplicate.getpeername()[0])
     except OSError:
         return ""
+
+
+def _duplicate(descriptor: int) -> socket.socket:
+    """Return a socket for a copy of a descriptor; raises OSError if it is none."""
+    copy = os.dup(descriptor)
+    try:
+        return socket.socket(fileno=copy)
+    except OSError:
+        os.close(copy)
+        raise
