--- a/sequoiaarch/tests/crowds/base.py
+++ b/sequoiaarch/tests/crowds/base.py
@@ -77,7 +77,7 @@
         while loop.time() < ends_at:
             with contextlib.suppress(ExchangeError, TimeoutError, OSError):
                 async with asyncio.timeout(CALL_TIMEOUT):
-                    if await _status(address, request) == 200:
+                    if await call(address, request) == 200:
                         return True
             await asyncio.sleep(RETRY_INTERVAL)
         return False
@@ -96,7 +96,7 @@
     await asyncio.sleep(0)
 
 
-async def _status(address: tuple[str, int], request: RequestMessage) -> int:
+async def call(address: tuple[str, int], request: RequestMessage) -> int:
     """Send a request on a new connection and return the status of its answer."""
     connection = await connect(address, timeout=CALL_TIMEOUT)
     try:
--- a/sequoiaarch/tests/platform/gateway_crowds_tests.py
+++ b/sequoiaarch/tests/platform/gateway_crowds_tests.py
@@ -9,7 +9,7 @@
 from ...http1.messages import RequestMessage
 from ...standins.keyed_store import KeyedStore
 from ...standins.target import TargetExchange, TargetStandIn, whole_answer
-from ..crowds.base import CROWD_SECONDS, PATIENCE, CrowdTestCase
+from ..crowds.base import CROWD_SECONDS, PATIENCE, CrowdTestCase, call
 from ..crowds.crowd import Crowd
 from ..crowds.frames import CHUNKED, GREETING, LONG_FRAME, READY_COMMAND
 from ..crowds.measure import MIB
@@ -323,3 +323,29 @@
                 repeated=bytes(65536),
             )
         )
+
+
+class CalmTests(GatewayCrowdTestCase):
+    """Send single requests at the limits of what callers may send."""
+
+    async def check_served(self, request: RequestMessage) -> None:
+        """Check that a request is served at its first attempt."""
+        self.assertEqual(await call(self.front, request), 200)
+
+    async def test_longest_body(self) -> None:
+        """A limit against crowds refuses the longest body that is allowed."""
+        request = self.ordinary()
+        request.method, request.body = b"POST", bytes(4 * MIB)
+        await self.check_served(request)
+
+    async def test_longest_head(self) -> None:
+        """A limit against crowds refuses the longest head that is allowed."""
+        request = self.ordinary()
+        request.headers += [(f"X-{n}".encode(), b"v" * 30) for n in range(380)]
+        await self.check_served(request)
+
+    async def test_long_answer(self) -> None:
+        """A limit against crowds cuts a long answer off."""
+        request = self.ordinary()
+        request.target = b"/large/a"
+        await self.check_served(request)
